[workspace] Lay out packages, vocabulary and messages

The packages follow concerns; the decisions live in core, request, schedule and agent, which do no I/O. Their events, effects, messages and records are defined first so that the parts can be built side by side. The acceptance of release notes is one pure function in core.

--- /dev/null
+++ b/crates/hornbeamlead_agent/src/machine.rs
@@ -0,0 +1,135 @@
+//! State machine of an agent: request side, batch side and configuration.
+
+use hornbeamlead_core::clock::{ClockReading, MonoTime};
+use hornbeamlead_core::effect::AgentEffect;
+use hornbeamlead_core::event::{AgentEvent, StreamBatch};
+use hornbeamlead_core::explain::DecisionNote;
+use hornbeamlead_core::fleet::FleetState;
+use hornbeamlead_core::ids::{LinkId, LogOffset, Revision};
+use hornbeamlead_core::message::request::LinkMessage;
+use hornbeamlead_core::notes_keeper::{NoteVerdict, NotesKeeper};
+use hornbeamlead_core::policy::{AgentPolicy, ProcessPlace};
+use hornbeamlead_core::status::AgentStatus;
+use hornbeamlead_request::gate::{GateContext, RequestGate};
+use hornbeamlead_schedule::machine::ScheduleMachine;
+
+/// State machine of an agent.
+///
+/// Each event goes to the configuration first, then to the batch side, then to the request side.
+#[derive(Debug)]
+pub struct AgentMachine {
+    keeper: NotesKeeper,
+    schedule: ScheduleMachine,
+    gate: RequestGate,
+    stopping: bool,
+}
+
+impl AgentMachine {
+    /// Makes the machine of a process that has just started.
+    #[must_use]
+    pub fn new(place: ProcessPlace, policy: AgentPolicy) -> Self {
+        Self {
+            keeper: NotesKeeper::default(),
+            schedule: ScheduleMachine::new(place.clone(), policy.clone()),
+            gate: RequestGate::new(place, policy),
+            stopping: false,
+        }
+    }
+
+    /// Takes one event and returns what the driver is to do, in order.
+    ///
+    /// At most one wake-up wish is among the effects: the earliest of all parts.
+    pub fn handle(&mut self, now: ClockReading, event: &AgentEvent) -> Vec<AgentEffect> {
+        let mut effects = Vec::new();
+        self.keep_notes(now, event, &mut effects);
+        self.schedule
+            .handle(now, self.keeper.fleet(), event, &mut effects);
+        let context = GateContext {
+            fleet: self.keeper.fleet(),
+            standing: self.schedule.standing(),
+        };
+        self.gate.handle(now, context, event, &mut effects);
+        if self.stopping && self.gate.idle() && self.schedule.idle() {
+            effects.push(AgentEffect::Exit);
+        }
+        merge_wakes(effects)
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn fleet(&self) -> &FleetState {
+        self.keeper.fleet()
+    }
+
+    /// Returns the status for operators.
+    #[must_use]
+    pub fn status(&self) -> AgentStatus {
+        AgentStatus {
+            revision: self.keeper.revision(),
+            gate: self.gate.status(),
+            schedule: self.schedule.status(),
+            stopping: self.stopping,
+        }
+    }
+
+    fn keep_notes(&mut self, now: ClockReading, event: &AgentEvent, out: &mut Vec<AgentEffect>) {
+        match event {
+            AgentEvent::LogRead {
+                result: Ok(StreamBatch::Notes(batch)),
+                ..
+            } => {
+                let verdicts = self.keeper.apply_batch(batch);
+                self.report(now, &verdicts, out);
+            }
+            AgentEvent::NotesPassed(records) => {
+                let verdicts = self.keeper.apply_records(records);
+                self.report(now, &verdicts, out);
+            }
+            AgentEvent::NotesAsked { link, from } => out.push(self.pass_notes(*link, *from)),
+            AgentEvent::StopAsked => self.stopping = true,
+            _ => {}
+        }
+    }
+
+    fn pass_notes(&self, link: LinkId, from: Revision) -> AgentEffect {
+        let copies = self.keeper.copies_from(LogOffset(from.0));
+        AgentEffect::ReplyLink {
+            link,
+            message: LinkMessage::Notes(copies),
+        }
+    }
+
+    fn report(&self, now: ClockReading, verdicts: &[NoteVerdict], out: &mut Vec<AgentEffect>) {
+        for verdict in verdicts {
+            let inputs = match &verdict.result {
+                Ok(revision) => format!("accepted=true revision={revision}"),
+                Err(refusal) => format!("accepted=false reason=\"{refusal}\""),
+            };
+            out.push(AgentEffect::Decide(DecisionNote {
+                at: now.wall,
+                subject: format!("note:{}", verdict.id).into(),
+                rule: "note_acceptance",
+                inputs: inputs.into(),
+                revision: self.keeper.revision(),
+            }));
+        }
+    }
+}
+
+/// Replaces all wake-up wishes by the earliest one, placed last.
+fn merge_wakes(effects: Vec<AgentEffect>) -> Vec<AgentEffect> {
+    let earliest = effects.iter().filter_map(wake_time).min();
+    let mut merged: Vec<AgentEffect> = effects
+        .into_iter()
+        .filter(|effect| wake_time(effect).is_none())
+        .collect();
+    merged.extend(earliest.map(AgentEffect::WakeAt));
+    merged
+}
+
+fn wake_time(effect: &AgentEffect) -> Option<MonoTime> {
+    match effect {
+        AgentEffect::WakeAt(at) => Some(*at),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_core/src/clock.rs
@@ -0,0 +1,65 @@
+//! Clock readings handed to the decisions; no decision reads a clock itself.
+
+use std::time::Duration;
+
+/// Reading of one host's monotonic clock, in microseconds since an arbitrary start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MonoTime(pub u64);
+
+impl MonoTime {
+    /// Latest reading; stands for "no deadline".
+    pub const MAX: Self = Self(u64::MAX);
+
+    /// Adds a span, saturating.
+    #[must_use]
+    pub fn plus(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+
+    /// Subtracts a span, saturating at zero.
+    #[must_use]
+    pub fn minus(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+
+    /// Returns the span since `earlier`, zero if that is later.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl std::fmt::Display for MonoTime {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}us", self.0)
+    }
+}
+
+/// Wall-clock reading, in milliseconds since the Unix epoch; used for job deadlines only.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WallTime(pub u64);
+
+impl WallTime {
+    /// Returns the span until `later`, zero if that is past.
+    #[must_use]
+    pub fn until(self, later: Self) -> Duration {
+        Duration::from_millis(later.0.saturating_sub(self.0))
+    }
+}
+
+impl std::fmt::Display for WallTime {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}ms", self.0)
+    }
+}
+
+/// Both clocks, read at the same moment by whoever drives a state machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClockReading {
+    /// Monotonic clock of the host.
+    pub mono: MonoTime,
+    /// Wall clock of the host.
+    pub wall: WallTime,
+}
--- /dev/null
+++ b/crates/hornbeamlead_core/src/fleet.rs
@@ -0,0 +1,438 @@
+//! Configuration of the fleet: the one function by which every process accepts or refuses a note.
+
+use crate::ids::{DataCentreName, JobName, LogOffset, NoteId, Revision, ServiceName, TeamName};
+use crate::note::{
+    DataCentreSpec, JobSpec, NoteItems, NoteNames, ReleaseNote, ServiceSpec, TeamSpec,
+};
+use snafu::Snafu;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Note ids remembered, so that a note that stands twice on the log is accepted once.
+pub const REMEMBERED_NOTES: usize = 4096;
+
+/// Kind of an item, for messages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ItemKind {
+    /// Data centre.
+    DataCentre,
+    /// Team.
+    Team,
+    /// Service.
+    Service,
+    /// Job.
+    Job,
+}
+
+impl std::fmt::Display for ItemKind {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::DataCentre => "data centre",
+            Self::Team => "team",
+            Self::Service => "service",
+            Self::Job => "job",
+        })
+    }
+}
+
+/// Why a note was refused.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum NoteRefusal {
+    /// Another note was accepted since the author looked.
+    #[snafu(display("based on revision {based_on}, but revision {current} is in force"))]
+    Outdated {
+        /// Revision the author saw.
+        based_on: Revision,
+        /// Revision in force.
+        current: Revision,
+    },
+    /// The id was used before.
+    #[snafu(display("note id {id} was used before, at revision {earlier}"))]
+    UsedId {
+        /// The id.
+        id: NoteId,
+        /// Revision of the earlier note; 0 if that was refused.
+        earlier: Revision,
+    },
+    /// An added item exists already.
+    #[snafu(display("{kind} {name} exists already; list it under changed"))]
+    Exists {
+        /// Kind of the item.
+        kind: ItemKind,
+        /// Its name.
+        name: Box<str>,
+    },
+    /// A changed or withdrawn item does not exist.
+    #[snafu(display("{kind} {name} does not exist; list it under added"))]
+    Missing {
+        /// Kind of the item.
+        kind: ItemKind,
+        /// Its name.
+        name: Box<str>,
+    },
+    /// A job names something that is not declared.
+    #[snafu(display("job {job} names {kind} {name}, which is not declared"))]
+    Dangling {
+        /// The job.
+        job: JobName,
+        /// Kind of what is missing.
+        kind: ItemKind,
+        /// Its name.
+        name: Box<str>,
+    },
+    /// An item is still named by a job.
+    #[snafu(display("{kind} {name} is still named by job {job}"))]
+    InUse {
+        /// Kind of the item.
+        kind: ItemKind,
+        /// Its name.
+        name: Box<str>,
+        /// A job that names it.
+        job: JobName,
+    },
+}
+
+/// Fate of a note whose id is remembered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NoteFate {
+    /// Note.
+    pub id: NoteId,
+    /// Revision that it made; `None` if it was refused.
+    pub revision: Option<Revision>,
+}
+
+/// Whole configuration, as it is written to the log again before retention runs out.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FleetSnapshot {
+    /// Records before this offset are contained.
+    pub up_to: LogOffset,
+    /// Revision in force.
+    pub revision: Revision,
+    /// All items.
+    pub items: NoteItems,
+    /// Fates of the newest notes, oldest first.
+    pub fates: Vec<NoteFate>,
+}
+
+/// Configuration in force, made by applying the notes stream in order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FleetState {
+    next: LogOffset,
+    revision: Revision,
+    data_centres: BTreeMap<DataCentreName, DataCentreSpec>,
+    teams: BTreeMap<TeamName, TeamSpec>,
+    services: BTreeMap<ServiceName, ServiceSpec>,
+    jobs: BTreeMap<JobName, JobSpec>,
+    fates: VecDeque<NoteFate>,
+}
+
+impl FleetState {
+    /// Returns the revision in force.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns the offset that is to be applied next.
+    #[must_use]
+    pub fn next(&self) -> LogOffset {
+        self.next
+    }
+
+    /// Returns the data centres by name.
+    #[must_use]
+    pub fn data_centres(&self) -> &BTreeMap<DataCentreName, DataCentreSpec> {
+        &self.data_centres
+    }
+
+    /// Returns the teams by name.
+    #[must_use]
+    pub fn teams(&self) -> &BTreeMap<TeamName, TeamSpec> {
+        &self.teams
+    }
+
+    /// Returns the services by name.
+    #[must_use]
+    pub fn services(&self) -> &BTreeMap<ServiceName, ServiceSpec> {
+        &self.services
+    }
+
+    /// Returns the jobs by name.
+    #[must_use]
+    pub fn jobs(&self) -> &BTreeMap<JobName, JobSpec> {
+        &self.jobs
+    }
+
+    /// Returns whether a data centre is declared and in service.
+    #[must_use]
+    pub fn in_service(&self, name: &DataCentreName) -> bool {
+        self.data_centres
+            .get(name)
+            .is_some_and(|spec| spec.in_service)
+    }
+
+    /// Returns the fate of a remembered note.
+    #[must_use]
+    pub fn fate(&self, id: &NoteId) -> Option<&NoteFate> {
+        self.fates.iter().rev().find(|fate| fate.id == *id)
+    }
+
+    /// Passes over a record that holds no note, such as one that cannot be decoded.
+    pub fn skip(&mut self, offset: LogOffset) {
+        if offset >= self.next {
+            self.next = LogOffset(offset.0.saturating_add(1));
+        }
+    }
+
+    /// Applies the note at `offset`; the same input gives the same verdict in every process.
+    ///
+    /// An offset that was applied before changes nothing, so nothing ever reverts.
+    ///
+    /// # Errors
+    /// Returns the refusal; the configuration is then unchanged but for the remembered id.
+    pub fn apply(
+        &mut self,
+        offset: LogOffset,
+        note: &ReleaseNote,
+    ) -> Result<Revision, NoteRefusal> {
+        if offset < self.next {
+            return Ok(self.revision);
+        }
+        self.skip(offset);
+        if let Some(earlier) = self.fate(&note.id) {
+            let earlier = earlier.revision.unwrap_or_default();
+            return Err(NoteRefusal::UsedId {
+                id: note.id.clone(),
+                earlier,
+            });
+        }
+        let verdict = self.accept(note);
+        let revision = verdict.as_ref().ok().map(|()| Revision::after(offset));
+        self.remember(NoteFate {
+            id: note.id.clone(),
+            revision,
+        });
+        verdict.map(|()| {
+            self.revision = Revision::after(offset);
+            self.revision
+        })
+    }
+
+    /// Loads a snapshot if it is ahead of this state; returns whether it was.
+    pub fn load(&mut self, snapshot: &FleetSnapshot) -> bool {
+        if snapshot.up_to <= self.next {
+            return false;
+        }
+        let mut fresh = Self {
+            next: snapshot.up_to,
+            revision: snapshot.revision,
+            fates: snapshot.fates.iter().cloned().collect(),
+            ..Self::default()
+        };
+        fresh.insert(&snapshot.items);
+        *self = fresh;
+        true
+    }
+
+    /// Returns the whole configuration as a snapshot.
+    #[must_use]
+    pub fn snapshot(&self) -> FleetSnapshot {
+        FleetSnapshot {
+            up_to: self.next,
+            revision: self.revision,
+            items: NoteItems {
+                data_centres: self.data_centres.values().cloned().collect(),
+                teams: self.teams.values().cloned().collect(),
+                services: self.services.values().cloned().collect(),
+                jobs: self.jobs.values().cloned().collect(),
+            },
+            fates: self.fates.iter().cloned().collect(),
+        }
+    }
+
+    fn remember(&mut self, fate: NoteFate) {
+        if self.fates.len() == REMEMBERED_NOTES {
+            self.fates.pop_front();
+        }
+        self.fates.push_back(fate);
+    }
+
+    fn accept(&mut self, note: &ReleaseNote) -> Result<(), NoteRefusal> {
+        match note.based_on {
+            Some(based_on) if based_on != self.revision => {
+                return Err(NoteRefusal::Outdated {
+                    based_on,
+                    current: self.revision,
+                });
+            }
+            Some(_) | None => {}
+        }
+        self.check_added(&note.added)?;
+        self.check_changed(&note.changed)?;
+        self.check_withdrawn(&note.withdrawn)?;
+        let mut next = self.clone();
+        next.remove(&note.withdrawn);
+        next.insert(&note.added);
+        next.insert(&note.changed);
+        next.check_references(note)?;
+        *self = next;
+        Ok(())
+    }
+
+    fn check_added(&self, added: &NoteItems) -> Result<(), NoteRefusal> {
+        for spec in &added.data_centres {
+            absent(&self.data_centres, &spec.name, ItemKind::DataCentre)?;
+        }
+        for spec in &added.teams {
+            absent(&self.teams, &spec.name, ItemKind::Team)?;
+        }
+        for spec in &added.services {
+            absent(&self.services, &spec.name, ItemKind::Service)?;
+        }
+        for spec in &added.jobs {
+            absent(&self.jobs, &spec.name, ItemKind::Job)?;
+        }
+        Ok(())
+    }
+
+    fn check_changed(&self, changed: &NoteItems) -> Result<(), NoteRefusal> {
+        for spec in &changed.data_centres {
+            present(&self.data_centres, &spec.name, ItemKind::DataCentre)?;
+        }
+        for spec in &changed.teams {
+            present(&self.teams, &spec.name, ItemKind::Team)?;
+        }
+        for spec in &changed.services {
+            present(&self.services, &spec.name, ItemKind::Service)?;
+        }
+        for spec in &changed.jobs {
+            present(&self.jobs, &spec.name, ItemKind::Job)?;
+        }
+        Ok(())
+    }
+
+    fn check_withdrawn(&self, withdrawn: &NoteNames) -> Result<(), NoteRefusal> {
+        for name in &withdrawn.data_centres {
+            present(&self.data_centres, name, ItemKind::DataCentre)?;
+        }
+        for name in &withdrawn.teams {
+            present(&self.teams, name, ItemKind::Team)?;
+        }
+        for name in &withdrawn.services {
+            present(&self.services, name, ItemKind::Service)?;
+        }
+        for name in &withdrawn.jobs {
+            present(&self.jobs, name, ItemKind::Job)?;
+        }
+        Ok(())
+    }
+
+    /// Checks that the jobs touched by a note name declared items, and that no job lost one.
+    fn check_references(&self, note: &ReleaseNote) -> Result<(), NoteRefusal> {
+        for spec in note.added.jobs.iter().chain(&note.changed.jobs) {
+            self.check_job(spec)?;
+        }
+        let by_team = |name: &TeamName| self.jobs.values().find(|job| job.team == *name);
+        for name in &note.withdrawn.teams {
+            unused(by_team(name), ItemKind::Team, name.as_str())?;
+        }
+        let by_centre = |name: &DataCentreName| {
+            self.jobs
+                .values()
+                .find(|job| job.data_centres.contains(name))
+        };
+        for name in &note.withdrawn.data_centres {
+            unused(by_centre(name), ItemKind::DataCentre, name.as_str())?;
+        }
+        Ok(())
+    }
+
+    fn check_job(&self, spec: &JobSpec) -> Result<(), NoteRefusal> {
+        let dangling = |kind, name: &str| NoteRefusal::Dangling {
+            job: spec.name.clone(),
+            kind,
+            name: name.into(),
+        };
+        if !self.teams.contains_key(&spec.team) {
+            return Err(dangling(ItemKind::Team, spec.team.as_str()));
+        }
+        let unknown = spec
+            .data_centres
+            .iter()
+            .find(|name| !self.data_centres.contains_key(name));
+        match unknown {
+            Some(name) => Err(dangling(ItemKind::DataCentre, name.as_str())),
+            None => Ok(()),
+        }
+    }
+
+    fn remove(&mut self, names: &NoteNames) {
+        names
+            .data_centres
+            .iter()
+            .for_each(|name| drop(self.data_centres.remove(name)));
+        names
+            .teams
+            .iter()
+            .for_each(|name| drop(self.teams.remove(name)));
+        names
+            .services
+            .iter()
+            .for_each(|name| drop(self.services.remove(name)));
+        names
+            .jobs
+            .iter()
+            .for_each(|name| drop(self.jobs.remove(name)));
+    }
+
+    fn insert(&mut self, items: &NoteItems) {
+        for spec in &items.data_centres {
+            self.data_centres.insert(spec.name.clone(), spec.clone());
+        }
+        for spec in &items.teams {
+            self.teams.insert(spec.name.clone(), spec.clone());
+        }
+        for spec in &items.services {
+            self.services.insert(spec.name.clone(), spec.clone());
+        }
+        for spec in &items.jobs {
+            self.jobs.insert(spec.name.clone(), spec.clone());
+        }
+    }
+}
+
+fn absent<K, V>(map: &BTreeMap<K, V>, name: &K, kind: ItemKind) -> Result<(), NoteRefusal>
+where
+    K: Ord + std::fmt::Display,
+{
+    if map.contains_key(name) {
+        return Err(NoteRefusal::Exists {
+            kind,
+            name: name.to_string().into(),
+        });
+    }
+    Ok(())
+}
+
+fn present<K, V>(map: &BTreeMap<K, V>, name: &K, kind: ItemKind) -> Result<(), NoteRefusal>
+where
+    K: Ord + std::fmt::Display,
+{
+    if map.contains_key(name) {
+        return Ok(());
+    }
+    Err(NoteRefusal::Missing {
+        kind,
+        name: name.to_string().into(),
+    })
+}
+
+fn unused(user: Option<&JobSpec>, kind: ItemKind, name: &str) -> Result<(), NoteRefusal> {
+    match user {
+        Some(job) => Err(NoteRefusal::InUse {
+            kind,
+            name: name.into(),
+            job: job.name.clone(),
+        }),
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Gives operators a command line: release notes, drains, cancellations, status and explanations.
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Runs the entry and agent roles: sockets, threads and rings around the decisions.
--- /dev/null
+++ b/crates/hornbeamlead_request/src/lib.rs
@@ -0,0 +1,4 @@
+//! Decides where live requests go, whether they are admitted and that a key runs once, without I/O.
+
+pub mod entry;
+pub mod gate;
--- /dev/null
+++ b/crates/hornbeamlead_settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Reads, checks and resolves settings and release notes.
--- /dev/null
+++ b/crates/hornbeamlead_standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts the program.
+
+fn main() {}
