--- a/crates/hornbeamlead_core/src/effect.rs
+++ b/crates/hornbeamlead_core/src/effect.rs
@@ -127,7 +127,12 @@
         message: ControlMessage,
     },
     /// Calls the worker.
-    CallWorker(WorkerCall),
+    CallWorker {
+        /// Address of the worker, as announced.
+        address: SocketAddr,
+        /// The call.
+        call: WorkerCall,
+    },
     /// Reads a stream from an offset on.
     ReadLog {
         /// The stream.
--- a/crates/hornbeamlead_core/src/event.rs
+++ b/crates/hornbeamlead_core/src/event.rs
@@ -66,6 +66,8 @@
     pub incarnation: crate::ids::Incarnation,
     /// Address of the endpoint's HTTP listener, for requests.
     pub address: SocketAddr,
+    /// Address of the worker's HTTP listener, for tasks.
+    pub worker_address: SocketAddr,
     /// Services it runs.
     pub services: Vec<ServiceName>,
     /// Slots for requests.
