--- a/crates/hornbeamlead_core/src/fleet.rs
+++ b/crates/hornbeamlead_core/src/fleet.rs
@@ -269,12 +269,10 @@
         self.check_added(&note.added)?;
         self.check_changed(&note.changed)?;
         self.check_withdrawn(&note.withdrawn)?;
-        let mut next = self.clone();
-        next.remove(&note.withdrawn);
-        next.insert(&note.added);
-        next.insert(&note.changed);
-        next.check_references(note)?;
-        *self = next;
+        self.check_references(note)?;
+        self.remove(&note.withdrawn);
+        self.insert(&note.added);
+        self.insert(&note.changed);
         Ok(())
     }
 
@@ -326,45 +324,69 @@
         Ok(())
     }
 
-    /// Checks that the jobs touched by a note name declared items, and that no job lost one.
+    /// Checks that the jobs touched by a note name declared items, and that no other job loses one.
     fn check_references(&self, note: &ReleaseNote) -> Result<(), NoteRefusal> {
         for spec in note.added.jobs.iter().chain(&note.changed.jobs) {
-            self.check_job(spec)?;
+            self.check_job(spec, note)?;
         }
-        let by_team = |name: &TeamName| self.jobs.values().find(|job| job.team == *name);
         for name in &note.withdrawn.teams {
-            unused(by_team(name), ItemKind::Team, name.as_str())?;
+            let user = self.untouched_job(note, |job| job.team == *name);
+            unused(user, ItemKind::Team, name.as_str())?;
         }
-        let by_centre = |name: &DataCentreName| {
-            self.jobs
-                .values()
-                .find(|job| job.data_centres.contains(name))
-        };
         for name in &note.withdrawn.data_centres {
-            unused(by_centre(name), ItemKind::DataCentre, name.as_str())?;
+            let user = self.untouched_job(note, |job| job.data_centres.contains(name));
+            unused(user, ItemKind::DataCentre, name.as_str())?;
         }
         Ok(())
     }
 
-    fn check_job(&self, spec: &JobSpec) -> Result<(), NoteRefusal> {
+    /// Finds a job that the note leaves as it is and that satisfies the condition.
+    fn untouched_job(
+        &self,
+        note: &ReleaseNote,
+        condition: impl Fn(&JobSpec) -> bool,
+    ) -> Option<&JobSpec> {
+        let changed = |job: &JobSpec| note.changed.jobs.iter().any(|spec| spec.name == job.name);
+        self.jobs
+            .values()
+            .filter(|job| condition(job))
+            .find(|job| !note.withdrawn.jobs.contains(&job.name) && !changed(job))
+    }
+
+    fn check_job(&self, spec: &JobSpec, note: &ReleaseNote) -> Result<(), NoteRefusal> {
         let dangling = |kind, name: &str| NoteRefusal::Dangling {
             job: spec.name.clone(),
             kind,
             name: name.into(),
         };
-        if !self.teams.contains_key(&spec.team) {
+        if !self.has_team_after(&spec.team, note) {
             return Err(dangling(ItemKind::Team, spec.team.as_str()));
         }
         let unknown = spec
             .data_centres
             .iter()
-            .find(|name| !self.data_centres.contains_key(name));
+            .find(|name| !self.has_centre_after(name, note));
         match unknown {
             Some(name) => Err(dangling(ItemKind::DataCentre, name.as_str())),
             None => Ok(()),
         }
     }
 
+    fn has_team_after(&self, name: &TeamName, note: &ReleaseNote) -> bool {
+        let kept = self.teams.contains_key(name) && !note.withdrawn.teams.contains(name);
+        kept || note.added.teams.iter().any(|spec| spec.name == *name)
+    }
+
+    fn has_centre_after(&self, name: &DataCentreName, note: &ReleaseNote) -> bool {
+        let withdrawn = note.withdrawn.data_centres.contains(name);
+        let kept = self.data_centres.contains_key(name) && !withdrawn;
+        kept || note
+            .added
+            .data_centres
+            .iter()
+            .any(|spec| spec.name == *name)
+    }
+
     fn remove(&mut self, names: &NoteNames) {
         names
             .data_centres
--- a/crates/hornbeamlead_core/src/notes_keeper.rs
+++ b/crates/hornbeamlead_core/src/notes_keeper.rs
@@ -22,12 +22,24 @@
     pub result: Result<Revision, NoteRefusal>,
 }
 
+/// Record kept for passing on.
+#[derive(Clone, Debug)]
+struct KeptRecord {
+    copy: NoteCopy,
+    /// Set for a snapshot: records before this offset are contained in it.
+    contains: Option<LogOffset>,
+}
+
 /// Applies records of the notes stream in order, each once, and keeps the newest for peers.
+///
+/// A peer can be served as long as a snapshot is written at least every [`KEPT_RECORDS`] records.
 #[derive(Clone, Debug, Default)]
 pub struct NotesKeeper {
     fleet: FleetState,
-    kept: VecDeque<NoteCopy>,
+    kept: VecDeque<KeptRecord>,
     kept_bytes: usize,
+    /// Where the search for a snapshot goes on after retention took the next record.
+    search: Option<LogOffset>,
 }
 
 impl NotesKeeper {
@@ -43,6 +55,19 @@
         self.fleet.revision()
     }
 
+    /// Returns the offset from which the log is to be read next.
+    #[must_use]
+    pub fn read_from(&self) -> LogOffset {
+        self.search.unwrap_or(self.fleet.next())
+    }
+
+    /// Notes that retention took the next record: a snapshot is searched from `oldest` on.
+    pub fn lose_place(&mut self, oldest: LogOffset) {
+        if oldest > self.read_from() {
+            self.search = Some(oldest);
+        }
+    }
+
     /// Applies what was read from the log.
     pub fn apply_batch(&mut self, batch: &LogBatch<NoteRecord>) -> Vec<NoteVerdict> {
         self.apply_records(&batch.records)
@@ -59,29 +84,40 @@
         verdicts
     }
 
-    /// Returns copies of the records from which a peer at `from` can go on.
+    /// Returns copies of the records from which a peer whose next offset is `from` can go on.
     ///
-    /// Empty when the peer is up to date, or when too much is missing for the kept records.
+    /// Where `from` is no longer kept they begin with the newest snapshot. Empty when the peer is
+    /// up to date, or when it cannot be served from here.
     #[must_use]
     pub fn copies_from(&self, from: LogOffset) -> Vec<NoteCopy> {
-        let newest_snapshot = self
-            .kept
-            .iter()
-            .rposition(|copy| is_restart_point(copy, from));
-        match newest_snapshot {
-            Some(start) => self.kept.iter().skip(start).cloned().collect(),
+        if self.kept.iter().any(|record| record.copy.offset == from) {
+            return self.kept_since(from);
+        }
+        let newer = |record: &&KeptRecord| record.contains.is_some_and(|up_to| up_to > from);
+        match self.kept.iter().rev().find(newer) {
+            Some(snapshot) => {
+                let mut copies = vec![snapshot.copy.clone()];
+                copies.extend(self.kept_since(snapshot.contains.unwrap_or(from)));
+                copies
+            }
             None => Vec::new(),
         }
     }
 
+    fn kept_since(&self, from: LogOffset) -> Vec<NoteCopy> {
+        let copies = self.kept.iter().map(|record| &record.copy);
+        copies.filter(|copy| copy.offset >= from).cloned().collect()
+    }
+
     fn apply_one(&mut self, placed: &PlacedRecord<NoteRecord>, verdicts: &mut Vec<NoteVerdict>) {
         match &placed.record.entry {
             Some(NoteEntry::Snapshot(snapshot)) => {
-                self.fleet.load(snapshot);
-                let covered = snapshot.up_to >= placed.offset;
-                if covered || self.fleet.next() >= placed.offset {
+                if self.fleet.load(snapshot) {
+                    self.search = None;
+                }
+                self.keep(placed, Some(snapshot.up_to));
+                if placed.offset == self.fleet.next() {
                     self.fleet.skip(placed.offset);
-                    self.keep(placed);
                 }
             }
             Some(NoteEntry::Note(note)) if placed.offset == self.fleet.next() => {
@@ -90,37 +126,47 @@
                     id: note.id.clone(),
                     result,
                 });
-                self.keep(placed);
+                self.keep(placed, None);
             }
             None if placed.offset == self.fleet.next() => {
                 self.fleet.skip(placed.offset);
-                self.keep(placed);
+                self.keep(placed, None);
             }
-            Some(NoteEntry::Note(_)) | None => {}
+            Some(NoteEntry::Note(_)) | None => self.pass_over(placed.offset),
         }
     }
 
-    fn keep(&mut self, placed: &PlacedRecord<NoteRecord>) {
-        let newest = self.kept.back().map(|copy| copy.offset);
-        if newest.is_some_and(|offset| offset >= placed.offset) {
+    /// Moves the search for a snapshot past a record that cannot be applied.
+    fn pass_over(&mut self, offset: LogOffset) {
+        self.search = match self.search {
+            Some(search) if offset >= search => Some(LogOffset(offset.0.saturating_add(1))),
+            unchanged => unchanged,
+        };
+    }
+
+    fn keep(&mut self, placed: &PlacedRecord<NoteRecord>, contains: Option<LogOffset>) {
+        let place = self
+            .kept
+            .partition_point(|record| record.copy.offset < placed.offset);
+        let known = self
+            .kept
+            .get(place)
+            .is_some_and(|found| found.copy.offset == placed.offset);
+        if known {
             return;
         }
         let payload = placed.record.raw.payload.clone();
         self.kept_bytes += payload.len();
-        self.kept.push_back(NoteCopy {
+        let copy = NoteCopy {
             offset: placed.offset,
             payload,
-        });
+        };
+        self.kept.insert(place, KeptRecord { copy, contains });
         while self.kept.len() > KEPT_RECORDS || self.kept_bytes > KEPT_BYTES {
             let Some(dropped) = self.kept.pop_front() else {
                 break;
             };
-            self.kept_bytes -= dropped.payload.len();
+            self.kept_bytes -= dropped.copy.payload.len();
         }
     }
 }
-
-/// Tells whether a peer that wants `from` next can start at this copy.
-fn is_restart_point(copy: &NoteCopy, from: LogOffset) -> bool {
-    copy.offset == from
-}
