[settings] Read settings and release notes, with all faults in one pass

Need: a process must not start on a bad file, and an operator who sends a bad note should see every fault at once, each with file, line, column, cause and mend.

serde's own errors were ruled out for the files, since they end at the first fault and lose the place of missing keys; the syntax tree of jsonc-parser keeps both. Records on the log are JSON of wire types with From/TryFrom, refused over 1 MiB before they are parsed.

--- /dev/null
+++ b/crates/hornbeamlead_settings/src/finding.rs
@@ -0,0 +1,107 @@
+//! Findings: faults of a file, collected with their place and reported together.
+
+use std::fmt;
+
+/// Fault of a file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// File as the caller named it.
+    pub file: Box<str>,
+    /// Line, from 1.
+    pub line: usize,
+    /// Column in characters, from 1.
+    pub column: usize,
+    /// What is wrong.
+    pub cause: Box<str>,
+    /// How to mend it.
+    pub mend: Box<str>,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}:{}:{}: {}; {}",
+            self.file, self.line, self.column, self.cause, self.mend
+        )
+    }
+}
+
+/// All faults of a file, in the order of their place; never empty.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Findings(Vec<Finding>);
+
+impl Findings {
+    /// Returns the faults in the order of their place.
+    pub fn iter(&self) -> impl Iterator<Item = &Finding> {
+        self.0.iter()
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, finding) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "\n" };
+            write!(f, "{separator}{finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Findings {}
+
+/// Collects the findings of one file while it is read.
+#[derive(Debug)]
+pub(crate) struct FindingLog<'a> {
+    file: &'a str,
+    text: &'a str,
+    findings: Vec<Finding>,
+}
+
+impl<'a> FindingLog<'a> {
+    /// Makes an empty log for a file.
+    pub(crate) fn new(file: &'a str, text: &'a str) -> Self {
+        Self {
+            file,
+            text,
+            findings: Vec::new(),
+        }
+    }
+
+    /// Adds a finding at a byte offset of the text.
+    pub(crate) fn add(
+        &mut self,
+        offset: usize,
+        cause: impl Into<Box<str>>,
+        mend: impl Into<Box<str>>,
+    ) {
+        let (line, column) = place(self.text, offset);
+        self.findings.push(Finding {
+            file: self.file.into(),
+            line,
+            column,
+            cause: cause.into(),
+            mend: mend.into(),
+        });
+    }
+
+    /// Returns the value if nothing was found, else all findings in the order of their place.
+    pub(crate) fn into_result<T>(mut self, value: Option<T>) -> Result<T, Findings> {
+        match value {
+            Some(value) if self.findings.is_empty() => Ok(value),
+            Some(_) | None => {
+                self.findings
+                    .sort_by_key(|finding| (finding.line, finding.column));
+                Err(Findings(self.findings))
+            }
+        }
+    }
+}
+
+/// Returns line and column of a byte offset, both from 1.
+fn place(text: &str, offset: usize) -> (usize, usize) {
+    let before = text.get(..offset).unwrap_or(text);
+    let line = before.matches('\n').count() + 1;
+    let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
+    (line, column)
+}
--- a/crates/hornbeamlead_settings/src/lib.rs
+++ b/crates/hornbeamlead_settings/src/lib.rs
@@ -1,1 +1,27 @@
 //! Reads, checks and resolves settings and release notes.
+//!
+//! All faults of a file are found in one pass and reported together, each with its place, its
+//! cause and how to mend it:
+//!
+//! ```
+//! let text = r#"{"role": "entry", "hots": "entry-01"}"#;
+//! let findings = hornbeamlead_settings::read_settings("entry.json", text).unwrap_err();
+//! let misspelt = findings.iter().find(|finding| finding.cause.contains("hots")).unwrap();
+//! let expected = r#"entry.json:1:19: hots is no known key; did you mean "host"?"#;
+//! assert_eq!(misspelt.to_string(), expected);
+//! ```
+
+mod finding;
+mod name_suggestion;
+mod policy;
+mod process;
+mod section;
+mod tool;
+mod value;
+
+pub mod note;
+pub mod quantity;
+
+pub use finding::{Finding, Findings};
+pub use process::{ListenAddresses, ProcessSettings, RoleSettings, read_settings};
+pub use tool::{ToolSettings, read_tool_settings};
--- /dev/null
+++ b/crates/hornbeamlead_settings/src/note/codec.rs
@@ -0,0 +1,95 @@
+//! Codec of the notes stream.
+
+use super::wire::WireEntry;
+use bytes::Bytes;
+use hornbeamlead_core::event::NoteEntry;
+use hornbeamlead_core::fleet::FleetSnapshot;
+use hornbeamlead_core::note::ReleaseNote;
+use snafu::Snafu;
+
+/// Longest record of the notes stream, in bytes; the log takes no longer ones.
+///
+/// A longer payload is refused before it is parsed. Parsing allocates at most 64 bytes for each
+/// byte of the payload, so decoding any payload takes at most 64 MiB.
+pub const MAX_NOTE_BYTES: usize = 1024 * 1024;
+
+/// Reports why a payload is no record of the notes stream.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum NoteDecodeError {
+    /// The payload is longer than [`MAX_NOTE_BYTES`].
+    #[snafu(display("the record has {length} bytes, allowed are {MAX_NOTE_BYTES}"))]
+    TooLong {
+        /// Length found.
+        length: usize,
+    },
+    /// The payload is no JSON of the expected shape.
+    #[snafu(display("the record is malformed: {cause}"))]
+    Malformed {
+        /// What the parser says.
+        cause: Box<str>,
+    },
+    /// A value is out of its domain.
+    #[snafu(display("a value is invalid: {cause}"))]
+    BadValue {
+        /// What is wrong with it.
+        cause: Box<str>,
+    },
+}
+
+/// Encodes a release note as a record of the notes stream.
+///
+/// ```
+/// use hornbeamlead_core::event::NoteEntry;
+/// use hornbeamlead_settings::note::{decode_entry, encode_note, read_note};
+///
+/// let text = r#"{"id": "n1", "based_on": null, "author": "nimal",
+///     "withdrawn": {"jobs": ["seasoning-report-7"]}}"#;
+/// let note = read_note("cancel.json", text).unwrap();
+/// assert_eq!(decode_entry(&encode_note(&note)), Ok(NoteEntry::Note(note)));
+/// ```
+#[must_use]
+pub fn encode_note(note: &ReleaseNote) -> Bytes {
+    encode(&WireEntry::Note(note.into()))
+}
+
+/// Encodes a snapshot as a record of the notes stream.
+///
+/// ```
+/// use hornbeamlead_core::fleet::FleetState;
+/// use hornbeamlead_settings::note::{decode_entry, encode_snapshot};
+///
+/// let snapshot = FleetState::default().snapshot();
+/// assert!(decode_entry(&encode_snapshot(&snapshot)).is_ok());
+/// ```
+#[must_use]
+pub fn encode_snapshot(snapshot: &FleetSnapshot) -> Bytes {
+    encode(&WireEntry::Snapshot(snapshot.into()))
+}
+
+/// Decodes a record of the notes stream.
+///
+/// ```
+/// assert!(hornbeamlead_settings::note::decode_entry(b"{}").is_err());
+/// ```
+///
+/// # Errors
+/// Returns [`NoteDecodeError`] for bytes that are no such record; every process skips them alike.
+pub fn decode_entry(payload: &[u8]) -> Result<NoteEntry, NoteDecodeError> {
+    if payload.len() > MAX_NOTE_BYTES {
+        return Err(NoteDecodeError::TooLong {
+            length: payload.len(),
+        });
+    }
+    let parsed: Result<WireEntry, _> = serde_json::from_slice(payload);
+    match parsed {
+        Ok(entry) => entry.try_into(),
+        Err(error) => Err(NoteDecodeError::Malformed {
+            cause: error.to_string().into(),
+        }),
+    }
+}
+
+fn encode(entry: &WireEntry) -> Bytes {
+    // Text, numbers and lists always have a JSON form, so there is no error to hand on.
+    serde_json::to_vec(entry).unwrap_or_default().into()
+}
--- /dev/null
+++ b/crates/hornbeamlead_settings/tests/common/mod.rs
@@ -0,0 +1,90 @@
+//! Good texts that the tests break in one place each.
+
+#![allow(dead_code, reason = "each test file uses some of them")]
+
+/// Settings of an entry.
+pub(crate) const ENTRY: &str = r#"{
+  // One of the thin entry hosts.
+  "role": "entry",
+  "host": "entry-01",
+  "data_centre": "negombo",
+  "rack": "negombo-r1",
+  "seed": 7,
+  "addresses": {
+    "inner": "127.0.0.1:0",
+    "callers": "127.0.0.1:0",
+    "operators": "127.0.0.1:0"
+  },
+  "log": {"address": "127.0.0.1:7000"},
+  "metrics": {"statsd": "127.0.0.1:8125"},
+  "requests": {"suspect_after": "2s", "drop_after": "8s"}
+}"#;
+
+/// Settings of an agent.
+pub(crate) const AGENT: &str = r#"{
+  "role": "agent",
+  "host": "negombo-01",
+  "data_centre": "negombo",
+  "rack": "negombo-r1",
+  "addresses": {
+    "inner": "127.0.0.1:0",
+    "advertised": "127.0.0.1:9999",
+    "operators": "127.0.0.1:0",
+    "local": "127.0.0.1:0"
+  },
+  "log": {"address": "127.0.0.1:7000"},
+  "cell": 1,
+  "entries": ["127.0.0.1:7101"],
+  "batch_capacity": {"cpu": "8cores", "memory": "32GiB"},
+  "schedule": {"lease": "4s", "weights": {"evictions": 4}, "learning": false}
+}"#;
+
+/// Release note that adds one of each.
+pub(crate) const NOTE: &str = r#"{
+  "id": "open-ledger",
+  "based_on": 0,
+  "author": "nimal",
+  "added": {
+    "data_centres": [{"name": "negombo"}, {"name": "colombo", "in_service": false}],
+    "teams": [
+      {"name": "ledger", "quota": {"cpu": "64cores", "memory": "256GiB", "accelerators": 2}}
+    ],
+    "services": [
+      {
+        "name": "cask-ledger",
+        "reserve": {"cpu": "4cores", "memory": "8GiB"},
+        "default_timeout": "2s",
+        "max_timeout": "30s"
+      }
+    ],
+    "jobs": [
+      {
+        "name": "seasoning-7",
+        "team": "ledger",
+        "kind": "seasoning",
+        "tasks": 12,
+        "size": {"cpu": "500m", "memory": "1GiB"},
+        "run_time": "20s",
+        "deadline": "2026-12-24T06:00:00Z",
+        "delivery": "at_most_once",
+        "checkpoint_every": "2s",
+        "data_centres": ["negombo"]
+      }
+    ]
+  }
+}"#;
+
+/// Replaces the one place where `from` stands.
+pub(crate) fn broken(text: &str, from: &str, to: &str) -> String {
+    assert_eq!(text.matches(from).count(), 1, "{from} stands once");
+    text.replace(from, to)
+}
+
+/// Returns line and column of the one place where `part` stands.
+pub(crate) fn place_of(text: &str, part: &str) -> (usize, usize) {
+    let offset = text.find(part).expect("part stands in the text");
+    let before = &text[..offset];
+    let line = before.matches('\n').count() + 1;
+    let column = offset - before.rfind('\n').map_or(0, |at| at + 1) + 1;
+    (line, column)
+}
