[platform] Call the log and the worker over HTTP

Need: the roles append to and read streams and call their worker without knowing HTTP. Each call has a timeout and a bounded answer.

--- /dev/null
+++ b/crates/hornbeamlead_platform/src/log.rs
@@ -0,0 +1,142 @@
+//! Client of the platform's append-only log.
+
+use crate::http::{HttpAnswer, HttpClient, HttpFault, build_request};
+use crate::log_wire::{AppendAnswer, GoneAnswer, ReadAnswer};
+use bytes::Bytes;
+use hornbeamlead_core::event::PLATFORM_TIMEOUT;
+use hornbeamlead_core::ids::LogOffset;
+use hornbeamlead_core::record::{LogBatch, LogFault, StreamName};
+use hyper::{Method, StatusCode, Uri};
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+
+/// Largest payload of a record, in bytes.
+pub const MAX_PAYLOAD_BYTES: usize = 1024 * 1024;
+
+/// Largest answer of the log that is read, in bytes.
+pub const MAX_LOG_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Appends to and reads from the streams of the platform's log.
+#[derive(Clone, Debug)]
+pub struct LogClient {
+    address: SocketAddr,
+    http: HttpClient,
+}
+
+impl LogClient {
+    /// Makes a client of the log at `address`.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            http: HttpClient::new(PLATFORM_TIMEOUT),
+        }
+    }
+
+    /// Appends a record and returns its offset.
+    ///
+    /// # Errors
+    /// Returns [`LogFault::Unavailable`] when no offset came back; the record may stand on the
+    /// log all the same, unless it is longer than [`MAX_PAYLOAD_BYTES`].
+    pub async fn append(&self, stream: &StreamName, payload: Bytes) -> Result<LogOffset, LogFault> {
+        if payload.len() > MAX_PAYLOAD_BYTES {
+            return Err(LogFault::Unavailable);
+        }
+        let uri = self.uri(stream, "")?;
+        let request = build_request(Method::POST, uri, "application/octet-stream", payload);
+        let answer = self
+            .http
+            .exchange(request, MAX_LOG_ANSWER_BYTES, PLATFORM_TIMEOUT)
+            .await
+            .map_err(|_| LogFault::Unavailable)?;
+        match answer.status {
+            StatusCode::CREATED => parse::<AppendAnswer>(&answer).map(|it| LogOffset(it.offset)),
+            _ => Err(LogFault::Unavailable),
+        }
+    }
+
+    /// Reads at most `limit` records from offset `from` on.
+    ///
+    /// Fewer are returned where an answer would be longer than [`MAX_LOG_ANSWER_BYTES`].
+    ///
+    /// # Errors
+    /// Returns [`LogFault::Gone`] for an offset below retention, [`LogFault::Unavailable`] when
+    /// no sound answer came in time.
+    pub async fn read(
+        &self,
+        stream: &StreamName,
+        from: LogOffset,
+        limit: usize,
+    ) -> Result<LogBatch<Bytes>, LogFault> {
+        let read = self.read_halving(stream, from, limit);
+        let result = tokio::time::timeout(PLATFORM_TIMEOUT, read).await;
+        result.unwrap_or(Err(LogFault::Unavailable))
+    }
+
+    async fn read_halving(
+        &self,
+        stream: &StreamName,
+        from: LogOffset,
+        limit: usize,
+    ) -> Result<LogBatch<Bytes>, LogFault> {
+        let mut limit = limit.max(1);
+        loop {
+            match self.read_once(stream, from, limit).await {
+                Ok(answer) => return read_batch(from, &answer),
+                Err(HttpFault::AnswerTooLong) if limit > 1 => limit /= 2,
+                Err(_) => return Err(LogFault::Unavailable),
+            }
+        }
+    }
+
+    async fn read_once(
+        &self,
+        stream: &StreamName,
+        from: LogOffset,
+        limit: usize,
+    ) -> Result<HttpAnswer, HttpFault> {
+        let query = format!("?from={from}&limit={limit}");
+        let uri = self.uri(stream, &query).map_err(|_| HttpFault::NoAnswer)?;
+        let request = build_request(Method::GET, uri, "application/json", Bytes::new());
+        self.http
+            .exchange(request, MAX_LOG_ANSWER_BYTES, PLATFORM_TIMEOUT)
+            .await
+    }
+
+    fn uri(&self, stream: &StreamName, query: &str) -> Result<Uri, LogFault> {
+        format!("http://{}/streams/{stream}/records{query}", self.address)
+            .parse()
+            .map_err(|_| LogFault::Unavailable)
+    }
+}
+
+fn read_batch(from: LogOffset, answer: &HttpAnswer) -> Result<LogBatch<Bytes>, LogFault> {
+    match answer.status {
+        StatusCode::OK => check_start(from, parse::<ReadAnswer>(answer)?),
+        StatusCode::GONE => Err(gone(answer)),
+        _ => Err(LogFault::Unavailable),
+    }
+}
+
+/// Refuses a batch that begins elsewhere than at the offset asked for.
+fn check_start(from: LogOffset, answer: ReadAnswer) -> Result<LogBatch<Bytes>, LogFault> {
+    let batch = LogBatch::try_from(answer).map_err(|_| LogFault::Unavailable)?;
+    match batch.records.first() {
+        Some(first) if first.offset != from => Err(LogFault::Unavailable),
+        None if batch.next > from => Err(LogFault::Unavailable),
+        _ => Ok(batch),
+    }
+}
+
+fn gone(answer: &HttpAnswer) -> LogFault {
+    match parse::<GoneAnswer>(answer) {
+        Ok(body) => LogFault::Gone {
+            oldest: LogOffset(body.oldest),
+        },
+        Err(fault) => fault,
+    }
+}
+
+fn parse<T: DeserializeOwned>(answer: &HttpAnswer) -> Result<T, LogFault> {
+    serde_json::from_slice(&answer.body).map_err(|_| LogFault::Unavailable)
+}
--- /dev/null
+++ b/crates/hornbeamlead_platform/src/worker_wire.rs
@@ -0,0 +1,320 @@
+//! JSON messages between an agent and the worker of its host.
+//!
+//! Points in time cross as spans left, since the two sides need share no clock.
+
+use hornbeamlead_core::clock::MonoTime;
+use hornbeamlead_core::ids::{AttemptId, JobName, KindName, NameError, TaskId};
+use hornbeamlead_core::note::DeliveryMode;
+use hornbeamlead_core::resource::{AcceleratorCount, CpuMillis, MemoryMebibytes, ResourceSize};
+use hornbeamlead_core::task::{CheckpointToken, TaskOrder, TaskPhase, TaskStatus, WorkerReport};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Reason of a worker that has seen the attempt of a start before.
+pub const REFUSED_SEEN: &str = "already_seen";
+
+/// Attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AttemptWire {
+    /// Job of the task.
+    pub job: Box<str>,
+    /// Index of the task.
+    pub index: u32,
+    /// Number of the attempt.
+    pub number: u32,
+}
+
+/// Amount of each resource.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SizeWire {
+    /// Processors, in thousandths of a core.
+    pub cpu_millis: u32,
+    /// Memory.
+    pub memory_mebibytes: u32,
+    /// Accelerators.
+    pub accelerators: u16,
+}
+
+/// Handle of a checkpoint; it holds all that any worker needs to resume.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenWire {
+    /// Attempt that wrote the checkpoint.
+    pub attempt: AttemptWire,
+    /// Work done up to it, in milliseconds at full speed.
+    pub progress_ms: u64,
+}
+
+/// Treatment of a lost attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DeliveryWire {
+    /// Resumed in a new attempt.
+    Resumable,
+    /// Never started again.
+    AtMostOnce,
+}
+
+/// State of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PhaseWire {
+    /// It runs.
+    Running,
+    /// It ended well.
+    Finished,
+    /// It ended with an error.
+    Failed,
+    /// It was stopped.
+    Stopped,
+    /// Its lease lapsed.
+    Lapsed,
+}
+
+/// Body of `POST /tasks/start`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartCall {
+    /// Attempt to run.
+    pub attempt: AttemptWire,
+    /// Kind of the task.
+    pub kind: Box<str>,
+    /// Reservation.
+    pub size: SizeWire,
+    /// Declared run time.
+    pub run_time_ms: u64,
+    /// Time between checkpoints.
+    pub checkpoint_every_ms: u64,
+    /// Treatment of a lost attempt.
+    pub delivery: DeliveryWire,
+    /// Checkpoint to resume from.
+    pub resume_from: Option<TokenWire>,
+    /// Time left of the lease.
+    pub lease_ms: u64,
+    /// Time left for the start.
+    pub start_within_ms: u64,
+}
+
+/// Body of `POST /tasks/renew`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RenewCall {
+    /// Attempts to renew.
+    pub attempts: Vec<AttemptWire>,
+    /// Time left of the new lease.
+    pub lease_ms: u64,
+}
+
+/// Body of `POST /tasks/checkpoint` and `POST /tasks/forget`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AttemptCall {
+    /// Attempt meant.
+    pub attempt: AttemptWire,
+}
+
+/// Body of `POST /tasks/throttle`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ThrottleCall {
+    /// Attempt meant.
+    pub attempt: AttemptWire,
+    /// Speed allowed, in percent.
+    pub speed_percent: u8,
+}
+
+/// Body of `POST /tasks/stop`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StopCall {
+    /// Attempt meant.
+    pub attempt: AttemptWire,
+    /// Whether to write a checkpoint first.
+    pub checkpoint: bool,
+}
+
+/// Answer of a worker that refused a call and did nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RefusedAnswer {
+    /// Why.
+    pub refused: Box<str>,
+}
+
+/// Attempt in a report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatusWire {
+    /// Attempt reported on.
+    pub attempt: AttemptWire,
+    /// State.
+    pub phase: PhaseWire,
+    /// Reservation.
+    pub size: SizeWire,
+    /// Kind of the task.
+    pub kind: Box<str>,
+    /// Last checkpoint.
+    pub checkpoint: Option<TokenWire>,
+    /// Speed allowed, in percent.
+    pub speed_percent: u8,
+    /// Lagging usage.
+    pub usage: Option<SizeWire>,
+}
+
+/// Answer to `GET /tasks`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportAnswer {
+    /// Attempts not forgotten.
+    pub tasks: Vec<StatusWire>,
+    /// Lagging p99 latency of the live requests, in microseconds.
+    pub service_p99_us: Option<u64>,
+    /// Age of the lagging readings.
+    pub usage_age_ms: u64,
+}
+
+impl From<&AttemptId> for AttemptWire {
+    fn from(attempt: &AttemptId) -> Self {
+        Self {
+            job: attempt.task.job.as_str().into(),
+            index: attempt.task.index,
+            number: attempt.number,
+        }
+    }
+}
+
+impl TryFrom<AttemptWire> for AttemptId {
+    type Error = NameError;
+
+    fn try_from(wire: AttemptWire) -> Result<Self, Self::Error> {
+        let task = TaskId {
+            job: JobName::new(&wire.job)?,
+            index: wire.index,
+        };
+        Ok(Self {
+            task,
+            number: wire.number,
+        })
+    }
+}
+
+impl From<ResourceSize> for SizeWire {
+    fn from(size: ResourceSize) -> Self {
+        Self {
+            cpu_millis: size.cpu.0,
+            memory_mebibytes: size.memory.0,
+            accelerators: size.accelerators.0,
+        }
+    }
+}
+
+impl From<SizeWire> for ResourceSize {
+    fn from(wire: SizeWire) -> Self {
+        Self {
+            cpu: CpuMillis(wire.cpu_millis),
+            memory: MemoryMebibytes(wire.memory_mebibytes),
+            accelerators: AcceleratorCount(wire.accelerators),
+        }
+    }
+}
+
+impl From<&CheckpointToken> for TokenWire {
+    fn from(token: &CheckpointToken) -> Self {
+        Self {
+            attempt: AttemptWire::from(&token.attempt),
+            progress_ms: token.progress_ms,
+        }
+    }
+}
+
+impl TryFrom<TokenWire> for CheckpointToken {
+    type Error = NameError;
+
+    fn try_from(wire: TokenWire) -> Result<Self, Self::Error> {
+        Ok(Self {
+            attempt: AttemptId::try_from(wire.attempt)?,
+            progress_ms: wire.progress_ms,
+        })
+    }
+}
+
+impl From<DeliveryMode> for DeliveryWire {
+    fn from(mode: DeliveryMode) -> Self {
+        match mode {
+            DeliveryMode::Resumable => Self::Resumable,
+            DeliveryMode::AtMostOnce => Self::AtMostOnce,
+        }
+    }
+}
+
+impl From<PhaseWire> for TaskPhase {
+    fn from(wire: PhaseWire) -> Self {
+        match wire {
+            PhaseWire::Running => Self::Running,
+            PhaseWire::Finished => Self::Finished,
+            PhaseWire::Failed => Self::Failed,
+            PhaseWire::Stopped => Self::Stopped,
+            PhaseWire::Lapsed => Self::Lapsed,
+        }
+    }
+}
+
+impl TryFrom<StatusWire> for TaskStatus {
+    type Error = NameError;
+
+    fn try_from(wire: StatusWire) -> Result<Self, Self::Error> {
+        let checkpoint = wire.checkpoint.map(CheckpointToken::try_from);
+        Ok(Self {
+            attempt: AttemptId::try_from(wire.attempt)?,
+            phase: wire.phase.into(),
+            size: wire.size.into(),
+            kind: KindName::new(&wire.kind)?,
+            checkpoint: checkpoint.transpose()?,
+            speed_percent: wire.speed_percent,
+            usage: wire.usage.map(ResourceSize::from),
+        })
+    }
+}
+
+impl TryFrom<ReportAnswer> for WorkerReport {
+    type Error = NameError;
+
+    fn try_from(wire: ReportAnswer) -> Result<Self, Self::Error> {
+        let tasks: Result<Vec<_>, _> = wire.tasks.into_iter().map(TaskStatus::try_from).collect();
+        Ok(Self {
+            tasks: tasks?,
+            service_p99_us: wire.service_p99_us,
+            usage_age: Duration::from_millis(wire.usage_age_ms),
+        })
+    }
+}
+
+impl StartCall {
+    /// Words a start, with the spans left at `now`.
+    #[must_use]
+    pub fn new(
+        order: &TaskOrder,
+        lease_until: MonoTime,
+        start_by: MonoTime,
+        now: MonoTime,
+    ) -> Self {
+        Self {
+            attempt: AttemptWire::from(&order.attempt),
+            kind: order.kind.as_str().into(),
+            size: order.size.into(),
+            run_time_ms: whole_millis(order.run_time),
+            checkpoint_every_ms: whole_millis(order.checkpoint_every),
+            delivery: order.delivery.into(),
+            resume_from: order.resume_from.as_ref().map(TokenWire::from),
+            lease_ms: whole_millis(lease_until.since(now)),
+            start_within_ms: whole_millis(start_by.since(now)),
+        }
+    }
+}
+
+impl RenewCall {
+    /// Words a renewal, with the span left at `now`.
+    #[must_use]
+    pub fn new(attempts: &[AttemptId], lease_until: MonoTime, now: MonoTime) -> Self {
+        Self {
+            attempts: attempts.iter().map(AttemptWire::from).collect(),
+            lease_ms: whole_millis(lease_until.since(now)),
+        }
+    }
+}
+
+/// Rounds a span down to whole milliseconds, so that no deadline moves back.
+fn whole_millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
