[core] Mark the writers of the jobs stream, count epochs from one

A planner's append whose answer was lost can take effect much later, after the task it releases was claimed and started again. Offset 0 is a valid claim, so epochs count from one and 0 means none.

--- a/crates/hornbeamlead_core/src/ids.rs
+++ b/crates/hornbeamlead_core/src/ids.rs
@@ -88,7 +88,7 @@
     u64
 );
 number_type!(
-    /// Numbers a planner's term in its cell: the log offset of its claim.
+    /// Numbers a planner's term in its cell: the log offset of its claim plus one; 0 is none.
     Epoch,
     u64
 );
@@ -103,6 +103,14 @@
     u64
 );
 
+impl Epoch {
+    /// Returns the epoch that a valid claim at `offset` begins.
+    #[must_use]
+    pub fn after(offset: LogOffset) -> Self {
+        Self(offset.0.saturating_add(1))
+    }
+}
+
 impl Revision {
     /// Returns the revision that a note accepted at `offset` makes.
     #[must_use]
--- a/crates/hornbeamlead_core/src/record.rs
+++ b/crates/hornbeamlead_core/src/record.rs
@@ -67,7 +67,7 @@
     },
 }
 
-/// Planner's claim of the next epoch of its cell; its offset is the epoch.
+/// Planner's claim of the next epoch of its cell; its offset plus one is the epoch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EpochClaim {
     /// Claimant.
@@ -242,10 +242,23 @@
     pub up_to: LogOffset,
     /// Owned ranges.
     pub owned: Vec<OwnedRange>,
-    /// Released tasks that nobody has claimed again.
+    /// Newest release of each task that has not ended, whether or not it was claimed again.
     pub released: Vec<ReleasedTask>,
     /// Ended tasks of jobs that are not withdrawn.
     pub ended: Vec<EndedTask>,
+    /// Newest record of each cell, so that older and repeated ones stay void.
+    pub marks: Vec<WriterMark>,
+}
+
+/// Place of a record among all that the planners of one cell wrote to the jobs stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WriterMark {
+    /// Cell.
+    pub cell: CellId,
+    /// Epoch of the planner that wrote it.
+    pub epoch: Epoch,
+    /// Counter within that epoch.
+    pub sequence: u64,
 }
 
 /// Range with its owner.
