--- a/crates/hornbeamlead_wire/src/snapshot.rs
+++ b/crates/hornbeamlead_wire/src/snapshot.rs
@@ -4,7 +4,7 @@
 use crate::error::WireError;
 use crate::record::{AttemptRecordForm, ClaimForm, EndedForm, RangeForm, ReleasedForm};
 use hornbeamlead_core::ids::{CellId, Epoch, LogOffset};
-use hornbeamlead_core::record::{CellSnapshot, JobSnapshot, OwnedRange};
+use hornbeamlead_core::record::{CellSnapshot, JobSnapshot, OwnedRange, WriterMark};
 use serde::{Deserialize, Serialize};
 
 /// Form of [`CellSnapshot`].
@@ -67,6 +67,34 @@
     }
 }
 
+/// Form of [`WriterMark`].
+#[derive(Serialize, Deserialize)]
+struct MarkForm {
+    cell: u32,
+    epoch: u64,
+    sequence: u64,
+}
+
+impl From<&WriterMark> for MarkForm {
+    fn from(mark: &WriterMark) -> Self {
+        Self {
+            cell: mark.cell.0,
+            epoch: mark.epoch.0,
+            sequence: mark.sequence,
+        }
+    }
+}
+
+impl From<MarkForm> for WriterMark {
+    fn from(form: MarkForm) -> Self {
+        Self {
+            cell: CellId(form.cell),
+            epoch: Epoch(form.epoch),
+            sequence: form.sequence,
+        }
+    }
+}
+
 /// Form of [`JobSnapshot`].
 #[derive(Serialize, Deserialize)]
 pub(crate) struct JobSnapshotForm {
@@ -74,6 +102,7 @@
     owned: Vec<OwnedForm>,
     released: Vec<ReleasedForm>,
     ended: Vec<EndedForm>,
+    marks: Vec<MarkForm>,
 }
 
 impl From<&JobSnapshot> for JobSnapshotForm {
@@ -83,6 +112,7 @@
             owned: forms(&snapshot.owned),
             released: forms(&snapshot.released),
             ended: forms(&snapshot.ended),
+            marks: forms(&snapshot.marks),
         }
     }
 }
@@ -96,6 +126,7 @@
             owned: values(form.owned)?,
             released: values(form.released)?,
             ended: values(form.ended)?,
+            marks: form.marks.into_iter().map(WriterMark::from).collect(),
         })
     }
 }
--- a/crates/hornbeamlead_wire/tests/round_trip.rs
+++ b/crates/hornbeamlead_wire/tests/round_trip.rs
@@ -20,6 +20,7 @@
 use hornbeamlead_core::record::{
     AttemptChange, AttemptRecord, CellEntry, CellRecord, CellSnapshot, EndedTask, EpochClaim,
     JobEntry, JobRecord, JobSnapshot, OwnedRange, ReleasedTask, SuccessorName, TaskRange,
+    WriterMark,
 };
 use hornbeamlead_core::resource::{AcceleratorCount, CpuMillis, MemoryMebibytes, ResourceSize};
 use hornbeamlead_core::task::{CheckpointToken, TaskOrder, TaskPhase, TaskStatus};
@@ -374,6 +375,11 @@
                 }],
                 released,
                 ended,
+                marks: vec![WriterMark {
+                    cell: CellId(4),
+                    epoch: Epoch(3),
+                    sequence: 2
+                }],
             })),
     ];
     entry.prop_map(|entry| JobRecord {
