--- a/crates/hornbeamlead_measure/src/main.rs
+++ b/crates/hornbeamlead_measure/src/main.rs
@@ -1,3 +1,8 @@
-//! Starts the program.
+//! Starts the measurements.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args = hornbeamlead_measure::args::measure_args().run();
+    hornbeamlead_measure::run(&args)
+}
