--- a/crates/hornbeamlead_measure/src/capacity.rs
+++ b/crates/hornbeamlead_measure/src/capacity.rs
@@ -1,4 +1,12 @@
 //! Experiment on size: state, messages, processor time and memory of each role.
+//!
+//! Each part is measured at four or more sizes; the slope between the smallest and the largest is
+//! what `docs/CAPACITY.md` carries to the two-year size.
+
+mod allocation;
+mod configuration;
+mod messages;
+mod samples;
 
 use crate::report::{MeasureError, TableReport};
 
@@ -7,8 +15,9 @@
 /// # Errors
 /// Returns [`MeasureError`] when a part could not be measured.
 pub fn run() -> Result<TableReport, MeasureError> {
+    let tables = vec![messages::measure(), configuration::measure()?];
     Ok(TableReport {
-        tables: vec![],
+        tables,
         remarks: vec![],
     })
 }
--- /dev/null
+++ b/crates/hornbeamlead_measure/src/capacity/configuration.rs
@@ -0,0 +1,69 @@
+//! State and processor time of the configuration as the number of jobs grows.
+
+use super::allocation::{held_by, time_of};
+use super::samples::{failed, job, note, team_note};
+use crate::report::{MeasureError, ReportTable};
+use hornbeamlead_core::fleet::FleetState;
+use hornbeamlead_core::ids::LogOffset;
+use hornbeamlead_settings::note::encode_snapshot;
+
+/// Numbers of declared jobs that are measured.
+const JOB_COUNTS: [usize; 4] = [1_000, 10_000, 50_000, 100_000];
+
+/// Jobs in one note: 100,000 jobs a day in 7,200 notes.
+const JOBS_PER_NOTE: usize = 14;
+
+/// Notes applied for the time of one.
+const TIMED_NOTES: usize = 200;
+
+/// Measures memory, time of one note, and the size of a snapshot.
+///
+/// # Errors
+/// Returns [`MeasureError`] when a sample note is refused.
+pub(crate) fn measure() -> Result<ReportTable, MeasureError> {
+    let columns = ["jobs", "state KiB", "note us", "snapshot KiB"];
+    let mut table = ReportTable::new("configuration in force, per process", &columns);
+    for jobs in JOB_COUNTS {
+        table.push(measure_at(jobs)?);
+    }
+    Ok(table)
+}
+
+fn measure_at(jobs: usize) -> Result<[String; 4], MeasureError> {
+    let (state, held) = held_by(|| filled(jobs));
+    let mut state = state?;
+    let bytes = encode_snapshot(&state.snapshot()).len();
+    let spent = time_of(|| apply_more(&mut state, jobs));
+    let note_us = spent.as_secs_f64() * 1e6 / TIMED_NOTES as f64;
+    Ok([
+        jobs.to_string(),
+        (held / 1024).to_string(),
+        format!("{note_us:.1}"),
+        (bytes / 1024).to_string(),
+    ])
+}
+
+fn filled(jobs: usize) -> Result<FleetState, MeasureError> {
+    let mut state = FleetState::default();
+    state.apply(LogOffset(0), &team_note()).map_err(failed)?;
+    for first in (0..jobs).step_by(JOBS_PER_NOTE) {
+        let last = (first + JOBS_PER_NOTE).min(jobs);
+        add_jobs(&mut state, first..last)?;
+    }
+    Ok(state)
+}
+
+fn add_jobs(state: &mut FleetState, range: std::ops::Range<usize>) -> Result<(), MeasureError> {
+    let offset = state.next();
+    let mut note = note(&format!("note-{offset}"));
+    note.added.jobs = range.map(job).collect();
+    state.apply(offset, &note).map(drop).map_err(failed)
+}
+
+fn apply_more(state: &mut FleetState, jobs: usize) {
+    for number in 0..TIMED_NOTES {
+        let first = jobs + number * JOBS_PER_NOTE;
+        // The notes have fresh names, so none is refused.
+        let _ = add_jobs(state, first..first + JOBS_PER_NOTE);
+    }
+}
