[standin] Stand in for the log, a worker with its endpoint, and a faulty network

Need: tests and measurements without the platform. Each part runs in-process or as a subcommand, and changes its behaviour at run time by a JSON patch that refuses unknown fields. Tried by hand: append and read through the proxy, a request, a refused patch.

--- /dev/null
+++ b/crates/hornbeamlead_standin/src/control.rs
@@ -0,0 +1,26 @@
+//! Changes of a stand-in's settings at run time by JSON patches.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+/// Applies a JSON merge patch to settings; unknown fields are an error.
+pub(crate) fn patch_settings<T>(current: &T, patch: &[u8]) -> Result<T, serde_json::Error>
+where
+    T: Serialize + DeserializeOwned,
+{
+    let mut merged = serde_json::to_value(current)?;
+    merge(&mut merged, serde_json::from_slice(patch)?);
+    serde_json::from_value(merged)
+}
+
+fn merge(target: &mut Value, patch: Value) {
+    match (target, patch) {
+        (Value::Object(fields), Value::Object(changes)) => {
+            for (name, change) in changes {
+                merge(fields.entry(name).or_insert(Value::Null), change);
+            }
+        }
+        (target, patch) => *target = patch,
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_standin/src/http.rs
@@ -0,0 +1,177 @@
+//! Small HTTP server for the stand-ins.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Answer of a stand-in.
+pub(crate) type HttpReply = Response<Full<Bytes>>;
+
+/// Request with its whole body.
+#[derive(Debug)]
+pub(crate) struct HttpAsk {
+    /// Method.
+    pub(crate) method: Method,
+    /// Path without the query.
+    pub(crate) path: Box<str>,
+    /// Query, empty if there is none.
+    pub(crate) query: Box<str>,
+    /// Headers.
+    pub(crate) headers: HeaderMap,
+    /// Whole body.
+    pub(crate) body: Bytes,
+}
+
+impl HttpAsk {
+    /// Returns a number out of the query.
+    pub(crate) fn query_number(&self, name: &str) -> Option<u64> {
+        self.query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(key, _)| *key == name)
+            .and_then(|(_, value)| value.parse().ok())
+    }
+}
+
+/// Connections of a listener that are open, and the most that may be.
+#[derive(Clone, Debug)]
+pub(crate) struct ConnectionCap {
+    /// Most connections at a time.
+    pub(crate) most: usize,
+    /// Open connections.
+    pub(crate) open: Arc<AtomicUsize>,
+    /// Connections closed at once for being too many.
+    pub(crate) refused: Arc<AtomicUsize>,
+}
+
+impl ConnectionCap {
+    /// Makes a cap.
+    pub(crate) fn new(most: usize) -> Self {
+        Self {
+            most,
+            open: Arc::default(),
+            refused: Arc::default(),
+        }
+    }
+
+    fn take(&self) -> Option<OpenConnection> {
+        if self.open.fetch_add(1, Ordering::SeqCst) >= self.most {
+            self.open.fetch_sub(1, Ordering::SeqCst);
+            self.refused.fetch_add(1, Ordering::SeqCst);
+            return None;
+        }
+        Some(OpenConnection(Arc::clone(&self.open)))
+    }
+}
+
+/// Counts a connection as open until it is dropped.
+#[derive(Debug)]
+struct OpenConnection(Arc<AtomicUsize>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Binds a listener whose connections the runtime can drive.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+/// Serves connections without an end; `None` from `answer` closes the connection unanswered.
+pub(crate) async fn serve<A, F>(
+    listener: std::net::TcpListener,
+    cap: ConnectionCap,
+    answer: A,
+) -> io::Result<()>
+where
+    A: Fn(HttpAsk) -> F + Clone + Send + 'static,
+    F: Future<Output = Option<HttpReply>> + Send + 'static,
+{
+    let listener = TcpListener::from_std(listener)?;
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        if let Some(open) = cap.take() {
+            let answer = answer.clone();
+            tokio::spawn(async move {
+                serve_connection(stream, answer).await;
+                drop(open);
+            });
+        }
+    }
+}
+
+async fn serve_connection<A, F>(stream: TcpStream, answer: A)
+where
+    A: Fn(HttpAsk) -> F + Clone + Send + 'static,
+    F: Future<Output = Option<HttpReply>> + Send + 'static,
+{
+    // Fails only on a socket that is closed already.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| answer_one(request, answer.clone()));
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), service);
+    // A connection that the client broke off is of no interest here.
+    let _ = connection.await;
+}
+
+async fn answer_one<A, F>(request: Request<Incoming>, answer: A) -> io::Result<HttpReply>
+where
+    A: Fn(HttpAsk) -> F,
+    F: Future<Output = Option<HttpReply>>,
+{
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let ask = HttpAsk {
+        method: head.method,
+        path: head.uri.path().into(),
+        query: head.uri.query().unwrap_or_default().into(),
+        headers: head.headers,
+        body,
+    };
+    let unanswered = || io::Error::other("left unanswered");
+    answer(ask).await.ok_or_else(unanswered)
+}
+
+/// Makes an answer without a body.
+pub(crate) fn empty_reply(status: StatusCode) -> HttpReply {
+    let mut reply = Response::new(Full::default());
+    *reply.status_mut() = status;
+    reply
+}
+
+/// Makes an answer with a JSON body.
+pub(crate) fn json_reply<T: Serialize>(status: StatusCode, body: &T) -> HttpReply {
+    let Ok(text) = serde_json::to_vec(body) else {
+        return empty_reply(StatusCode::INTERNAL_SERVER_ERROR);
+    };
+    let mut reply = Response::new(Full::new(Bytes::from(text)));
+    *reply.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(CONTENT_TYPE, json);
+    reply
+}
+
+/// Makes an answer with a text that tells what was wrong.
+pub(crate) fn error_reply(status: StatusCode, text: &str) -> HttpReply {
+    let mut reply = Response::new(Full::new(Bytes::copy_from_slice(text.as_bytes())));
+    *reply.status_mut() = status;
+    reply
+}
--- /dev/null
+++ b/crates/hornbeamlead_standin/src/proxy/control.rs
@@ -0,0 +1,36 @@
+//! HTTP interface that changes the faults.
+
+use super::ProxyShared;
+use crate::control::patch_settings;
+use crate::http::{ConnectionCap, HttpAsk, HttpReply, empty_reply, error_reply, json_reply, serve};
+use hyper::StatusCode;
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+
+/// Most connections at a time.
+const MAX_CONNECTIONS: usize = 64;
+
+/// Serves changes without an end.
+pub(crate) async fn run(listener: TcpListener, shared: Arc<ProxyShared>) -> io::Result<()> {
+    let cap = ConnectionCap::new(MAX_CONNECTIONS);
+    serve(listener, cap, move |ask| {
+        let shared = Arc::clone(&shared);
+        async move { Some(answer(&shared, &ask)) }
+    })
+    .await
+}
+
+fn answer(shared: &ProxyShared, ask: &HttpAsk) -> HttpReply {
+    if &*ask.path != "/_standin/control" {
+        return empty_reply(StatusCode::NOT_FOUND);
+    }
+    let patched = patch_settings(&*shared.faults.borrow(), &ask.body);
+    match patched {
+        Ok(faults) => {
+            shared.faults.send_replace(faults.clone());
+            json_reply(StatusCode::OK, &faults)
+        }
+        Err(error) => error_reply(StatusCode::BAD_REQUEST, &error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_standin/src/proxy/streams.rs
@@ -0,0 +1,144 @@
+//! Forwards TCP connections.
+
+use super::ProxyShared;
+use super::faults::{Direction, ProxyFaults};
+use bytes::Bytes;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+/// Bytes read at a time.
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// Chunks on their way within one direction of a connection.
+const CHUNKS_HELD: usize = 256;
+
+/// Seed of the jitter of a connection.
+const JITTER_SEED: u64 = 17;
+
+/// Chunk with the time at which it may go on.
+type TimedChunk = (Instant, Bytes);
+
+/// Forwards connections without an end.
+pub(crate) async fn run(
+    listener: std::net::TcpListener,
+    shared: Arc<ProxyShared>,
+) -> io::Result<()> {
+    let listener = TcpListener::from_std(listener)?;
+    loop {
+        let Ok((client, _)) = listener.accept().await else {
+            continue;
+        };
+        let shared = Arc::clone(&shared);
+        tokio::spawn(async move {
+            // A connection that breaks off on one side is closed on the other.
+            let _ = forward(client, shared).await;
+        });
+    }
+}
+
+/// Forwards one connection until it ends or is cut.
+async fn forward(client: TcpStream, shared: Arc<ProxyShared>) -> io::Result<()> {
+    let mut faults = shared.faults.subscribe();
+    if faults.borrow().cut {
+        return reset(&client);
+    }
+    client.set_nodelay(true)?;
+    let target = *shared.target.borrow();
+    let server = TcpStream::connect(target).await?;
+    server.set_nodelay(true)?;
+    let (mut client_read, client_write) = client.into_split();
+    let (mut server_read, server_write) = server.into_split();
+    let watched = || shared.faults.subscribe();
+    tokio::select! {
+        _ = faults.wait_for(|it| it.cut) => {
+            reset(client_read.as_ref())?;
+            reset(server_read.as_ref())
+        }
+        ended = async {
+            tokio::try_join!(
+                pump(&mut client_read, server_write, watched(), Direction::Forward),
+                pump(&mut server_read, client_write, watched(), Direction::Backward),
+            )
+        } => ended.map(|_| ()),
+    }
+}
+
+/// Makes the connection end with a reset rather than an orderly close.
+fn reset(stream: &TcpStream) -> io::Result<()> {
+    stream.set_zero_linger()
+}
+
+/// Passes one direction on until its end.
+async fn pump(
+    from: &mut OwnedReadHalf,
+    to: OwnedWriteHalf,
+    faults: watch::Receiver<ProxyFaults>,
+    direction: Direction,
+) -> io::Result<()> {
+    let (sender, receiver) = mpsc::channel(CHUNKS_HELD);
+    let read = read_chunks(from, sender, faults.clone(), direction);
+    let write = write_chunks(to, receiver, faults, direction);
+    tokio::try_join!(read, write).map(|_| ())
+}
+
+async fn read_chunks(
+    from: &mut OwnedReadHalf,
+    sender: mpsc::Sender<TimedChunk>,
+    faults: watch::Receiver<ProxyFaults>,
+    direction: Direction,
+) -> io::Result<()> {
+    let mut random = SmallRng::seed_from_u64(JITTER_SEED);
+    let mut buffer = vec![0; CHUNK_BYTES];
+    loop {
+        let length = from.read(&mut buffer).await?;
+        if length == 0 {
+            return Ok(());
+        }
+        let delay = faults.borrow().path(direction).draw_delay(&mut random);
+        let chunk = Bytes::copy_from_slice(&buffer[..length]);
+        if sender.send((Instant::now() + delay, chunk)).await.is_err() {
+            return Ok(());
+        }
+    }
+}
+
+async fn write_chunks(
+    mut to: OwnedWriteHalf,
+    mut receiver: mpsc::Receiver<TimedChunk>,
+    mut faults: watch::Receiver<ProxyFaults>,
+    direction: Direction,
+) -> io::Result<()> {
+    while let Some((due, chunk)) = receiver.recv().await {
+        tokio::time::sleep_until(due).await;
+        if wait_unpaused(&mut faults).await.is_err() {
+            return Ok(());
+        }
+        let swallow = faults.borrow().path(direction).swallow;
+        if !swallow {
+            to.write_all(&chunk).await?;
+        }
+    }
+    to.shutdown().await
+}
+
+/// Waits for the end of a pause; an error means that the proxy has ended.
+pub(crate) async fn wait_unpaused(
+    faults: &mut watch::Receiver<ProxyFaults>,
+) -> Result<(), watch::error::RecvError> {
+    faults.wait_for(|it| !it.pause).await.map(|_| ())
+}
+
+/// Sleeps, unless the span is nothing.
+pub(crate) async fn wait(span: Duration) {
+    if !span.is_zero() {
+        tokio::time::sleep(span).await;
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_standin/src/runner.rs
@@ -0,0 +1,61 @@
+//! Runs a stand-in on a thread with a runtime of its own.
+
+use std::future::Future;
+use std::io;
+use std::thread::JoinHandle;
+use tokio::sync::oneshot;
+
+/// Thread that drives a stand-in until it is stopped or dropped.
+#[derive(Debug)]
+pub(crate) struct RunnerThread {
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl RunnerThread {
+    /// Starts a thread that drives the future made by `build` within its runtime.
+    pub(crate) fn start<B, F>(name: &str, build: B) -> io::Result<Self>
+    where
+        B: FnOnce() -> F + Send + 'static,
+        F: Future<Output = io::Result<()>>,
+    {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let (stop, stopped) = oneshot::channel::<()>();
+        let thread = std::thread::Builder::new().name(name.into());
+        let thread = thread.spawn(move || {
+            runtime.block_on(async {
+                tokio::select! {
+                    _ = stopped => {}
+                    result = build() => report_end(result),
+                }
+            });
+        })?;
+        Ok(Self {
+            stop: Some(stop),
+            thread: Some(thread),
+        })
+    }
+
+    /// Stops the thread and closes all its sockets.
+    pub(crate) fn stop(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take() {
+            // A panic of the thread has been printed by then.
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for RunnerThread {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn report_end(result: io::Result<()>) {
+    if let Err(error) = result {
+        eprintln!("stand-in ended: {error}");
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_standin/src/worker/server.rs
@@ -0,0 +1,90 @@
+//! HTTP interface of the worker, for calls about tasks.
+
+use super::state::Refusal;
+use super::{SharedState, lock};
+use crate::control::patch_settings;
+use crate::http::{ConnectionCap, HttpAsk, HttpReply, empty_reply, error_reply, json_reply, serve};
+use hornbeamlead_platform::worker_wire::RefusedAnswer;
+use hyper::{Method, StatusCode};
+use serde::de::DeserializeOwned;
+use std::io;
+use std::net::TcpListener;
+use std::time::Duration;
+
+/// Most connections at a time.
+const MAX_CONNECTIONS: usize = 256;
+
+/// Time between looks whether a freeze is over.
+const FREEZE_STEP: Duration = Duration::from_millis(10);
+
+/// Serves calls without an end.
+pub(crate) async fn run(listener: TcpListener, state: SharedState) -> io::Result<()> {
+    let cap = ConnectionCap::new(MAX_CONNECTIONS);
+    serve(listener, cap, move |ask| answer(state.clone(), ask)).await
+}
+
+async fn answer(state: SharedState, ask: HttpAsk) -> Option<HttpReply> {
+    if let Some(reply) = answer_standin(&state, &ask) {
+        return Some(reply);
+    }
+    wait_unfrozen(&state).await;
+    Some(answer_call(&state, &ask))
+}
+
+/// Answers what tests ask of the stand-in itself; `None` for all else.
+pub(crate) fn answer_standin(state: &SharedState, ask: &HttpAsk) -> Option<HttpReply> {
+    let mut state = lock(state);
+    match &*ask.path {
+        "/_standin/history" => Some(json_reply(StatusCode::OK, &state.read_history())),
+        "/_standin/runs" => Some(json_reply(StatusCode::OK, &state.runs)),
+        "/_standin/control" => Some(match patch_settings(&state.control, &ask.body) {
+            Ok(control) => {
+                state.control = control;
+                json_reply(StatusCode::OK, &state.control)
+            }
+            Err(error) => error_reply(StatusCode::BAD_REQUEST, &error.to_string()),
+        }),
+        _ => None,
+    }
+}
+
+/// Waits until the worker is not frozen.
+pub(crate) async fn wait_unfrozen(state: &SharedState) {
+    while lock(state).control.frozen {
+        tokio::time::sleep(FREEZE_STEP).await;
+    }
+}
+
+fn answer_call(state: &SharedState, ask: &HttpAsk) -> HttpReply {
+    let mut state = lock(state);
+    match (&ask.method, &*ask.path) {
+        (&Method::GET, "/tasks") => json_reply(StatusCode::OK, &state.report()),
+        (&Method::POST, "/tasks/start") => obey(ask, |call| state.start(call)),
+        (&Method::POST, "/tasks/renew") => obey(ask, |call| {
+            state.renew(&call);
+            Ok(())
+        }),
+        (&Method::POST, "/tasks/checkpoint") => obey(ask, |call| state.checkpoint(&call)),
+        (&Method::POST, "/tasks/throttle") => obey(ask, |call| state.throttle(&call)),
+        (&Method::POST, "/tasks/stop") => obey(ask, |call| state.stop(&call)),
+        (&Method::POST, "/tasks/forget") => obey(ask, |call| state.forget(&call)),
+        _ => empty_reply(StatusCode::NOT_FOUND),
+    }
+}
+
+fn obey<T: DeserializeOwned>(
+    ask: &HttpAsk,
+    act: impl FnOnce(T) -> Result<(), Refusal>,
+) -> HttpReply {
+    let call = match serde_json::from_slice(&ask.body) {
+        Ok(call) => call,
+        Err(error) => return error_reply(StatusCode::BAD_REQUEST, &error.to_string()),
+    };
+    match act(call) {
+        Ok(()) => empty_reply(StatusCode::NO_CONTENT),
+        Err(refusal) => {
+            let refused = refusal.into();
+            json_reply(StatusCode::CONFLICT, &RefusedAnswer { refused })
+        }
+    }
+}
