[request] Forward, admit, queue, retry and announce

The entry picks the less busy of two workers of each side (own data centre, others) out of a bounded subset, retries after a proven not_run within one budget a service, hedges slow idempotent requests, suspects and drops silent agents and ejects failing ones. The agent's gate admits up to the endpoint's slots, queues within the policy with fair share and deadlines, fences ids and announces itself at the pace each entry asks for.

Keyed requests are routed to their arbiter by the entry; the agent does not arbitrate yet.

--- /dev/null
+++ b/crates/hornbeamlead_request/src/entry/choice.rs
@@ -0,0 +1,140 @@
+//! Chooses a worker: the better of two drawn from a bounded subset, same data centre first.
+
+use crate::entry::directory::AgentDirectory;
+use crate::entry::member::MemberRecord;
+use crate::rendezvous;
+use hornbeamlead_core::clock::MonoTime;
+use hornbeamlead_core::fleet::FleetState;
+use hornbeamlead_core::ids::{DataCentreName, HostId, Revision, ServiceName};
+use hornbeamlead_core::policy::{EntryPolicy, ProcessPlace};
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+/// Part of the subset kept for workers of the entry's own data centre, in percent.
+const LOCAL_PERCENT: usize = 75;
+
+/// Share of a service's workers that may be ejected together, in percent.
+const MAX_EJECTED_PERCENT: usize = 34;
+
+/// What a choice looks at.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ChoiceInput<'a> {
+    /// Clock.
+    pub(crate) now: MonoTime,
+    /// Entry that chooses.
+    pub(crate) place: &'a ProcessPlace,
+    /// Its settings.
+    pub(crate) policy: &'a EntryPolicy,
+    /// Configuration in force.
+    pub(crate) fleet: &'a FleetState,
+    /// Agents known.
+    pub(crate) directory: &'a AgentDirectory,
+    /// Service called.
+    pub(crate) service: &'a ServiceName,
+    /// Hosts that the request was sent to already.
+    pub(crate) tried: &'a [HostId],
+}
+
+/// Returns whether a data centre may be given new work.
+pub(crate) fn centre_open(fleet: &FleetState, centre: &DataCentreName) -> bool {
+    fleet.revision() == Revision(0) || fleet.in_service(centre)
+}
+
+/// Chooses a worker, or none if no worker takes the request.
+pub(crate) fn choose(input: ChoiceInput<'_>, random: &mut SmallRng) -> Option<HostId> {
+    let usable = usable_members(input);
+    let probed = usable
+        .iter()
+        .find(|member| member.health.wants_probe(input.now));
+    if let Some(member) = probed {
+        return Some(member.announce.host.clone());
+    }
+    let serving = |member: &&MemberRecord| !member.suspect && !member.health.ejected();
+    let mut pool: Vec<&MemberRecord> = usable.iter().copied().filter(serving).collect();
+    if pool.is_empty() {
+        pool = usable;
+    }
+    draw(input, bounded_subset(input, pool), random)
+}
+
+/// Returns a worker with a free slot for a second copy of a slow request, or none.
+pub(crate) fn choose_spare(input: ChoiceInput<'_>, random: &mut SmallRng) -> Option<HostId> {
+    let spare =
+        |member: &&MemberRecord| !member.suspect && !member.health.ejected() && member.has_room();
+    let pool: Vec<&MemberRecord> = usable_members(input).into_iter().filter(spare).collect();
+    draw(input, bounded_subset(input, pool), random)
+}
+
+/// Returns whether one more worker of the service may be ejected.
+pub(crate) fn may_eject(directory: &AgentDirectory, service: &ServiceName) -> bool {
+    let offering: Vec<&MemberRecord> = directory
+        .members()
+        .filter(|member| member.offers(service) && member.open())
+        .collect();
+    let ejected = offering.iter().filter(|member| member.health.ejected());
+    let allowed = offering.len() * MAX_EJECTED_PERCENT / 100;
+    offering.len() > 1 && ejected.count() < allowed.max(1)
+}
+
+fn usable_members(input: ChoiceInput<'_>) -> Vec<&MemberRecord> {
+    input
+        .directory
+        .members()
+        .filter(|member| member.offers(input.service) && member.open())
+        .filter(|member| centre_open(input.fleet, &member.announce.data_centre))
+        .filter(|member| !input.tried.contains(&member.announce.host))
+        .collect()
+}
+
+/// Returns at most as many workers as the policy allows, the same ones every time.
+fn bounded_subset<'a>(
+    input: ChoiceInput<'_>,
+    mut pool: Vec<&'a MemberRecord>,
+) -> Vec<&'a MemberRecord> {
+    let size = input.policy.subset.max(2);
+    if pool.len() <= size {
+        return pool;
+    }
+    let entry = input.place.host.as_str();
+    pool.sort_by_key(|member| rendezvous::weigh(&[entry], member.announce.host.as_str()));
+    let (local, away): (Vec<_>, Vec<_>) = pool
+        .into_iter()
+        .partition(|member| member.announce.data_centre == input.place.data_centre);
+    let wanted = (size * LOCAL_PERCENT / 100).max(size.saturating_sub(away.len()));
+    let taken = local.len().min(wanted);
+    let mut subset: Vec<&MemberRecord> = local.into_iter().take(taken).collect();
+    subset.extend(away.into_iter().take(size - taken));
+    subset
+}
+
+/// Draws two workers of the own data centre and two of others; the least busy one wins.
+fn draw(
+    input: ChoiceInput<'_>,
+    subset: Vec<&MemberRecord>,
+    random: &mut SmallRng,
+) -> Option<HostId> {
+    let (local, away): (Vec<_>, Vec<_>) = subset
+        .into_iter()
+        .partition(|member| member.announce.data_centre == input.place.data_centre);
+    let drawn = draw_two(&local, random)
+        .into_iter()
+        .chain(draw_two(&away, random));
+    drawn
+        .flatten()
+        .min_by_key(|member| member.expected_us(input.now, &input.place.data_centre))
+        .map(|member| member.announce.host.clone())
+}
+
+/// Draws two different workers, or all if there are fewer.
+fn draw_two<'a>(
+    members: &[&'a MemberRecord],
+    random: &mut SmallRng,
+) -> [Option<&'a MemberRecord>; 2] {
+    if members.len() < 2 {
+        return [members.first().copied(), None];
+    }
+    let first = random.random_range(0..members.len());
+    let offset = random.random_range(1..members.len());
+    let second = (first + offset) % members.len();
+    [members.get(first).copied(), members.get(second).copied()]
+}
--- a/crates/hornbeamlead_request/src/gate.rs
+++ b/crates/hornbeamlead_request/src/gate.rs
@@ -1,11 +1,32 @@
 //! Request side of an agent: sole admission authority for the requests of its worker.
 
-use hornbeamlead_core::clock::ClockReading;
+mod admission;
+mod announcer;
+mod endpoint;
+mod fence;
+mod limit;
+mod serve;
+
+use admission::AdmissionQueue;
+use announcer::EntryAnnouncer;
+use endpoint::EndpointRecord;
+use fence::FenceTable;
+use hornbeamlead_core::clock::{ClockReading, MonoTime};
+use hornbeamlead_core::counter::RefusalReason;
 use hornbeamlead_core::effect::AgentEffect;
 use hornbeamlead_core::event::AgentEvent;
 use hornbeamlead_core::fleet::FleetState;
+use hornbeamlead_core::ids::{LinkId, RequestId, Revision};
+use hornbeamlead_core::message::control::{AnnounceReply, ControlMessage};
+use hornbeamlead_core::message::request::{LinkMessage, LoadSample, RequestReply, RequestVerdict};
 use hornbeamlead_core::policy::{AgentPolicy, ProcessPlace};
 use hornbeamlead_core::status::{GateStatus, HostStanding};
+use limit::ConcurrencyLimit;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time between two questions for missing notes.
+const NOTES_ASK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// What the gate may look at while it handles an event.
 #[derive(Clone, Copy, Debug)]
@@ -21,13 +42,44 @@
 pub struct RequestGate {
     place: ProcessPlace,
     policy: AgentPolicy,
+    endpoint: Option<EndpointRecord>,
+    admission: AdmissionQueue,
+    limit: ConcurrencyLimit,
+    fences: FenceTable,
+    announcer: EntryAnnouncer,
+    notes_asked_until: MonoTime,
+    stopping: bool,
+}
+
+/// Clock, context and effects of one event.
+#[derive(Debug)]
+struct GateTurn<'a> {
+    now: ClockReading,
+    context: GateContext<'a>,
+    effects: &'a mut Vec<AgentEffect>,
+}
+
+impl GateTurn<'_> {
+    fn push(&mut self, effect: AgentEffect) {
+        self.effects.push(effect);
+    }
 }
 
 impl RequestGate {
     /// Makes the gate of a process that has just started.
     #[must_use]
     pub fn new(place: ProcessPlace, policy: AgentPolicy) -> Self {
-        Self { place, policy }
+        Self {
+            endpoint: None,
+            admission: AdmissionQueue::new(policy.gate.queue),
+            limit: ConcurrencyLimit::new(),
+            fences: FenceTable::new(policy.gate.max_fenced, policy.gate.fence_lifetime),
+            announcer: EntryAnnouncer::new(&policy.entries),
+            notes_asked_until: MonoTime(0),
+            stopping: false,
+            place,
+            policy,
+        }
     }
 
     /// Takes one event; adds what the driver is to do, with one wake-up wish at the end.
@@ -38,18 +90,168 @@
         event: &AgentEvent,
         effects: &mut Vec<AgentEffect>,
     ) {
-        let _ = (now, context, event, effects, &self.place, &self.policy);
+        let mut turn = GateTurn {
+            now,
+            context,
+            effects,
+        };
+        self.take(&mut turn, event);
+        self.pass_time(&mut turn);
+        let wake_at = self.wake_at();
+        turn.push(AgentEffect::WakeAt(wake_at));
     }
 
     /// Returns whether no request is queued or in progress.
     #[must_use]
     pub fn idle(&self) -> bool {
-        true
+        self.admission.idle()
     }
 
     /// Returns the status for operators.
     #[must_use]
     pub fn status(&self) -> GateStatus {
-        GateStatus::default()
+        GateStatus {
+            load: self.load(),
+            services: self
+                .endpoint
+                .as_ref()
+                .map(|endpoint| endpoint.announce.services.clone())
+                .unwrap_or_default(),
+            keys: 0,
+            fenced: self.fences.len(),
+        }
+    }
+
+    fn take(&mut self, turn: &mut GateTurn<'_>, event: &AgentEvent) {
+        match event {
+            AgentEvent::Requested { link, request } => self.take_request(turn, *link, request),
+            AgentEvent::Cancelled { link, id } => self.cancel(turn, *link, id),
+            AgentEvent::EndpointDone { id, outcome } => self.take_outcome(turn, id, outcome),
+            AgentEvent::EndpointAnnounced(announce) => self.take_endpoint(turn, announce),
+            AgentEvent::Datagram {
+                from,
+                message: ControlMessage::AnnounceReply(reply),
+            } => self.take_announce_reply(turn, *from, reply),
+            AgentEvent::StopAsked => self.stopping = true,
+            AgentEvent::Replied { .. }
+            | AgentEvent::KeyAsked { .. }
+            | AgentEvent::KeyAnswered { .. }
+            | AgentEvent::LinkClosed { .. }
+            | AgentEvent::LinkRefused { .. }
+            | AgentEvent::LinkBroken { .. }
+            | AgentEvent::Datagram { .. }
+            | AgentEvent::WorkerDone { .. }
+            | AgentEvent::LogRead { .. }
+            | AgentEvent::LogAppended { .. }
+            | AgentEvent::NotesPassed(_)
+            | AgentEvent::NotesAsked { .. }
+            | AgentEvent::Woke => {}
+        }
+    }
+
+    /// Does all that is due by the clock.
+    fn pass_time(&mut self, turn: &mut GateTurn<'_>) {
+        let now = turn.now.mono;
+        self.fences.expire(now);
+        self.drop_silent_endpoint(now);
+        self.refuse_queued_if_closed(turn);
+        self.refuse_expired(turn);
+        self.fill_slots(turn);
+        self.announce(turn);
+    }
+
+    fn wake_at(&self) -> MonoTime {
+        let endpoint = self.endpoint.as_ref();
+        endpoint
+            .map_or(MonoTime::MAX, |endpoint| endpoint.silent_at)
+            .min(self.admission.wake_at())
+            .min(self.announcer.wake_at())
+    }
+
+    /// Returns why no new work is taken at all, if so.
+    fn closed(&self, fleet: &FleetState) -> Option<RefusalReason> {
+        let centre_open =
+            fleet.revision() == Revision(0) || fleet.in_service(&self.place.data_centre);
+        match &self.endpoint {
+            _ if self.stopping || !centre_open => Some(RefusalReason::Leaving),
+            Some(endpoint) if endpoint.announce.leaving => Some(RefusalReason::Leaving),
+            Some(_) => None,
+            None => Some(RefusalReason::NoWorker),
+        }
+    }
+
+    fn load(&self) -> LoadSample {
+        let slots = self.endpoint.as_ref().map_or(0, EndpointRecord::slots);
+        LoadSample {
+            in_flight: self.admission.running(),
+            queued: self.admission.queued(),
+            slots: self.limit.allowed(slots),
+            service_time_us: self.limit.service_time_us(),
+            leaving: self.stopping
+                || self
+                    .endpoint
+                    .as_ref()
+                    .is_some_and(|endpoint| endpoint.announce.leaving),
+        }
+    }
+
+    fn reply(
+        &self,
+        turn: &mut GateTurn<'_>,
+        link: LinkId,
+        id: &RequestId,
+        verdict: RequestVerdict,
+    ) {
+        let mut load = self.load();
+        load.leaving |= self.closed(turn.context.fleet) == Some(RefusalReason::Leaving);
+        turn.push(AgentEffect::ReplyLink {
+            link,
+            message: LinkMessage::Reply(RequestReply {
+                id: id.clone(),
+                verdict,
+                load,
+            }),
+        });
+    }
+
+    fn take_announce_reply(
+        &mut self,
+        turn: &mut GateTurn<'_>,
+        from: SocketAddr,
+        reply: &AnnounceReply,
+    ) {
+        let now = turn.now.mono;
+        self.announcer.answered(now, from, reply);
+        let behind = reply.revision > turn.context.fleet.revision();
+        if !behind || now < self.notes_asked_until {
+            return;
+        }
+        self.notes_asked_until = now.plus(NOTES_ASK_INTERVAL);
+        let wanted = Revision(turn.context.fleet.next().0);
+        turn.push(AgentEffect::SendLink {
+            to: reply.link_address,
+            message: LinkMessage::NotesAsk(wanted),
+        });
+    }
+
+    fn announce(&mut self, turn: &mut GateTurn<'_>) {
+        let open = self.closed(turn.context.fleet).is_none();
+        let leaving = self.closed(turn.context.fleet) == Some(RefusalReason::Leaving);
+        let services = match (&self.endpoint, open || leaving) {
+            (Some(endpoint), true) => endpoint.announce.services.clone(),
+            (Some(_) | None, _) => Vec::new(),
+        };
+        let mut load = self.load();
+        load.leaving |= leaving;
+        let due = announcer::AnnounceInput {
+            place: &self.place,
+            cell: self.policy.cell,
+            services,
+            load,
+            revision: turn.context.fleet.revision(),
+            view: turn.context.standing.view.as_ref(),
+        };
+        let effects = self.announcer.send_due(turn.now.mono, due);
+        turn.effects.extend(effects);
     }
 }
--- a/crates/hornbeamlead_request/src/lib.rs
+++ b/crates/hornbeamlead_request/src/lib.rs
@@ -2,3 +2,8 @@
 
 pub mod entry;
 pub mod gate;
+
+mod keys;
+mod notes_reader;
+mod rendezvous;
+mod timer;
--- /dev/null
+++ b/crates/hornbeamlead_request/tests/gate_admission.rs
@@ -0,0 +1,183 @@
+//! Admission at the agent: slots, queue, deadlines, fences, stop.
+
+mod common;
+
+use common::{
+    GateBench, agent_policy, answer, at, called, centre, endpoint, fleet, replies, request_id,
+    requested, requested_of,
+};
+use hornbeamlead_core::counter::RefusalReason;
+use hornbeamlead_core::effect::AgentEffect;
+use hornbeamlead_core::event::{AgentEvent, EndpointOutcome};
+use hornbeamlead_core::ids::LinkId;
+use hornbeamlead_core::message::control::ControlMessage;
+use hornbeamlead_core::message::request::RequestVerdict;
+use rstest::rstest;
+
+fn done(counter: u64, outcome: EndpointOutcome) -> AgentEvent {
+    AgentEvent::EndpointDone {
+        id: request_id(counter),
+        outcome,
+    }
+}
+
+fn reason(effects: &[AgentEffect]) -> Option<RefusalReason> {
+    replies(effects)
+        .first()
+        .and_then(|reply| match reply.verdict {
+            RequestVerdict::NotRun { reason, .. } => Some(reason),
+            _ => None,
+        })
+}
+
+#[test]
+fn slots_then_queue() {
+    let mut bench = GateBench::serving(8);
+    for counter in 0..8 {
+        assert_eq!(
+            called(&bench.handle(at(1), &requested(counter, 5000))).len(),
+            1
+        );
+    }
+    assert!(called(&bench.handle(at(1), &requested(8, 5000))).is_empty());
+    let outcome = EndpointOutcome::Answered(answer("done"));
+    let effects = bench.handle(at(2), &done(0, outcome));
+    assert_eq!(called(&effects), vec![request_id(8)]);
+    assert_eq!(replies(&effects).len(), 1);
+}
+
+#[test]
+fn full_queue_refuses() {
+    let mut bench = GateBench::serving(8);
+    for counter in 0..72 {
+        let effects = bench.handle(at(1), &requested(counter, 5000));
+        assert!(replies(&effects).is_empty());
+    }
+    let effects = bench.handle(at(1), &requested(72, 5000));
+    assert_eq!(reason(&effects), Some(RefusalReason::QueueFull));
+}
+
+#[test]
+fn waiting_past_deadline() {
+    let mut bench = GateBench::serving(1);
+    bench.handle(at(1), &requested(0, 5000));
+    bench.handle(at(1), &requested(1, 100));
+    let effects = bench.handle(at(100), &AgentEvent::Woke);
+    assert_eq!(reason(&effects), Some(RefusalReason::DeadlinePassed));
+    let outcome = EndpointOutcome::Answered(answer("done"));
+    let effects = bench.handle(at(200), &done(0, outcome));
+    assert!(called(&effects).is_empty());
+}
+
+#[test]
+fn hopeless_deadline_refused() {
+    let mut bench = GateBench::serving(1);
+    bench.handle(at(0), &requested(0, 5000));
+    bench.handle(at(100), &done(0, EndpointOutcome::Answered(answer("done"))));
+    bench.handle(at(100), &requested(1, 5000));
+    bench.handle(at(100), &requested(2, 5000));
+    // Two are ahead, each taking about 100 ms.
+    let effects = bench.handle(at(100), &requested(3, 300));
+    assert_eq!(reason(&effects), Some(RefusalReason::DeadlineUnreachable));
+}
+
+#[rstest]
+#[case(EndpointOutcome::Unreachable, true)]
+#[case(EndpointOutcome::Broken, false)]
+fn proof_of_not_run(#[case] outcome: EndpointOutcome, #[case] proven: bool) {
+    let mut bench = GateBench::serving(8);
+    bench.handle(at(1), &requested(0, 5000));
+    let effects = bench.handle(at(2), &done(0, outcome));
+    assert_eq!(reason(&effects).is_some(), proven);
+    assert_eq!(replies(&effects).len(), 1);
+}
+
+#[test]
+fn refused_id_never_runs() {
+    let mut bench = GateBench::new(agent_policy(&[100]));
+    let effects = bench.handle(at(0), &requested(0, 5000));
+    assert_eq!(reason(&effects), Some(RefusalReason::NoWorker));
+    bench.handle(
+        at(1),
+        &AgentEvent::EndpointAnnounced(endpoint(&["ledger"], 8)),
+    );
+    let effects = bench.handle(at(2), &requested(0, 5000));
+    assert!(called(&effects).is_empty());
+    assert_eq!(reason(&effects), Some(RefusalReason::NoWorker));
+}
+
+#[test]
+fn cancelled_id_never_runs() {
+    let mut bench = GateBench::serving(8);
+    let cancel = AgentEvent::Cancelled {
+        link: LinkId(1),
+        id: request_id(0),
+    };
+    bench.handle(at(0), &cancel);
+    assert!(called(&bench.handle(at(1), &requested(0, 5000))).is_empty());
+}
+
+#[test]
+fn finished_id_never_runs() {
+    let mut bench = GateBench::serving(8);
+    bench.handle(at(0), &requested(0, 5000));
+    assert!(called(&bench.handle(at(0), &requested(0, 5000))).is_empty());
+    bench.handle(at(1), &done(0, EndpointOutcome::Answered(answer("done"))));
+    let effects = bench.handle(at(2), &requested(0, 5000));
+    assert!(called(&effects).is_empty());
+    let verdict = &replies(&effects)[0].verdict;
+    assert!(matches!(verdict, RequestVerdict::Unknown { .. }));
+}
+
+#[test]
+fn stop_lets_queue_end() {
+    let mut bench = GateBench::serving(1);
+    bench.handle(at(0), &requested(0, 5000));
+    bench.handle(at(0), &requested(1, 5000));
+    bench.handle(at(1), &AgentEvent::StopAsked);
+    let effects = bench.handle(at(2), &requested(2, 5000));
+    assert_eq!(reason(&effects), Some(RefusalReason::Leaving));
+    let effects = bench.handle(at(3), &done(0, EndpointOutcome::Answered(answer("done"))));
+    assert_eq!(called(&effects), vec![request_id(1)]);
+    assert!(!bench.gate.idle());
+    bench.handle(at(4), &done(1, EndpointOutcome::Answered(answer("done"))));
+    assert!(bench.gate.idle());
+}
+
+#[test]
+fn leaving_told_at_once() {
+    let mut bench = GateBench::serving(8);
+    let effects = bench.handle(at(50), &AgentEvent::StopAsked);
+    let told = effects.iter().any(|effect| match effect {
+        AgentEffect::SendDatagram {
+            message: ControlMessage::Announce(announce),
+            ..
+        } => announce.load.leaving,
+        _ => false,
+    });
+    assert!(told);
+}
+
+#[test]
+fn drained_centre_refuses() {
+    let mut bench = GateBench::serving(8);
+    bench.fleet = fleet(&["negombo", "colombo"], &["negombo"]);
+    assert!(!bench.fleet.in_service(&centre("negombo")));
+    let effects = bench.handle(at(1), &requested(0, 5000));
+    assert_eq!(reason(&effects), Some(RefusalReason::Leaving));
+}
+
+#[test]
+fn services_share_queue() {
+    let mut bench = GateBench::new(agent_policy(&[100]));
+    let both = endpoint(&["ledger", "course"], 1);
+    bench.handle(at(0), &AgentEvent::EndpointAnnounced(both));
+    for counter in 0..65 {
+        bench.handle(at(0), &requested_of("ledger", counter, 9000));
+    }
+    let effects = bench.handle(at(0), &requested_of("course", 100, 9000));
+    assert_eq!(reason(&effects), Some(RefusalReason::FairShare));
+    assert_ne!(replies(&effects)[0].id, request_id(100));
+    let effects = bench.handle(at(1), &done(0, EndpointOutcome::Answered(answer("done"))));
+    assert_eq!(called(&effects), vec![request_id(100)]);
+}
