--- a/crates/hornbeamlead_core/src/record.rs
+++ b/crates/hornbeamlead_core/src/record.rs
@@ -161,6 +161,8 @@
     pub epoch: Epoch,
     /// Claim in force.
     pub claim: Option<EpochClaim>,
+    /// Newest epoch that a forced claim began; 0 for none.
+    pub forced: Epoch,
     /// Newest change of each attempt that still matters.
     pub attempts: Vec<AttemptRecord>,
 }
