--- a/crates/hornbeamlead_agent/src/lib.rs
+++ b/crates/hornbeamlead_agent/src/lib.rs
@@ -1,5 +1,7 @@
 //! Composes the decisions of an agent into one state machine, without I/O.
 
+#![warn(clippy::unwrap_used)]
+
 mod machine;
 
 pub use machine::AgentMachine;
--- a/crates/hornbeamlead_core/src/lib.rs
+++ b/crates/hornbeamlead_core/src/lib.rs
@@ -3,6 +3,8 @@
 //! Nothing in this package opens a socket, starts a thread, reads a clock or draws unseeded
 //! randomness. The same types are used by the daemon, the property tests and the measurements.
 
+#![warn(clippy::unwrap_used)]
+
 mod newtype;
 
 pub mod clock;
--- a/crates/hornbeamlead_core/tests/note_acceptance.rs
+++ b/crates/hornbeamlead_core/tests/note_acceptance.rs
@@ -1,7 +1,5 @@
 //! Notes are accepted or refused alike everywhere, and nothing ever reverts.
 
-#![allow(clippy::unwrap_used)]
-
 use hornbeamlead_core::clock::WallTime;
 use hornbeamlead_core::event::{NoteEntry, NoteRecord};
 use hornbeamlead_core::fleet::{FleetState, ItemKind, NoteRefusal};
--- a/crates/hornbeamlead_ctl/src/lib.rs
+++ b/crates/hornbeamlead_ctl/src/lib.rs
@@ -1,1 +1,3 @@
 //! Gives operators a command line: release notes, drains, cancellations, status and explanations.
+
+#![warn(clippy::unwrap_used)]
--- a/crates/hornbeamlead_measure/src/lib.rs
+++ b/crates/hornbeamlead_measure/src/lib.rs
@@ -3,6 +3,8 @@
 //! The package is never shipped. Each experiment has a module of its own and returns a
 //! [`report::TableReport`], printed as a table or as JSON.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod args;
 pub mod batch;
 pub mod capacity;
--- a/crates/hornbeamlead_platform/src/lib.rs
+++ b/crates/hornbeamlead_platform/src/lib.rs
@@ -4,6 +4,8 @@
 //! timeout and a bounded answer, so that a slow or broken platform costs a caller no more than
 //! [`PLATFORM_TIMEOUT`](hornbeamlead_core::event::PLATFORM_TIMEOUT).
 
+#![warn(clippy::unwrap_used)]
+
 mod http;
 
 pub mod announce_wire;
--- a/crates/hornbeamlead_request/src/lib.rs
+++ b/crates/hornbeamlead_request/src/lib.rs
@@ -1,5 +1,7 @@
 //! Decides where live requests go, whether they are admitted and that a key runs once, without I/O.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod entry;
 pub mod gate;
 
--- a/crates/hornbeamlead_settings/src/lib.rs
+++ b/crates/hornbeamlead_settings/src/lib.rs
@@ -11,6 +11,8 @@
 //! assert_eq!(misspelt.to_string(), expected);
 //! ```
 
+#![warn(clippy::unwrap_used)]
+
 mod finding;
 mod name_suggestion;
 mod policy;
--- a/crates/hornbeamlead_standin/src/lib.rs
+++ b/crates/hornbeamlead_standin/src/lib.rs
@@ -3,6 +3,8 @@
 //! Each stand-in runs on a thread of its own within the process that starts it, or as a
 //! subcommand of `hornbeamlead-standin`. None of it is shipped.
 
+#![warn(clippy::unwrap_used)]
+
 mod control;
 mod http;
 mod runner;
--- a/crates/hornbeamlead_wire/src/lib.rs
+++ b/crates/hornbeamlead_wire/src/lib.rs
@@ -4,6 +4,8 @@
 //! encoded are this package's own and are checked on their way into the vocabulary of
 //! `hornbeamlead_core`, so no decoded value holds an ill-formed name.
 
+#![warn(clippy::unwrap_used)]
+
 mod announce;
 mod codec;
 mod control;
--- a/crates/hornbeamlead_wire/tests/bad_bytes.rs
+++ b/crates/hornbeamlead_wire/tests/bad_bytes.rs
@@ -1,7 +1,5 @@
 //! Bytes that are no message are refused, without a panic and within an allocation bound.
 
-#![allow(clippy::unwrap_used)]
-
 use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_core::message::control::{ControlMessage, PromiseAsk};
 use hornbeamlead_wire::{
--- a/crates/hornbeamlead_wire/tests/round_trip.rs
+++ b/crates/hornbeamlead_wire/tests/round_trip.rs
@@ -1,7 +1,5 @@
 //! Every message and record comes back as it was sent.
 
-#![allow(clippy::unwrap_used)]
-
 use bytes::Bytes;
 use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_core::counter::RefusalReason;
