--- a/crates/hornbeamlead_wire/src/snapshot.rs
+++ b/crates/hornbeamlead_wire/src/snapshot.rs
@@ -13,6 +13,7 @@
     up_to: u64,
     epoch: u64,
     claim: Option<ClaimForm>,
+    forced: u64,
     attempts: Vec<AttemptRecordForm>,
 }
 
@@ -22,6 +23,7 @@
             up_to: snapshot.up_to.0,
             epoch: snapshot.epoch.0,
             claim: snapshot.claim.as_ref().map(ClaimForm::from),
+            forced: snapshot.forced.0,
             attempts: forms(&snapshot.attempts),
         }
     }
@@ -35,6 +37,7 @@
             up_to: LogOffset(form.up_to),
             epoch: Epoch(form.epoch),
             claim: optional(form.claim)?,
+            forced: Epoch(form.forced),
             attempts: values(form.attempts)?,
         })
     }
--- a/crates/hornbeamlead_wire/tests/round_trip.rs
+++ b/crates/hornbeamlead_wire/tests/round_trip.rs
@@ -336,6 +336,7 @@
                 up_to: LogOffset(8),
                 epoch: Epoch(2),
                 claim: Some(claim),
+                forced: Epoch(1),
                 attempts,
             })
         ),
