--- a/crates/hornbeamlead_core/src/fleet.rs
+++ b/crates/hornbeamlead_core/src/fleet.rs
@@ -4,114 +4,16 @@
 use crate::note::{
     DataCentreSpec, JobSpec, NoteItems, NoteNames, ReleaseNote, ServiceSpec, TeamSpec,
 };
-use snafu::Snafu;
 use std::collections::{BTreeMap, VecDeque};
 
-/// Note ids remembered, so that a note that stands twice on the log is accepted once.
-pub const REMEMBERED_NOTES: usize = 4096;
-
-/// Kind of an item, for messages.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ItemKind {
-    /// Data centre.
-    DataCentre,
-    /// Team.
-    Team,
-    /// Service.
-    Service,
-    /// Job.
-    Job,
-}
+pub mod refusal;
+pub mod snapshot;
 
-impl std::fmt::Display for ItemKind {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
-            Self::DataCentre => "data centre",
-            Self::Team => "team",
-            Self::Service => "service",
-            Self::Job => "job",
-        })
-    }
-}
+pub use refusal::{ItemKind, NoteRefusal};
+pub use snapshot::{FleetSnapshot, NoteFate};
 
-/// Why a note was refused.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
-pub enum NoteRefusal {
-    /// Another note was accepted since the author looked.
-    #[snafu(display("based on revision {based_on}, but revision {current} is in force"))]
-    Outdated {
-        /// Revision the author saw.
-        based_on: Revision,
-        /// Revision in force.
-        current: Revision,
-    },
-    /// The id was used before.
-    #[snafu(display("note id {id} was used before, at revision {earlier}"))]
-    UsedId {
-        /// The id.
-        id: NoteId,
-        /// Revision of the earlier note; 0 if that was refused.
-        earlier: Revision,
-    },
-    /// An added item exists already.
-    #[snafu(display("{kind} {name} exists already; list it under changed"))]
-    Exists {
-        /// Kind of the item.
-        kind: ItemKind,
-        /// Its name.
-        name: Box<str>,
-    },
-    /// A changed or withdrawn item does not exist.
-    #[snafu(display("{kind} {name} does not exist; list it under added"))]
-    Missing {
-        /// Kind of the item.
-        kind: ItemKind,
-        /// Its name.
-        name: Box<str>,
-    },
-    /// A job names something that is not declared.
-    #[snafu(display("job {job} names {kind} {name}, which is not declared"))]
-    Dangling {
-        /// The job.
-        job: JobName,
-        /// Kind of what is missing.
-        kind: ItemKind,
-        /// Its name.
-        name: Box<str>,
-    },
-    /// An item is still named by a job.
-    #[snafu(display("{kind} {name} is still named by job {job}"))]
-    InUse {
-        /// Kind of the item.
-        kind: ItemKind,
-        /// Its name.
-        name: Box<str>,
-        /// A job that names it.
-        job: JobName,
-    },
-}
-
-/// Fate of a note whose id is remembered.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct NoteFate {
-    /// Note.
-    pub id: NoteId,
-    /// Revision that it made; `None` if it was refused.
-    pub revision: Option<Revision>,
-}
-
-/// Whole configuration, as it is written to the log again before retention runs out.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct FleetSnapshot {
-    /// Records before this offset are contained.
-    pub up_to: LogOffset,
-    /// Revision in force.
-    pub revision: Revision,
-    /// All items.
-    pub items: NoteItems,
-    /// Fates of the newest notes, oldest first.
-    pub fates: Vec<NoteFate>,
-}
+/// Note ids remembered, so that a note that stands twice on the log is accepted once.
+pub const REMEMBERED_NOTES: usize = 4096;
 
 /// Configuration in force, made by applying the notes stream in order.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -217,9 +119,9 @@
         })
     }
 
-    /// Loads a snapshot if it is ahead of this state; returns whether it was.
+    /// Loads a whole snapshot if it is ahead of this state; returns whether it was.
     pub fn load(&mut self, snapshot: &FleetSnapshot) -> bool {
-        if snapshot.up_to <= self.next {
+        if snapshot.up_to <= self.next || !snapshot.is_whole() {
             return false;
         }
         let mut fresh = Self {
@@ -239,6 +141,8 @@
         FleetSnapshot {
             up_to: self.next,
             revision: self.revision,
+            part: 0,
+            parts: 1,
             items: NoteItems {
                 data_centres: self.data_centres.values().cloned().collect(),
                 teams: self.teams.values().cloned().collect(),
--- a/crates/hornbeamlead_core/src/notes_keeper.rs
+++ b/crates/hornbeamlead_core/src/notes_keeper.rs
@@ -1,7 +1,8 @@
 //! Keeps a process's configuration: applies notes in order and passes them on.
 
 use crate::event::{NoteEntry, NoteRecord};
-use crate::fleet::{FleetState, NoteRefusal};
+use crate::fleet::snapshot::SnapshotParts;
+use crate::fleet::{FleetSnapshot, FleetState, NoteRefusal};
 use crate::ids::{LogOffset, NoteId, Revision};
 use crate::message::request::NoteCopy;
 use crate::record::{LogBatch, PlacedRecord};
@@ -40,6 +41,7 @@
     kept_bytes: usize,
     /// Where the search for a snapshot goes on after retention took the next record.
     search: Option<LogOffset>,
+    parts: SnapshotParts,
 }
 
 impl NotesKeeper {
@@ -93,17 +95,25 @@
         if self.kept.iter().any(|record| record.copy.offset == from) {
             return self.kept_since(from);
         }
-        let newer = |record: &&KeptRecord| record.contains.is_some_and(|up_to| up_to > from);
-        match self.kept.iter().rev().find(newer) {
-            Some(snapshot) => {
-                let mut copies = vec![snapshot.copy.clone()];
-                copies.extend(self.kept_since(snapshot.contains.unwrap_or(from)));
+        let contained = self.kept.iter().filter_map(|record| record.contains);
+        match contained.filter(|up_to| *up_to > from).max() {
+            Some(up_to) => {
+                let mut copies = self.kept_parts(up_to);
+                copies.extend(self.kept_since(up_to));
                 copies
             }
             None => Vec::new(),
         }
     }
 
+    fn kept_parts(&self, up_to: LogOffset) -> Vec<NoteCopy> {
+        let parts = self
+            .kept
+            .iter()
+            .filter(|record| record.contains == Some(up_to));
+        parts.map(|record| record.copy.clone()).collect()
+    }
+
     fn kept_since(&self, from: LogOffset) -> Vec<NoteCopy> {
         let copies = self.kept.iter().map(|record| &record.copy);
         copies.filter(|copy| copy.offset >= from).cloned().collect()
@@ -112,12 +122,11 @@
     fn apply_one(&mut self, placed: &PlacedRecord<NoteRecord>, verdicts: &mut Vec<NoteVerdict>) {
         match &placed.record.entry {
             Some(NoteEntry::Snapshot(snapshot)) => {
-                if self.fleet.load(snapshot) {
-                    self.search = None;
-                }
                 self.keep(placed, Some(snapshot.up_to));
-                if placed.offset == self.fleet.next() {
-                    self.fleet.skip(placed.offset);
+                self.load_part(snapshot);
+                match placed.offset == self.fleet.next() {
+                    true => self.fleet.skip(placed.offset),
+                    false => self.pass_over(placed.offset),
                 }
             }
             Some(NoteEntry::Note(note)) if placed.offset == self.fleet.next() => {
@@ -136,6 +145,17 @@
         }
     }
 
+    /// Adds a part of a snapshot that is ahead, and loads the snapshot once it is whole.
+    fn load_part(&mut self, snapshot: &FleetSnapshot) {
+        if snapshot.up_to <= self.fleet.next() {
+            return;
+        }
+        let whole = self.parts.add(snapshot);
+        if whole.is_some_and(|whole| self.fleet.load(&whole)) {
+            self.search = None;
+        }
+    }
+
     /// Moves the search for a snapshot past a record that cannot be applied.
     fn pass_over(&mut self, offset: LogOffset) {
         self.search = match self.search {
--- a/crates/hornbeamlead_core/tests/note_acceptance.rs
+++ b/crates/hornbeamlead_core/tests/note_acceptance.rs
@@ -247,6 +247,36 @@
         prop_assert_eq!(peer.fleet(), &straight);
     }
 
+    /// The parts of a snapshot make up the whole in any order, with parts repeated, and none of
+    /// them changes anything before the last has come.
+    #[test]
+    fn snapshot_parts(
+        jobs in 0..20usize,
+        per_part in 1..6usize,
+        order in proptest::collection::vec(any::<prop::sample::Index>(), 0..40),
+    ) {
+        let mut straight = FleetState::default();
+        let mut note = blank("a", None);
+        note.added.teams.push(team("coopers"));
+        note.added.jobs.extend((0..jobs).map(|number| job(&format!("j{number}"), "coopers")));
+        prop_assert!(straight.apply(LogOffset(7), &note).is_ok());
+        let parts = straight.snapshot().split(per_part);
+        prop_assert!(parts.iter().all(|part| part.items.jobs.len() <= per_part));
+        let mut late = NotesKeeper::default();
+        let mut seen = std::collections::BTreeSet::new();
+        for index in order {
+            let index = index.index(parts.len());
+            late.apply_records(&[placed(20 + index as u64, NoteEntry::Snapshot(parts[index].clone()))]);
+            seen.insert(index);
+            let whole = seen.len() == parts.len();
+            prop_assert_eq!(late.revision() == straight.revision(), whole);
+        }
+        for (index, part) in parts.iter().enumerate() {
+            late.apply_records(&[placed(20 + index as u64, NoteEntry::Snapshot(part.clone()))]);
+        }
+        prop_assert_eq!(late.fleet(), &straight);
+    }
+
     /// Peers bring a process that has lost the log up to date from the records they keep.
     #[test]
     fn peers_pass_notes(
--- a/crates/hornbeamlead_measure/src/capacity/configuration.rs
+++ b/crates/hornbeamlead_measure/src/capacity/configuration.rs
@@ -4,6 +4,7 @@
 use super::samples::{failed, job, note, team_note};
 use crate::report::{MeasureError, ReportTable};
 use hornbeamlead_core::fleet::FleetState;
+use hornbeamlead_core::fleet::snapshot::JOBS_PER_PART;
 use hornbeamlead_core::ids::LogOffset;
 use hornbeamlead_settings::note::encode_snapshot;
 
@@ -21,7 +22,14 @@
 /// # Errors
 /// Returns [`MeasureError`] when a sample note is refused.
 pub(crate) fn measure() -> Result<ReportTable, MeasureError> {
-    let columns = ["jobs", "state KiB", "note us", "snapshot KiB"];
+    let columns = [
+        "jobs",
+        "state KiB",
+        "note us",
+        "snapshot KiB",
+        "parts",
+        "largest part KiB",
+    ];
     let mut table = ReportTable::new("configuration in force, per process", &columns);
     for jobs in JOB_COUNTS {
         table.push(measure_at(jobs)?);
@@ -29,17 +37,24 @@
     Ok(table)
 }
 
-fn measure_at(jobs: usize) -> Result<[String; 4], MeasureError> {
+fn measure_at(jobs: usize) -> Result<[String; 6], MeasureError> {
     let (state, held) = held_by(|| filled(jobs));
     let mut state = state?;
-    let bytes = encode_snapshot(&state.snapshot()).len();
+    let parts = state.snapshot().split(JOBS_PER_PART);
+    let sizes: Vec<usize> = parts
+        .iter()
+        .map(|part| encode_snapshot(part).len())
+        .collect();
+    let largest = sizes.iter().max().copied().unwrap_or_default();
     let spent = time_of(|| apply_more(&mut state, jobs));
     let note_us = spent.as_secs_f64() * 1e6 / TIMED_NOTES as f64;
     Ok([
         jobs.to_string(),
         (held / 1024).to_string(),
         format!("{note_us:.1}"),
-        (bytes / 1024).to_string(),
+        (sizes.iter().sum::<usize>() / 1024).to_string(),
+        parts.len().to_string(),
+        (largest / 1024).to_string(),
     ])
 }
 
--- a/crates/hornbeamlead_settings/src/note/convert.rs
+++ b/crates/hornbeamlead_settings/src/note/convert.rs
@@ -61,6 +61,8 @@
         Self {
             up_to: snapshot.up_to.0,
             revision: snapshot.revision.0,
+            part: snapshot.part,
+            parts: snapshot.parts,
             items: (&snapshot.items).into(),
             fates: snapshot.fates.iter().map(WireFate::from).collect(),
         }
@@ -74,6 +76,8 @@
         Ok(Self {
             up_to: LogOffset(wire.up_to),
             revision: Revision(wire.revision),
+            part: wire.part,
+            parts: wire.parts,
             items: wire.items.try_into()?,
             fates: convert_all(wire.fates)?,
         })
--- a/crates/hornbeamlead_settings/src/note/wire.rs
+++ b/crates/hornbeamlead_settings/src/note/wire.rs
@@ -8,7 +8,7 @@
 pub(super) enum WireEntry {
     /// Release note.
     Note(WireNote),
-    /// Whole configuration.
+    /// Whole configuration or a part of it.
     Snapshot(WireSnapshot),
 }
 
@@ -27,12 +27,14 @@
     pub(super) withdrawn: WireNames,
 }
 
-/// Whole configuration.
+/// Whole configuration or a part of it.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct WireSnapshot {
     pub(super) up_to: u64,
     pub(super) revision: u64,
+    pub(super) part: u16,
+    pub(super) parts: u16,
     pub(super) items: WireItems,
     pub(super) fates: Vec<WireFate>,
 }
