[standin] Start whole fleets for process tests

Need: tests that kill, freeze, cut and restart real processes. Processes of the daemon are started on free ports; log, workers and proxies run within the test, where it steers and reads them by methods. Stand-ins as processes were ruled out here: a test of one package does not build another's program.

--- a/crates/hornbeamlead_standin/src/lib.rs
+++ b/crates/hornbeamlead_standin/src/lib.rs
@@ -8,6 +8,7 @@
 mod runner;
 
 pub mod client;
+pub mod fleet;
 pub mod log;
 pub mod proxy;
 pub mod worker;
--- a/crates/hornbeamlead_standin/src/log.rs
+++ b/crates/hornbeamlead_standin/src/log.rs
@@ -96,6 +96,11 @@
         self.server.change(change);
     }
 
+    /// Appends a record, whatever the behaviour, and returns its offset.
+    pub fn append(&self, stream: &str, payload: Bytes) -> u64 {
+        self.server.append(stream, payload)
+    }
+
     /// Returns the payloads that a stream keeps, oldest first.
     #[must_use]
     pub fn records(&self, stream: &str) -> Vec<Bytes> {
--- a/crates/hornbeamlead_standin/src/log/server.rs
+++ b/crates/hornbeamlead_standin/src/log/server.rs
@@ -76,6 +76,11 @@
         change(&mut self.lock().control);
     }
 
+    /// Appends a record, whatever the behaviour.
+    pub(crate) fn append(&self, stream: &str, payload: Bytes) -> u64 {
+        self.lock().append(stream, payload).0
+    }
+
     /// Returns the payloads that a stream keeps.
     pub(crate) fn records(&self, stream: &str) -> Vec<Bytes> {
         self.lock().store.records(stream)
--- a/crates/hornbeamlead_standin/src/proxy/datagrams.rs
+++ b/crates/hornbeamlead_standin/src/proxy/datagrams.rs
@@ -27,6 +27,7 @@
 /// One datagram on its way.
 struct DatagramPath {
     socket: Arc<UdpSocket>,
+    client: SocketAddr,
     to: SocketAddr,
     direction: Direction,
     shared: Arc<ProxyShared>,
@@ -60,6 +61,7 @@
         };
         let path = DatagramPath {
             socket,
+            client,
             to: *shared.target.borrow(),
             direction: Direction::Forward,
             shared: Arc::clone(&shared),
@@ -86,6 +88,7 @@
             };
             let path = DatagramPath {
                 socket: Arc::clone(&listener),
+                client,
                 to: client,
                 direction: Direction::Backward,
                 shared: Arc::clone(&shared),
@@ -103,7 +106,8 @@
     let path_faults = faults.path(path.direction);
     let hits = |random: &mut SmallRng, percent: u8| random.random_range(0..100) < percent;
     let dropped = hits(&mut random, path_faults.drop_percent);
-    if faults.cut || path_faults.swallow || dropped {
+    let blocked = faults.blocked.contains(&path.client);
+    if faults.cut || blocked || path_faults.swallow || dropped {
         return;
     }
     let mut delay = path_faults.draw_delay(&mut random);
--- a/crates/hornbeamlead_standin/src/proxy/faults.rs
+++ b/crates/hornbeamlead_standin/src/proxy/faults.rs
@@ -3,6 +3,8 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Faults of one direction.
@@ -44,6 +46,8 @@
     pub cut: bool,
     /// Whether everything is held back until the pause ends.
     pub pause: bool,
+    /// Clients whose datagrams are dropped, and those to them.
+    pub blocked: BTreeSet<SocketAddr>,
     /// Faults from the client to the target.
     pub forward: PathFaults,
     /// Faults from the target to the client: the answers.
--- a/crates/hornbeamlead_standin/src/worker.rs
+++ b/crates/hornbeamlead_standin/src/worker.rs
@@ -93,8 +93,10 @@
         lock(&self.state).runs.clone()
     }
 
-    /// Stops the worker and its endpoint; their tasks are gone.
-    pub fn stop(mut self) {
+    /// Stops the worker and its endpoint at once, and returns what they did.
+    pub fn stop(mut self) -> (WorkerHistory, EndpointRuns) {
         self.runner.stop();
+        lock(&self.state).kill_tasks();
+        (self.history(), self.runs())
     }
 }
--- a/crates/hornbeamlead_standin/src/worker/history.rs
+++ b/crates/hornbeamlead_standin/src/worker/history.rs
@@ -22,6 +22,8 @@
     Stopped,
     /// Its lease lapsed.
     Lapsed,
+    /// It ended with its worker.
+    Killed,
     /// A start came that does not fit in what is left.
     OverfillRefused,
     /// A start came after its last moment.
@@ -31,12 +33,21 @@
 }
 
 impl TaskEventKind {
+    /// Returns whether it tells of a start that was refused.
+    #[must_use]
+    pub fn is_refusal(self) -> bool {
+        matches!(
+            self,
+            Self::OverfillRefused | Self::LateRefused | Self::SeenRefused
+        )
+    }
+
     /// Returns whether the attempt runs no more after it.
     #[must_use]
     pub fn is_end(self) -> bool {
         matches!(
             self,
-            Self::Finished | Self::Failed | Self::Stopped | Self::Lapsed
+            Self::Finished | Self::Failed | Self::Stopped | Self::Lapsed | Self::Killed
         )
     }
 }
--- a/crates/hornbeamlead_standin/src/worker/state.rs
+++ b/crates/hornbeamlead_standin/src/worker/state.rs
@@ -203,6 +203,15 @@
         }
     }
 
+    /// Records the end of all running attempts with their worker.
+    pub(crate) fn kill_tasks(&mut self) {
+        let now_us = self.advance();
+        let running = self.tasks.values().filter(|task| task.is_running());
+        let killed = running.map(|task| task.event(TaskEventKind::Killed, now_us));
+        self.events.extend(killed);
+        self.tasks.clear();
+    }
+
     fn running(&mut self, attempt: &AttemptWire) -> Result<&mut TaskRun, Refusal> {
         match self.tasks.get_mut(&attempt_key(attempt)) {
             Some(task) if task.is_running() => Ok(task),
