[request] Route keyed requests by the home data centre

The home of a key is agreed through the notes (data centres in service), not through what an entry happens to know. An answer of an arbiter is final; only a lost one is asked for again.

--- a/crates/hornbeamlead_request/src/entry/desk.rs
+++ b/crates/hornbeamlead_request/src/entry/desk.rs
@@ -21,6 +21,8 @@
     pub(crate) to: SocketAddr,
     /// When it was sent.
     pub(crate) sent_at: MonoTime,
+    /// Whether the host is to run it itself, rather than arbitrate its key.
+    pub(crate) runs_there: bool,
 }
 
 /// Request that has no final answer yet.
--- a/crates/hornbeamlead_request/src/entry/reply.rs
+++ b/crates/hornbeamlead_request/src/entry/reply.rs
@@ -118,15 +118,19 @@
     }
 
     fn finish(&mut self, turn: &mut EntryTurn, attempt: &AttemptRecord, answer: EndpointAnswer) {
-        match answer.status >= FIRST_FAILURE_STATUS {
-            true => self.blame(turn, attempt),
-            false => self.praise(turn, attempt),
+        match answer.status {
+            _ if !attempt.runs_there => {}
+            FIRST_FAILURE_STATUS.. => self.blame(turn, attempt),
+            _ => self.praise(turn, attempt),
         }
         let Some(request) = self.desk.close(attempt.ticket) else {
             return;
         };
-        let taken = turn.now.mono.since(attempt.sent_at);
-        self.traffic_of(&request.request.service).latency.add(taken);
+        if attempt.runs_there {
+            let taken = turn.now.mono.since(attempt.sent_at);
+            let traffic = self.traffic_of(&request.request.service);
+            traffic.latency.add(taken);
+        }
         self.cancel_attempts(turn, &request);
         turn.push(EntryEffect::AnswerCaller {
             ticket: attempt.ticket,
@@ -167,7 +171,9 @@
             return;
         };
         request.may_have_run = true;
-        let repeatable = request.repeatable() && reason != RefusalReason::KeyHistoryLost;
+        // What an arbiter says of a key is final; only a lost answer is asked for again.
+        let decided = request.keyed() && retry != RetryReason::LinkBroken;
+        let repeatable = request.repeatable() && !decided;
         let again = repeatable && self.go_on(turn, ticket, retry);
         if !again {
             self.end_unless_open(turn, ticket, reason);
@@ -225,6 +231,9 @@
     }
 
     fn blame(&mut self, turn: &mut EntryTurn, attempt: &AttemptRecord) {
+        if !attempt.runs_there {
+            return;
+        }
         let now = turn.now.mono;
         let Some(member) = self.directory.by_link_mut(attempt.to) else {
             return;
--- a/crates/hornbeamlead_request/src/entry/send.rs
+++ b/crates/hornbeamlead_request/src/entry/send.rs
@@ -10,7 +10,6 @@
 use hornbeamlead_core::message::control::ViewMember;
 use hornbeamlead_core::message::request::{ForwardedRequest, LinkMessage, RequestSafety};
 use rand::Rng;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Time between two looks at whether a key has a new arbiter, before it is spread.
@@ -140,6 +139,9 @@
 
     /// Takes an attempt off the count of its worker.
     pub(super) fn release(&mut self, attempt: &AttemptRecord) {
+        if !attempt.runs_there {
+            return;
+        }
         if let Some(member) = self.directory.by_link_mut(attempt.to) {
             member.own = member.own.saturating_sub(1);
             member.health.note_neutral();
@@ -153,7 +155,16 @@
         member.own += 1;
         member.health.note_sent();
         let to = member.announce.link_address;
-        self.send_attempt(turn, ticket, host.clone(), to);
+        self.send_attempt(
+            turn,
+            AttemptRecord {
+                ticket,
+                host: host.clone(),
+                to,
+                sent_at: turn.now.mono,
+                runs_there: true,
+            },
+        );
     }
 
     fn send_to_arbiter(
@@ -166,24 +177,24 @@
             .get(ticket)
             .and_then(|request| self.arbiter_of(request));
         let arbiter = arbiter.ok_or(RefusalReason::NoArbiter)?;
-        self.send_attempt(turn, ticket, arbiter.host, arbiter.link_address);
+        self.send_attempt(
+            turn,
+            AttemptRecord {
+                ticket,
+                host: arbiter.host,
+                to: arbiter.link_address,
+                sent_at: turn.now.mono,
+                runs_there: false,
+            },
+        );
         self.plan_arbiter_look(turn, ticket);
         Ok(())
     }
 
-    fn send_attempt(
-        &mut self,
-        turn: &mut EntryTurn,
-        ticket: CallerTicket,
-        host: HostId,
-        to: SocketAddr,
-    ) {
-        let counter = self.desk.add_attempt(AttemptRecord {
-            ticket,
-            host,
-            to,
-            sent_at: turn.now.mono,
-        });
+    fn send_attempt(&mut self, turn: &mut EntryTurn, attempt: AttemptRecord) {
+        let ticket = attempt.ticket;
+        let to = attempt.to;
+        let counter = self.desk.add_attempt(attempt);
         let Some(request) = self.desk.get(ticket) else {
             return;
         };
@@ -220,11 +231,11 @@
     fn arbiter_of(&self, request: &OpenRequest) -> Option<ViewMember> {
         let key = request.request.key.as_ref()?;
         let service = &request.request.service;
-        let fleet = self.keeper.fleet();
+        let home = route::home_centre(service, key, self.keeper.fleet())?;
         let cells = self
             .directory
             .members()
-            .filter(|member| choice::centre_open(fleet, &member.announce.data_centre))
+            .filter(|member| member.announce.data_centre == *home)
             .map(|member| member.announce.cell);
         let cell = route::home_cell(service, key, cells)?;
         route::arbiter(service, key, self.directory.view(cell)?).cloned()
--- a/crates/hornbeamlead_request/src/keys/route.rs
+++ b/crates/hornbeamlead_request/src/keys/route.rs
@@ -1,10 +1,32 @@
-//! Finds the arbiter of a key: the home cell first, then the member of its view.
+//! Finds the arbiter of a key: the home data centre first, then the member of its cell's view.
 
 use crate::rendezvous;
-use hornbeamlead_core::ids::{CellId, IdempotencyKey, ServiceName};
+use hornbeamlead_core::fleet::FleetState;
+use hornbeamlead_core::ids::{CellId, DataCentreName, IdempotencyKey, ServiceName};
 use hornbeamlead_core::message::control::{CellView, ViewMember};
 
-/// Returns the cell whose members arbitrate a key, out of the cells that may.
+/// Returns the data centre whose agents arbitrate a key, out of those in service.
+pub(crate) fn home_centre<'a>(
+    service: &ServiceName,
+    key: &IdempotencyKey,
+    fleet: &'a FleetState,
+) -> Option<&'a DataCentreName> {
+    let open = fleet.data_centres().values();
+    let open = open.filter(|spec| spec.in_service).map(|spec| &spec.name);
+    home_of(service, key, open)
+}
+
+/// Returns the data centre whose agents arbitrate a key, out of the given ones.
+pub(crate) fn home_of<'a>(
+    service: &ServiceName,
+    key: &IdempotencyKey,
+    centres: impl Iterator<Item = &'a DataCentreName>,
+) -> Option<&'a DataCentreName> {
+    let subject = [service.as_str(), key.as_str()];
+    centres.max_by_key(|centre| (rendezvous::weigh(&subject, centre.as_str()), *centre))
+}
+
+/// Returns the cell whose members arbitrate a key, out of the cells of its home data centre.
 pub(crate) fn home_cell(
     service: &ServiceName,
     key: &IdempotencyKey,
--- a/crates/hornbeamlead_request/tests/common/mod.rs
+++ b/crates/hornbeamlead_request/tests/common/mod.rs
@@ -41,15 +41,15 @@
 }
 
 pub(crate) fn service(name: &str) -> ServiceName {
-    ServiceName::new(name).unwrap()
+    ServiceName::new(name).expect("valid in tests")
 }
 
 pub(crate) fn host(name: &str) -> HostId {
-    HostId::new(name).unwrap()
+    HostId::new(name).expect("valid in tests")
 }
 
 pub(crate) fn centre(name: &str) -> DataCentreName {
-    DataCentreName::new(name).unwrap()
+    DataCentreName::new(name).expect("valid in tests")
 }
 
 pub(crate) fn address(number: u16) -> SocketAddr {
@@ -61,7 +61,7 @@
         host: host(name),
         incarnation: Incarnation(incarnation),
         data_centre: centre(CENTRE),
-        rack: RackName::new("r1").unwrap(),
+        rack: RackName::new("r1").expect("valid in tests"),
         link_address: address(number),
         control_address: address(number),
         operator_address: address(number + 1),
@@ -86,7 +86,7 @@
         incarnation: Incarnation(1),
         sequence,
         data_centre: centre(CENTRE),
-        rack: RackName::new("r1").unwrap(),
+        rack: RackName::new("r1").expect("valid in tests"),
         cell: CellId(1),
         link_address: address(number),
         operator_address: address(number + 1),
@@ -174,7 +174,9 @@
 /// Configuration with the given data centres, all in service unless listed as out.
 pub(crate) fn fleet(centres: &[&str], out: &[&str]) -> FleetState {
     let mut state = FleetState::default();
-    state.apply(LogOffset(0), &note(centres, out)).unwrap();
+    state
+        .apply(LogOffset(0), &note(centres, out))
+        .expect("valid in tests");
     state
 }
 
@@ -184,7 +186,7 @@
         in_service: !out.contains(name),
     });
     ReleaseNote {
-        id: NoteId::new("first").unwrap(),
+        id: NoteId::new("first").expect("valid in tests"),
         based_on: None,
         author: "tests".into(),
         added: NoteItems {
