[core] Pass the views of a key's lifetime with an answer about it

An arbiter that has just started knows no earlier view, so it cannot tell whose knowledge of a key may be lost. Its peers tell it: for how long they have followed the views, and which ones. The first view of a cell that never had one has a fixed number, so a new cell is told from one that was restarted as a whole.

--- a/crates/hornbeamlead_core/src/message/control.rs
+++ b/crates/hornbeamlead_core/src/message/control.rs
@@ -63,6 +63,11 @@
     pub members: Vec<ViewMember>,
 }
 
+impl CellView {
+    /// Number of the first view of a cell that never had one before.
+    pub const FIRST_NUMBER: u64 = 1 << 20;
+}
+
 /// Member of a [`CellView`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ViewMember {
--- a/crates/hornbeamlead_core/src/message/request.rs
+++ b/crates/hornbeamlead_core/src/message/request.rs
@@ -3,6 +3,7 @@
 use crate::clock::MonoTime;
 use crate::counter::RefusalReason;
 use crate::ids::{HostId, IdempotencyKey, Incarnation, RequestId, ServiceName};
+use crate::message::control::CellView;
 use bytes::Bytes;
 use std::time::Duration;
 
@@ -167,6 +168,10 @@
     pub incarnation: Incarnation,
     /// What it knows.
     pub knowledge: KeyKnowledge,
+    /// Time for which it has followed the views of its cell; `Duration::MAX` since the first one.
+    pub watched: Duration,
+    /// Views before the one it follows now, as far as they still matter.
+    pub past: Vec<CellView>,
 }
 
 /// Message on a link.
--- a/crates/hornbeamlead_wire/src/request.rs
+++ b/crates/hornbeamlead_wire/src/request.rs
@@ -1,6 +1,7 @@
 //! Forms of requests, replies and what is known of keys.
 
-use crate::convert::{forms, key, micros, name, optional, text};
+use crate::announce::ViewForm;
+use crate::convert::{forms, key, micros, name, optional, text, values};
 use crate::error::WireError;
 use bytes::Bytes;
 use hornbeamlead_core::clock::MonoTime;
@@ -395,6 +396,8 @@
     host: Box<str>,
     incarnation: u64,
     knowledge: KnowledgeForm,
+    watched_us: Option<u64>,
+    past: Vec<ViewForm>,
 }
 
 impl From<&KeyAnswer> for KeyAnswerForm {
@@ -404,6 +407,8 @@
             host: text(&answer.host),
             incarnation: answer.incarnation.0,
             knowledge: (&answer.knowledge).into(),
+            watched_us: (answer.watched != Duration::MAX).then(|| micros(answer.watched)),
+            past: forms(&answer.past),
         }
     }
 }
@@ -417,6 +422,8 @@
             host: name(&form.host)?,
             incarnation: Incarnation(form.incarnation),
             knowledge: form.knowledge.into(),
+            watched: form.watched_us.map_or(Duration::MAX, Duration::from_micros),
+            past: values(form.past)?,
         })
     }
 }
--- a/crates/hornbeamlead_wire/tests/round_trip.rs
+++ b/crates/hornbeamlead_wire/tests/round_trip.rs
@@ -13,8 +13,8 @@
     AgentAnnounce, CellView, ControlMessage, HeartbeatReply, HostHeartbeat, TaskCommand, ViewMember,
 };
 use hornbeamlead_core::message::request::{
-    CallerRequest, EndpointAnswer, ForwardedRequest, HeaderField, KeyGrant, LinkMessage,
-    LoadSample, NoteCopy, RequestReply, RequestSafety, RequestVerdict,
+    CallerRequest, EndpointAnswer, ForwardedRequest, HeaderField, KeyAnswer, KeyGrant,
+    KeyKnowledge, LinkMessage, LoadSample, NoteCopy, RequestReply, RequestSafety, RequestVerdict,
 };
 use hornbeamlead_core::note::DeliveryMode;
 use hornbeamlead_core::record::{
@@ -293,7 +293,28 @@
             payload: Bytes::from(payload),
         }])
     });
-    prop_oneof![forwarded().prop_map(LinkMessage::Request), reply, notes]
+    let answered = (
+        host(),
+        any::<u64>(),
+        proptest::option::of(0..u64::MAX),
+        view(),
+    )
+        .prop_map(|(host, query, watched_us, view)| {
+            LinkMessage::KeyAnswer(KeyAnswer {
+                query,
+                host,
+                incarnation: Incarnation(5),
+                knowledge: KeyKnowledge::Absent,
+                watched: watched_us.map_or(Duration::MAX, Duration::from_micros),
+                past: vec![view],
+            })
+        });
+    prop_oneof![
+        forwarded().prop_map(LinkMessage::Request),
+        reply,
+        notes,
+        answered
+    ]
 }
 
 fn change() -> impl Strategy<Value = AttemptChange> {
