[ctl] Publish notes, follow them and ask the fleet

Need: operators steer the fleet by release notes and ask it what it does.

The tool appends to the log itself and judges the note by the function that all processes use, so it needs no process of the fleet to publish. An append whose answer is lost is resolved by reading; a note that is not found is appended again, since an id is accepted once. Ruled out: asking an entry to append, which would make an entry's death another lost answer to resolve.

--- /dev/null
+++ b/crates/hornbeamlead_ctl/src/args.rs
@@ -0,0 +1,175 @@
+//! Command line of the tool.
+
+use crate::report::ExitStatus;
+use bpaf::Bpaf;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Columns to which help is folded.
+const TEXT_WIDTH: usize = 100;
+
+/// Settings file where none is named.
+const DEFAULT_SETTINGS: &str = "hornbeamctl.json";
+
+/// Time allowed where none is named.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(11);
+
+/// Options that every command takes.
+#[derive(Clone, Debug, Bpaf)]
+pub struct CommonOptions {
+    /// Settings of this tool, JSON with comments [hornbeamctl.json]
+    #[bpaf(
+        long,
+        env("HORNBEAMCTL_SETTINGS"),
+        argument("FILE"),
+        fallback(DEFAULT_SETTINGS.into())
+    )]
+    pub settings: PathBuf,
+    /// Prints JSON for scripts
+    #[bpaf(long, switch)]
+    pub json: bool,
+}
+
+/// Options of the commands that publish a note.
+#[derive(Clone, Debug, Bpaf)]
+pub struct PublishOptions {
+    /// Waits until the note is in force in all known processes, and names those that lag
+    #[bpaf(long, switch)]
+    pub wait: bool,
+    /// Time allowed for the log's answer, and again for the wait [11s]
+    #[bpaf(
+        long,
+        argument::<String>("TIME"),
+        parse(parse_timeout),
+        fallback(DEFAULT_TIMEOUT)
+    )]
+    pub timeout: Duration,
+}
+
+/// Command about release notes.
+#[derive(Clone, Debug, Bpaf)]
+pub enum NoteCommand {
+    /// Checks a note's file and sends nothing
+    #[bpaf(command)]
+    Check {
+        /// Prints JSON for scripts
+        #[bpaf(long, switch)]
+        json: bool,
+        /// Release note, JSON with comments
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Publishes a note and tells whether it was accepted; the same file may be applied again
+    #[bpaf(command)]
+    Apply {
+        #[bpaf(external(common_options))]
+        /// Options that every command takes
+        common: CommonOptions,
+        #[bpaf(external(publish_options))]
+        /// Options of the commands that publish a note
+        publish: PublishOptions,
+        /// Release note, JSON with comments
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Tells what became of a note
+    #[bpaf(command)]
+    Status {
+        #[bpaf(external(common_options))]
+        /// Options that every command takes
+        common: CommonOptions,
+        /// Id of the note
+        #[bpaf(positional("ID"))]
+        id: String,
+    },
+}
+
+/// Steers a hornbeamlead fleet: release notes, drains, cancellations, status, explanations
+///
+/// Exit status: 0 done, 1 refused or not done, 2 usage or settings.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version, generate(tool_options))]
+pub enum ToolCommand {
+    /// Checks, publishes and follows release notes
+    #[bpaf(command)]
+    Note(#[bpaf(external(note_command))] NoteCommand),
+    /// Takes a data centre out of service
+    #[bpaf(command)]
+    Drain {
+        #[bpaf(external(common_options))]
+        /// Options that every command takes
+        common: CommonOptions,
+        #[bpaf(external(publish_options))]
+        /// Options of the commands that publish a note
+        publish: PublishOptions,
+        /// Name of the data centre
+        #[bpaf(positional("DATA_CENTRE"))]
+        data_centre: String,
+    },
+    /// Brings a data centre back into service
+    #[bpaf(command)]
+    Return {
+        #[bpaf(external(common_options))]
+        /// Options that every command takes
+        common: CommonOptions,
+        #[bpaf(external(publish_options))]
+        /// Options of the commands that publish a note
+        publish: PublishOptions,
+        /// Name of the data centre
+        #[bpaf(positional("DATA_CENTRE"))]
+        data_centre: String,
+    },
+    /// Cancels a job by withdrawing it
+    #[bpaf(command)]
+    Cancel {
+        #[bpaf(external(common_options))]
+        /// Options that every command takes
+        common: CommonOptions,
+        #[bpaf(external(publish_options))]
+        /// Options of the commands that publish a note
+        publish: PublishOptions,
+        /// Name of the job
+        #[bpaf(positional("JOB"))]
+        job: String,
+    },
+    /// Shows all known processes, data centres and the progress of jobs
+    #[bpaf(command)]
+    Status {
+        #[bpaf(external(common_options))]
+        /// Options that every command takes
+        common: CommonOptions,
+    },
+    /// Shows recent decisions about a task, job, request, note, host or data centre, newest first
+    #[bpaf(command)]
+    Explain {
+        #[bpaf(external(common_options))]
+        /// Options that every command takes
+        common: CommonOptions,
+        /// Part of the subject's name
+        #[bpaf(positional("SUBJECT"))]
+        subject: String,
+    },
+}
+
+/// Parses the command line of this process.
+///
+/// # Errors
+/// Returns the exit status after help, the version or a usage error was printed.
+pub fn parse_args() -> Result<ToolCommand, ExitStatus> {
+    let parsed = tool_options().run_inner(bpaf::Args::current_args());
+    parsed.map_err(|failure| {
+        failure.print_message(TEXT_WIDTH);
+        match failure.exit_code() {
+            0 => ExitStatus::Done,
+            _ => ExitStatus::Usage,
+        }
+    })
+}
+
+#[allow(
+    clippy::needless_pass_by_value,
+    reason = "the derived parser hands the text over"
+)]
+fn parse_timeout(text: String) -> Result<Duration, hornbeamlead_settings::quantity::QuantityError> {
+    hornbeamlead_settings::quantity::parse_duration(&text)
+}
--- /dev/null
+++ b/crates/hornbeamlead_ctl/src/files.rs
@@ -0,0 +1,26 @@
+//! Files that the commands read.
+
+use crate::args::CommonOptions;
+use crate::failure::{ToolFailure, UnreadableFileSnafu};
+use hornbeamlead_core::note::ReleaseNote;
+use hornbeamlead_settings::note::read_note;
+use hornbeamlead_settings::{ToolSettings, read_tool_settings};
+use snafu::ResultExt;
+use std::path::Path;
+
+/// Loads the settings of the tool.
+pub(crate) fn load_settings(common: &CommonOptions) -> Result<ToolSettings, ToolFailure> {
+    let text = load_text(&common.settings)?;
+    let name = common.settings.display().to_string();
+    Ok(read_tool_settings(&name, &text)?)
+}
+
+/// Loads a release note.
+pub(crate) fn load_note(file: &Path) -> Result<ReleaseNote, ToolFailure> {
+    let text = load_text(file)?;
+    Ok(read_note(&file.display().to_string(), &text)?)
+}
+
+fn load_text(path: &Path) -> Result<String, ToolFailure> {
+    std::fs::read_to_string(path).context(UnreadableFileSnafu { path })
+}
--- /dev/null
+++ b/crates/hornbeamlead_ctl/src/notes_reader.rs
@@ -0,0 +1,147 @@
+//! Reads the notes stream and applies it by the function that every process uses.
+
+use crate::failure::ToolFailure;
+use bytes::Bytes;
+use hornbeamlead_core::event::{NoteEntry, NoteRecord};
+use hornbeamlead_core::fleet::{FleetState, NoteRefusal};
+use hornbeamlead_core::ids::{LogOffset, NoteId, Revision};
+use hornbeamlead_core::note::ReleaseNote;
+use hornbeamlead_core::notes_keeper::NotesKeeper;
+use hornbeamlead_core::record::{LogBatch, LogFault, PlacedRecord, RawRecord, StreamName};
+use hornbeamlead_platform::log::LogClient;
+use hornbeamlead_settings::note::decode_entry;
+
+/// Records asked for in one read.
+const READ_LIMIT: usize = 500;
+
+/// What became of a note.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum NoteFinding {
+    /// It is not on the log, or so old that its fate is forgotten.
+    Absent,
+    /// It was accepted.
+    Accepted(Revision),
+    /// It was refused; the reason is known while the note itself is on the log.
+    Refused(Option<NoteRefusal>),
+    /// The id belongs to an earlier note of different content.
+    Foreign,
+}
+
+/// Configuration as read from the log, with all that was seen of one note.
+#[derive(Debug)]
+pub(crate) struct NotesReader {
+    log: LogClient,
+    keeper: NotesKeeper,
+    watched: NoteId,
+    seen: Option<ReleaseNote>,
+    refusal: Option<NoteRefusal>,
+}
+
+impl NotesReader {
+    /// Makes a reader that watches for one note.
+    pub(crate) fn new(log: LogClient, watched: NoteId) -> Self {
+        Self {
+            log,
+            keeper: NotesKeeper::default(),
+            watched,
+            seen: None,
+            refusal: None,
+        }
+    }
+
+    /// Returns the configuration read so far.
+    pub(crate) fn fleet(&self) -> &FleetState {
+        self.keeper.fleet()
+    }
+
+    /// Reads on to the end of the stream.
+    ///
+    /// # Errors
+    /// Returns [`ToolFailure::LogDown`] without an answer, and [`ToolFailure::LogIncomplete`]
+    /// when the records that are left do not make up a configuration.
+    pub(crate) async fn read_to_end(&mut self) -> Result<(), ToolFailure> {
+        let mut from = self.fleet().next();
+        loop {
+            let batch = match self.log.read(&StreamName::Notes, from, READ_LIMIT).await {
+                Ok(batch) => batch,
+                Err(LogFault::Gone { oldest }) if oldest > from => {
+                    from = oldest;
+                    continue;
+                }
+                Err(LogFault::Gone { .. } | LogFault::Unavailable) => {
+                    return Err(ToolFailure::LogDown);
+                }
+            };
+            let before = self.fleet().next();
+            self.apply(&batch);
+            let applied = self.fleet().next();
+            if applied >= batch.next {
+                return Ok(());
+            }
+            let passed = end_of(&batch).unwrap_or(batch.next);
+            from = if applied > before { applied } else { passed };
+            if from >= batch.next {
+                return Err(ToolFailure::LogIncomplete);
+            }
+        }
+    }
+
+    /// Tells what became of the watched note, which is expected to read `wanted` if given.
+    pub(crate) fn finding(&self, wanted: Option<&ReleaseNote>) -> NoteFinding {
+        let Some(fate) = self.fleet().fate(&self.watched) else {
+            return NoteFinding::Absent;
+        };
+        match (wanted, &self.seen) {
+            (Some(wanted), Some(seen)) if wanted != seen => NoteFinding::Foreign,
+            _ => match fate.revision {
+                Some(revision) => NoteFinding::Accepted(revision),
+                None => NoteFinding::Refused(self.refusal.clone()),
+            },
+        }
+    }
+
+    fn apply(&mut self, batch: &LogBatch<Bytes>) {
+        for placed in &batch.records {
+            let record = decode(placed);
+            self.watch(&record);
+            let verdicts = self.keeper.apply_records(&[record]);
+            for verdict in verdicts {
+                match verdict.result {
+                    Err(refusal) if verdict.id == self.watched && self.refusal.is_none() => {
+                        self.refusal = Some(refusal);
+                    }
+                    Err(_) | Ok(_) => {}
+                }
+            }
+        }
+    }
+
+    /// Remembers the first note of the watched id.
+    fn watch(&mut self, record: &PlacedRecord<NoteRecord>) {
+        match &record.record.entry {
+            Some(NoteEntry::Note(note)) if note.id == self.watched && self.seen.is_none() => {
+                self.seen = Some(note.clone());
+            }
+            _ => {}
+        }
+    }
+}
+
+fn decode(placed: &PlacedRecord<Bytes>) -> PlacedRecord<NoteRecord> {
+    PlacedRecord {
+        offset: placed.offset,
+        record: NoteRecord {
+            entry: decode_entry(&placed.record).ok(),
+            raw: RawRecord {
+                offset: placed.offset,
+                payload: placed.record.clone(),
+            },
+        },
+    }
+}
+
+/// Returns the offset after the last record of a batch.
+fn end_of(batch: &LogBatch<Bytes>) -> Option<LogOffset> {
+    let last = batch.records.last()?;
+    Some(LogOffset(last.offset.0.saturating_add(1)))
+}
--- /dev/null
+++ b/crates/hornbeamlead_ctl/src/rollout.rs
@@ -0,0 +1,95 @@
+//! Wait until a revision is in force in all known processes.
+
+use crate::fleet_view::{KnownProcess, ask_fleet};
+use crate::operators::OperatorsClient;
+use hornbeamlead_core::ids::Revision;
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time between two rounds of questions.
+const ROUND_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Process in which a revision is not in force.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct LaggingProcess {
+    /// Host.
+    pub(crate) host: Box<str>,
+    /// Role.
+    pub(crate) role: &'static str,
+    /// Listener for operators.
+    pub(crate) operators: SocketAddr,
+    /// Revision in force there; `None` if it did not answer.
+    pub(crate) revision: Option<u64>,
+}
+
+/// Outcome of the wait.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct RolloutReport {
+    /// Processes asked in the last round.
+    pub(crate) processes: usize,
+    /// Those that lag.
+    pub(crate) lagging: Vec<LaggingProcess>,
+    /// Time that the wait took, in milliseconds.
+    pub(crate) waited_ms: u64,
+}
+
+/// Asks all known processes until the revision is in force in each, or the time is up.
+pub(crate) async fn wait_for(
+    client: &OperatorsClient,
+    entries: &[SocketAddr],
+    revision: Revision,
+    timeout: Duration,
+) -> RolloutReport {
+    let began = Instant::now();
+    let deadline = began + timeout;
+    loop {
+        let known = ask_fleet(client, entries).await;
+        let lagging: Vec<_> = known.iter().filter_map(|one| lag(one, revision)).collect();
+        if lagging.is_empty() || Instant::now() + ROUND_INTERVAL >= deadline {
+            return RolloutReport {
+                processes: known.len(),
+                lagging,
+                waited_ms: u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX),
+            };
+        }
+        tokio::time::sleep(ROUND_INTERVAL).await;
+    }
+}
+
+fn lag(known: &KnownProcess, wanted: Revision) -> Option<LaggingProcess> {
+    let revision = known.status.as_ref().map(|status| status.revision);
+    if revision.is_some_and(|revision| revision >= wanted.0) {
+        return None;
+    }
+    Some(LaggingProcess {
+        host: known.host.clone(),
+        role: known.role,
+        operators: known.address,
+        revision,
+    })
+}
+
+impl std::fmt::Display for RolloutReport {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let asked = self.processes;
+        if self.lagging.is_empty() {
+            return writeln!(f, "in force in all {asked} known processes");
+        }
+        let late = self.lagging.len();
+        writeln!(f, "not yet in force in {late} of {asked} known processes:")?;
+        for process in &self.lagging {
+            write!(
+                f,
+                "  {} {} {}: ",
+                process.role, process.host, process.operators
+            )?;
+            match process.revision {
+                Some(revision) => writeln!(f, "revision {revision}")?,
+                None => writeln!(f, "no answer")?,
+            }
+        }
+        Ok(())
+    }
+}
