--- a/crates/hornbeamlead_ctl/src/lib.rs
+++ b/crates/hornbeamlead_ctl/src/lib.rs
@@ -3,6 +3,8 @@
 //! Notes go straight to the platform's log and are judged by the same function as in every
 //! process of the fleet. Everything else is asked of the processes' listeners for operators.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod args;
 pub mod report;
 
--- a/crates/hornbeamlead_wire/tests/round_trip.rs
+++ b/crates/hornbeamlead_wire/tests/round_trip.rs
@@ -1,7 +1,5 @@
 //! Every message and record comes back as it was sent.
 
-#![allow(clippy::unwrap_used)]
-
 use bytes::Bytes;
 use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_core::counter::RefusalReason;
@@ -338,6 +336,7 @@
                 up_to: LogOffset(8),
                 epoch: Epoch(2),
                 claim: Some(claim),
+                forced: Epoch(1),
                 attempts,
             })
         ),
