--- a/crates/hornbeamlead_measure/src/capacity.rs
+++ b/crates/hornbeamlead_measure/src/capacity.rs
@@ -5,6 +5,7 @@
 
 mod allocation;
 mod configuration;
+mod entry;
 mod messages;
 mod samples;
 
@@ -15,7 +16,11 @@
 /// # Errors
 /// Returns [`MeasureError`] when a part could not be measured.
 pub fn run() -> Result<TableReport, MeasureError> {
-    let tables = vec![messages::measure(), configuration::measure()?];
+    let tables = vec![
+        messages::measure(),
+        configuration::measure()?,
+        entry::measure()?,
+    ];
     Ok(TableReport {
         tables,
         remarks: vec![],
--- a/crates/hornbeamlead_measure/src/capacity/samples.rs
+++ b/crates/hornbeamlead_measure/src/capacity/samples.rs
@@ -2,7 +2,7 @@
 
 use crate::report::MeasureError;
 use hornbeamlead_core::clock::{MonoTime, WallTime};
-use hornbeamlead_core::ids::{AttemptId, Incarnation, TaskId};
+use hornbeamlead_core::ids::{AttemptId, Incarnation, ServiceName, TaskId};
 use hornbeamlead_core::message::control::{CellView, ViewMember};
 use hornbeamlead_core::note::{DeliveryMode, JobSpec, NoteItems, NoteNames, ReleaseNote, TeamSpec};
 use hornbeamlead_core::resource::{AcceleratorCount, CpuMillis, MemoryMebibytes, ResourceSize};
@@ -39,6 +39,11 @@
     format!("host-{number:05}").into()
 }
 
+/// Returns the name of a service.
+pub(crate) fn service(number: usize) -> ServiceName {
+    name(&format!("service-{number}"))
+}
+
 /// Returns a size of some cores.
 pub(crate) fn size(cores: u32) -> ResourceSize {
     ResourceSize {
