[request] Walk ranked rings instead of all agents

Cause: each choice filtered, hashed and sorted all agents, each announcement summed the bytes of all, and each event looked for silent ones among all. Ruled out: caching one subset a service, which has to be made anew with every change of any member. Change: workers of a service stand in rings ranked by rendezvous hash, walked only as far as the subset needs; the sum of announcement bytes is kept; silence is a queue by due time.

--- a/crates/hornbeamlead_request/src/entry.rs
+++ b/crates/hornbeamlead_request/src/entry.rs
@@ -10,6 +10,7 @@
 mod latency;
 mod member;
 mod reply;
+mod ring;
 mod send;
 
 use crate::notes_reader::NotesReader;
@@ -76,7 +77,7 @@
         Self {
             keeper: NotesKeeper::default(),
             reader: NotesReader::new(policy.notes_interval),
-            directory: AgentDirectory::new(),
+            directory: AgentDirectory::new(&place),
             desk: RequestDesk::new(),
             traffic: BTreeMap::new(),
             notes_asked_until: MonoTime(0),
--- a/crates/hornbeamlead_request/src/entry/announce.rs
+++ b/crates/hornbeamlead_request/src/entry/announce.rs
@@ -37,11 +37,12 @@
     /// Marks silent agents, asks them once more, and drops those that stay silent.
     pub(super) fn pass_silence(&mut self, turn: &mut EntryTurn) {
         let now = turn.now.mono;
-        for host in self.directory.suspect_silent(now) {
+        let silent = self.directory.pass_silence(now);
+        for host in silent.suspected {
             self.explain_member(turn, &host, "suspect_silent");
             self.ask_for_announce(turn, &host);
         }
-        for host in self.directory.drop_silent(now) {
+        for host in silent.dropped {
             self.explain_member(turn, &host, "drop_silent");
         }
     }
--- a/crates/hornbeamlead_request/src/entry/choice.rs
+++ b/crates/hornbeamlead_request/src/entry/choice.rs
@@ -2,7 +2,6 @@
 
 use crate::entry::directory::AgentDirectory;
 use crate::entry::member::MemberRecord;
-use crate::rendezvous;
 use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_core::fleet::FleetState;
 use hornbeamlead_core::ids::{DataCentreName, HostId, Revision, ServiceName};
@@ -42,27 +41,26 @@
 
 /// Chooses a worker, or none if no worker takes the request.
 pub(crate) fn choose(input: ChoiceInput<'_>, random: &mut SmallRng) -> Option<HostId> {
-    let usable = usable_members(input);
-    let probed = usable
+    let near = bounded_subset(input, |member| !member.suspect);
+    let probed = near
         .iter()
         .find(|member| member.health.wants_probe(input.now));
     if let Some(member) = probed {
         return Some(member.announce.host.clone());
     }
-    let serving = |member: &&MemberRecord| !member.suspect && !member.health.ejected();
-    let mut pool: Vec<&MemberRecord> = usable.iter().copied().filter(serving).collect();
-    if pool.is_empty() {
-        pool = usable;
+    let serving = |member: &MemberRecord| !member.suspect && !member.health.ejected();
+    let mut subset = bounded_subset(input, serving);
+    if subset.is_empty() {
+        subset = bounded_subset(input, |_| true);
     }
-    draw(input, bounded_subset(input, pool), random)
+    draw(input, subset, random)
 }
 
 /// Returns a worker with a free slot for a second copy of a slow request, or none.
 pub(crate) fn choose_spare(input: ChoiceInput<'_>, random: &mut SmallRng) -> Option<HostId> {
     let spare =
-        |member: &&MemberRecord| !member.suspect && !member.health.ejected() && member.has_room();
-    let pool: Vec<&MemberRecord> = usable_members(input).into_iter().filter(spare).collect();
-    draw(input, bounded_subset(input, pool), random)
+        |member: &MemberRecord| !member.suspect && !member.health.ejected() && member.has_room();
+    draw(input, bounded_subset(input, spare), random)
 }
 
 /// Returns whether one more worker of the service may be ejected.
@@ -76,37 +74,42 @@
     offering.len() > 1 && ejected.count() < allowed.max(1)
 }
 
-fn usable_members(input: ChoiceInput<'_>) -> Vec<&MemberRecord> {
-    input
-        .directory
-        .members()
-        .filter(|member| member.offers(input.service) && member.open())
-        .filter(|member| centre_open(input.fleet, &member.announce.data_centre))
-        .filter(|member| !input.tried.contains(&member.announce.host))
-        .collect()
-}
-
 /// Returns at most as many workers as the policy allows, the same ones every time.
-fn bounded_subset<'a>(
+///
+/// The rings are walked in the order of preference, only as far as needed.
+fn bounded_subset(
     input: ChoiceInput<'_>,
-    mut pool: Vec<&'a MemberRecord>,
-) -> Vec<&'a MemberRecord> {
+    wanted: impl Fn(&MemberRecord) -> bool,
+) -> Vec<&MemberRecord> {
+    let Some(ring) = input.directory.ring(input.service) else {
+        return Vec::new();
+    };
     let size = input.policy.subset.max(2);
-    if pool.len() <= size {
-        return pool;
-    }
-    let entry = input.place.host.as_str();
-    pool.sort_by_key(|member| rendezvous::weigh(&[entry], member.announce.host.as_str()));
-    let (local, away): (Vec<_>, Vec<_>) = pool
-        .into_iter()
-        .partition(|member| member.announce.data_centre == input.place.data_centre);
-    let wanted = (size * LOCAL_PERCENT / 100).max(size.saturating_sub(away.len()));
-    let taken = local.len().min(wanted);
-    let mut subset: Vec<&MemberRecord> = local.into_iter().take(taken).collect();
-    subset.extend(away.into_iter().take(size - taken));
+    let takes = |member: &&MemberRecord| takes_request(input, member) && wanted(member);
+    let find = |host| input.directory.get(host);
+    let mut subset: Vec<&MemberRecord> = ring
+        .local()
+        .filter_map(find)
+        .filter(takes)
+        .take(size)
+        .collect();
+    let away: Vec<&MemberRecord> = ring
+        .away()
+        .filter_map(find)
+        .filter(takes)
+        .take(size - subset.len().min(size * LOCAL_PERCENT / 100))
+        .collect();
+    subset.truncate(size - away.len());
+    subset.extend(away);
     subset
 }
 
+fn takes_request(input: ChoiceInput<'_>, member: &MemberRecord) -> bool {
+    member.open()
+        && !input.tried.contains(&member.announce.host)
+        && centre_open(input.fleet, &member.announce.data_centre)
+}
+
 /// Draws two workers of the own data centre and two of others; the least busy one wins.
 fn draw(
     input: ChoiceInput<'_>,
--- a/crates/hornbeamlead_request/src/entry/directory.rs
+++ b/crates/hornbeamlead_request/src/entry/directory.rs
@@ -1,11 +1,12 @@
 //! Agents that an entry knows from their announcements.
 
 use crate::entry::member::MemberRecord;
+use crate::entry::ring::{RingOwner, ServiceRing};
 use hornbeamlead_core::clock::MonoTime;
-use hornbeamlead_core::ids::{CellId, HostId, Incarnation};
+use hornbeamlead_core::ids::{CellId, HostId, Incarnation, ServiceName};
 use hornbeamlead_core::message::control::{AgentAnnounce, CellView};
-use hornbeamlead_core::policy::EntryPolicy;
-use std::collections::BTreeMap;
+use hornbeamlead_core::policy::{EntryPolicy, ProcessPlace};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -42,20 +43,42 @@
     Fresh,
 }
 
+/// Agents whose silence changed their state.
+#[derive(Debug, Default)]
+pub(crate) struct SilentAgents {
+    /// Newly suspect.
+    pub(crate) suspected: Vec<HostId>,
+    /// Dropped.
+    pub(crate) dropped: Vec<HostId>,
+}
+
 /// Agents known, with the views of their cells.
 #[derive(Debug)]
 pub(crate) struct AgentDirectory {
+    owner: RingOwner,
     members: BTreeMap<HostId, MemberRecord>,
+    rings: BTreeMap<ServiceName, ServiceRing>,
+    /// One entry a member, at or before the next moment at which its silence matters.
+    silences: BTreeSet<(MonoTime, HostId)>,
+    /// Sum over all members of what one announcement and its answer take.
+    announce_bytes: u64,
     by_link: BTreeMap<SocketAddr, HostId>,
     retired: BTreeMap<HostId, LifeMark>,
     views: BTreeMap<CellId, CellView>,
 }
 
 impl AgentDirectory {
-    /// Makes an empty directory.
-    pub(crate) fn new() -> Self {
+    /// Makes the empty directory of an entry.
+    pub(crate) fn new(place: &ProcessPlace) -> Self {
         Self {
+            owner: RingOwner {
+                host: place.host.clone(),
+                data_centre: place.data_centre.clone(),
+            },
             members: BTreeMap::new(),
+            rings: BTreeMap::new(),
+            silences: BTreeSet::new(),
+            announce_bytes: 0,
             by_link: BTreeMap::new(),
             retired: BTreeMap::new(),
             views: BTreeMap::new(),
@@ -72,6 +95,11 @@
         self.members.get(host)
     }
 
+    /// Returns the workers of a service in the order of preference; none for an unknown service.
+    pub(crate) fn ring(&self, service: &ServiceName) -> Option<&ServiceRing> {
+        self.rings.get(service)
+    }
+
     /// Returns an agent for changes.
     pub(crate) fn get_mut(&mut self, host: &HostId) -> Option<&mut MemberRecord> {
         self.members.get_mut(host)
@@ -105,28 +133,15 @@
         }
         self.retired.remove(&announce.host);
         self.keep_view(&announce);
-        let known = self
-            .members
-            .get_mut(&announce.host)
-            .filter(|member| member.announce.incarnation == announce.incarnation);
-        match known {
-            Some(member) => {
-                revive(member, now);
-                self.by_link.remove(&member.announce.link_address);
-                self.by_link
-                    .insert(announce.link_address, announce.host.clone());
-                member.note_load(announce.load);
-                member.control = from;
-                member.announce = announce;
+        let known = self.members.get(&announce.host);
+        match known.is_some_and(|member| member.announce.incarnation == announce.incarnation) {
+            true => {
+                self.renew(now, from, announce);
                 AnnounceVerdict::Known
             }
-            None => {
-                self.remove(&announce.host.clone());
-                self.by_link
-                    .insert(announce.link_address, announce.host.clone());
-                let host = announce.host.clone();
-                self.members
-                    .insert(host, MemberRecord::new(announce, from, now));
+            false => {
+                self.remove(&announce.host);
+                self.insert(MemberRecord::new(announce, from, now));
                 AnnounceVerdict::Fresh
             }
         }
@@ -140,58 +155,104 @@
             let drop_after = policy.drop_after.max(interval * DROP_INTERVALS);
             member.suspect_at = now.plus(suspect_after);
             member.drop_at = now.plus(drop_after);
+            if member.silence_queued == MonoTime::MAX {
+                self.queue_silence(host);
+            }
         }
         interval
     }
 
-    /// Marks agents that were silent as suspect and returns those that are newly so.
-    pub(crate) fn suspect_silent(&mut self, now: MonoTime) -> Vec<HostId> {
-        let mut newly = Vec::new();
-        for (host, member) in &mut self.members {
-            if member.suspect || now < member.suspect_at {
-                continue;
+    /// Marks agents that were silent as suspect, drops those that stayed silent, and returns both.
+    ///
+    /// The lives of the dropped ones are remembered.
+    pub(crate) fn pass_silence(&mut self, now: MonoTime) -> SilentAgents {
+        let mut silent = SilentAgents::default();
+        while self.silences.first().is_some_and(|(due, _)| *due <= now) {
+            let Some((due, host)) = self.silences.pop_first() else {
+                break;
+            };
+            let member = self.members.get_mut(&host);
+            match member.filter(|member| member.silence_queued == due) {
+                None => continue,
+                Some(member) if member.suspect && now >= member.drop_at => {
+                    silent.dropped.push(host.clone());
+                    self.retire(&host);
+                    continue;
+                }
+                Some(member) if !member.suspect && now >= member.suspect_at => {
+                    member.suspect = true;
+                    silent.suspected.push(host.clone());
+                }
+                Some(_) => {}
             }
-            member.suspect = true;
-            newly.push(host.clone());
-        }
-        newly
-    }
-
-    /// Drops agents that stayed silent and returns them; their lives are remembered.
-    pub(crate) fn drop_silent(&mut self, now: MonoTime) -> Vec<HostId> {
-        let silent: Vec<HostId> = self
-            .members
-            .iter()
-            .filter(|(_, member)| now >= member.drop_at)
-            .map(|(host, _)| host.clone())
-            .collect();
-        for host in &silent {
-            self.retire(host);
+            self.queue_silence(&host);
         }
         silent
     }
 
-    /// Returns the next moment at which silence changes an agent's state.
+    /// Returns the next moment at which silence may change an agent's state.
     pub(crate) fn wake_at(&self) -> MonoTime {
-        let next = |member: &MemberRecord| match member.suspect {
-            true => member.drop_at,
-            false => member.suspect_at,
-        };
-        self.members
-            .values()
-            .map(next)
-            .min()
-            .unwrap_or(MonoTime::MAX)
+        self.silences.first().map_or(MonoTime::MAX, |(due, _)| *due)
     }
 
     /// Returns the interval at which all announcements together stay within the byte rate.
     fn interval(&self, policy: &EntryPolicy) -> Duration {
         let rate = u64::from(policy.announce_bytes_per_second.max(1));
-        let bytes: u64 = self.members.values().map(announce_bytes).sum();
-        let paced = Duration::from_micros(bytes.saturating_mul(1_000_000) / rate);
+        let paced = Duration::from_micros(self.announce_bytes.saturating_mul(1_000_000) / rate);
         paced.max(policy.announce_interval)
     }
 
+    fn queue_silence(&mut self, host: &HostId) {
+        if let Some(member) = self.members.get_mut(host) {
+            member.silence_queued = member.silence_due();
+            self.silences.insert((member.silence_queued, host.clone()));
+        }
+    }
+
+    /// Replaces the announcement of a known life.
+    fn renew(&mut self, now: MonoTime, from: SocketAddr, announce: AgentAnnounce) {
+        let Some(mut member) = self.take(&announce.host) else {
+            return;
+        };
+        revive(&mut member, now);
+        member.note_load(announce.load);
+        member.control = from;
+        member.announce = announce;
+        self.insert(member);
+    }
+
+    fn insert(&mut self, member: MemberRecord) {
+        let host = &member.announce.host;
+        self.announce_bytes += announce_bytes(&member);
+        self.by_link
+            .insert(member.announce.link_address, host.clone());
+        for service in &member.announce.services {
+            let ring = self.rings.entry(service.clone()).or_default();
+            ring.insert(&self.owner, host, &member.announce.data_centre);
+        }
+        self.members.insert(host.clone(), member);
+    }
+
+    fn take(&mut self, host: &HostId) -> Option<MemberRecord> {
+        let member = self.members.remove(host)?;
+        self.announce_bytes -= announce_bytes(&member);
+        self.by_link.remove(&member.announce.link_address);
+        for service in &member.announce.services {
+            self.leave_ring(service, host);
+        }
+        Some(member)
+    }
+
+    fn leave_ring(&mut self, service: &ServiceName, host: &HostId) {
+        let Some(ring) = self.rings.get_mut(service) else {
+            return;
+        };
+        ring.remove(&self.owner, host);
+        if ring.is_empty() {
+            self.rings.remove(service);
+        }
+    }
+
     fn newest_mark(&self, host: &HostId) -> Option<LifeMark> {
         let live = self.members.get(host).map(|member| LifeMark {
             incarnation: member.announce.incarnation,
@@ -222,8 +283,8 @@
     }
 
     fn remove(&mut self, host: &HostId) {
-        if let Some(member) = self.members.remove(host) {
-            self.by_link.remove(&member.announce.link_address);
+        if let Some(member) = self.take(host) {
+            self.silences.remove(&(member.silence_queued, host.clone()));
         }
     }
 }
--- a/crates/hornbeamlead_request/src/entry/member.rs
+++ b/crates/hornbeamlead_request/src/entry/member.rs
@@ -38,6 +38,8 @@
     pub(crate) suspect_at: MonoTime,
     /// When silence drops the agent.
     pub(crate) drop_at: MonoTime,
+    /// Due time of its entry in the directory's queue of silences; the latest time for none.
+    pub(crate) silence_queued: MonoTime,
     /// Whether the agent was silent for a while or refused a connection.
     pub(crate) suspect: bool,
     /// When its slow start began.
@@ -56,6 +58,7 @@
             own: 0,
             suspect_at: MonoTime::MAX,
             drop_at: MonoTime::MAX,
+            silence_queued: MonoTime::MAX,
             suspect: false,
             since: now,
             own_at_sample: 0,
@@ -68,6 +71,14 @@
         self.own_at_sample = self.own;
     }
 
+    /// Returns the next moment at which silence changes the state.
+    pub(crate) fn silence_due(&self) -> MonoTime {
+        match self.suspect {
+            true => self.drop_at,
+            false => self.suspect_at,
+        }
+    }
+
     /// Returns whether the agent runs a service.
     pub(crate) fn offers(&self, service: &ServiceName) -> bool {
         self.announce.services.contains(service)
