--- /dev/null
+++ b/crates/hornbeamlead_platform/tests/log_client.rs
@@ -0,0 +1,141 @@
+//! Client of the log against the stand-in and against broken answers.
+
+mod common;
+
+use bytes::Bytes;
+use common::{answer_once, any_port, block_on, http};
+use hornbeamlead_core::ids::{CellId, LogOffset};
+use hornbeamlead_core::record::{LogFault, StreamName};
+use hornbeamlead_platform::log::{LogClient, MAX_PAYLOAD_BYTES};
+use hornbeamlead_standin::log::{LogControl, LogStandin, OutageMode};
+use rstest::rstest;
+
+fn start_log(control: LogControl) -> (LogStandin, LogClient) {
+    let log = LogStandin::start(any_port(), control).unwrap();
+    let client = LogClient::new(log.addr());
+    (log, client)
+}
+
+#[test]
+fn append_then_read() {
+    let (_log, client) = start_log(LogControl::default());
+    let stream = StreamName::Cell(CellId(3));
+    block_on(async {
+        for text in ["one", "two", "three"] {
+            client.append(&stream, Bytes::from(text)).await.unwrap();
+        }
+        let batch = client.read(&stream, LogOffset(1), 10).await.unwrap();
+        let payloads: Vec<&[u8]> = batch.records.iter().map(|it| &*it.record).collect();
+        assert_eq!(payloads, [b"two" as &[u8], b"three"]);
+        assert_eq!((batch.oldest, batch.next), (LogOffset(0), LogOffset(3)));
+        let tail = client.read(&stream, LogOffset(3), 10).await.unwrap();
+        assert_eq!(tail.records, []);
+    });
+}
+
+#[test]
+fn retention_passed() {
+    let (_log, client) = start_log(LogControl {
+        retention_records: 2,
+        ..LogControl::default()
+    });
+    block_on(async {
+        for _ in 0..5 {
+            let payload = Bytes::from_static(b"x");
+            client.append(&StreamName::Jobs, payload).await.unwrap();
+        }
+        let fault = client.read(&StreamName::Jobs, LogOffset(0), 10).await;
+        let oldest = LogOffset(3);
+        assert_eq!(fault.unwrap_err(), LogFault::Gone { oldest });
+    });
+}
+
+#[test]
+fn lost_answer_stands() {
+    let (log, client) = start_log(LogControl {
+        lost_answer_percent: 100,
+        ..LogControl::default()
+    });
+    let append = client.append(&StreamName::Notes, Bytes::from_static(b"note"));
+    assert_eq!(block_on(append), Err(LogFault::Unavailable));
+    assert_eq!(log.records("notes"), [Bytes::from_static(b"note")]);
+}
+
+#[rstest]
+#[case::refusing(OutageMode::Refusing)]
+#[case::silent(OutageMode::Silent)]
+fn outage_then_back(#[case] outage: OutageMode) {
+    let (log, client) = start_log(LogControl::default());
+    let payload = Bytes::from_static(b"x");
+    block_on(async {
+        log.control(|control| control.outage = outage);
+        let append = client.append(&StreamName::Notes, payload.clone()).await;
+        assert_eq!(append, Err(LogFault::Unavailable));
+        log.control(|control| control.outage = OutageMode::None);
+        let append = client.append(&StreamName::Notes, payload.clone()).await;
+        assert_eq!(append, Ok(LogOffset(0)));
+    });
+}
+
+#[test]
+fn rate_exceeded() {
+    let (_log, client) = start_log(LogControl {
+        appends_per_second: 0,
+        ..LogControl::default()
+    });
+    let append = client.append(&StreamName::Notes, Bytes::new());
+    assert_eq!(block_on(append), Err(LogFault::Unavailable));
+}
+
+#[rstest]
+#[case::bounded_log(4)]
+#[case::unbounded_log(1_000)]
+fn long_records_read(#[case] mebibytes: usize) {
+    let (_log, client) = start_log(LogControl {
+        max_read_bytes: mebibytes * 1024 * 1024,
+        ..LogControl::default()
+    });
+    let payload = Bytes::from(vec![7; MAX_PAYLOAD_BYTES]);
+    block_on(async {
+        for _ in 0..9 {
+            let appended = client.append(&StreamName::Jobs, payload.clone()).await;
+            appended.unwrap();
+        }
+        let mut next = LogOffset(0);
+        while next < LogOffset(9) {
+            let batch = client.read(&StreamName::Jobs, next, 100).await.unwrap();
+            let read = batch.records.len() as u64;
+            assert!(read > 0, "each read brings at least one record");
+            next = LogOffset(next.0 + read);
+        }
+    });
+}
+
+#[rstest]
+#[case::no_json(http("200 OK", "{"))]
+#[case::wrong_start(http(
+    "200 OK",
+    r#"{"oldest":0,"next":2,"records":[{"offset":1,"payload":""}]}"#
+))]
+#[case::missing_records(http("200 OK", r#"{"oldest":0,"next":2,"records":[]}"#))]
+#[case::skipped_offset(http(
+    "200 OK",
+    r#"{"oldest":0,"next":3,"records":[{"offset":0,"payload":""},{"offset":2,"payload":""}]}"#
+))]
+#[case::past_end(http(
+    "200 OK",
+    r#"{"oldest":0,"next":0,"records":[{"offset":0,"payload":""}]}"#
+))]
+#[case::no_base64(http(
+    "200 OK",
+    r#"{"oldest":0,"next":1,"records":[{"offset":0,"payload":"?"}]}"#
+))]
+#[case::cut_off("HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n{\"oldest\":0".to_owned())]
+#[case::endless(format!("HTTP/1.1 200 OK\r\n\r\n{}", "x".repeat(9 * 1024 * 1024)))]
+#[case::gone_without_offset(http("410 Gone", "{}"))]
+#[case::other_status(http("302 Found", ""))]
+fn unsound_answer(#[case] answer: String) {
+    let client = LogClient::new(answer_once(answer));
+    let read = client.read(&StreamName::Notes, LogOffset(0), 1);
+    assert_eq!(block_on(read), Err(LogFault::Unavailable));
+}
--- a/crates/hornbeamlead_standin/src/log.rs
+++ b/crates/hornbeamlead_standin/src/log.rs
@@ -39,6 +39,8 @@
     pub appends_per_second: u32,
     /// Share of appends whose answer is lost after they took effect.
     pub lost_answer_percent: u8,
+    /// Most bytes of payload in one answer to a read; one record is always given.
+    pub max_read_bytes: usize,
     /// Records that each stream keeps.
     pub retention_records: usize,
     /// Seed of the choice of lost answers.
@@ -53,6 +55,7 @@
             read_latency_ms: 0,
             appends_per_second: 500,
             lost_answer_percent: 0,
+            max_read_bytes: 4 * 1024 * 1024,
             retention_records: 100_000,
             seed: 1,
         }
--- a/crates/hornbeamlead_standin/src/log/server.rs
+++ b/crates/hornbeamlead_standin/src/log/server.rs
@@ -1,6 +1,6 @@
 //! HTTP interface of the log.
 
-use super::store::{LogStore, OffsetGone};
+use super::store::{LogStore, OffsetGone, ReadLimit};
 use super::{LogControl, OutageMode};
 use crate::control::patch_settings;
 use crate::http::{ConnectionCap, HttpAsk, HttpReply, empty_reply, error_reply, json_reply, serve};
@@ -18,6 +18,9 @@
 /// Most connections at a time.
 const MAX_CONNECTIONS: usize = 4096;
 
+/// Records in an answer to a read that names no limit.
+const DEFAULT_LIMIT: u64 = 1_000;
+
 /// Time between looks whether a silent outage is over.
 const SILENCE_STEP: Duration = Duration::from_millis(20);
 
@@ -150,10 +153,14 @@
     }
 
     async fn answer_read(&self, stream: &str, ask: &HttpAsk) -> HttpReply {
-        wait(Duration::from_millis(self.settings().read_latency_ms)).await;
+        let control = self.settings();
+        wait(Duration::from_millis(control.read_latency_ms)).await;
         let from = ask.query_number("from").unwrap_or(0);
-        let limit = ask.query_number("limit").unwrap_or(1000);
-        let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+        let records = ask.query_number("limit").unwrap_or(DEFAULT_LIMIT);
+        let limit = ReadLimit {
+            records: usize::try_from(records).unwrap_or(usize::MAX),
+            bytes: control.max_read_bytes,
+        };
         let read = self.lock().store.read(stream, from, limit);
         match read {
             Ok(batch) => json_reply(StatusCode::OK, &ReadAnswer::from(batch)),
--- a/crates/hornbeamlead_standin/src/log/store.rs
+++ b/crates/hornbeamlead_standin/src/log/store.rs
@@ -5,9 +5,6 @@
 use hornbeamlead_core::record::{LogBatch, PlacedRecord};
 use std::collections::{BTreeMap, VecDeque};
 
-/// Most bytes of payload in one answer to a read.
-const MAX_READ_BYTES: usize = 4 * 1024 * 1024;
-
 /// One stream.
 #[derive(Debug, Default)]
 struct StreamRecords {
@@ -30,14 +27,15 @@
         offset
     }
 
-    /// Returns records from `from` on, at least one where there is one.
-    fn read(&self, from: u64, limit: usize) -> Vec<PlacedRecord<Bytes>> {
+    /// Returns records from `from` on.
+    fn read(&self, from: u64, limit: ReadLimit) -> Vec<PlacedRecord<Bytes>> {
         let skipped = usize::try_from(from - self.oldest).unwrap_or(usize::MAX);
         let mut bytes = 0;
         let mut read = Vec::new();
-        for (offset, payload) in (from..).zip(self.records.iter().skip(skipped).take(limit)) {
+        let records = self.records.iter().skip(skipped).take(limit.records.max(1));
+        for (offset, payload) in (from..).zip(records) {
             bytes += payload.len();
-            if bytes > MAX_READ_BYTES && !read.is_empty() {
+            if bytes > limit.bytes && !read.is_empty() {
                 break;
             }
             read.push(PlacedRecord {
@@ -49,6 +47,15 @@
     }
 }
 
+/// Most that one read returns; at least one record all the same, where there is one.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReadLimit {
+    /// Records.
+    pub(crate) records: usize,
+    /// Bytes of payload.
+    pub(crate) bytes: usize,
+}
+
 /// Reports the oldest offset kept, to a read that begins below it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct OffsetGone(pub(crate) u64);
@@ -66,12 +73,12 @@
         records.append(payload, retention)
     }
 
-    /// Reads at most `limit` records from `from` on.
+    /// Reads records from `from` on, up to the limit.
     pub(crate) fn read(
         &self,
         stream: &str,
         from: u64,
-        limit: usize,
+        limit: ReadLimit,
     ) -> Result<LogBatch<Bytes>, OffsetGone> {
         let empty = StreamRecords::default();
         let records = self.streams.get(stream).unwrap_or(&empty);
@@ -81,7 +88,7 @@
         Ok(LogBatch {
             oldest: LogOffset(records.oldest),
             next: LogOffset(records.next()),
-            records: records.read(from, limit.max(1)),
+            records: records.read(from, limit),
         })
     }
 
