[platform] Read a log of long answers in two tries

Cause: halving the limit until the answer fits took five reads of 9 MiB for a limit of 100 and ran into the timeout in a debug build, so that a reader would have stood still (long_records_read, case unbounded_log, failed so). Change: one fallback, to as many records as always fit.

--- a/crates/hornbeamlead_platform/src/log.rs
+++ b/crates/hornbeamlead_platform/src/log.rs
@@ -16,6 +16,9 @@
 /// Largest answer of the log that is read, in bytes.
 pub const MAX_LOG_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
+/// Records that fit in an answer whatever their length; base64 adds a third.
+const SURE_RECORDS: usize = MAX_LOG_ANSWER_BYTES / (2 * MAX_PAYLOAD_BYTES);
+
 /// Appends to and reads from the streams of the platform's log.
 #[derive(Clone, Debug)]
 pub struct LogClient {
@@ -68,25 +71,25 @@
         from: LogOffset,
         limit: usize,
     ) -> Result<LogBatch<Bytes>, LogFault> {
-        let read = self.read_halving(stream, from, limit);
+        let read = self.read_bounded(stream, from, limit.max(1));
         let result = tokio::time::timeout(PLATFORM_TIMEOUT, read).await;
         result.unwrap_or(Err(LogFault::Unavailable))
     }
 
-    async fn read_halving(
+    /// Reads once more, with few records, where the answer was too long.
+    async fn read_bounded(
         &self,
         stream: &StreamName,
         from: LogOffset,
         limit: usize,
     ) -> Result<LogBatch<Bytes>, LogFault> {
-        let mut limit = limit.max(1);
-        loop {
-            match self.read_once(stream, from, limit).await {
-                Ok(answer) => return read_batch(from, &answer),
-                Err(HttpFault::AnswerTooLong) if limit > 1 => limit /= 2,
-                Err(_) => return Err(LogFault::Unavailable),
-            }
+        let mut answer = self.read_once(stream, from, limit).await;
+        if answer.as_ref().err() == Some(&HttpFault::AnswerTooLong) {
+            let limit = limit.min(SURE_RECORDS);
+            answer = self.read_once(stream, from, limit).await;
         }
+        let answer = answer.map_err(|_| LogFault::Unavailable)?;
+        read_batch(from, &answer)
     }
 
     async fn read_once(
