--- a/crates/hornbeamlead_standin/src/http.rs
+++ b/crates/hornbeamlead_standin/src/http.rs
@@ -1,7 +1,8 @@
 //! Small HTTP server for the stand-ins.
 
+use crate::body::ReplyBody;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::service::service_fn;
@@ -16,7 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 /// Answer of a stand-in.
-pub(crate) type HttpReply = Response<Full<Bytes>>;
+pub(crate) type HttpReply = Response<ReplyBody>;
 
 /// Request with its whole body.
 #[derive(Debug)]
@@ -152,7 +153,7 @@
 
 /// Makes an answer without a body.
 pub(crate) fn empty_reply(status: StatusCode) -> HttpReply {
-    let mut reply = Response::new(Full::default());
+    let mut reply = Response::new(ReplyBody::default());
     *reply.status_mut() = status;
     reply
 }
@@ -162,7 +163,7 @@
     let Ok(text) = serde_json::to_vec(body) else {
         return empty_reply(StatusCode::INTERNAL_SERVER_ERROR);
     };
-    let mut reply = Response::new(Full::new(Bytes::from(text)));
+    let mut reply = Response::new(ReplyBody::whole(Bytes::from(text)));
     *reply.status_mut() = status;
     let json = HeaderValue::from_static("application/json");
     reply.headers_mut().insert(CONTENT_TYPE, json);
@@ -171,7 +172,7 @@
 
 /// Makes an answer with a text that tells what was wrong.
 pub(crate) fn error_reply(status: StatusCode, text: &str) -> HttpReply {
-    let mut reply = Response::new(Full::new(Bytes::copy_from_slice(text.as_bytes())));
+    let mut reply = Response::new(ReplyBody::whole(Bytes::copy_from_slice(text.as_bytes())));
     *reply.status_mut() = status;
     reply
 }
--- a/crates/hornbeamlead_standin/src/lib.rs
+++ b/crates/hornbeamlead_standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![warn(clippy::unwrap_used)]
 
+mod body;
 mod control;
 mod http;
 mod runner;
--- a/crates/hornbeamlead_standin/src/worker/endpoint.rs
+++ b/crates/hornbeamlead_standin/src/worker/endpoint.rs
@@ -8,11 +8,10 @@
 use super::server::{answer_standin, wait_unfrozen};
 use super::state::WorkerState;
 use super::{SharedState, lock};
+use crate::body::ReplyBody;
 use crate::http::{ConnectionCap, HttpAsk, HttpReply, empty_reply, serve};
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::StatusCode;
-use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use rand::Rng;
 use std::io;
 use std::net::TcpListener;
@@ -145,15 +144,14 @@
         .query_number("status")
         .and_then(|it| u16::try_from(it).ok());
     let status = status.and_then(|it| StatusCode::from_u16(it).ok());
-    let mut reply = HttpReply::new(Full::new(Bytes::from(text)));
+    let mut reply = HttpReply::new(ReplyBody::whole(Bytes::from(text)));
     *reply.status_mut() = status.unwrap_or(StatusCode::OK);
     reply
 }
 
-/// Declares a longer body than is sent, so that the connection ends in its middle.
+/// Promises a longer body than is sent, so that the connection ends in its middle.
 fn cut_off(mut reply: HttpReply) -> HttpReply {
-    let length = HeaderValue::from_static("1000000");
-    reply.headers_mut().insert(CONTENT_LENGTH, length);
+    reply.body_mut().break_off();
     reply
 }
 
