--- a/crates/hornbeamlead_ctl/src/jobs.rs
+++ b/crates/hornbeamlead_ctl/src/jobs.rs
@@ -34,8 +34,9 @@
         let sum = progress.entry(job.job.clone()).or_default();
         sum.waiting += u64::from(job.waiting);
         sum.running += u64::from(job.running);
-        sum.finished += u64::from(job.finished);
-        sum.failed += u64::from(job.failed);
+        // Each planner reads the ends of all cells' tasks; the newest reader knows most.
+        sum.finished = sum.finished.max(u64::from(job.finished));
+        sum.failed = sum.failed.max(u64::from(job.failed));
         if sum.infeasible.is_none() {
             sum.infeasible.clone_from(&job.infeasible);
         }
--- /dev/null
+++ b/crates/hornbeamlead_settings/tests/examples_sound.rs
@@ -0,0 +1,52 @@
+//! The example files at the root have no faults, and state the defaults where they say so.
+
+use hornbeamlead_core::policy::{AimWeights, EntryPolicy, GatePolicy, SchedulePolicy};
+use hornbeamlead_settings::note::read_note;
+use hornbeamlead_settings::{RoleSettings, read_settings, read_tool_settings};
+use rstest::rstest;
+
+fn example(name: &str) -> String {
+    let path = format!("{}/../../examples/{name}", env!("CARGO_MANIFEST_DIR"));
+    std::fs::read_to_string(path).expect("the example can be read")
+}
+
+#[rstest]
+#[case("cooperage/ledger.json")]
+#[case("cooperage/seasoning.json")]
+#[case("crema/desk.json")]
+#[case("crema/certificates.json")]
+fn notes_sound(#[case] name: &str) {
+    read_note(name, &example(name)).unwrap();
+}
+
+#[test]
+fn entry_defaults() {
+    let settings = read_settings("entry.json", &example("settings/entry.json")).unwrap();
+    assert_eq!(settings.role, RoleSettings::Entry(EntryPolicy::default()));
+}
+
+#[test]
+fn agent_defaults() {
+    let settings = read_settings("agent.json", &example("settings/agent.json")).unwrap();
+    let RoleSettings::Agent(policy) = settings.role else {
+        panic!("an agent is written");
+    };
+    assert_eq!(policy.gate, GatePolicy::default());
+    let schedule = SchedulePolicy {
+        weights: AimWeights::default(),
+        ..policy.schedule
+    };
+    assert_eq!(schedule, SchedulePolicy::default());
+}
+
+#[test]
+fn tool_sound() {
+    let name = "settings/hornbeamctl.json";
+    assert_eq!(
+        read_tool_settings(name, &example(name))
+            .unwrap()
+            .entries
+            .len(),
+        2
+    );
+}
