[settings] Bound what decoding allocates and how many findings are kept

Need: a record of arbitrary bytes must not take memory beyond a stated bound. A file of many faults kept one finding for each and looked up each place anew; 100 are kept, the rest counted. Unknown keys are also reported where the role is missing.

hornbeamctl takes 404 of /note/ID for an answer, not for silence.

--- a/crates/hornbeamlead_ctl/src/operators.rs
+++ b/crates/hornbeamlead_ctl/src/operators.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
-use hyper::Uri;
+use hyper::{StatusCode, Uri};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -17,6 +17,9 @@
 /// Largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
+/// JSON that stands for what a process does not know.
+const ABSENT: &[u8] = b"null";
+
 /// Processes asked at the same time.
 const PARALLEL_QUESTIONS: usize = 64;
 
@@ -37,6 +40,8 @@
     }
 
     /// Asks one process; `None` without a sound answer in time.
+    ///
+    /// What the process does not know reads as `null`.
     pub(crate) async fn ask<T: DeserializeOwned>(
         &self,
         address: SocketAddr,
@@ -74,8 +79,10 @@
 
     async fn fetch(&self, uri: Uri) -> Option<Bytes> {
         let response = self.http.get(uri).await.ok()?;
-        if !response.status().is_success() {
-            return None;
+        match response.status() {
+            StatusCode::NOT_FOUND => return Some(Bytes::from_static(ABSENT)),
+            status if !status.is_success() => return None,
+            _ => {}
         }
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
         Some(body.collect().await.ok()?.to_bytes())
--- a/crates/hornbeamlead_settings/src/finding.rs
+++ b/crates/hornbeamlead_settings/src/finding.rs
@@ -2,6 +2,9 @@
 
 use std::fmt;
 
+/// Findings that are kept of one file; further ones are only counted.
+pub const MAX_FINDINGS: usize = 100;
+
 /// Fault of a file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Finding {
@@ -27,24 +30,36 @@
     }
 }
 
-/// All faults of a file, in the order of their place; never empty.
+/// Faults of a file, in the order of their place; never empty.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Findings(Vec<Finding>);
+pub struct Findings {
+    kept: Vec<Finding>,
+    more: usize,
+}
 
 impl Findings {
-    /// Returns the faults in the order of their place.
+    /// Returns the faults in the order of their place, at most [`MAX_FINDINGS`].
     pub fn iter(&self) -> impl Iterator<Item = &Finding> {
-        self.0.iter()
+        self.kept.iter()
+    }
+
+    /// Returns the number of faults beyond those.
+    #[must_use]
+    pub fn more(&self) -> usize {
+        self.more
     }
 }
 
 impl fmt::Display for Findings {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, finding) in self.0.iter().enumerate() {
+        for (index, finding) in self.kept.iter().enumerate() {
             let separator = if index == 0 { "" } else { "\n" };
             write!(f, "{separator}{finding}")?;
         }
-        Ok(())
+        match self.more {
+            0 => Ok(()),
+            more => write!(f, "\nand {more} more"),
+        }
     }
 }
 
@@ -56,6 +71,7 @@
     file: &'a str,
     text: &'a str,
     findings: Vec<Finding>,
+    more: usize,
 }
 
 impl<'a> FindingLog<'a> {
@@ -65,6 +81,7 @@
             file,
             text,
             findings: Vec::new(),
+            more: 0,
         }
     }
 
@@ -75,6 +92,10 @@
         cause: impl Into<Box<str>>,
         mend: impl Into<Box<str>>,
     ) {
+        if self.findings.len() == MAX_FINDINGS {
+            self.more += 1;
+            return;
+        }
         let (line, column) = place(self.text, offset);
         self.findings.push(Finding {
             file: self.file.into(),
@@ -92,7 +113,10 @@
             Some(_) | None => {
                 self.findings
                     .sort_by_key(|finding| (finding.line, finding.column));
-                Err(Findings(self.findings))
+                Err(Findings {
+                    kept: self.findings,
+                    more: self.more,
+                })
             }
         }
     }
--- a/crates/hornbeamlead_settings/src/lib.rs
+++ b/crates/hornbeamlead_settings/src/lib.rs
@@ -24,6 +24,6 @@
 pub mod note;
 pub mod quantity;
 
-pub use finding::{Finding, Findings};
+pub use finding::{Finding, Findings, MAX_FINDINGS};
 pub use process::{ListenAddresses, ProcessSettings, RoleSettings, read_settings};
 pub use tool::{ToolSettings, read_tool_settings};
--- a/crates/hornbeamlead_settings/src/note.rs
+++ b/crates/hornbeamlead_settings/src/note.rs
@@ -8,7 +8,10 @@
 
 pub(crate) use items::read_size;
 
-pub use codec::{MAX_NOTE_BYTES, NoteDecodeError, decode_entry, encode_note, encode_snapshot};
+pub use codec::{
+    DECODE_BYTES_FIXED, DECODE_BYTES_PER_BYTE, MAX_NOTE_BYTES, NoteDecodeError, decode_entry,
+    encode_note, encode_snapshot,
+};
 
 use crate::finding::{FindingLog, Findings};
 use crate::section::{Section, parse_document};
--- a/crates/hornbeamlead_settings/src/note/codec.rs
+++ b/crates/hornbeamlead_settings/src/note/codec.rs
@@ -9,10 +9,15 @@
 
 /// Longest record of the notes stream, in bytes; the log takes no longer ones.
 ///
-/// A longer payload is refused before it is parsed. Parsing allocates at most 64 bytes for each
-/// byte of the payload, so decoding any payload takes at most 64 MiB.
+/// A longer payload is refused before it is parsed.
 pub const MAX_NOTE_BYTES: usize = 1024 * 1024;
 
+/// Most bytes allocated at a time for each byte of a payload that is decoded.
+pub const DECODE_BYTES_PER_BYTE: usize = 64;
+
+/// Most bytes allocated at a time on top of that.
+pub const DECODE_BYTES_FIXED: usize = 4096;
+
 /// Reports why a payload is no record of the notes stream.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum NoteDecodeError {
--- a/crates/hornbeamlead_settings/src/process.rs
+++ b/crates/hornbeamlead_settings/src/process.rs
@@ -13,6 +13,16 @@
 /// Sample of the addresses, for the advice in findings.
 const ADDRESSES_SAMPLE: &str = r#"{"inner": "127.0.0.1:0", "operators": "127.0.0.1:0"}"#;
 
+/// Keys that only one role has.
+const ROLE_KEYS: [&str; 6] = [
+    "cell",
+    "entries",
+    "seeds",
+    "batch_capacity",
+    "requests",
+    "schedule",
+];
+
 /// Addresses that a process listens on or gives to others; port 0 lets the host choose.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ListenAddresses {
@@ -112,7 +122,10 @@
     let role = match role {
         Some(RoleName::Entry) => read_entry(&mut section, log),
         Some(RoleName::Agent) => read_agent(&mut section, log),
-        None => return None,
+        None => {
+            section.know(&ROLE_KEYS);
+            None
+        }
     };
     section.finish(log);
     let host = host?;
--- a/crates/hornbeamlead_settings/src/section.rs
+++ b/crates/hornbeamlead_settings/src/section.rs
@@ -205,6 +205,11 @@
         log.add(offset, format!("{}{}", self.path, cause()), mend);
     }
 
+    /// Takes keys for known without reading them.
+    pub(crate) fn know(&mut self, keys: &[&'static str]) {
+        self.known.extend(keys);
+    }
+
     /// Returns the byte offset of a key's value, or of the object where it is left out.
     pub(crate) fn offset_of(&self, key: &str) -> usize {
         let property = self.object.get(key);
--- a/crates/hornbeamlead_settings/tests/process_settings.rs
+++ b/crates/hornbeamlead_settings/tests/process_settings.rs
@@ -210,3 +210,12 @@
     let places: Vec<_> = findings.iter().map(|one| (one.line, one.column)).collect();
     assert!(places.is_sorted());
 }
+
+#[test]
+fn role_missing() {
+    let text = broken(AGENT, "\"role\": \"agent\"", "\"rule\": \"agent\"");
+    let told = read_settings("agent.json", &text).unwrap_err().to_string();
+    assert!(told.contains("role is missing"), "{told}");
+    assert!(told.contains("did you mean \"role\"?"), "{told}");
+    assert_eq!(told.lines().count(), 2, "{told}");
+}
