--- a/crates/hornbeamlead_ctl/src/notes_reader.rs
+++ b/crates/hornbeamlead_ctl/src/notes_reader.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use hornbeamlead_core::event::{NoteEntry, NoteRecord};
 use hornbeamlead_core::fleet::{FleetState, NoteRefusal};
-use hornbeamlead_core::ids::{LogOffset, NoteId, Revision};
+use hornbeamlead_core::ids::{NoteId, Revision};
 use hornbeamlead_core::note::ReleaseNote;
 use hornbeamlead_core::notes_keeper::NotesKeeper;
 use hornbeamlead_core::record::{LogBatch, LogFault, PlacedRecord, RawRecord, StreamName};
@@ -60,27 +60,24 @@
     /// Returns [`ToolFailure::LogDown`] without an answer, and [`ToolFailure::LogIncomplete`]
     /// when the records that are left do not make up a configuration.
     pub(crate) async fn read_to_end(&mut self) -> Result<(), ToolFailure> {
-        let mut from = self.fleet().next();
         loop {
+            let from = self.keeper.read_from();
             let batch = match self.log.read(&StreamName::Notes, from, READ_LIMIT).await {
                 Ok(batch) => batch,
                 Err(LogFault::Gone { oldest }) if oldest > from => {
-                    from = oldest;
+                    self.keeper.lose_place(oldest);
                     continue;
                 }
                 Err(LogFault::Gone { .. } | LogFault::Unavailable) => {
                     return Err(ToolFailure::LogDown);
                 }
             };
-            let before = self.fleet().next();
             self.apply(&batch);
-            let applied = self.fleet().next();
-            if applied >= batch.next {
+            if self.fleet().next() >= batch.next {
                 return Ok(());
             }
-            let passed = end_of(&batch).unwrap_or(batch.next);
-            from = if applied > before { applied } else { passed };
-            if from >= batch.next {
+            let reached = self.keeper.read_from();
+            if reached >= batch.next || reached == from {
                 return Err(ToolFailure::LogIncomplete);
             }
         }
@@ -139,9 +136,3 @@
         },
     }
 }
-
-/// Returns the offset after the last record of a batch.
-fn end_of(batch: &LogBatch<Bytes>) -> Option<LogOffset> {
-    let last = batch.records.last()?;
-    Some(LogOffset(last.offset.0.saturating_add(1)))
-}
--- a/crates/hornbeamlead_ctl/tests/command_line.rs
+++ b/crates/hornbeamlead_ctl/tests/command_line.rs
@@ -23,7 +23,7 @@
 
 #[test]
 fn sound_note() {
-    let bench = ToolBench::start(&[]);
+    let bench = ToolBench::start();
     let file = bench.centre_note("open", "0", "negombo");
     let run = run_bare(&["note", "check", text(&file), "--json"]);
     assert_eq!(run.status, 0, "{run:?}");
@@ -32,7 +32,7 @@
 
 #[test]
 fn faulty_note() {
-    let bench = ToolBench::start(&[]);
+    let bench = ToolBench::start();
     let file = bench.write("bad.json", "{\n  \"id\": \"a b\",\n  \"basedon\": 0\n}");
     let run = run_bare(&["note", "check", text(&file)]);
     assert_eq!(run.status, 2, "{run:?}");
@@ -49,7 +49,7 @@
 
 #[test]
 fn faulty_settings() {
-    let bench = ToolBench::start(&[]);
+    let bench = ToolBench::start();
     let file = bench.write("bad.json", r#"{"log": {"adress": "127.0.0.1:7000"}}"#);
     let run = run_bare(&["status", "--settings", text(&file)]);
     assert_eq!(run.status, 2, "{run:?}");
@@ -64,7 +64,7 @@
 
 #[test]
 fn silent_fleet() {
-    let bench = ToolBench::start(&[]);
+    let bench = ToolBench::start();
     let run = bench.run(&["status"]);
     assert_eq!(run.status, 1, "{run:?}");
     assert!(
@@ -76,7 +76,7 @@
 
 #[test]
 fn bad_name() {
-    let bench = ToolBench::start(&[]);
+    let bench = ToolBench::start();
     let run = bench.run(&["drain", "west coast"]);
     assert_eq!(run.status, 2, "{run:?}");
     assert!(bench.log.records("notes").is_empty());
--- a/crates/hornbeamlead_ctl/tests/common/mod.rs
+++ b/crates/hornbeamlead_ctl/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 use hornbeamlead_standin::log::{LogControl, LogStandin};
 use std::net::SocketAddr;
+use std::ops::Deref;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use tempfile::TempDir;
@@ -11,9 +12,14 @@
 /// Address of a port where nobody listens.
 pub(crate) const NOBODY: &str = "127.0.0.1:1";
 
-/// Stand-in log with files for the tool.
+/// Stand-in log with a desk of the tool.
 pub(crate) struct ToolBench {
     pub(crate) log: LogStandin,
+    desk: ToolDesk,
+}
+
+/// Folder with the settings and notes of the tool.
+pub(crate) struct ToolDesk {
     dir: TempDir,
 }
 
@@ -33,25 +39,39 @@
 }
 
 impl ToolBench {
-    /// Starts a log, for a tool that knows the entries with these operators' addresses.
-    pub(crate) fn start(entries: &[SocketAddr]) -> Self {
+    /// Starts a log, for a tool that reaches no entry.
+    pub(crate) fn start() -> Self {
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
         let log = LogStandin::start(address, LogControl::default()).expect("the log starts");
-        let bench = Self {
+        let nobody = NOBODY.parse().expect("the address is well formed");
+        Self {
+            desk: ToolDesk::new(log.addr(), &[nobody]),
             log,
+        }
+    }
+}
+
+impl Deref for ToolBench {
+    type Target = ToolDesk;
+
+    fn deref(&self) -> &ToolDesk {
+        &self.desk
+    }
+}
+
+impl ToolDesk {
+    /// Makes the settings of a tool that knows the log and the entries' operators' addresses.
+    pub(crate) fn new(log: SocketAddr, entries: &[SocketAddr]) -> Self {
+        let desk = Self {
             dir: tempfile::tempdir().expect("a directory can be made"),
         };
-        let mut names: Vec<String> = entries.iter().map(|one| format!("\"{one}\"")).collect();
-        if names.is_empty() {
-            names.push(format!("\"{NOBODY}\""));
-        }
+        let entries: Vec<String> = entries.iter().map(|one| format!("\"{one}\"")).collect();
         let settings = format!(
-            r#"{{"log": {{"address": "{}"}}, "entries": [{}], "author": "nimal"}}"#,
-            bench.log.addr(),
-            names.join(", ")
+            r#"{{"log": {{"address": "{log}"}}, "entries": [{}], "author": "nimal"}}"#,
+            entries.join(", ")
         );
-        bench.write("tool.json", &settings);
-        bench
+        desk.write("tool.json", &settings);
+        desk
     }
 
     /// Writes a file and returns its path.
--- a/crates/hornbeamlead_ctl/tests/note_publish.rs
+++ b/crates/hornbeamlead_ctl/tests/note_publish.rs
@@ -23,7 +23,7 @@
 
 #[test]
 fn note_accepted() {
-    let bench = ToolBench::start(&[]);
+    let bench = ToolBench::start();
     let file = bench.centre_note("open", "0", "negombo");
     assert_accepted(&bench.apply(&file, &[]), 1);
     assert_accepted(&bench.run(&["note", "status", "open"]), 1);
@@ -33,7 +33,7 @@
 
 #[test]
 fn outdated_basis() {
-    let bench = ToolBench::start(&[]);
+    let bench = ToolBench::start();
     assert_accepted(
         &bench.apply(&bench.centre_note("first", "0", "negombo"), &[]),
         1,
@@ -47,7 +47,7 @@
 #[test]
 fn racing_operators() {
     for round in 0..5 {
-        let bench = ToolBench::start(&[]);
+        let bench = ToolBench::start();
         bench
             .log
             .control(|control| control.append_latency_ms = 20 * round);
@@ -64,7 +64,7 @@
 
 #[test]
 fn lost_answer() {
-    let bench = ToolBench::start(&[]);
+    let bench = ToolBench::start();
     bench
         .log
         .control(|control| control.lost_answer_percent = 100);
@@ -75,7 +75,7 @@
 
 #[test]
 fn applied_again() {
-    let bench = ToolBench::start(&[]);
+    let bench = ToolBench::start();
     let file = bench.centre_note("open", "0", "negombo");
     assert_accepted(&bench.apply(&file, &[]), 1);
     assert_accepted(&bench.apply(&file, &[]), 1);
@@ -84,7 +84,7 @@
 
 #[test]
 fn applied_at_once() {
-    let bench = ToolBench::start(&[]);
+    let bench = ToolBench::start();
     bench.log.control(|control| control.append_latency_ms = 100);
     let file = bench.centre_note("open", "0", "negombo");
     let first = bench.spawn(&["note", "apply", text(&file)]);
@@ -95,7 +95,7 @@
 
 #[test]
 fn id_reused() {
-    let bench = ToolBench::start(&[]);
+    let bench = ToolBench::start();
     assert_accepted(
         &bench.apply(&bench.centre_note("open", "0", "negombo"), &[]),
         1,
@@ -106,7 +106,7 @@
 
 #[test]
 fn silent_log() {
-    let bench = ToolBench::start(&[]);
+    let bench = ToolBench::start();
     bench
         .log
         .control(|control| control.outage = OutageMode::Silent);
@@ -118,7 +118,7 @@
 
 #[test]
 fn outage_ends() {
-    let bench = ToolBench::start(&[]);
+    let bench = ToolBench::start();
     bench
         .log
         .control(|control| control.outage = OutageMode::Refusing);
@@ -134,7 +134,7 @@
 
 #[test]
 fn retention_passed() {
-    let bench = ToolBench::start(&[]);
+    let bench = ToolBench::start();
     bench.log.control(|control| control.retention_records = 2);
     let mut fleet = FleetState::default();
     for centre in ["negombo", "colombo", "kalutara"] {
@@ -168,7 +168,7 @@
 
 #[test]
 fn snapshot_missing() {
-    let bench = ToolBench::start(&[]);
+    let bench = ToolBench::start();
     bench.log.control(|control| control.retention_records = 1);
     assert_accepted(
         &bench.apply(&bench.centre_note("first", "0", "negombo"), &[]),
@@ -185,7 +185,7 @@
 
 #[test]
 fn centre_moved() {
-    let bench = ToolBench::start(&[]);
+    let bench = ToolBench::start();
     assert_accepted(
         &bench.apply(&bench.centre_note("open", "0", "negombo"), &[]),
         1,
--- a/crates/hornbeamlead_settings/tests/common/strategies.rs
+++ b/crates/hornbeamlead_settings/tests/common/strategies.rs
@@ -118,11 +118,12 @@
     pub(crate) fn snapshot()(
         up_to in any::<u64>().prop_map(LogOffset),
         revision in any::<u64>().prop_map(Revision),
+        (part, parts) in any::<(u16, u16)>(),
         items in items(),
         fates in vec((name(), option::of(any::<u64>().prop_map(Revision))), 0..4),
     ) -> FleetSnapshot {
         let fates = fates.into_iter().map(|(id, revision)| NoteFate { id, revision }).collect();
-        FleetSnapshot { up_to, revision, items, fates }
+        FleetSnapshot { up_to, revision, part, parts, items, fates }
     }
 }
 
