--- /dev/null
+++ b/crates/hornbeamlead_schedule/src/cell_log.rs
@@ -0,0 +1,267 @@
+//! Replay of a cell's stream: epoch, claim, successor and attempts, the same in every reader.
+
+use crate::stream::StreamState;
+use hornbeamlead_core::ids::{AttemptId, Epoch, HostId, LogOffset, RecordId, TaskId};
+use hornbeamlead_core::record::{
+    AttemptChange, AttemptRecord, CellEntry, CellRecord, CellSnapshot, EpochClaim, PlacedRecord,
+    SuccessorName,
+};
+use hornbeamlead_core::task::{CheckpointToken, TaskPhase};
+use std::collections::BTreeMap;
+
+/// What the log says of a task's newest attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AttemptFate {
+    /// Started on a host; perhaps not running yet, or no longer.
+    Started {
+        /// The host.
+        host: HostId,
+    },
+    /// Known not to run; may be resumed.
+    Released,
+    /// Ended for good.
+    Ended(TaskPhase),
+}
+
+/// Newest attempt of a task, as the log has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AttemptStanding {
+    /// Number of the attempt.
+    pub number: u32,
+    /// What became of it.
+    pub fate: AttemptFate,
+    /// Newest checkpoint of the task.
+    pub token: Option<CheckpointToken>,
+}
+
+/// State of a cell's stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CellState {
+    next: LogOffset,
+    epoch: Epoch,
+    claim: Option<EpochClaim>,
+    forced: Epoch,
+    attempts: BTreeMap<TaskId, AttemptStanding>,
+}
+
+impl CellState {
+    /// Returns the epoch in force; 0 before the first claim.
+    #[must_use]
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Returns the claim in force, with the successor as last named.
+    #[must_use]
+    pub fn claim(&self) -> Option<&EpochClaim> {
+        self.claim.as_ref()
+    }
+
+    /// Returns the named successor.
+    #[must_use]
+    pub fn successor(&self) -> Option<&SuccessorName> {
+        self.claim.as_ref()?.successor.as_ref()
+    }
+
+    /// Returns the newest epoch that a forced claim began; 0 for none.
+    #[must_use]
+    pub fn forced(&self) -> Epoch {
+        self.forced
+    }
+
+    /// Returns the newest attempt of each task.
+    #[must_use]
+    pub fn attempts(&self) -> &BTreeMap<TaskId, AttemptStanding> {
+        &self.attempts
+    }
+
+    /// Returns a snapshot, without the tasks that `keep` rejects.
+    pub fn snapshot(&self, keep: impl Fn(&TaskId) -> bool) -> CellSnapshot {
+        let kept = self.attempts.iter().filter(|(task, _)| keep(task));
+        CellSnapshot {
+            up_to: self.next,
+            epoch: self.epoch,
+            claim: self.claim.clone(),
+            forced: self.forced,
+            attempts: kept
+                .flat_map(|(task, standing)| records_of(task, standing))
+                .collect(),
+        }
+    }
+
+    /// Returns whether a claim would be in force if it stood next on the log.
+    #[must_use]
+    pub fn admits(&self, claim: &EpochClaim) -> bool {
+        claim.previous == self.epoch && self.may_claim(claim)
+    }
+
+    fn may_claim(&self, claim: &EpochClaim) -> bool {
+        let Some(current) = &self.claim else {
+            return true;
+        };
+        let restarted = claim.host == current.host && claim.incarnation >= current.incarnation;
+        match &current.successor {
+            _ if claim.forced || restarted => true,
+            None => true,
+            Some(successor) => successor.host == claim.host,
+        }
+    }
+
+    fn apply_entry(&mut self, offset: LogOffset, entry: &CellEntry) {
+        match entry {
+            CellEntry::Claim(claim) if self.admits(claim) => {
+                self.epoch = Epoch::after(offset);
+                if claim.forced {
+                    self.forced = self.epoch;
+                }
+                self.claim = Some(claim.clone());
+            }
+            CellEntry::Successor { epoch, successor } if *epoch == self.epoch => {
+                if let Some(claim) = &mut self.claim {
+                    claim.successor.clone_from(successor);
+                }
+            }
+            CellEntry::Attempts { epoch, changes } if *epoch == self.epoch => {
+                changes.iter().for_each(|change| self.apply_change(change));
+            }
+            CellEntry::Claim(_)
+            | CellEntry::Successor { .. }
+            | CellEntry::Attempts { .. }
+            | CellEntry::Snapshot(_) => {}
+        }
+    }
+
+    fn apply_change(&mut self, record: &AttemptRecord) {
+        let AttemptId { task, number } = &record.attempt;
+        match &record.change {
+            AttemptChange::Started { host, resume_from } => {
+                self.begin(task, *number, host, resume_from.as_ref());
+            }
+            AttemptChange::Checkpointed { token } => {
+                if let Some(standing) = self.running(task, *number) {
+                    advance(&mut standing.token, Some(token));
+                }
+            }
+            AttemptChange::Released { token } => {
+                if let Some(standing) = self.running(task, *number) {
+                    advance(&mut standing.token, token.as_ref());
+                    standing.fate = AttemptFate::Released;
+                }
+            }
+            AttemptChange::Ended { phase } => {
+                if let Some(standing) = self.running(task, *number) {
+                    standing.fate = AttemptFate::Ended(*phase);
+                }
+            }
+        }
+    }
+
+    /// Records a start; void unless the task is at rest and the number is new.
+    fn begin(
+        &mut self,
+        task: &TaskId,
+        number: u32,
+        host: &HostId,
+        resume_from: Option<&CheckpointToken>,
+    ) {
+        let at_rest = self.attempts.get(task).is_none_or(|standing| {
+            standing.fate == AttemptFate::Released && standing.number < number
+        });
+        if !at_rest {
+            return;
+        }
+        let standing = AttemptStanding {
+            number,
+            fate: AttemptFate::Started { host: host.clone() },
+            token: resume_from.cloned(),
+        };
+        self.attempts.insert(task.clone(), standing);
+    }
+
+    fn running(&mut self, task: &TaskId, number: u32) -> Option<&mut AttemptStanding> {
+        self.attempts.get_mut(task).filter(|standing| {
+            standing.number == number && matches!(standing.fate, AttemptFate::Started { .. })
+        })
+    }
+}
+
+impl StreamState for CellState {
+    type Record = CellRecord;
+
+    fn next(&self) -> LogOffset {
+        self.next
+    }
+
+    fn apply(&mut self, placed: &PlacedRecord<CellRecord>) {
+        if placed.offset < self.next {
+            return;
+        }
+        self.next = LogOffset(placed.offset.0.saturating_add(1));
+        self.apply_entry(placed.offset, &placed.record.entry);
+    }
+
+    fn restore(record: &CellRecord) -> Option<Self> {
+        let CellEntry::Snapshot(snapshot) = &record.entry else {
+            return None;
+        };
+        let mut state = Self {
+            next: snapshot.up_to,
+            epoch: snapshot.epoch,
+            claim: snapshot.claim.clone(),
+            forced: snapshot.forced,
+            attempts: BTreeMap::new(),
+        };
+        snapshot
+            .attempts
+            .iter()
+            .for_each(|change| state.apply_change(change));
+        Some(state)
+    }
+
+    fn id(record: &CellRecord) -> &RecordId {
+        &record.id
+    }
+}
+
+/// Takes a checkpoint over if it holds more progress.
+fn advance(token: &mut Option<CheckpointToken>, newer: Option<&CheckpointToken>) {
+    let progress = token.as_ref().map(|known| known.progress_ms);
+    match newer {
+        Some(found) if Some(found.progress_ms) >= progress => *token = Some(found.clone()),
+        Some(_) | None => {}
+    }
+}
+
+/// Returns the records from which a standing is restored.
+fn records_of(task: &TaskId, standing: &AttemptStanding) -> Vec<AttemptRecord> {
+    let attempt = AttemptId {
+        task: task.clone(),
+        number: standing.number,
+    };
+    let host = match &standing.fate {
+        AttemptFate::Started { host } => host.clone(),
+        AttemptFate::Released | AttemptFate::Ended(_) => unknown_host(),
+    };
+    let start = AttemptChange::Started {
+        host,
+        resume_from: standing.token.clone(),
+    };
+    let rest = match &standing.fate {
+        AttemptFate::Started { .. } => None,
+        AttemptFate::Released => Some(AttemptChange::Released { token: None }),
+        AttemptFate::Ended(phase) => Some(AttemptChange::Ended { phase: *phase }),
+    };
+    std::iter::once(start)
+        .chain(rest)
+        .map(|change| AttemptRecord {
+            attempt: attempt.clone(),
+            change,
+        })
+        .collect()
+}
+
+/// Name written for the host of an attempt that no longer runs.
+fn unknown_host() -> HostId {
+    #[expect(clippy::unwrap_used, reason = "the literal is a valid name")]
+    HostId::new("none").unwrap()
+}
--- /dev/null
+++ b/crates/hornbeamlead_schedule/src/job_log.rs
@@ -0,0 +1,289 @@
+//! Replay of the jobs stream: which cell owns each task, what was released and what ended.
+
+use crate::stream::StreamState;
+use hornbeamlead_core::ids::{CellId, Epoch, JobName, LogOffset, RecordId, TaskId};
+use hornbeamlead_core::record::{
+    EndedTask, JobEntry, JobRecord, JobSnapshot, OwnedRange, PlacedRecord, ReleasedTask, TaskRange,
+    WriterMark,
+};
+use std::collections::BTreeMap;
+
+/// Owner of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TaskOwner {
+    /// Owning cell.
+    pub cell: CellId,
+    /// Rank of the claim among all claims; lower ones count against a quota first.
+    pub rank: u64,
+}
+
+/// What the jobs stream says of a task.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TaskLedger {
+    /// Cell that owns it, if one does.
+    pub owner: Option<TaskOwner>,
+    /// Newest release, from which the owner goes on.
+    pub released: Option<ReleasedTask>,
+    /// End, if it ended.
+    pub ended: Option<EndedTask>,
+}
+
+/// Tasks of one job that were ever claimed, by index.
+pub type JobLedger = BTreeMap<u32, TaskLedger>;
+
+/// State of the jobs stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct JobState {
+    next: LogOffset,
+    ranks: u64,
+    jobs: BTreeMap<JobName, JobLedger>,
+    marks: BTreeMap<CellId, WriterMark>,
+}
+
+impl JobState {
+    /// Returns the jobs that were ever claimed.
+    #[must_use]
+    pub fn jobs(&self) -> &BTreeMap<JobName, JobLedger> {
+        &self.jobs
+    }
+
+    /// Returns what is known of a task.
+    #[must_use]
+    pub fn task(&self, task: &TaskId) -> Option<&TaskLedger> {
+        self.jobs.get(&task.job)?.get(&task.index)
+    }
+
+    /// Returns whether a cell owns a task that has not ended.
+    #[must_use]
+    pub fn owns(&self, cell: CellId, task: &TaskId) -> bool {
+        self.task(task).is_some_and(|ledger| is_owner(ledger, cell))
+    }
+
+    /// Returns the newest record of a cell's planners.
+    #[must_use]
+    pub fn mark(&self, cell: CellId) -> Option<&WriterMark> {
+        self.marks.get(&cell)
+    }
+
+    /// Returns the tasks that a cell owns and that have not ended.
+    pub fn owned_by(&self, cell: CellId) -> impl Iterator<Item = (TaskId, &TaskLedger)> {
+        self.jobs.iter().flat_map(move |(job, ledgers)| {
+            ledgers
+                .iter()
+                .filter(move |(_, ledger)| is_owner(ledger, cell))
+                .map(|(index, ledger)| (task_id(job, *index), ledger))
+        })
+    }
+
+    /// Returns a snapshot, without the jobs that `keep` rejects.
+    pub fn snapshot(&self, keep: impl Fn(&JobName) -> bool) -> JobSnapshot {
+        let kept: Vec<_> = self.jobs.iter().filter(|(job, _)| keep(job)).collect();
+        let ledgers = || kept.iter().flat_map(|(_, ledgers)| ledgers.values());
+        JobSnapshot {
+            up_to: self.next,
+            owned: owned_ranges(&kept),
+            released: ledgers()
+                .filter_map(|ledger| ledger.released.clone())
+                .collect(),
+            ended: ledgers()
+                .filter_map(|ledger| ledger.ended.clone())
+                .collect(),
+            marks: self.marks.values().copied().collect(),
+        }
+    }
+
+    fn apply_entry(&mut self, entry: &JobEntry) {
+        match entry {
+            JobEntry::Claim { cell, range, .. } => self.claim(*cell, range),
+            JobEntry::Release { cell, tasks, .. } => {
+                tasks.iter().for_each(|task| self.release(*cell, task));
+            }
+            JobEntry::Ended { cell, tasks } => {
+                tasks.iter().for_each(|task| self.end(*cell, task));
+            }
+            JobEntry::Snapshot(_) => {}
+        }
+    }
+
+    /// Gives a range to a cell; void as a whole if any of its tasks is owned or has ended.
+    fn claim(&mut self, cell: CellId, range: &TaskRange) {
+        let indexes = range.first..range.first.saturating_add(range.count);
+        let ledgers = self.jobs.entry(range.job.clone()).or_default();
+        let free = ledgers
+            .range(indexes.clone())
+            .all(|(_, ledger)| is_free(ledger));
+        if !free || range.count == 0 {
+            return;
+        }
+        self.ranks += 1;
+        let owner = TaskOwner {
+            cell,
+            rank: self.ranks,
+        };
+        for index in indexes {
+            ledgers.entry(index).or_default().owner = Some(owner);
+        }
+    }
+
+    fn release(&mut self, cell: CellId, task: &ReleasedTask) {
+        if let Some(ledger) = self.owned_ledger(cell, &task.attempt.task) {
+            ledger.owner = None;
+            ledger.released = Some(task.clone());
+        }
+    }
+
+    fn end(&mut self, cell: CellId, task: &EndedTask) {
+        if let Some(ledger) = self.owned_ledger(cell, &task.attempt.task) {
+            ledger.owner = None;
+            ledger.released = None;
+            ledger.ended = Some(task.clone());
+        }
+    }
+
+    fn owned_ledger(&mut self, cell: CellId, task: &TaskId) -> Option<&mut TaskLedger> {
+        let ledger = self.jobs.get_mut(&task.job)?.get_mut(&task.index)?;
+        is_owner(ledger, cell).then_some(ledger)
+    }
+
+    /// Returns whether a record is the newest of its cell; an older or repeated one is void.
+    fn advances(&mut self, id: &RecordId) -> bool {
+        let Some(mark) = parse_mark(id) else {
+            return false;
+        };
+        if self
+            .marks
+            .get(&mark.cell)
+            .is_some_and(|known| *known >= mark)
+        {
+            return false;
+        }
+        self.marks.insert(mark.cell, mark);
+        true
+    }
+}
+
+impl StreamState for JobState {
+    type Record = JobRecord;
+
+    fn next(&self) -> LogOffset {
+        self.next
+    }
+
+    fn apply(&mut self, placed: &PlacedRecord<JobRecord>) {
+        if placed.offset < self.next {
+            return;
+        }
+        self.next = LogOffset(placed.offset.0.saturating_add(1));
+        if self.advances(&placed.record.id) {
+            self.apply_entry(&placed.record.entry);
+        }
+    }
+
+    fn restore(record: &JobRecord) -> Option<Self> {
+        let JobEntry::Snapshot(snapshot) = &record.entry else {
+            return None;
+        };
+        let mut state = Self {
+            next: snapshot.up_to,
+            marks: snapshot
+                .marks
+                .iter()
+                .map(|mark| (mark.cell, *mark))
+                .collect(),
+            ..Self::default()
+        };
+        for owned in &snapshot.owned {
+            state.claim(owned.cell, &owned.range);
+        }
+        for task in &snapshot.released {
+            state.ledger_mut(&task.attempt.task).released = Some(task.clone());
+        }
+        for task in &snapshot.ended {
+            state.ledger_mut(&task.attempt.task).ended = Some(task.clone());
+        }
+        Some(state)
+    }
+
+    fn id(record: &JobRecord) -> &RecordId {
+        &record.id
+    }
+}
+
+impl JobState {
+    fn ledger_mut(&mut self, task: &TaskId) -> &mut TaskLedger {
+        let ledgers = self.jobs.entry(task.job.clone()).or_default();
+        ledgers.entry(task.index).or_default()
+    }
+}
+
+/// Returns the id of the record that a mark stands for.
+#[must_use]
+pub fn mark_id(mark: &WriterMark) -> RecordId {
+    let text = format!("{}.{}.{}", mark.cell, mark.epoch, mark.sequence);
+    #[expect(clippy::unwrap_used, reason = "digits and dots make a valid name")]
+    RecordId::new(&text).unwrap()
+}
+
+/// Returns the mark that an id stands for.
+#[must_use]
+pub fn parse_mark(id: &RecordId) -> Option<WriterMark> {
+    let mut parts = id.as_str().split('.');
+    let mark = WriterMark {
+        cell: CellId(parts.next()?.parse().ok()?),
+        epoch: Epoch(parts.next()?.parse().ok()?),
+        sequence: parts.next()?.parse().ok()?,
+    };
+    parts.next().is_none().then_some(mark)
+}
+
+fn is_owner(ledger: &TaskLedger, cell: CellId) -> bool {
+    ledger.owner.is_some_and(|owner| owner.cell == cell)
+}
+
+/// Returns whether a task may be claimed.
+#[must_use]
+pub fn is_free(ledger: &TaskLedger) -> bool {
+    ledger.owner.is_none() && ledger.ended.is_none()
+}
+
+fn task_id(job: &JobName, index: u32) -> TaskId {
+    TaskId {
+        job: job.clone(),
+        index,
+    }
+}
+
+/// Returns the owned ranges in the order of their claims, so that ranks keep their order.
+fn owned_ranges(jobs: &[(&JobName, &JobLedger)]) -> Vec<OwnedRange> {
+    let mut ranges: Vec<(u64, OwnedRange)> = Vec::new();
+    let owned = jobs.iter().flat_map(|(job, ledgers)| {
+        ledgers
+            .iter()
+            .filter_map(move |(index, ledger)| Some((*job, *index, ledger.owner?)))
+    });
+    for (job, index, owner) in owned {
+        match ranges.last_mut() {
+            Some((rank, last)) if *rank == owner.rank && continues(last, job, index) => {
+                last.range.count += 1;
+            }
+            _ => ranges.push((owner.rank, single_range(job, index, owner.cell))),
+        }
+    }
+    ranges.sort_by_key(|(rank, _)| *rank);
+    ranges.into_iter().map(|(_, range)| range).collect()
+}
+
+fn continues(last: &OwnedRange, job: &JobName, index: u32) -> bool {
+    last.range.job == *job && last.range.first.saturating_add(last.range.count) == index
+}
+
+fn single_range(job: &JobName, first: u32, cell: CellId) -> OwnedRange {
+    OwnedRange {
+        cell,
+        range: TaskRange {
+            job: job.clone(),
+            first,
+            count: 1,
+        },
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_schedule/src/keeper.rs
@@ -0,0 +1,450 @@
+//! Keeper of the tasks on one worker: sole authority over its capacity, under the host's lease.
+
+use crate::keeper_table::AttemptTable;
+use crate::turn::TurnContext;
+use hornbeamlead_core::clock::MonoTime;
+use hornbeamlead_core::counter::{RefusalReason, RetryReason};
+use hornbeamlead_core::effect::AgentEffect;
+use hornbeamlead_core::ids::{AttemptId, Epoch, HostId};
+use hornbeamlead_core::message::control::{HeartbeatReply, HostHeartbeat, TaskCommand};
+use hornbeamlead_core::policy::{AgentPolicy, ProcessPlace};
+use hornbeamlead_core::resource::ResourceSize;
+use hornbeamlead_core::status::HostStanding;
+use hornbeamlead_core::task::{
+    TaskOrder, TaskStatus, WorkerAnswer, WorkerCall, WorkerFault, WorkerReport,
+};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time before the end of the host's lease at which running tasks are checkpointed and stopped.
+const STOP_AHEAD: Duration = Duration::from_millis(1000);
+
+/// Time after which an unanswered stop is asked again.
+const STOP_AGAIN: Duration = Duration::from_millis(1500);
+
+/// Heartbeats after which the whole table goes out again, for its usage readings.
+const WHOLE_EVERY: u64 = 8;
+
+/// Bits of a heartbeat's sequence that count within one life of the agent.
+const SEQUENCE_BITS: u32 = 20;
+
+/// Planner that the agent obeys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct KnownPlanner {
+    /// Its host, once it has answered or was read on the log.
+    pub(crate) host: HostId,
+    /// Address of its control datagrams.
+    pub(crate) address: SocketAddr,
+}
+
+/// Keeper of the tasks on one worker.
+#[derive(Debug)]
+pub(crate) struct TaskKeeper {
+    place: ProcessPlace,
+    policy: AgentPolicy,
+    worker: Option<SocketAddr>,
+    table: AttemptTable,
+    /// Attempts dropped of late, whose start may still arrive, and until when.
+    fenced: BTreeMap<AttemptId, MonoTime>,
+    standing: HostStanding,
+    epoch: Epoch,
+    planner: Option<KnownPlanner>,
+    first_sequence: u64,
+    sequence: u64,
+    next_heartbeat: MonoTime,
+    acknowledged: u64,
+    report_asked: Option<MonoTime>,
+    reported: bool,
+    service_p99_us: Option<u64>,
+    /// Latest end of a lease that the worker may have been given.
+    worker_lease: MonoTime,
+    leaving: bool,
+}
+
+impl TaskKeeper {
+    /// Makes the keeper of a process that has just started.
+    pub(crate) fn new(place: ProcessPlace, policy: AgentPolicy) -> Self {
+        let first_sequence = place.incarnation.0.wrapping_shl(SEQUENCE_BITS);
+        Self {
+            place,
+            policy,
+            worker: None,
+            table: AttemptTable::default(),
+            fenced: BTreeMap::new(),
+            standing: HostStanding::default(),
+            epoch: Epoch(0),
+            planner: None,
+            first_sequence,
+            sequence: first_sequence,
+            next_heartbeat: MonoTime(0),
+            acknowledged: 0,
+            report_asked: None,
+            reported: false,
+            service_p99_us: None,
+            worker_lease: MonoTime(0),
+            leaving: false,
+        }
+    }
+
+    /// Returns the host's lease and view.
+    pub(crate) fn standing(&self) -> &HostStanding {
+        &self.standing
+    }
+
+    /// Returns the newest epoch seen.
+    pub(crate) fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Returns the planner obeyed.
+    pub(crate) fn planner(&self) -> Option<&KnownPlanner> {
+        self.planner.as_ref()
+    }
+
+    /// Returns whether the worker's list is known, so that heartbeats may go out.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.reported
+    }
+
+    /// Returns what is admitted.
+    pub(crate) fn admitted(&self) -> ResourceSize {
+        self.table.admitted()
+    }
+
+    /// Returns all attempts.
+    pub(crate) fn statuses(&self) -> Vec<TaskStatus> {
+        self.table.statuses()
+    }
+
+    /// Notes that the process is stopping.
+    pub(crate) fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Notes where the worker is.
+    pub(crate) fn find_worker(&mut self, address: SocketAddr) {
+        if self.worker == Some(address) {
+            return;
+        }
+        self.worker = Some(address);
+        self.reported = false;
+        self.report_asked = None;
+    }
+
+    /// Follows a planner that was read on the log or heard of, if its epoch is newer.
+    pub(crate) fn follow(&mut self, epoch: Epoch, planner: KnownPlanner) {
+        if epoch <= self.epoch {
+            return;
+        }
+        self.epoch = epoch;
+        self.acknowledged = 0;
+        self.planner = Some(planner);
+        self.next_heartbeat = MonoTime(0);
+    }
+
+    /// Returns when something is due next.
+    pub(crate) fn due(&self) -> MonoTime {
+        self.next_heartbeat
+    }
+
+    /// Asks the worker for its list, guards the lease, and returns a heartbeat if one is due.
+    pub(crate) fn tick(&mut self, turn: &mut TurnContext<'_>) -> Option<HostHeartbeat> {
+        self.guard_lease(turn);
+        if turn.mono() < self.next_heartbeat {
+            return None;
+        }
+        self.next_heartbeat = turn.mono().plus(self.policy.schedule.heartbeat);
+        let now = turn.mono();
+        self.fenced.retain(|_, until| *until > now);
+        self.ask_report(turn);
+        self.reported.then(|| self.heartbeat(turn))
+    }
+
+    fn ask_report(&mut self, turn: &mut TurnContext<'_>) {
+        if self.report_asked.is_some() || self.worker.is_none() {
+            return;
+        }
+        self.report_asked = Some(turn.mono());
+        self.call(WorkerCall::Report, turn);
+    }
+
+    fn heartbeat(&mut self, turn: &TurnContext<'_>) -> HostHeartbeat {
+        self.sequence += 1;
+        let digest = self.table.digest();
+        let whole = digest != self.acknowledged || self.sequence.is_multiple_of(WHOLE_EVERY);
+        HostHeartbeat {
+            host: self.place.host.clone(),
+            incarnation: self.place.incarnation,
+            sequence: self.sequence,
+            clock: turn.mono(),
+            epoch: self.epoch,
+            data_centre: self.place.data_centre.clone(),
+            rack: self.place.rack.clone(),
+            link_address: self.place.link_address,
+            capacity: self.policy.batch_capacity,
+            admitted: self.table.admitted(),
+            revision: turn.fleet.revision(),
+            view: self.standing.view.as_ref().map_or(0, |view| view.number),
+            table_digest: digest,
+            tasks: if whole {
+                self.table.statuses()
+            } else {
+                Vec::new()
+            },
+            whole,
+            service_p99_us: self.service_p99_us,
+            leaving: self.leaving,
+        }
+    }
+
+    /// Checkpoints and stops what runs shortly before the lease ends, and notes what lapsed.
+    fn guard_lease(&mut self, turn: &mut TurnContext<'_>) {
+        let now = turn.mono();
+        if now > self.worker_lease.plus(self.policy.schedule.margin) && self.worker_lease.0 > 0 {
+            self.table.lapse();
+        }
+        let Some(lease_until) = self.standing.lease_until else {
+            return;
+        };
+        if now < lease_until.minus(STOP_AHEAD) {
+            return;
+        }
+        let attempts: Vec<AttemptId> = self.running_attempts();
+        for attempt in attempts {
+            self.stop("lease_ends", &attempt, turn);
+        }
+    }
+
+    fn running_attempts(&self) -> Vec<AttemptId> {
+        self.table
+            .running()
+            .map(|status| status.attempt.clone())
+            .collect()
+    }
+
+    fn stop(&mut self, rule: &'static str, attempt: &AttemptId, turn: &mut TurnContext<'_>) {
+        let now = turn.mono();
+        if !self.table.ask_stop(attempt, now, now.minus(STOP_AGAIN)) {
+            return;
+        }
+        turn.decide(
+            rule,
+            format!("task:{attempt}"),
+            format!("epoch={}", self.epoch),
+        );
+        let call = WorkerCall::Stop {
+            attempt: attempt.clone(),
+            checkpoint: true,
+        };
+        self.call(call, turn);
+    }
+
+    fn call(&self, call: WorkerCall, turn: &mut TurnContext<'_>) {
+        if let Some(address) = self.worker {
+            turn.emit(AgentEffect::CallWorker { address, call });
+        }
+    }
+
+    /// Takes the planner's answer: lease, view and commands; returns false for one to be dropped.
+    pub(crate) fn take_reply(
+        &mut self,
+        reply: &HeartbeatReply,
+        turn: &mut TurnContext<'_>,
+    ) -> bool {
+        if reply.epoch < self.epoch {
+            turn.refuse(RefusalReason::StaleEpoch);
+            return false;
+        }
+        if reply.sequence <= self.first_sequence || reply.sequence > self.sequence {
+            turn.refuse(RefusalReason::StrayAnswer);
+            return false;
+        }
+        self.follow(
+            reply.epoch,
+            KnownPlanner {
+                host: reply.planner.clone(),
+                address: reply.link_address,
+            },
+        );
+        self.acknowledged = if reply.want_whole {
+            0
+        } else {
+            reply.acknowledged
+        };
+        self.take_view(reply);
+        self.take_lease(reply.lease_until, turn);
+        for command in &reply.commands {
+            self.obey(command, turn);
+        }
+        true
+    }
+
+    fn take_view(&mut self, reply: &HeartbeatReply) {
+        let known = self.standing.view.as_ref().map_or(0, |view| view.number);
+        match &reply.view {
+            Some(view) if view.number > known => self.standing.view = Some(view.clone()),
+            Some(_) | None => {}
+        }
+    }
+
+    fn take_lease(&mut self, until: Option<MonoTime>, turn: &mut TurnContext<'_>) {
+        let Some(until) = until.filter(|until| Some(*until) > self.standing.lease_until) else {
+            return;
+        };
+        self.standing.lease_until = Some(until);
+        let attempts = self.running_attempts();
+        if until <= turn.mono() || attempts.is_empty() {
+            return;
+        }
+        self.worker_lease = self.worker_lease.max(until);
+        let call = WorkerCall::Renew {
+            attempts,
+            lease_until: until,
+        };
+        self.call(call, turn);
+    }
+
+    fn obey(&mut self, command: &TaskCommand, turn: &mut TurnContext<'_>) {
+        match command {
+            TaskCommand::Start { order, start_by } => self.start(order, *start_by, turn),
+            TaskCommand::Throttle {
+                attempt,
+                speed_percent,
+            } => self.throttle(attempt, *speed_percent, turn),
+            TaskCommand::Stop { attempt } => self.stop("planner_stop", attempt, turn),
+            TaskCommand::Forget { attempt } => self.forget(attempt, turn),
+        }
+    }
+
+    fn start(&mut self, order: &TaskOrder, start_by: MonoTime, turn: &mut TurnContext<'_>) {
+        if self.table.contains(&order.attempt) || self.fenced.contains_key(&order.attempt) {
+            return;
+        }
+        if let Some(reason) = self.refusal(order, start_by, turn) {
+            turn.refuse(reason);
+            let subject = format!("task:{}", order.attempt);
+            turn.decide("start_refused", subject, format!("reason={reason}"));
+            self.table.enter_refused(order);
+            return;
+        }
+        let lease_until = self.standing.lease_until.unwrap_or_default();
+        self.worker_lease = self.worker_lease.max(lease_until);
+        self.table.admit(order, start_by);
+        let call = WorkerCall::Start {
+            order: order.clone(),
+            lease_until,
+            start_by,
+        };
+        self.call(call, turn);
+    }
+
+    /// Returns why a start may not happen at this moment.
+    fn refusal(
+        &self,
+        order: &TaskOrder,
+        start_by: MonoTime,
+        turn: &TurnContext<'_>,
+    ) -> Option<RefusalReason> {
+        let leased = self
+            .standing
+            .lease_until
+            .is_some_and(|until| turn.mono() < until.minus(STOP_AHEAD));
+        let room = self.policy.batch_capacity.minus(&self.table.admitted());
+        match () {
+            () if self.leaving => Some(RefusalReason::Leaving),
+            () if self.worker.is_none() || !leased => Some(RefusalReason::NoLease),
+            () if turn.mono() >= start_by => Some(RefusalReason::StartTooLate),
+            () if !turn.fleet.in_service(&self.place.data_centre) => Some(RefusalReason::Leaving),
+            () if !order.size.fits(&room) => Some(RefusalReason::NoRoom),
+            () => None,
+        }
+    }
+
+    fn throttle(&mut self, attempt: &AttemptId, speed_percent: u8, turn: &mut TurnContext<'_>) {
+        let current = self
+            .table
+            .status(attempt)
+            .map(|status| status.speed_percent);
+        if current.is_none_or(|speed| speed == speed_percent) {
+            return;
+        }
+        let call = WorkerCall::Throttle {
+            attempt: attempt.clone(),
+            speed_percent,
+        };
+        self.call(call, turn);
+    }
+
+    fn forget(&mut self, attempt: &AttemptId, turn: &mut TurnContext<'_>) {
+        let running = self
+            .table
+            .running()
+            .any(|status| status.attempt == *attempt);
+        if running || !self.table.contains(attempt) {
+            return;
+        }
+        let schedule = &self.policy.schedule;
+        let until = turn.mono().plus(schedule.start_bound).plus(schedule.margin);
+        self.fenced.insert(attempt.clone(), until);
+        if self.table.is_refused(attempt) {
+            self.table.forget(attempt);
+            return;
+        }
+        let call = WorkerCall::Forget {
+            attempt: attempt.clone(),
+        };
+        self.call(call, turn);
+    }
+
+    /// Takes a worker's answer.
+    pub(crate) fn take_answer(
+        &mut self,
+        call: &WorkerCall,
+        result: &Result<WorkerAnswer, WorkerFault>,
+        turn: &mut TurnContext<'_>,
+    ) {
+        if matches!(result, Err(WorkerFault::NoAnswer)) {
+            turn.retry(RetryReason::WorkerCall);
+        }
+        match (call, result) {
+            (WorkerCall::Report, Ok(WorkerAnswer::Report(report))) => self.take_report(report),
+            (WorkerCall::Report, _) => self.report_asked = None,
+            (WorkerCall::Start { order, .. }, Ok(_)) => {
+                self.table.confirm(&order.attempt, turn.mono());
+                self.next_heartbeat = turn.mono();
+            }
+            (WorkerCall::Start { order, .. }, Err(WorkerFault::Refused { reason })) => {
+                let subject = format!("task:{}", order.attempt);
+                turn.decide("worker_refused", subject, format!("reason=\"{reason}\""));
+                self.table.refuse(&order.attempt);
+            }
+            (WorkerCall::Start { order, .. }, Err(WorkerFault::NoAnswer)) => {
+                self.table.doubt(&order.attempt, turn.mono());
+            }
+            (WorkerCall::Forget { attempt }, Ok(_)) => self.table.forget(attempt),
+            (
+                WorkerCall::Forget { .. }
+                | WorkerCall::Renew { .. }
+                | WorkerCall::Checkpoint { .. }
+                | WorkerCall::Throttle { .. }
+                | WorkerCall::Stop { .. },
+                _,
+            ) => {}
+        }
+    }
+
+    fn take_report(&mut self, report: &WorkerReport) {
+        let Some(asked_at) = self.report_asked.take() else {
+            return;
+        };
+        let before = self.table.digest();
+        self.table.take_report(&report.tasks, asked_at);
+        self.service_p99_us = report.service_p99_us;
+        let first = !self.reported;
+        self.reported = true;
+        if first || before != self.table.digest() {
+            self.next_heartbeat = MonoTime(0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_schedule/src/planner/claims.rs
@@ -0,0 +1,116 @@
+//! What the planner writes to the jobs stream: ends, releases and claims of ranges.
+
+use crate::cell_log::AttemptFate;
+use crate::job_log::{JobState, is_free};
+use crate::planner::tasks::{OwnedTask, TaskState};
+use hornbeamlead_core::fleet::FleetState;
+use hornbeamlead_core::ids::{AttemptId, CellId, DataCentreName, Epoch};
+use hornbeamlead_core::note::JobSpec;
+use hornbeamlead_core::record::{EndedTask, JobEntry, ReleasedTask, TaskRange};
+use hornbeamlead_core::resource::ResourceSize;
+
+/// Tasks in one record of the jobs stream, at most.
+const TASKS_PER_RECORD: usize = 256;
+
+/// Returns the record of tasks that ended in this cell.
+pub(crate) fn ended_entry(cell: CellId, tasks: &[OwnedTask<'_>]) -> Option<JobEntry> {
+    let ended: Vec<EndedTask> = tasks
+        .iter()
+        .filter_map(ended_task)
+        .take(TASKS_PER_RECORD)
+        .collect();
+    (!ended.is_empty()).then_some(JobEntry::Ended { cell, tasks: ended })
+}
+
+fn ended_task(task: &OwnedTask<'_>) -> Option<EndedTask> {
+    match &task.standing?.fate {
+        AttemptFate::Ended(phase) => Some(EndedTask {
+            attempt: newest_attempt(task),
+            phase: *phase,
+        }),
+        AttemptFate::Started { .. } | AttemptFate::Released => None,
+    }
+}
+
+fn newest_attempt(task: &OwnedTask<'_>) -> AttemptId {
+    AttemptId {
+        task: task.task.clone(),
+        number: task.number,
+    }
+}
+
+/// Returns the record that gives up the waiting tasks which `unwanted` names.
+pub(crate) fn release_entry(
+    cell: CellId,
+    epoch: Epoch,
+    tasks: &[OwnedTask<'_>],
+    unwanted: impl Fn(&OwnedTask<'_>) -> bool,
+) -> Option<JobEntry> {
+    let released: Vec<ReleasedTask> = tasks
+        .iter()
+        .filter(|task| task.state == TaskState::Waiting && task.spec.is_some())
+        .filter(|task| unwanted(task))
+        .map(|task| ReleasedTask {
+            attempt: newest_attempt(task),
+            token: task.token.clone(),
+        })
+        .take(TASKS_PER_RECORD)
+        .collect();
+    (!released.is_empty()).then_some(JobEntry::Release {
+        cell,
+        epoch,
+        tasks: released,
+    })
+}
+
+/// Returns whether a job may run in a data centre by its declaration.
+pub(crate) fn allows(spec: &JobSpec, data_centre: &DataCentreName) -> bool {
+    spec.data_centres.is_empty() || spec.data_centres.contains(data_centre)
+}
+
+/// Returns the first run of free tasks of a job, at most `most` long.
+pub(crate) fn free_range(spec: &JobSpec, jobs: &JobState, most: u32) -> Option<TaskRange> {
+    let ledgers = jobs.jobs().get(&spec.name);
+    let free = |index: &u32| {
+        ledgers
+            .and_then(|ledgers| ledgers.get(index))
+            .is_none_or(is_free)
+    };
+    let first = (0..spec.tasks).find(free)?;
+    let run = (first..spec.tasks).take_while(free).count();
+    let count = u32::try_from(run).unwrap_or(u32::MAX).min(most);
+    (count > 0).then(|| TaskRange {
+        job: spec.name.clone(),
+        first,
+        count,
+    })
+}
+
+/// Returns how many tasks of a size fit into a room.
+pub(crate) fn fit_count(size: &ResourceSize, room: &ResourceSize) -> u32 {
+    let ratio = |part: u64, whole: u64| whole.checked_div(part).unwrap_or(u64::MAX);
+    let by_cpu = ratio(u64::from(size.cpu.0), u64::from(room.cpu.0));
+    let by_memory = ratio(u64::from(size.memory.0), u64::from(room.memory.0));
+    let by_accelerators = ratio(
+        u64::from(size.accelerators.0),
+        u64::from(room.accelerators.0),
+    );
+    let count = by_cpu.min(by_memory).min(by_accelerators);
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
+/// Returns the jobs that may have free tasks for a data centre, most pressing first.
+pub(crate) fn claimable<'a>(
+    fleet: &'a FleetState,
+    jobs: &JobState,
+    data_centre: &DataCentreName,
+) -> Vec<&'a JobSpec> {
+    let mut specs: Vec<&JobSpec> = fleet
+        .jobs()
+        .values()
+        .filter(|spec| allows(spec, data_centre))
+        .filter(|spec| free_range(spec, jobs, 1).is_some())
+        .collect();
+    specs.sort_by_key(|spec| (!spec.urgent, spec.deadline, u8::MAX - spec.priority));
+    specs
+}
--- /dev/null
+++ b/crates/hornbeamlead_schedule/src/planner/hosts.rs
@@ -0,0 +1,176 @@
+//! Planner's book of the hosts of its cell, made from their heartbeats.
+
+use hornbeamlead_core::clock::MonoTime;
+use hornbeamlead_core::ids::{AttemptId, Epoch, HostId, Incarnation, RackName};
+use hornbeamlead_core::message::control::{HostHeartbeat, ViewMember};
+use hornbeamlead_core::resource::ResourceSize;
+use hornbeamlead_core::task::{TaskPhase, TaskStatus};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Host as its heartbeats show it.
+#[derive(Clone, Debug)]
+pub(crate) struct HostEntry {
+    /// Life of its agent.
+    pub(crate) incarnation: Incarnation,
+    /// Address for links and datagrams.
+    pub(crate) address: SocketAddr,
+    /// Rack.
+    pub(crate) rack: RackName,
+    /// What batch tasks may take.
+    pub(crate) capacity: ResourceSize,
+    /// Sequence of the newest heartbeat.
+    pub(crate) sequence: u64,
+    /// Agent's clock in the newest heartbeat.
+    pub(crate) clock: MonoTime,
+    /// When that heartbeat came, in the planner's clock.
+    pub(crate) received: MonoTime,
+    /// When the newest heartbeat came that was answered with a lease.
+    pub(crate) renewed: Option<MonoTime>,
+    /// When the agent first showed that it obeys this planner and no older one.
+    pub(crate) obeys_since: Option<MonoTime>,
+    /// Its table of attempts; `None` until a whole one came.
+    pub(crate) table: Option<BTreeMap<AttemptId, TaskStatus>>,
+    /// Digest of that table.
+    pub(crate) digest: u64,
+    /// When the newest heartbeat came that confirmed the table.
+    pub(crate) table_at: MonoTime,
+    /// Lagging p99 of the live service, in microseconds.
+    pub(crate) service_p99_us: Option<u64>,
+    /// View that the agent knows.
+    pub(crate) view: u64,
+    /// Whether the agent is stopping.
+    pub(crate) leaving: bool,
+}
+
+impl HostEntry {
+    /// Returns the status of an attempt in its table.
+    pub(crate) fn status(&self, attempt: &AttemptId) -> Option<&TaskStatus> {
+        self.table.as_ref()?.get(attempt)
+    }
+
+    /// Returns the attempts in its table.
+    pub(crate) fn statuses(&self) -> impl Iterator<Item = &TaskStatus> {
+        self.table.iter().flat_map(BTreeMap::values)
+    }
+
+    /// Returns the sum of what runs there.
+    pub(crate) fn running_size(&self) -> ResourceSize {
+        self.statuses()
+            .filter(|status| status.phase == TaskPhase::Running)
+            .fold(ResourceSize::default(), |sum, status| {
+                sum.plus(&status.size)
+            })
+    }
+}
+
+/// Planner's book of hosts.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct HostBook {
+    hosts: BTreeMap<HostId, HostEntry>,
+}
+
+impl HostBook {
+    /// Returns the hosts by name.
+    pub(crate) fn hosts(&self) -> &BTreeMap<HostId, HostEntry> {
+        &self.hosts
+    }
+
+    /// Returns a host.
+    pub(crate) fn get(&self, host: &HostId) -> Option<&HostEntry> {
+        self.hosts.get(host)
+    }
+
+    /// Returns a host to change.
+    pub(crate) fn get_mut(&mut self, host: &HostId) -> Option<&mut HostEntry> {
+        self.hosts.get_mut(host)
+    }
+
+    /// Takes a heartbeat; returns false for one that is older than what is known.
+    pub(crate) fn take(&mut self, beat: &HostHeartbeat, epoch: Epoch, now: MonoTime) -> bool {
+        let known = self.hosts.get(&beat.host);
+        let stale = known.is_some_and(|entry| {
+            (beat.incarnation, beat.sequence) <= (entry.incarnation, entry.sequence)
+        });
+        if stale {
+            return false;
+        }
+        let restarted = known.is_none_or(|entry| entry.incarnation != beat.incarnation);
+        let entry = self
+            .hosts
+            .entry(beat.host.clone())
+            .or_insert_with(|| new_entry(beat, now));
+        if restarted {
+            entry.table = None;
+            entry.digest = 0;
+            entry.obeys_since = None;
+        }
+        refresh(entry, beat, now);
+        if beat.epoch >= epoch && entry.obeys_since.is_none() {
+            entry.obeys_since = Some(now);
+        }
+        take_table(entry, beat, now);
+        true
+    }
+
+    /// Forgets a host that lapsed long ago.
+    pub(crate) fn drop_silent(&mut self, before: MonoTime) {
+        self.hosts.retain(|_, entry| entry.received >= before);
+    }
+
+    /// Returns a host as a member of the cell's view.
+    pub(crate) fn member(host: &HostId, entry: &HostEntry) -> ViewMember {
+        ViewMember {
+            host: host.clone(),
+            incarnation: entry.incarnation,
+            link_address: entry.address,
+        }
+    }
+}
+
+fn new_entry(beat: &HostHeartbeat, now: MonoTime) -> HostEntry {
+    HostEntry {
+        incarnation: beat.incarnation,
+        address: beat.link_address,
+        rack: beat.rack.clone(),
+        capacity: beat.capacity,
+        sequence: beat.sequence,
+        clock: beat.clock,
+        received: now,
+        renewed: None,
+        obeys_since: None,
+        table: None,
+        digest: 0,
+        table_at: now,
+        service_p99_us: None,
+        view: beat.view,
+        leaving: beat.leaving,
+    }
+}
+
+fn refresh(entry: &mut HostEntry, beat: &HostHeartbeat, now: MonoTime) {
+    entry.incarnation = beat.incarnation;
+    entry.address = beat.link_address;
+    entry.capacity = beat.capacity;
+    entry.sequence = beat.sequence;
+    entry.clock = beat.clock;
+    entry.received = now;
+    entry.service_p99_us = beat.service_p99_us;
+    entry.view = beat.view;
+    entry.leaving = beat.leaving;
+}
+
+fn take_table(entry: &mut HostEntry, beat: &HostHeartbeat, now: MonoTime) {
+    if beat.whole {
+        let statuses = beat.tasks.iter().cloned();
+        entry.table = Some(
+            statuses
+                .map(|status| (status.attempt.clone(), status))
+                .collect(),
+        );
+        entry.digest = beat.table_digest;
+    }
+    if entry.table.is_some() && entry.digest == beat.table_digest {
+        entry.table_at = now;
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_schedule/src/planner/orders.rs
@@ -0,0 +1,135 @@
+//! Orders to start attempts, kept from the choice of a host until the host's table shows them.
+
+use crate::planner::hosts::HostEntry;
+use hornbeamlead_core::clock::MonoTime;
+use hornbeamlead_core::ids::{AttemptId, HostId, TaskId};
+use hornbeamlead_core::message::control::TaskCommand;
+use hornbeamlead_core::policy::SchedulePolicy;
+use hornbeamlead_core::resource::ResourceSize;
+use hornbeamlead_core::task::TaskOrder;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Shortest time that a start command must leave the agent to be worth sending.
+const LEAST_START_TIME: Duration = Duration::from_millis(100);
+
+/// Order of this planner to start an attempt.
+#[derive(Clone, Debug)]
+pub(crate) struct StartOrder {
+    /// Host chosen.
+    pub(crate) host: HostId,
+    /// What to run.
+    pub(crate) order: TaskOrder,
+    /// When the command was last sent; `None` if it never was.
+    pub(crate) sent_at: Option<MonoTime>,
+    /// Whether the order is not to be sent any more.
+    pub(crate) cancelled: bool,
+}
+
+/// Orders of this planner.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OrderBook {
+    orders: BTreeMap<AttemptId, StartOrder>,
+}
+
+impl OrderBook {
+    /// Adds an order whose start record is about to be appended.
+    pub(crate) fn add(&mut self, host: HostId, order: TaskOrder) {
+        let attempt = order.attempt.clone();
+        let start = StartOrder {
+            host,
+            order,
+            sent_at: None,
+            cancelled: false,
+        };
+        self.orders.insert(attempt, start);
+    }
+
+    /// Returns an order.
+    pub(crate) fn get(&self, attempt: &AttemptId) -> Option<&StartOrder> {
+        self.orders.get(attempt)
+    }
+
+    /// Returns the orders that were never sent and are not cancelled.
+    pub(crate) fn unsent(&self) -> impl Iterator<Item = (&AttemptId, &HostId)> {
+        let unsent = |start: &&StartOrder| start.sent_at.is_none() && !start.cancelled;
+        let orders = self.orders.values().filter(unsent);
+        orders.map(|start| (&start.order.attempt, &start.host))
+    }
+
+    /// Returns whether an attempt of a task is about to be started.
+    pub(crate) fn holds(&self, task: &TaskId) -> bool {
+        self.orders.keys().any(|attempt| attempt.task == *task)
+    }
+
+    /// Cancels an order; a command that was sent already may still be obeyed.
+    pub(crate) fn cancel(&mut self, attempt: &AttemptId) {
+        if let Some(start) = self.orders.get_mut(attempt) {
+            start.cancelled = true;
+        }
+    }
+
+    /// Drops the orders that `keep` rejects.
+    pub(crate) fn retain(&mut self, keep: impl Fn(&AttemptId, &StartOrder) -> bool) {
+        self.orders.retain(|attempt, start| keep(attempt, start));
+    }
+
+    /// Returns the size of the orders for a host that its table does not show yet.
+    pub(crate) fn pending_size(&self, host: &HostId, entry: &HostEntry) -> ResourceSize {
+        self.orders
+            .values()
+            .filter(|start| start.host == *host && entry.status(&start.order.attempt).is_none())
+            .fold(ResourceSize::default(), |sum, start| {
+                sum.plus(&start.order.size)
+            })
+    }
+
+    /// Returns the start commands for a host, of those orders that `recorded` allows.
+    pub(crate) fn commands(
+        &mut self,
+        host: &HostId,
+        entry: &HostEntry,
+        start_by: MonoTime,
+        now: MonoTime,
+        recorded: impl Fn(&AttemptId) -> bool,
+    ) -> Vec<TaskCommand> {
+        let agent_now = entry.clock.plus(now.since(entry.received));
+        if start_by < agent_now.plus(LEAST_START_TIME) {
+            return Vec::new();
+        }
+        let mut commands = Vec::new();
+        for (attempt, start) in &mut self.orders {
+            let wanted = start.host == *host && !start.cancelled;
+            if !wanted || entry.status(attempt).is_some() || !recorded(attempt) {
+                continue;
+            }
+            start.sent_at = Some(now);
+            commands.push(TaskCommand::Start {
+                order: start.order.clone(),
+                start_by,
+            });
+        }
+        commands
+    }
+}
+
+/// Returns the last moment for a start in the agent's clock.
+///
+/// `tail_began` is the planner's clock before the read of the notes that showed no drain.
+pub(crate) fn start_by(
+    entry: &HostEntry,
+    tail_began: MonoTime,
+    schedule: &SchedulePolicy,
+) -> MonoTime {
+    let bound = schedule.start_bound;
+    if tail_began >= entry.received {
+        return entry
+            .clock
+            .plus(tail_began.since(entry.received))
+            .plus(bound);
+    }
+    entry
+        .clock
+        .plus(bound)
+        .minus(entry.received.since(tail_began))
+}
--- /dev/null
+++ b/crates/hornbeamlead_schedule/src/planner/reply_step.rs
@@ -0,0 +1,227 @@
+//! Answers to heartbeats: leases, view and commands; promises from the successor.
+
+use crate::cell_log::CellState;
+use crate::planner::hosts::{HostBook, HostEntry};
+use crate::planner::orders;
+use crate::planner::reconcile;
+use crate::planner::{CellPlanner, PlannerInputs};
+use crate::turn::TurnContext;
+use hornbeamlead_core::clock::MonoTime;
+use hornbeamlead_core::effect::AgentEffect;
+use hornbeamlead_core::ids::HostId;
+use hornbeamlead_core::message::control::{
+    CellView, ControlMessage, HeartbeatReply, PromiseAsk, TaskCommand,
+};
+use hornbeamlead_core::record::SuccessorName;
+use hornbeamlead_core::task::TaskStatus;
+
+/// Commands in one reply, at most, so that a datagram holds them.
+const COMMANDS_PER_REPLY: usize = 32;
+
+impl CellPlanner {
+    /// Returns the answer to the newest heartbeat of a host.
+    pub(super) fn reply(
+        &mut self,
+        host: &HostId,
+        inputs: PlannerInputs<'_>,
+        turn: &mut TurnContext<'_>,
+    ) -> Option<HeartbeatReply> {
+        let may_renew = self.tenure.may_renew(turn.mono(), &self.policy.schedule);
+        let lease = self.policy.schedule.lease;
+        if let Some(entry) = self.hosts.get_mut(host).filter(|_| may_renew) {
+            entry.renewed = Some(entry.received);
+        }
+        let commands = self.commands(host, inputs, turn);
+        let entry = self.hosts.get(host)?;
+        let known = entry.table.is_some() && entry.table_at == entry.received;
+        Some(HeartbeatReply {
+            cell: self.cell_id(),
+            planner: self.place.host.clone(),
+            epoch: self.epoch,
+            sequence: entry.sequence,
+            lease_until: may_renew.then(|| entry.clock.plus(lease)),
+            revision: turn.fleet.revision(),
+            link_address: self.place.link_address,
+            view: self.newer_view(entry.view),
+            acknowledged: if known { entry.digest } else { 0 },
+            want_whole: !known,
+            commands,
+        })
+    }
+
+    fn newer_view(&self, known: u64) -> Option<CellView> {
+        let view = self.view.view()?;
+        (view.number > known).then(|| view.clone())
+    }
+
+    fn commands(
+        &mut self,
+        host: &HostId,
+        inputs: PlannerInputs<'_>,
+        turn: &mut TurnContext<'_>,
+    ) -> Vec<TaskCommand> {
+        let Some(entry) = self.hosts.get(host) else {
+            return Vec::new();
+        };
+        let mut commands: Vec<TaskCommand> = entry
+            .statuses()
+            .filter_map(|status| self.command(status, host, inputs.cell, turn))
+            .collect();
+        let starts = self.start_commands(host, inputs, turn);
+        commands.splice(0..0, starts);
+        commands.truncate(COMMANDS_PER_REPLY);
+        commands
+    }
+
+    fn command(
+        &self,
+        status: &TaskStatus,
+        host: &HostId,
+        cell: &CellState,
+        turn: &TurnContext<'_>,
+    ) -> Option<TaskCommand> {
+        let by_log = reconcile::table_command(status, host, cell);
+        if by_log.is_some() {
+            return by_log;
+        }
+        let attempt = status.attempt.clone();
+        if self.stop_reason(status, turn.fleet).is_some() {
+            return Some(TaskCommand::Stop { attempt });
+        }
+        let speed_percent = self.wanted_speed(status);
+        let differs = status.phase == hornbeamlead_core::task::TaskPhase::Running
+            && status.speed_percent != speed_percent;
+        differs.then_some(TaskCommand::Throttle {
+            attempt,
+            speed_percent,
+        })
+    }
+
+    fn start_commands(
+        &mut self,
+        host: &HostId,
+        inputs: PlannerInputs<'_>,
+        turn: &TurnContext<'_>,
+    ) -> Vec<TaskCommand> {
+        let fresh = self.tenure.is_fresh(turn.mono(), self.schedule());
+        let in_service = self.in_service(turn.fleet);
+        let (Some(notes_tail), true, true) = (inputs.notes_tail, fresh, in_service) else {
+            return Vec::new();
+        };
+        let schedule = &self.policy.schedule;
+        let Some(entry) = self.hosts.get(host) else {
+            return Vec::new();
+        };
+        let start_by = orders::start_by(entry, notes_tail, schedule);
+        let recorded = |attempt: &_| reconcile::runs_here(attempt, host, inputs.cell);
+        self.orders
+            .commands(host, entry, start_by, turn.mono(), recorded)
+    }
+
+    /// Sends start commands whose records were just read back, without waiting for heartbeats.
+    pub(super) fn push_starts(&mut self, inputs: PlannerInputs<'_>, turn: &mut TurnContext<'_>) {
+        let hosts: Vec<HostId> = self
+            .orders
+            .unsent()
+            .filter(|(attempt, host)| reconcile::runs_here(attempt, host, inputs.cell))
+            .map(|(_, host)| host.clone())
+            .collect();
+        for host in hosts {
+            self.push(&host, inputs, turn);
+        }
+    }
+
+    fn push(&mut self, host: &HostId, inputs: PlannerInputs<'_>, turn: &mut TurnContext<'_>) {
+        let unsent = self.orders.unsent().any(|(_, other)| other == host);
+        if !unsent {
+            return;
+        }
+        let Some(reply) = self.reply(host, inputs, turn) else {
+            return;
+        };
+        let starts = |command: &TaskCommand| matches!(command, TaskCommand::Start { .. });
+        if !reply.commands.iter().any(starts) {
+            return;
+        }
+        if let Some(entry) = self.hosts.get(host) {
+            turn.emit(AgentEffect::SendDatagram {
+                to: entry.address,
+                message: ControlMessage::HeartbeatReply(reply),
+            });
+        }
+    }
+
+    /// Asks the named successor for a promise while the log is slow or down.
+    pub(super) fn ask_promise(&mut self, cell: &CellState, turn: &mut TurnContext<'_>) {
+        let now = turn.mono();
+        if now < self.next_promise_ask || !self.tenure.wants_promise(now, self.schedule()) {
+            return;
+        }
+        self.next_promise_ask = now.plus(self.schedule().heartbeat);
+        let Some(successor) = cell.successor() else {
+            return;
+        };
+        let Some(entry) = self.hosts.get(&successor.host) else {
+            return;
+        };
+        turn.emit(AgentEffect::SendDatagram {
+            to: successor.control_address,
+            message: ControlMessage::PromiseAsk(PromiseAsk {
+                cell: self.cell_id(),
+                planner: self.place.host.clone(),
+                epoch: self.epoch,
+                clock: now,
+                incarnation: entry.incarnation,
+            }),
+        });
+    }
+
+    /// Returns the successor to name, if the present one is gone or there is none.
+    pub(crate) fn wanted_successor(
+        &self,
+        cell: &CellState,
+        now: MonoTime,
+    ) -> Option<SuccessorName> {
+        let suits = |host: &HostId, entry: &HostEntry| {
+            let live = entry.renewed.is_some() && !self.is_lapsed(host, now);
+            *host != self.place.host && live && !entry.leaving
+        };
+        let present = cell.successor().and_then(|name| {
+            let entry = self.hosts.get(&name.host)?;
+            suits(&name.host, entry).then_some(())
+        });
+        if present.is_some() {
+            return None;
+        }
+        let candidates = self
+            .hosts
+            .hosts()
+            .iter()
+            .filter(|(host, entry)| suits(host, entry));
+        candidates
+            .min_by_key(|(host, entry)| (entry.rack == self.place.rack, (*host).clone()))
+            .map(|(host, entry)| SuccessorName {
+                host: host.clone(),
+                control_address: entry.address,
+            })
+    }
+
+    /// Sets the view to the hosts under a lease, once no earlier planner's leases can stand.
+    pub(super) fn refresh_view(&mut self, now: MonoTime) {
+        let schedule = &self.policy.schedule;
+        let earlier = self.tenure.earlier_until();
+        let first = self.tenure.is_first();
+        if !first && now <= earlier.plus(schedule.lease).plus(schedule.margin) {
+            return;
+        }
+        let live = self
+            .hosts
+            .hosts()
+            .iter()
+            .filter(|(host, entry)| entry.renewed.is_some() && !self.is_lapsed(host, now));
+        let members = live
+            .map(|(host, entry)| HostBook::member(host, entry))
+            .collect();
+        self.view.update(self.epoch, members);
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_schedule/src/planner/standing.rs
@@ -0,0 +1,82 @@
+//! Status of the cell for operators.
+
+use crate::cell_log::{AttemptFate, CellState};
+use crate::planner::CellPlanner;
+use crate::planner::tasks::{OwnedTask, TaskState, owned_tasks};
+use hornbeamlead_core::clock::MonoTime;
+use hornbeamlead_core::fleet::FleetState;
+use hornbeamlead_core::ids::JobName;
+use hornbeamlead_core::status::{CellStatus, JobStanding};
+use hornbeamlead_core::task::{TaskPhase, TaskStanding};
+use std::collections::BTreeMap;
+
+impl CellPlanner {
+    /// Returns the status of the cell.
+    pub(crate) fn status(&self, cell: &CellState, fleet: &FleetState, now: MonoTime) -> CellStatus {
+        let tasks = owned_tasks(self.cell_id(), self.jobs.state(), cell, fleet);
+        let live = self
+            .hosts
+            .hosts()
+            .iter()
+            .filter(|(host, entry)| entry.renewed.is_some() && !self.is_lapsed(host, now));
+        CellStatus {
+            hosts: live.map(|(host, _)| host.clone()).collect(),
+            quarantined: self.quarantine.closed().cloned().collect(),
+            jobs: self.job_standings(&tasks),
+            tasks: tasks.iter().map(task_standing).collect(),
+            evictions: self.evictions,
+        }
+    }
+
+    fn job_standings(&self, tasks: &[OwnedTask<'_>]) -> Vec<JobStanding> {
+        let mut standings: BTreeMap<JobName, JobStanding> = BTreeMap::new();
+        for task in tasks {
+            let standing = entry(&mut standings, &task.task.job);
+            match task.state {
+                TaskState::Waiting => standing.waiting += 1,
+                TaskState::Started => standing.running += 1,
+                TaskState::Ended => {}
+            }
+        }
+        for (job, ledgers) in self.jobs.state().jobs() {
+            let standing = entry(&mut standings, job);
+            for ended in ledgers.values().filter_map(|ledger| ledger.ended.as_ref()) {
+                match ended.phase {
+                    TaskPhase::Finished => standing.finished += 1,
+                    _ => standing.failed += 1,
+                }
+            }
+        }
+        for (job, reason) in &self.infeasible {
+            entry(&mut standings, job).infeasible = Some(reason.clone());
+        }
+        standings.into_values().collect()
+    }
+}
+
+fn entry<'a>(
+    standings: &'a mut BTreeMap<JobName, JobStanding>,
+    job: &JobName,
+) -> &'a mut JobStanding {
+    standings.entry(job.clone()).or_insert_with(|| JobStanding {
+        job: job.clone(),
+        waiting: 0,
+        running: 0,
+        finished: 0,
+        failed: 0,
+        infeasible: None,
+    })
+}
+
+fn task_standing(task: &OwnedTask<'_>) -> TaskStanding {
+    let state = match task.standing.map(|standing| &standing.fate) {
+        Some(AttemptFate::Started { host }) => format!("started on {host}"),
+        Some(AttemptFate::Ended(phase)) => format!("ended: {phase:?}"),
+        Some(AttemptFate::Released) | None => "waiting".to_owned(),
+    };
+    TaskStanding {
+        task: task.task.clone(),
+        attempts: task.number,
+        state: state.into(),
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_schedule/tests/common/log.rs
@@ -0,0 +1,103 @@
+//! Fake log: streams in memory, with retention.
+
+use hornbeamlead_core::effect::OwnRecord;
+use hornbeamlead_core::event::{NoteEntry, NoteRecord, StreamBatch};
+use hornbeamlead_core::fleet::FleetState;
+use hornbeamlead_core::ids::{LogOffset, RecordId};
+use hornbeamlead_core::note::ReleaseNote;
+use hornbeamlead_core::record::{
+    CellRecord, JobRecord, LogBatch, LogFault, PlacedRecord, RawRecord, StreamName,
+};
+use std::collections::BTreeMap;
+
+/// Records in one read, at most.
+const READ_LIMIT: usize = 64;
+
+/// Fake log.
+#[derive(Debug, Default)]
+pub(crate) struct FakeLog {
+    pub(crate) notes: Vec<PlacedRecord<NoteRecord>>,
+    pub(crate) jobs: Vec<PlacedRecord<JobRecord>>,
+    pub(crate) cells: BTreeMap<StreamName, Vec<PlacedRecord<CellRecord>>>,
+    pub(crate) oldest: BTreeMap<StreamName, u64>,
+    pub(crate) fleet: FleetState,
+}
+
+impl FakeLog {
+    /// Publishes a note; returns its offset.
+    pub(crate) fn publish(&mut self, note: ReleaseNote) -> LogOffset {
+        let offset = LogOffset(self.notes.len() as u64);
+        self.fleet.apply(offset, &note).expect("accepted note");
+        self.push_note(NoteEntry::Note(note));
+        offset
+    }
+
+    fn push_note(&mut self, entry: NoteEntry) {
+        let offset = LogOffset(self.notes.len() as u64);
+        let raw = RawRecord {
+            offset,
+            payload: bytes::Bytes::new(),
+        };
+        let record = NoteRecord {
+            entry: Some(entry),
+            raw,
+        };
+        self.notes.push(PlacedRecord { offset, record });
+    }
+
+    /// Appends a record; returns its position.
+    pub(crate) fn append(&mut self, stream: &StreamName, record: OwnRecord) -> LogOffset {
+        match record {
+            OwnRecord::NotesSnapshot(snapshot) => {
+                self.push_note(NoteEntry::Snapshot(snapshot));
+                LogOffset(self.notes.len() as u64 - 1)
+            }
+            OwnRecord::Job(record) => push(&mut self.jobs, record),
+            OwnRecord::Cell(record) => push(self.cells.entry(stream.clone()).or_default(), record),
+        }
+    }
+
+    /// Reads a stretch.
+    pub(crate) fn read(
+        &self,
+        stream: &StreamName,
+        from: LogOffset,
+    ) -> Result<StreamBatch, LogFault> {
+        let oldest = LogOffset(self.oldest.get(stream).copied().unwrap_or(0));
+        if from < oldest {
+            return Err(LogFault::Gone { oldest });
+        }
+        let empty = Vec::new();
+        Ok(match stream {
+            StreamName::Notes => StreamBatch::Notes(cut(&self.notes, oldest, from)),
+            StreamName::Jobs => StreamBatch::Jobs(cut(&self.jobs, oldest, from)),
+            StreamName::Cell(_) => {
+                StreamBatch::Cell(cut(self.cells.get(stream).unwrap_or(&empty), oldest, from))
+            }
+        })
+    }
+}
+
+/// Returns the id of a record.
+pub(crate) fn record_id(record: &OwnRecord) -> RecordId {
+    match record {
+        OwnRecord::Job(record) => record.id.clone(),
+        OwnRecord::Cell(record) => record.id.clone(),
+        OwnRecord::NotesSnapshot(_) => RecordId::new("notes").expect("valid name"),
+    }
+}
+
+fn push<R>(records: &mut Vec<PlacedRecord<R>>, record: R) -> LogOffset {
+    let offset = LogOffset(records.len() as u64);
+    records.push(PlacedRecord { offset, record });
+    offset
+}
+
+fn cut<R: Clone>(records: &[PlacedRecord<R>], oldest: LogOffset, from: LogOffset) -> LogBatch<R> {
+    let start = usize::try_from(from.0).expect("small").min(records.len());
+    LogBatch {
+        oldest,
+        next: LogOffset(records.len() as u64),
+        records: records[start..].iter().take(READ_LIMIT).cloned().collect(),
+    }
+}
