[ctl] Replay the jobs and cells streams for the progress of jobs

Need: a job's progress must be told when a planner is gone, and ended tasks must be counted once: each planner counts the ends of all cells, so summing the planners' figures counted them once a cell. The streams are replayed by the schedule package's own readers; with the log down the planners' figures stand in, ends by the greatest of them.

--- a/crates/hornbeamlead_ctl/src/lib.rs
+++ b/crates/hornbeamlead_ctl/src/lib.rs
@@ -18,6 +18,7 @@
 mod notes_reader;
 mod operators;
 mod publish;
+mod replay;
 mod rollout;
 mod run;
 mod status;
--- a/crates/hornbeamlead_ctl/src/notes_reader.rs
+++ b/crates/hornbeamlead_ctl/src/notes_reader.rs
@@ -32,7 +32,7 @@
 pub(crate) struct NotesReader {
     log: LogClient,
     keeper: NotesKeeper,
-    watched: NoteId,
+    watched: Option<NoteId>,
     seen: Option<ReleaseNote>,
     refusal: Option<NoteRefusal>,
 }
@@ -40,10 +40,18 @@
 impl NotesReader {
     /// Makes a reader that watches for one note.
     pub(crate) fn new(log: LogClient, watched: NoteId) -> Self {
+        Self {
+            watched: Some(watched),
+            ..Self::unwatched(log)
+        }
+    }
+
+    /// Makes a reader of the configuration alone.
+    pub(crate) fn unwatched(log: LogClient) -> Self {
         Self {
             log,
             keeper: NotesKeeper::default(),
-            watched,
+            watched: None,
             seen: None,
             refusal: None,
         }
@@ -85,7 +93,8 @@
 
     /// Tells what became of the watched note, which is expected to read `wanted` if given.
     pub(crate) fn finding(&self, wanted: Option<&ReleaseNote>) -> NoteFinding {
-        let Some(fate) = self.fleet().fate(&self.watched) else {
+        let watched = self.watched.as_ref();
+        let Some(fate) = watched.and_then(|id| self.fleet().fate(id)) else {
             return NoteFinding::Absent;
         };
         match (wanted, &self.seen) {
@@ -104,7 +113,7 @@
             let verdicts = self.keeper.apply_records(&[record]);
             for verdict in verdicts {
                 match verdict.result {
-                    Err(refusal) if verdict.id == self.watched && self.refusal.is_none() => {
+                    Err(refusal) if self.watches(&verdict.id) && self.refusal.is_none() => {
                         self.refusal = Some(refusal);
                     }
                     Err(_) | Ok(_) => {}
@@ -113,10 +122,14 @@
         }
     }
 
+    fn watches(&self, id: &NoteId) -> bool {
+        self.watched.as_ref() == Some(id)
+    }
+
     /// Remembers the first note of the watched id.
     fn watch(&mut self, record: &PlacedRecord<NoteRecord>) {
         match &record.record.entry {
-            Some(NoteEntry::Note(note)) if note.id == self.watched && self.seen.is_none() => {
+            Some(NoteEntry::Note(note)) if self.watches(&note.id) && self.seen.is_none() => {
                 self.seen = Some(note.clone());
             }
             _ => {}
--- a/crates/hornbeamlead_ctl/src/run.rs
+++ b/crates/hornbeamlead_ctl/src/run.rs
@@ -75,7 +75,8 @@
         } => show(cancel(common, publish, job).await, json),
         ToolCommand::Status { common } => match load_settings(common) {
             Ok(settings) => {
-                let report = ask_status(&OperatorsClient::new(), &settings.entries).await;
+                let log = LogClient::new(settings.log);
+                let report = ask_status(&OperatorsClient::new(), &log, &settings.entries).await;
                 print(&report, json)
             }
             Err(failure) => print(&failure, json),
--- a/crates/hornbeamlead_ctl/src/status.rs
+++ b/crates/hornbeamlead_ctl/src/status.rs
@@ -1,10 +1,11 @@
 //! Status of the fleet.
 
 use crate::fleet_view::{KnownProcess, ask_fleet};
-use crate::jobs::{JobProgress, sum_progress};
+use crate::jobs::{JobProgress, ask_progress};
 use crate::operators::OperatorsClient;
 use crate::report::{ExitStatus, ToolReport};
 use crate::status_wire::{CellWire, ProcessWire};
+use hornbeamlead_platform::log::LogClient;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -39,7 +40,11 @@
 }
 
 /// Asks all known processes for their status.
-pub(crate) async fn ask_status(client: &OperatorsClient, entries: &[SocketAddr]) -> StatusReport {
+pub(crate) async fn ask_status(
+    client: &OperatorsClient,
+    log: &LogClient,
+    entries: &[SocketAddr],
+) -> StatusReport {
     let known = ask_fleet(client, entries).await;
     let newest = known
         .iter()
@@ -53,7 +58,7 @@
             status.configuration.data_centres.clone()
         }),
         services: newest.map_or_else(Vec::new, |status| status.configuration.services.clone()),
-        jobs: sum_progress(&known),
+        jobs: ask_progress(log, &known).await,
         evictions: cells.iter().map(|cell| cell.evictions).sum(),
         quarantined: quarantined.cloned().collect(),
         processes: known.iter().map(ProcessLine::from).collect(),
@@ -135,6 +140,9 @@
             f,
             "waiting={waiting} running={running} finished={finished} failed={failed}"
         )?;
+        if let Some(resumed) = self.resumed {
+            write!(f, " resumed={resumed}")?;
+        }
         match &self.infeasible {
             Some(reason) => write!(f, " infeasible=\"{reason}\""),
             None => Ok(()),
