--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/control.rs
@@ -0,0 +1,78 @@
+//! Control thread: datagrams between processes.
+
+use crate::counters::ProcessCounters;
+use crate::decision::{InboxItem, RoleInput};
+use crate::ring::RingSender;
+use hornbeamlead_core::counter::RefusalReason;
+use hornbeamlead_core::message::control::ControlMessage;
+use hornbeamlead_wire::{MAX_DATAGRAM_BYTES, decode_control, encode_control};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+/// Datagram to send.
+#[derive(Debug)]
+pub(crate) struct Datagram {
+    /// Receiver.
+    pub(crate) to: SocketAddr,
+    /// Message.
+    pub(crate) message: ControlMessage,
+}
+
+/// Datagrams that may wait to be sent.
+pub(crate) const CONTROL_RING: usize = 1024;
+
+/// Duty of the control thread.
+pub(crate) struct ControlDuty<I> {
+    /// Socket on the port number of the links' listener.
+    pub(crate) socket: UdpSocket,
+    /// Datagrams to send.
+    pub(crate) outgoing: mpsc::Receiver<Datagram>,
+    /// Ring into the decisions.
+    pub(crate) inbox: RingSender<InboxItem<I>>,
+    /// Counters.
+    pub(crate) counters: Arc<ProcessCounters>,
+}
+
+impl<I: RoleInput> ControlDuty<I> {
+    /// Sends and receives until the decision thread has ended.
+    pub(crate) async fn run(mut self) {
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        loop {
+            tokio::select! {
+                datagram = self.outgoing.recv() => match datagram {
+                    Some(datagram) => self.send(&datagram).await,
+                    None => return,
+                },
+                received = self.socket.recv_from(&mut buffer) => {
+                    // An error here reports an earlier datagram that nobody took.
+                    if let Ok((length, from)) = received {
+                        self.receive(&buffer[..length], from);
+                    }
+                }
+            }
+        }
+    }
+
+    async fn send(&self, datagram: &Datagram) {
+        let bytes = encode_control(&datagram.message);
+        if bytes.len() > MAX_DATAGRAM_BYTES {
+            self.counters.refusal(RefusalReason::BodyTooLong);
+            return;
+        }
+        // A datagram that is lost here is one that may be lost on its way.
+        let _ = self.socket.send_to(&bytes, datagram.to).await;
+    }
+
+    fn receive(&self, bytes: &[u8], from: SocketAddr) {
+        let Ok(message) = decode_control(bytes) else {
+            self.counters.refusal(RefusalReason::Undecodable);
+            return;
+        };
+        let item = InboxItem::Input(I::datagram(from, message));
+        if self.inbox.offer(item).is_err() {
+            self.counters.refusal(RefusalReason::RingFull);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/counters.rs
@@ -0,0 +1,111 @@
+//! Counts refusals, retries and requests, for `/status` and for statsd.
+
+use cadence::{BufferedUdpMetricSink, Counted, MetricSink, QueuingMetricSink, StatsdClient, Timed};
+use hornbeamlead_core::counter::{RefusalReason, RetryReason};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// First part of each metric's name.
+const METRIC_PREFIX: &str = "hornbeamlead";
+
+/// Metrics that may wait for the sending thread.
+const METRIC_QUEUE: usize = 4096;
+
+/// Counters of a process, shared by its threads.
+pub(crate) struct ProcessCounters {
+    refusals: Vec<AtomicU64>,
+    retries: Vec<AtomicU64>,
+    requests: AtomicU64,
+    statsd: Option<StatsdClient>,
+}
+
+impl ProcessCounters {
+    /// Makes counters at zero, which also go to a statsd server if one is named.
+    ///
+    /// # Errors
+    /// Returns the error of the socket.
+    pub(crate) fn new(statsd: Option<SocketAddr>) -> std::io::Result<Self> {
+        Ok(Self {
+            refusals: zeros(RefusalReason::ALL.len()),
+            retries: zeros(RetryReason::ALL.len()),
+            requests: AtomicU64::new(0),
+            statsd: statsd.map(open_statsd).transpose()?,
+        })
+    }
+
+    /// Counts a refusal.
+    pub(crate) fn refusal(&self, reason: RefusalReason) {
+        self.refusals[usize::from(reason.number())].fetch_add(1, Ordering::Relaxed);
+        self.send_count(&format!("refusal.{reason}"));
+    }
+
+    /// Counts a retry.
+    pub(crate) fn retry(&self, reason: RetryReason) {
+        self.retries[usize::from(reason.number())].fetch_add(1, Ordering::Relaxed);
+        self.send_count(&format!("retry.{reason}"));
+    }
+
+    /// Counts a request and how long it took.
+    pub(crate) fn request(&self, latency: Duration) {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        if let Some(client) = &self.statsd {
+            let _ = client.count("requests", 1u64);
+            let _ = client.time("request_latency", latency);
+        }
+    }
+
+    /// Returns the number of requests.
+    pub(crate) fn requests(&self) -> u64 {
+        self.requests.load(Ordering::Relaxed)
+    }
+
+    /// Returns the refusals that happened, by name.
+    pub(crate) fn refusals(&self) -> BTreeMap<&'static str, u64> {
+        let names = RefusalReason::ALL.iter().map(|reason| reason.as_str());
+        nonzero(names, &self.refusals)
+    }
+
+    /// Returns the retries that happened, by name.
+    pub(crate) fn retries(&self) -> BTreeMap<&'static str, u64> {
+        let names = RetryReason::ALL.iter().map(|reason| reason.as_str());
+        nonzero(names, &self.retries)
+    }
+
+    fn send_count(&self, name: &str) {
+        if let Some(client) = &self.statsd {
+            let _ = client.count(name, 1u64);
+        }
+    }
+}
+
+fn zeros(length: usize) -> Vec<AtomicU64> {
+    (0..length).map(|_| AtomicU64::new(0)).collect()
+}
+
+fn nonzero(
+    names: impl Iterator<Item = &'static str>,
+    counters: &[AtomicU64],
+) -> BTreeMap<&'static str, u64> {
+    names
+        .zip(counters)
+        .map(|(name, counter)| (name, counter.load(Ordering::Relaxed)))
+        .filter(|(_, count)| *count > 0)
+        .collect()
+}
+
+fn open_statsd(address: SocketAddr) -> std::io::Result<StatsdClient> {
+    let socket = UdpSocket::bind(("127.0.0.1", 0))?;
+    socket.set_nonblocking(true)?;
+    let buffered = BufferedUdpMetricSink::from(address, socket).map_err(std::io::Error::other)?;
+    let queued = QueuingMetricSink::with_capacity(buffered, METRIC_QUEUE);
+    Ok(client_over(queued))
+}
+
+fn client_over<S>(sink: S) -> StatsdClient
+where
+    S: MetricSink + Send + Sync + std::panic::RefUnwindSafe + std::panic::UnwindSafe + 'static,
+{
+    StatsdClient::from_sink(METRIC_PREFIX, sink)
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/decision/agent.rs
@@ -0,0 +1,248 @@
+//! Agent role: hands work to the endpoint, the worker and the log.
+
+use super::role::{DecisionRole, RoleInput, SharedEffect, SortedEffect};
+use super::status::{AgentWire, RoleWire};
+use crate::platform::{EndpointCommand, LogCommand, WorkerCommand};
+use hornbeamlead_agent::AgentMachine;
+use hornbeamlead_core::clock::{ClockReading, MonoTime};
+use hornbeamlead_core::effect::{AgentEffect, OwnRecord};
+use hornbeamlead_core::event::{AgentEvent, EndpointOutcome, NoteRecord, StreamBatch};
+use hornbeamlead_core::fleet::FleetState;
+use hornbeamlead_core::ids::{LinkId, LogOffset, RecordId, RequestId, Revision};
+use hornbeamlead_core::message::control::ControlMessage;
+use hornbeamlead_core::message::request::{ForwardedRequest, LinkMessage};
+use hornbeamlead_core::record::{LogFault, PlacedRecord, StreamName};
+use hornbeamlead_core::task::{WorkerCall, WorkerFault};
+use std::net::SocketAddr;
+use tokio::sync::mpsc;
+
+/// Rings that only an agent uses.
+pub(crate) struct AgentOutlets {
+    /// Ring of the log.
+    pub(crate) log: mpsc::Sender<LogCommand>,
+    /// Ring of the worker.
+    pub(crate) worker: mpsc::Sender<WorkerCommand>,
+    /// Ring of the endpoint.
+    pub(crate) endpoint: mpsc::Sender<EndpointCommand>,
+}
+
+/// Agent's state machine with its rings.
+pub(crate) struct AgentRole {
+    machine: AgentMachine,
+    outlets: AgentOutlets,
+}
+
+/// Effect that only an agent knows.
+pub(crate) enum AgentOwn {
+    /// Hands a request to the endpoint.
+    CallEndpoint(SocketAddr, ForwardedRequest),
+    /// Drops an exchange with the endpoint.
+    AbandonEndpoint(RequestId),
+    /// Calls the worker.
+    CallWorker(SocketAddr, WorkerCall),
+    /// Reads a stream.
+    ReadLog(StreamName, LogOffset),
+    /// Appends a record.
+    AppendLog(StreamName, OwnRecord),
+}
+
+impl AgentRole {
+    /// Makes the role.
+    pub(crate) fn new(machine: AgentMachine, outlets: AgentOutlets) -> Self {
+        Self { machine, outlets }
+    }
+
+    fn call_endpoint(&self, address: SocketAddr, request: ForwardedRequest) -> Option<AgentEvent> {
+        let id = request.id.clone();
+        let command = EndpointCommand::Call { address, request };
+        let refused = self.outlets.endpoint.try_send(command).is_err();
+        refused.then_some(AgentEvent::EndpointDone {
+            id,
+            outcome: EndpointOutcome::Unreachable,
+        })
+    }
+
+    fn call_worker(&self, address: SocketAddr, call: WorkerCall) -> Option<AgentEvent> {
+        let command = WorkerCommand {
+            address,
+            call: call.clone(),
+        };
+        let refused = self.outlets.worker.try_send(command).is_err();
+        refused.then_some(AgentEvent::WorkerDone {
+            call,
+            result: Err(WorkerFault::Refused {
+                reason: RING_FULL.into(),
+            }),
+        })
+    }
+
+    fn read_log(&self, stream: StreamName, from: LogOffset) -> Option<AgentEvent> {
+        let command = LogCommand::Read {
+            stream: stream.clone(),
+            from,
+        };
+        let refused = self.outlets.log.try_send(command).is_err();
+        refused.then_some(AgentEvent::LogRead {
+            stream,
+            began: MonoTime::default(),
+            result: Err(LogFault::Unavailable),
+        })
+    }
+
+    fn append_log(&self, stream: StreamName, record: OwnRecord) -> Option<AgentEvent> {
+        let id = record_id(&record);
+        let command = LogCommand::Append {
+            stream: stream.clone(),
+            record,
+        };
+        let refused = self.outlets.log.try_send(command).is_err();
+        refused.then_some(AgentEvent::LogAppended {
+            stream,
+            id: id?,
+            result: Err(LogFault::Unavailable),
+        })
+    }
+}
+
+/// Reason given for a call that found no room in the ring of the worker.
+const RING_FULL: &str = "ring_full";
+
+/// Returns the id of a record; snapshots of the notes have none.
+pub(crate) fn record_id(record: &OwnRecord) -> Option<RecordId> {
+    match record {
+        OwnRecord::NotesSnapshot(_) => None,
+        OwnRecord::Job(record) => Some(record.id.clone()),
+        OwnRecord::Cell(record) => Some(record.id.clone()),
+    }
+}
+
+impl DecisionRole for AgentRole {
+    type Input = AgentEvent;
+    type Effect = AgentEffect;
+    type Own = AgentOwn;
+
+    fn handle(&mut self, now: ClockReading, input: AgentEvent) -> Vec<AgentEffect> {
+        self.machine.handle(now, &input)
+    }
+
+    fn sort(effect: AgentEffect) -> SortedEffect<AgentOwn> {
+        let shared = match effect {
+            AgentEffect::CallEndpoint { address, request } => {
+                return SortedEffect::Own(AgentOwn::CallEndpoint(address, request));
+            }
+            AgentEffect::AbandonEndpoint { id } => {
+                return SortedEffect::Own(AgentOwn::AbandonEndpoint(id));
+            }
+            AgentEffect::CallWorker { address, call } => {
+                return SortedEffect::Own(AgentOwn::CallWorker(address, call));
+            }
+            AgentEffect::ReadLog { stream, from } => {
+                return SortedEffect::Own(AgentOwn::ReadLog(stream, from));
+            }
+            AgentEffect::AppendLog { stream, record } => {
+                return SortedEffect::Own(AgentOwn::AppendLog(stream, record));
+            }
+            AgentEffect::ReplyLink { link, message } => SharedEffect::ReplyLink { link, message },
+            AgentEffect::SendLink { to, message } => SharedEffect::SendLink { to, message },
+            AgentEffect::SendDatagram { to, message } => SharedEffect::SendDatagram { to, message },
+            AgentEffect::CountRefusal(reason) => SharedEffect::CountRefusal(reason),
+            AgentEffect::CountRetry(reason) => SharedEffect::CountRetry(reason),
+            AgentEffect::Decide(note) => SharedEffect::Decide(note),
+            AgentEffect::WakeAt(at) => SharedEffect::WakeAt(at),
+            AgentEffect::Exit => SharedEffect::Exit,
+        };
+        SortedEffect::Shared(shared)
+    }
+
+    fn perform(&mut self, own: AgentOwn) -> Option<AgentEvent> {
+        match own {
+            AgentOwn::CallEndpoint(address, request) => self.call_endpoint(address, request),
+            AgentOwn::CallWorker(address, call) => self.call_worker(address, call),
+            AgentOwn::ReadLog(stream, from) => self.read_log(stream, from),
+            AgentOwn::AppendLog(stream, record) => self.append_log(stream, record),
+            AgentOwn::AbandonEndpoint(id) => {
+                // An exchange that is not dropped ends by its own deadline.
+                let _ = self.outlets.endpoint.try_send(EndpointCommand::Abandon(id));
+                None
+            }
+        }
+    }
+
+    fn fleet(&self) -> &FleetState {
+        self.machine.fleet()
+    }
+
+    fn status(&self, now: ClockReading) -> RoleWire {
+        RoleWire::Agent(AgentWire::new(&self.machine.status(), now.mono))
+    }
+}
+
+impl RoleInput for AgentEvent {
+    fn woke() -> Self {
+        Self::Woke
+    }
+
+    fn stop_asked() -> Self {
+        Self::StopAsked
+    }
+
+    fn datagram(from: SocketAddr, message: ControlMessage) -> Self {
+        Self::Datagram { from, message }
+    }
+
+    fn notes_passed(records: Vec<PlacedRecord<NoteRecord>>) -> Self {
+        Self::NotesPassed(records)
+    }
+
+    fn notes_asked(link: LinkId, from: Revision) -> Self {
+        Self::NotesAsked { link, from }
+    }
+
+    fn incoming(link: LinkId, message: LinkMessage) -> Option<Self> {
+        match message {
+            LinkMessage::Request(request) => Some(Self::Requested { link, request }),
+            LinkMessage::Cancel(id) => Some(Self::Cancelled { link, id }),
+            LinkMessage::KeyQuery(query) => Some(Self::KeyAsked { link, query }),
+            LinkMessage::Reply(_)
+            | LinkMessage::KeyAnswer(_)
+            | LinkMessage::NotesAsk(_)
+            | LinkMessage::Notes(_) => None,
+        }
+    }
+
+    fn outgoing(from: SocketAddr, message: LinkMessage) -> Option<Self> {
+        match message {
+            LinkMessage::Reply(reply) => Some(Self::Replied { from, reply }),
+            LinkMessage::KeyAnswer(answer) => Some(Self::KeyAnswered { from, answer }),
+            LinkMessage::Request(_)
+            | LinkMessage::Cancel(_)
+            | LinkMessage::KeyQuery(_)
+            | LinkMessage::NotesAsk(_)
+            | LinkMessage::Notes(_) => None,
+        }
+    }
+
+    fn link_closed(link: LinkId) -> Option<Self> {
+        Some(Self::LinkClosed { link })
+    }
+
+    fn link_refused(to: SocketAddr, unsent: Vec<RequestId>) -> Self {
+        Self::LinkRefused { to, unsent }
+    }
+
+    fn link_broken(to: SocketAddr) -> Self {
+        Self::LinkBroken { to }
+    }
+
+    fn log_read(
+        stream: StreamName,
+        began: MonoTime,
+        result: Result<StreamBatch, LogFault>,
+    ) -> Option<Self> {
+        Some(Self::LogRead {
+            stream,
+            began,
+            result,
+        })
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/decision/entry.rs
@@ -0,0 +1,209 @@
+//! Entry role: hands callers' requests to the state machine and its answers back.
+
+use super::role::{DecisionRole, RoleInput, SharedEffect, SortedEffect};
+use super::status::{EntryWire, RoleWire};
+use crate::platform::LogCommand;
+use hornbeamlead_core::clock::{ClockReading, MonoTime};
+use hornbeamlead_core::effect::{CallerAnswer, EntryEffect};
+use hornbeamlead_core::event::{EntryEvent, NoteRecord, StreamBatch};
+use hornbeamlead_core::fleet::FleetState;
+use hornbeamlead_core::ids::{CallerTicket, LinkId, LogOffset, RequestId, Revision};
+use hornbeamlead_core::message::control::ControlMessage;
+use hornbeamlead_core::message::request::{CallerRequest, LinkMessage};
+use hornbeamlead_core::record::{LogFault, PlacedRecord, StreamName};
+use hornbeamlead_request::entry::EntryMachine;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use tokio::sync::{mpsc, oneshot};
+
+/// Caller's request with the way back.
+pub(crate) struct CallerCall {
+    /// Ticket, unique within the process.
+    pub(crate) ticket: CallerTicket,
+    /// What is asked.
+    pub(crate) request: CallerRequest,
+    /// Deadline that the caller named.
+    pub(crate) deadline: Option<MonoTime>,
+    /// Where the answer goes.
+    pub(crate) answer: oneshot::Sender<CallerAnswer>,
+}
+
+/// Event of an entry with what the driver adds to it.
+pub(crate) enum EntryInput {
+    /// Event as the state machine knows it.
+    Event(EntryEvent),
+    /// Caller's request.
+    Call(CallerCall),
+}
+
+/// Rings that only an entry uses.
+pub(crate) struct EntryOutlets {
+    /// Ring of the log.
+    pub(crate) log: mpsc::Sender<LogCommand>,
+}
+
+/// Entry's state machine with the callers that wait.
+pub(crate) struct EntryRole {
+    machine: EntryMachine,
+    waiting: HashMap<CallerTicket, oneshot::Sender<CallerAnswer>>,
+    outlets: EntryOutlets,
+}
+
+/// Effect that only an entry knows.
+pub(crate) enum EntryOwn {
+    /// Gives a caller its answer.
+    AnswerCaller(CallerTicket, CallerAnswer),
+    /// Reads the notes.
+    ReadNotes(LogOffset),
+}
+
+impl EntryRole {
+    /// Makes the role.
+    pub(crate) fn new(machine: EntryMachine, outlets: EntryOutlets) -> Self {
+        Self {
+            machine,
+            waiting: HashMap::new(),
+            outlets,
+        }
+    }
+
+    fn enter(&mut self, input: EntryInput) -> EntryEvent {
+        match input {
+            EntryInput::Event(EntryEvent::CallerGone { ticket }) => {
+                self.waiting.remove(&ticket);
+                EntryEvent::CallerGone { ticket }
+            }
+            EntryInput::Event(event) => event,
+            EntryInput::Call(call) => {
+                self.waiting.insert(call.ticket, call.answer);
+                EntryEvent::CallerAsked {
+                    ticket: call.ticket,
+                    request: call.request,
+                    deadline: call.deadline,
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, ticket: CallerTicket, answer: CallerAnswer) {
+        if let Some(sender) = self.waiting.remove(&ticket) {
+            let _ = sender.send(answer);
+        }
+    }
+}
+
+impl DecisionRole for EntryRole {
+    type Input = EntryInput;
+    type Effect = EntryEffect;
+    type Own = EntryOwn;
+
+    fn handle(&mut self, now: ClockReading, input: EntryInput) -> Vec<EntryEffect> {
+        let event = self.enter(input);
+        self.machine.handle(now, event)
+    }
+
+    fn sort(effect: EntryEffect) -> SortedEffect<EntryOwn> {
+        let shared = match effect {
+            EntryEffect::AnswerCaller { ticket, answer } => {
+                return SortedEffect::Own(EntryOwn::AnswerCaller(ticket, answer));
+            }
+            EntryEffect::ReadNotes { from } => return SortedEffect::Own(EntryOwn::ReadNotes(from)),
+            EntryEffect::SendLink { to, message } => SharedEffect::SendLink { to, message },
+            EntryEffect::ReplyLink { link, message } => SharedEffect::ReplyLink { link, message },
+            EntryEffect::SendDatagram { to, message } => SharedEffect::SendDatagram { to, message },
+            EntryEffect::CountRefusal(reason) => SharedEffect::CountRefusal(reason),
+            EntryEffect::CountRetry(reason) => SharedEffect::CountRetry(reason),
+            EntryEffect::Decide(note) => SharedEffect::Decide(note),
+            EntryEffect::WakeAt(at) => SharedEffect::WakeAt(at),
+            EntryEffect::Exit => SharedEffect::Exit,
+        };
+        SortedEffect::Shared(shared)
+    }
+
+    fn perform(&mut self, own: EntryOwn) -> Option<EntryInput> {
+        match own {
+            EntryOwn::AnswerCaller(ticket, answer) => {
+                self.answer(ticket, answer);
+                None
+            }
+            EntryOwn::ReadNotes(from) => {
+                let stream = StreamName::Notes;
+                let refused = self
+                    .outlets
+                    .log
+                    .try_send(LogCommand::Read { stream, from })
+                    .is_err();
+                refused.then_some(EntryInput::Event(EntryEvent::NotesRead {
+                    began: MonoTime::default(),
+                    result: Err(LogFault::Unavailable),
+                }))
+            }
+        }
+    }
+
+    fn fleet(&self) -> &FleetState {
+        self.machine.fleet()
+    }
+
+    fn status(&self, now: ClockReading) -> RoleWire {
+        RoleWire::Entry(EntryWire::from(&self.machine.status(now)))
+    }
+}
+
+impl RoleInput for EntryInput {
+    fn woke() -> Self {
+        Self::Event(EntryEvent::Woke)
+    }
+
+    fn stop_asked() -> Self {
+        Self::Event(EntryEvent::StopAsked)
+    }
+
+    fn datagram(from: SocketAddr, message: ControlMessage) -> Self {
+        Self::Event(EntryEvent::Datagram { from, message })
+    }
+
+    fn notes_passed(records: Vec<PlacedRecord<NoteRecord>>) -> Self {
+        Self::Event(EntryEvent::NotesPassed(records))
+    }
+
+    fn notes_asked(link: LinkId, from: Revision) -> Self {
+        Self::Event(EntryEvent::NotesAsked { link, from })
+    }
+
+    fn incoming(_link: LinkId, _message: LinkMessage) -> Option<Self> {
+        None
+    }
+
+    fn outgoing(from: SocketAddr, message: LinkMessage) -> Option<Self> {
+        match message {
+            LinkMessage::Reply(reply) => Some(Self::Event(EntryEvent::Replied { from, reply })),
+            _ => None,
+        }
+    }
+
+    fn link_closed(_link: LinkId) -> Option<Self> {
+        None
+    }
+
+    fn link_refused(to: SocketAddr, unsent: Vec<RequestId>) -> Self {
+        Self::Event(EntryEvent::LinkRefused { to, unsent })
+    }
+
+    fn link_broken(to: SocketAddr) -> Self {
+        Self::Event(EntryEvent::LinkBroken { to })
+    }
+
+    fn log_read(
+        _stream: StreamName,
+        began: MonoTime,
+        result: Result<StreamBatch, LogFault>,
+    ) -> Option<Self> {
+        let result = match result {
+            Ok(StreamBatch::Notes(batch)) => Ok(batch),
+            Ok(StreamBatch::Jobs(_) | StreamBatch::Cell(_)) => return None,
+            Err(fault) => Err(fault),
+        };
+        Some(Self::Event(EntryEvent::NotesRead { began, result }))
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/decision/mod.rs
@@ -0,0 +1,230 @@
+//! Runs the state machine of a role on a thread of its own.
+
+mod agent;
+mod entry;
+mod role;
+mod status;
+
+pub(crate) use agent::{AgentOutlets, AgentRole};
+pub(crate) use entry::{CallerCall, EntryInput, EntryOutlets, EntryRole};
+pub(crate) use role::{DecisionRole, RoleInput};
+pub(crate) use status::{OperatorAnswer, ProcessFacts};
+
+use crate::clock::HostClock;
+use crate::control::Datagram;
+use crate::counters::ProcessCounters;
+use crate::links::LinkCommand;
+use crossbeam_channel::{Receiver, RecvTimeoutError};
+use hornbeamlead_core::clock::MonoTime;
+use hornbeamlead_core::counter::RefusalReason;
+use hornbeamlead_core::event::StatusAsk;
+use hornbeamlead_core::explain::{DecisionNote, DecisionRing};
+use hornbeamlead_core::ids::RequestId;
+use hornbeamlead_core::message::request::LinkMessage;
+use role::{SharedEffect, SortedEffect};
+use slog::{Logger, info};
+use status::{DecisionWire, NoteWire, ProcessWire};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::sync::{mpsc, oneshot};
+
+/// Decisions kept for explanations.
+const KEPT_DECISIONS: usize = 4096;
+
+/// Decisions returned to one question.
+const TOLD_DECISIONS: usize = 256;
+
+/// Item of the ring into the decisions.
+pub(crate) enum InboxItem<I> {
+    /// Event for the state machine.
+    Input(I),
+    /// Question of an operator.
+    Question(OperatorQuestion),
+}
+
+/// Question of an operator with the way back.
+pub(crate) struct OperatorQuestion {
+    /// What is asked.
+    pub(crate) ask: StatusAsk,
+    /// Where the answer goes.
+    pub(crate) answer: oneshot::Sender<OperatorAnswer>,
+}
+
+/// Rings and counters that both roles use.
+pub(crate) struct SharedOutlets {
+    /// Ring of the links.
+    pub(crate) links: mpsc::Sender<LinkCommand>,
+    /// Ring of the datagrams.
+    pub(crate) control: mpsc::Sender<Datagram>,
+    /// Counters.
+    pub(crate) counters: Arc<ProcessCounters>,
+    /// Log.
+    pub(crate) log: Logger,
+    /// Clocks.
+    pub(crate) clock: HostClock,
+    /// Facts of the process for `/status`.
+    pub(crate) facts: ProcessFacts,
+}
+
+/// Decision thread of a role.
+pub(crate) struct DecisionLoop<R: DecisionRole> {
+    role: R,
+    inbox: Receiver<InboxItem<R::Input>>,
+    outlets: SharedOutlets,
+    decisions: DecisionRing,
+    wake_at: Option<MonoTime>,
+    undelivered: VecDeque<R::Input>,
+    exit: bool,
+}
+
+impl<R: DecisionRole> DecisionLoop<R> {
+    /// Makes the loop; its first event is a wake-up.
+    pub(crate) fn new(
+        role: R,
+        inbox: Receiver<InboxItem<R::Input>>,
+        outlets: SharedOutlets,
+    ) -> Self {
+        Self {
+            role,
+            inbox,
+            outlets,
+            decisions: DecisionRing::new(KEPT_DECISIONS),
+            wake_at: Some(MonoTime::default()),
+            undelivered: VecDeque::new(),
+            exit: false,
+        }
+    }
+
+    /// Runs until the state machine asks to exit or all other threads have ended.
+    pub(crate) fn run(mut self) {
+        while !self.exit {
+            match self.next_item() {
+                Some(InboxItem::Input(input)) => self.handle(input),
+                Some(InboxItem::Question(question)) => self.answer(question),
+                None => break,
+            }
+        }
+    }
+
+    /// Returns what is next: a refused effect, a due wake-up, or the next item of the ring.
+    fn next_item(&mut self) -> Option<InboxItem<R::Input>> {
+        if let Some(input) = self.undelivered.pop_front() {
+            return Some(InboxItem::Input(input));
+        }
+        let Some(wake_at) = self.wake_at else {
+            return self.inbox.recv().ok();
+        };
+        let patience = self.outlets.clock.until(wake_at);
+        if patience.is_zero() {
+            return Some(self.woken());
+        }
+        match self.inbox.recv_timeout(patience) {
+            Ok(item) => Some(item),
+            Err(RecvTimeoutError::Timeout) => Some(self.woken()),
+            Err(RecvTimeoutError::Disconnected) => None,
+        }
+    }
+
+    fn woken(&mut self) -> InboxItem<R::Input> {
+        self.wake_at = None;
+        InboxItem::Input(R::Input::woke())
+    }
+
+    fn handle(&mut self, input: R::Input) {
+        let now = self.outlets.clock.read();
+        for effect in self.role.handle(now, input) {
+            match R::sort(effect) {
+                SortedEffect::Shared(shared) => self.perform(shared),
+                SortedEffect::Own(own) => self.perform_own(own),
+            }
+        }
+    }
+
+    fn perform_own(&mut self, own: R::Own) {
+        if let Some(refused) = self.role.perform(own) {
+            self.outlets.counters.refusal(RefusalReason::RingFull);
+            self.undelivered.push_back(refused);
+        }
+    }
+
+    fn perform(&mut self, effect: SharedEffect) {
+        match effect {
+            SharedEffect::SendLink { to, message } => self.send_link(to, message),
+            SharedEffect::ReplyLink { link, message } => {
+                self.hand_over(LinkCommand::Reply { link, message });
+            }
+            SharedEffect::SendDatagram { to, message } => {
+                let datagram = Datagram { to, message };
+                if self.outlets.control.try_send(datagram).is_err() {
+                    self.outlets.counters.refusal(RefusalReason::RingFull);
+                }
+            }
+            SharedEffect::CountRefusal(reason) => self.outlets.counters.refusal(reason),
+            SharedEffect::CountRetry(reason) => self.outlets.counters.retry(reason),
+            SharedEffect::Decide(note) => self.keep_decision(note),
+            SharedEffect::WakeAt(at) => self.wake_at = Some(at),
+            SharedEffect::Exit => self.exit = true,
+        }
+    }
+
+    /// Hands a message to the links; one that finds no room was never sent, and is said so.
+    fn send_link(&mut self, to: SocketAddr, message: LinkMessage) {
+        let unsent = request_id(&message);
+        if !self.hand_over(LinkCommand::Send { to, message }) {
+            let unsent = unsent.into_iter().collect();
+            self.undelivered
+                .push_back(R::Input::link_refused(to, unsent));
+        }
+    }
+
+    fn hand_over(&self, command: LinkCommand) -> bool {
+        let accepted = self.outlets.links.try_send(command).is_ok();
+        if !accepted {
+            self.outlets.counters.refusal(RefusalReason::RingFull);
+        }
+        accepted
+    }
+
+    fn keep_decision(&mut self, note: DecisionNote) {
+        info!(self.outlets.log, ""; "event" => "decision",
+            "subject" => &*note.subject, "rule" => note.rule,
+            "inputs" => &*note.inputs, "revision" => note.revision.0);
+        self.decisions.push(note);
+    }
+
+    fn answer(&self, question: OperatorQuestion) {
+        let answer = match &question.ask {
+            StatusAsk::Fleet => self.status(),
+            StatusAsk::Explain(subject) => self.explain(subject),
+            StatusAsk::Note(id) => {
+                OperatorAnswer::Note(self.role.fleet().fate(id).map(NoteWire::from))
+            }
+            StatusAsk::Key(key) => self.explain(&format!("key:{}", key.as_str())),
+        };
+        let _ = question.answer.send(answer);
+    }
+
+    fn status(&self) -> OperatorAnswer {
+        let now = self.outlets.clock.read();
+        OperatorAnswer::Status(Box::new(ProcessWire::new(
+            &self.outlets.facts,
+            &self.outlets.counters,
+            self.role.fleet(),
+            self.role.status(now),
+        )))
+    }
+
+    fn explain(&self, subject: &str) -> OperatorAnswer {
+        let told = self.decisions.about(subject).take(TOLD_DECISIONS);
+        OperatorAnswer::Decisions(told.map(DecisionWire::from).collect())
+    }
+}
+
+/// Returns the id of a request message.
+pub(crate) fn request_id(message: &LinkMessage) -> Option<RequestId> {
+    match message {
+        LinkMessage::Request(request) => Some(request.id.clone()),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/decision/status.rs
@@ -0,0 +1,439 @@
+//! JSON that operators get, as wire types of their own.
+
+use crate::counters::ProcessCounters;
+use hornbeamlead_core::clock::MonoTime;
+use hornbeamlead_core::explain::DecisionNote;
+use hornbeamlead_core::fleet::{FleetState, NoteFate};
+use hornbeamlead_core::message::request::LoadSample;
+use hornbeamlead_core::policy::ProcessPlace;
+use hornbeamlead_core::resource::ResourceSize;
+use hornbeamlead_core::status::{
+    AgentStatus, CellStatus, EntryStatus, GateStatus, JobStanding, MemberStanding, ScheduleStatus,
+};
+use hornbeamlead_core::task::{TaskPhase, TaskStatus};
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// Facts of a process that do not change while it runs.
+#[derive(Clone, Debug)]
+pub(crate) struct ProcessFacts {
+    /// Name of the role.
+    pub(crate) role: &'static str,
+    /// Who the process is and where it stands.
+    pub(crate) place: ProcessPlace,
+}
+
+/// Answer to an operator's question.
+#[derive(Debug, Serialize)]
+#[serde(untagged)]
+pub(crate) enum OperatorAnswer {
+    /// Whole status.
+    Status(Box<ProcessWire>),
+    /// Decisions, newest first.
+    Decisions(Vec<DecisionWire>),
+    /// Fate of a note; `null` where none is remembered.
+    Note(Option<NoteWire>),
+}
+
+/// Status of a process.
+#[derive(Debug, Serialize)]
+pub(crate) struct ProcessWire {
+    role: &'static str,
+    host: Box<str>,
+    data_centre: Box<str>,
+    rack: Box<str>,
+    incarnation: u64,
+    inner: Box<str>,
+    configuration: ConfigurationWire,
+    counters: CountersWire,
+    #[serde(flatten)]
+    standing: RoleWire,
+}
+
+/// Configuration in force, in short.
+#[derive(Debug, Serialize)]
+struct ConfigurationWire {
+    revision: u64,
+    next_offset: u64,
+    data_centres: BTreeMap<Box<str>, &'static str>,
+    teams: usize,
+    services: Vec<Box<str>>,
+    jobs: Vec<Box<str>>,
+}
+
+/// Counters of a process.
+#[derive(Debug, Serialize)]
+struct CountersWire {
+    requests: u64,
+    refusals: BTreeMap<&'static str, u64>,
+    retries: BTreeMap<&'static str, u64>,
+}
+
+/// What only one role has.
+#[derive(Debug, Serialize)]
+#[serde(untagged)]
+pub(crate) enum RoleWire {
+    /// Entry.
+    Entry(EntryWire),
+    /// Agent.
+    Agent(AgentWire),
+}
+
+/// Status of an entry.
+#[derive(Debug, Serialize)]
+pub(crate) struct EntryWire {
+    revision: u64,
+    log_up: bool,
+    stopping: bool,
+    in_progress: usize,
+    members: Vec<MemberWire>,
+}
+
+/// Agent as an entry knows it.
+#[derive(Debug, Serialize)]
+struct MemberWire {
+    host: Box<str>,
+    incarnation: u64,
+    data_centre: Box<str>,
+    state: Box<str>,
+    revision: u64,
+    load: LoadWire,
+    operators: Box<str>,
+}
+
+/// Load of a worker.
+#[derive(Debug, Serialize)]
+struct LoadWire {
+    in_flight: u16,
+    queued: u16,
+    slots: u16,
+    service_time_us: u32,
+    leaving: bool,
+}
+
+/// Status of an agent.
+#[derive(Debug, Serialize)]
+pub(crate) struct AgentWire {
+    revision: u64,
+    log_up: bool,
+    stopping: bool,
+    requests: GateWire,
+    schedule: ScheduleWire,
+}
+
+/// Request side of an agent.
+#[derive(Debug, Serialize)]
+struct GateWire {
+    load: LoadWire,
+    services: Vec<Box<str>>,
+    keys: usize,
+    fenced: usize,
+}
+
+/// Batch side of an agent.
+#[derive(Debug, Serialize)]
+struct ScheduleWire {
+    cell: u32,
+    planner: Option<Box<str>>,
+    epoch: u64,
+    lease_left_ms: Option<u64>,
+    capacity: SizeWire,
+    admitted: SizeWire,
+    tasks: Vec<TaskWire>,
+    planning: Option<CellWire>,
+}
+
+/// Amount of each resource.
+#[derive(Debug, Serialize)]
+struct SizeWire {
+    cpu_millis: u32,
+    memory_mebibytes: u32,
+    accelerators: u16,
+}
+
+/// Attempt on the worker.
+#[derive(Debug, Serialize)]
+struct TaskWire {
+    attempt: Box<str>,
+    phase: &'static str,
+    kind: Box<str>,
+    size: SizeWire,
+    usage: Option<SizeWire>,
+    speed_percent: u8,
+    checkpoint_ms: Option<u64>,
+}
+
+/// Cell in the eyes of its planner.
+#[derive(Debug, Serialize)]
+struct CellWire {
+    hosts: Vec<Box<str>>,
+    quarantined: Vec<Box<str>>,
+    jobs: Vec<JobWire>,
+    tasks: Vec<StandingWire>,
+    evictions: u64,
+}
+
+/// Progress of a job within a cell.
+#[derive(Debug, Serialize)]
+struct JobWire {
+    job: Box<str>,
+    waiting: u32,
+    running: u32,
+    finished: u32,
+    failed: u32,
+    infeasible: Option<Box<str>>,
+}
+
+/// Task in the eyes of the planner.
+#[derive(Debug, Serialize)]
+struct StandingWire {
+    task: Box<str>,
+    attempts: u32,
+    state: Box<str>,
+}
+
+/// Decision with its rule and inputs.
+#[derive(Debug, Serialize)]
+pub(crate) struct DecisionWire {
+    at_ms: u64,
+    subject: Box<str>,
+    rule: &'static str,
+    inputs: Box<str>,
+    revision: u64,
+}
+
+/// Fate of a release note.
+#[derive(Debug, Serialize)]
+pub(crate) struct NoteWire {
+    note: Box<str>,
+    accepted: bool,
+    revision: Option<u64>,
+}
+
+impl ProcessWire {
+    /// Gathers the status of a process.
+    pub(crate) fn new(
+        facts: &ProcessFacts,
+        counters: &ProcessCounters,
+        fleet: &FleetState,
+        standing: RoleWire,
+    ) -> Self {
+        let place = &facts.place;
+        Self {
+            role: facts.role,
+            host: place.host.as_str().into(),
+            data_centre: place.data_centre.as_str().into(),
+            rack: place.rack.as_str().into(),
+            incarnation: place.incarnation.0,
+            inner: text(&place.link_address),
+            configuration: ConfigurationWire::from(fleet),
+            counters: CountersWire::from(counters),
+            standing,
+        }
+    }
+}
+
+impl From<&FleetState> for ConfigurationWire {
+    fn from(fleet: &FleetState) -> Self {
+        let data_centres = fleet.data_centres().values();
+        Self {
+            revision: fleet.revision().0,
+            next_offset: fleet.next().0,
+            data_centres: data_centres
+                .map(|spec| (text(&spec.name), service_state(spec.in_service)))
+                .collect(),
+            teams: fleet.teams().len(),
+            services: fleet.services().keys().map(text).collect(),
+            jobs: fleet.jobs().keys().map(text).collect(),
+        }
+    }
+}
+
+fn service_state(in_service: bool) -> &'static str {
+    match in_service {
+        true => "in_service",
+        false => "drained",
+    }
+}
+
+impl From<&ProcessCounters> for CountersWire {
+    fn from(counters: &ProcessCounters) -> Self {
+        Self {
+            requests: counters.requests(),
+            refusals: counters.refusals(),
+            retries: counters.retries(),
+        }
+    }
+}
+
+impl From<&EntryStatus> for EntryWire {
+    fn from(status: &EntryStatus) -> Self {
+        Self {
+            revision: status.revision.0,
+            log_up: status.log_up,
+            stopping: status.stopping,
+            in_progress: status.in_progress,
+            members: status.members.iter().map(MemberWire::from).collect(),
+        }
+    }
+}
+
+impl From<&MemberStanding> for MemberWire {
+    fn from(member: &MemberStanding) -> Self {
+        Self {
+            host: text(&member.host),
+            incarnation: member.incarnation.0,
+            data_centre: text(&member.data_centre),
+            state: text(&member.state),
+            revision: member.revision.0,
+            load: LoadWire::from(&member.load),
+            operators: text(&member.operator_address),
+        }
+    }
+}
+
+impl From<&LoadSample> for LoadWire {
+    fn from(load: &LoadSample) -> Self {
+        Self {
+            in_flight: load.in_flight,
+            queued: load.queued,
+            slots: load.slots,
+            service_time_us: load.service_time_us,
+            leaving: load.leaving,
+        }
+    }
+}
+
+impl AgentWire {
+    /// Words the status of an agent at a moment of its clock.
+    pub(crate) fn new(status: &AgentStatus, now: MonoTime) -> Self {
+        Self {
+            revision: status.revision.0,
+            log_up: status.schedule.log_up,
+            stopping: status.stopping,
+            requests: GateWire::from(&status.gate),
+            schedule: ScheduleWire::new(&status.schedule, now),
+        }
+    }
+}
+
+impl From<&GateStatus> for GateWire {
+    fn from(gate: &GateStatus) -> Self {
+        Self {
+            load: LoadWire::from(&gate.load),
+            services: gate.services.iter().map(text).collect(),
+            keys: gate.keys,
+            fenced: gate.fenced,
+        }
+    }
+}
+
+impl ScheduleWire {
+    fn new(schedule: &ScheduleStatus, now: MonoTime) -> Self {
+        let lease_left = |until: MonoTime| whole_millis(until.since(now));
+        Self {
+            cell: schedule.cell.0,
+            planner: schedule.planner.as_ref().map(text),
+            epoch: schedule.epoch.0,
+            lease_left_ms: schedule.lease_until.map(lease_left),
+            capacity: SizeWire::from(&schedule.capacity),
+            admitted: SizeWire::from(&schedule.admitted),
+            tasks: schedule.tasks.iter().map(TaskWire::from).collect(),
+            planning: schedule.planning.as_ref().map(CellWire::from),
+        }
+    }
+}
+
+impl From<&ResourceSize> for SizeWire {
+    fn from(size: &ResourceSize) -> Self {
+        Self {
+            cpu_millis: size.cpu.0,
+            memory_mebibytes: size.memory.0,
+            accelerators: size.accelerators.0,
+        }
+    }
+}
+
+impl From<&TaskStatus> for TaskWire {
+    fn from(task: &TaskStatus) -> Self {
+        Self {
+            attempt: text(&task.attempt),
+            phase: phase_name(task.phase),
+            kind: text(&task.kind),
+            size: SizeWire::from(&task.size),
+            usage: task.usage.as_ref().map(SizeWire::from),
+            speed_percent: task.speed_percent,
+            checkpoint_ms: task.checkpoint.as_ref().map(|token| token.progress_ms),
+        }
+    }
+}
+
+fn phase_name(phase: TaskPhase) -> &'static str {
+    match phase {
+        TaskPhase::Running => "running",
+        TaskPhase::Finished => "finished",
+        TaskPhase::Failed => "failed",
+        TaskPhase::Stopped => "stopped",
+        TaskPhase::Lapsed => "lapsed",
+    }
+}
+
+impl From<&CellStatus> for CellWire {
+    fn from(cell: &CellStatus) -> Self {
+        let standing = |task: &hornbeamlead_core::task::TaskStanding| StandingWire {
+            task: text(&task.task),
+            attempts: task.attempts,
+            state: task.state.clone(),
+        };
+        Self {
+            hosts: cell.hosts.iter().map(text).collect(),
+            quarantined: cell.quarantined.iter().map(text).collect(),
+            jobs: cell.jobs.iter().map(JobWire::from).collect(),
+            tasks: cell.tasks.iter().map(standing).collect(),
+            evictions: cell.evictions,
+        }
+    }
+}
+
+impl From<&JobStanding> for JobWire {
+    fn from(job: &JobStanding) -> Self {
+        Self {
+            job: text(&job.job),
+            waiting: job.waiting,
+            running: job.running,
+            finished: job.finished,
+            failed: job.failed,
+            infeasible: job.infeasible.clone(),
+        }
+    }
+}
+
+impl From<&DecisionNote> for DecisionWire {
+    fn from(note: &DecisionNote) -> Self {
+        Self {
+            at_ms: note.at.0,
+            subject: note.subject.clone(),
+            rule: note.rule,
+            inputs: note.inputs.clone(),
+            revision: note.revision.0,
+        }
+    }
+}
+
+impl From<&NoteFate> for NoteWire {
+    fn from(fate: &NoteFate) -> Self {
+        Self {
+            note: text(&fate.id),
+            accepted: fate.revision.is_some(),
+            revision: fate.revision.map(|revision| revision.0),
+        }
+    }
+}
+
+fn text(value: &impl std::fmt::Display) -> Box<str> {
+    value.to_string().into()
+}
+
+fn whole_millis(span: std::time::Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/launch/mod.rs
@@ -0,0 +1,105 @@
+//! Starts the threads of a process and waits for its end.
+
+mod bind;
+mod duty;
+mod error;
+mod parts;
+mod roles;
+
+use crate::args::DaemonArgs;
+use crate::logs::open_log;
+use bind::BoundSockets;
+use hornbeamlead_settings::{ProcessSettings, RoleSettings, read_settings};
+use slog::{Logger, error, info};
+use std::path::Path;
+use std::process::ExitCode;
+
+/// How the daemon ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExitStatus {
+    /// All was done.
+    Done,
+    /// The process could not start or lost a thread.
+    Failed,
+    /// The settings are faulty.
+    BadSettings,
+}
+
+impl From<ExitStatus> for ExitCode {
+    fn from(status: ExitStatus) -> Self {
+        match status {
+            ExitStatus::Done => Self::SUCCESS,
+            ExitStatus::Failed => Self::from(1),
+            ExitStatus::BadSettings => Self::from(2),
+        }
+    }
+}
+
+/// Runs the daemon to its end.
+#[must_use]
+pub fn run(args: &DaemonArgs) -> ExitStatus {
+    let settings = match load_settings(&args.settings) {
+        Ok(settings) => settings,
+        Err(report) => {
+            eprintln!("{report}");
+            return ExitStatus::BadSettings;
+        }
+    };
+    if args.check {
+        println!("{}: no faults found", args.settings.display());
+        return ExitStatus::Done;
+    }
+    let (log, guard) = open_log(settings.host.as_str(), role_name(&settings.role));
+    let status = run_process(&settings, &log);
+    drop(log);
+    drop(guard);
+    status
+}
+
+fn load_settings(path: &Path) -> Result<ProcessSettings, Box<str>> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|error| format!("{name}: {error}"))?;
+    let settings = read_settings(&name, &text).map_err(|findings| findings.to_string())?;
+    Ok(settings)
+}
+
+fn role_name(role: &RoleSettings) -> &'static str {
+    match role {
+        RoleSettings::Entry(_) => "entry",
+        RoleSettings::Agent(_) => "agent",
+    }
+}
+
+fn run_process(settings: &ProcessSettings, log: &Logger) -> ExitStatus {
+    let sockets = match BoundSockets::open(&settings.addresses) {
+        Ok(sockets) => sockets,
+        Err(fault) => {
+            error!(log, ""; "event" => "bind_failed", "cause" => fault.to_string());
+            return ExitStatus::Failed;
+        }
+    };
+    log_start(&sockets, log);
+    match roles::run_role(settings, sockets, log) {
+        Ok(()) => {
+            info!(log, ""; "event" => "stopped");
+            ExitStatus::Done
+        }
+        Err(fault) => {
+            error!(log, ""; "event" => "failed", "cause" => fault.to_string());
+            ExitStatus::Failed
+        }
+    }
+}
+
+/// Writes the line by which others learn the bound addresses.
+fn log_start(sockets: &BoundSockets, log: &Logger) {
+    let optional = |address: Option<std::net::SocketAddr>| {
+        address.map_or_else(|| "none".to_owned(), |address| address.to_string())
+    };
+    info!(log, ""; "event" => "started",
+        "pid" => std::process::id(),
+        "inner" => sockets.inner.to_string(),
+        "callers" => optional(sockets.callers_address()),
+        "operators" => sockets.operators_address().to_string(),
+        "local" => optional(sockets.local_address()));
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/links/frame.rs
@@ -0,0 +1,127 @@
+//! Reads and writes frames of one link.
+
+use crate::clock::HostClock;
+use crate::decision::RoleInput;
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use hornbeamlead_core::event::NoteRecord;
+use hornbeamlead_core::ids::LinkId;
+use hornbeamlead_core::message::request::{LinkMessage, NoteCopy};
+use hornbeamlead_core::record::PlacedRecord;
+use hornbeamlead_wire::{MAX_FRAME_BYTES, decode_link, encode_link};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+
+/// Longest time that one write may take before the link counts as broken.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Messages written before the buffer is flushed.
+const WRITE_BATCH: usize = 64;
+
+/// Reading half of a link.
+pub(crate) type FrameReader = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
+
+/// Writing half of a link.
+pub(crate) type FrameWriter = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
+
+/// Why no message was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReadEnd {
+    /// The link was closed or broke.
+    Closed,
+    /// A frame could not be decoded.
+    Undecodable,
+}
+
+/// Splits a connection into its framed halves.
+pub(crate) fn split(stream: TcpStream) -> (FrameReader, FrameWriter) {
+    // A link that cannot be tuned works all the same.
+    let _ = stream.set_nodelay(true);
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_codec();
+    let (read, write) = stream.into_split();
+    let reader = FramedRead::new(read, codec.clone());
+    (reader, FramedWrite::new(write, codec))
+}
+
+/// Reads the next message.
+pub(crate) async fn read_message(
+    reader: &mut FrameReader,
+    clock: &HostClock,
+) -> Result<LinkMessage, ReadEnd> {
+    match reader.next().await {
+        Some(Ok(frame)) => decode_link(&frame, clock.mono()).map_err(|_| ReadEnd::Undecodable),
+        Some(Err(error)) if error.kind() == std::io::ErrorKind::InvalidData => {
+            Err(ReadEnd::Undecodable)
+        }
+        Some(Err(_)) | None => Err(ReadEnd::Closed),
+    }
+}
+
+/// Writes messages as they come; ends well when the queue is closed and empty.
+pub(crate) async fn write_messages(
+    writer: &mut FrameWriter,
+    messages: &mut mpsc::Receiver<LinkMessage>,
+    clock: &HostClock,
+) -> std::io::Result<()> {
+    while let Some(message) = messages.recv().await {
+        write_batch(writer, message, messages, clock).await?;
+    }
+    close(writer).await
+}
+
+/// Writes a message and those that wait behind it, then flushes.
+pub(crate) async fn write_batch(
+    writer: &mut FrameWriter,
+    first: LinkMessage,
+    waiting: &mut mpsc::Receiver<LinkMessage>,
+    clock: &HostClock,
+) -> std::io::Result<()> {
+    let written = async {
+        feed(writer, &first, clock).await?;
+        for _ in 1..WRITE_BATCH {
+            let Ok(next) = waiting.try_recv() else { break };
+            feed(writer, &next, clock).await?;
+        }
+        SinkExt::<Bytes>::flush(writer).await
+    };
+    tokio::time::timeout(WRITE_TIMEOUT, written)
+        .await
+        .unwrap_or(Err(std::io::ErrorKind::TimedOut.into()))
+}
+
+async fn feed(
+    writer: &mut FrameWriter,
+    message: &LinkMessage,
+    clock: &HostClock,
+) -> std::io::Result<()> {
+    let frame = Bytes::from(encode_link(message, clock.mono()));
+    writer.feed(frame).await
+}
+
+/// Ends the writing half in order.
+pub(crate) async fn close(writer: &mut FrameWriter) -> std::io::Result<()> {
+    SinkExt::<Bytes>::close(writer).await
+}
+
+/// Returns the event of a message about notes; gives other messages back.
+pub(crate) fn notes_input<I: RoleInput>(
+    link: Option<LinkId>,
+    message: LinkMessage,
+) -> Result<I, LinkMessage> {
+    match (link, message) {
+        (_, LinkMessage::Notes(copies)) => Ok(I::notes_passed(
+            copies.into_iter().map(place_copy).collect(),
+        )),
+        (Some(link), LinkMessage::NotesAsk(from)) => Ok(I::notes_asked(link, from)),
+        (_, other) => Err(other),
+    }
+}
+
+fn place_copy(copy: NoteCopy) -> PlacedRecord<NoteRecord> {
+    crate::platform::place_note(copy.offset, copy.payload)
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/links/mod.rs
@@ -0,0 +1,243 @@
+//! Links thread: framed TCP connections between processes.
+
+mod frame;
+mod incoming;
+mod outgoing;
+
+use crate::clock::HostClock;
+use crate::counters::ProcessCounters;
+use crate::decision::{InboxItem, RoleInput, request_id};
+use crate::ring::RingSender;
+use hornbeamlead_core::counter::RefusalReason;
+use hornbeamlead_core::ids::LinkId;
+use hornbeamlead_core::message::request::LinkMessage;
+use incoming::IncomingLink;
+use outgoing::OutgoingLink;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
+
+/// Commands that may wait for the links thread.
+pub(crate) const LINK_RING: usize = 8192;
+
+/// Messages that may wait on one link.
+const LINK_QUEUE: usize = 1024;
+
+/// Incoming links open at most.
+const MAX_INCOMING: usize = 1024;
+
+/// Notices of closed links that may wait.
+const NOTICE_QUEUE: usize = 1024;
+
+/// Command to the links thread.
+#[derive(Debug)]
+pub(crate) enum LinkCommand {
+    /// Sends a message over the link to an address, opened where needed.
+    Send {
+        /// Receiver.
+        to: SocketAddr,
+        /// Message.
+        message: LinkMessage,
+    },
+    /// Answers on an incoming link.
+    Reply {
+        /// Link.
+        link: LinkId,
+        /// Message.
+        message: LinkMessage,
+    },
+}
+
+/// Notice that a link has ended.
+#[derive(Debug)]
+pub(crate) enum LinkNotice {
+    /// An incoming link.
+    Incoming(LinkId),
+    /// An outgoing link, with its number.
+    Outgoing(SocketAddr, u64),
+}
+
+/// What every link needs.
+pub(crate) struct LinkContext<I> {
+    /// Ring into the decisions.
+    pub(crate) inbox: RingSender<InboxItem<I>>,
+    /// Counters.
+    pub(crate) counters: Arc<ProcessCounters>,
+    /// Clocks.
+    pub(crate) clock: HostClock,
+}
+
+impl<I> Clone for LinkContext<I> {
+    fn clone(&self) -> Self {
+        Self {
+            inbox: self.inbox.clone(),
+            counters: Arc::clone(&self.counters),
+            clock: self.clock,
+        }
+    }
+}
+
+impl<I: RoleInput> LinkContext<I> {
+    /// Delivers an outcome; one that finds no room within the patience of the ring is counted.
+    pub(crate) fn deliver(&self, input: I) {
+        if self.inbox.deliver(InboxItem::Input(input)).is_err() {
+            self.counters.refusal(RefusalReason::RingFull);
+        }
+    }
+}
+
+/// Open link to an address.
+struct OpenLink {
+    number: u64,
+    queue: mpsc::Sender<LinkMessage>,
+}
+
+/// Duty of the links thread.
+pub(crate) struct LinksDuty<I> {
+    context: LinkContext<I>,
+    listener: TcpListener,
+    commands: mpsc::Receiver<LinkCommand>,
+    notices: mpsc::Receiver<LinkNotice>,
+    notify: mpsc::Sender<LinkNotice>,
+    incoming: HashMap<LinkId, mpsc::Sender<LinkMessage>>,
+    outgoing: HashMap<SocketAddr, OpenLink>,
+    last_number: u64,
+}
+
+impl<I: RoleInput> LinksDuty<I> {
+    /// Makes the duty.
+    pub(crate) fn new(
+        context: LinkContext<I>,
+        listener: TcpListener,
+        commands: mpsc::Receiver<LinkCommand>,
+    ) -> Self {
+        let (notify, notices) = mpsc::channel(NOTICE_QUEUE);
+        Self {
+            context,
+            listener,
+            commands,
+            notices,
+            notify,
+            incoming: HashMap::new(),
+            outgoing: HashMap::new(),
+            last_number: 0,
+        }
+    }
+
+    /// Serves links until the decision thread has ended, then lets the queues run empty.
+    pub(crate) async fn run(mut self) {
+        loop {
+            tokio::select! {
+                command = self.commands.recv() => match command {
+                    Some(LinkCommand::Send { to, message }) => self.send(to, message),
+                    Some(LinkCommand::Reply { link, message }) => self.reply(link, message),
+                    None => break,
+                },
+                accepted = self.listener.accept() => {
+                    if let Ok((stream, _)) = accepted {
+                        self.accept(stream);
+                    }
+                }
+                notice = self.notices.recv() => {
+                    if let Some(notice) = notice {
+                        self.forget(&notice);
+                    }
+                }
+            }
+        }
+        self.flush().await;
+    }
+
+    fn send(&mut self, to: SocketAddr, message: LinkMessage) {
+        let message = match self.outgoing.get(&to) {
+            None => message,
+            Some(link) => match link.queue.try_send(message) {
+                Ok(()) => return,
+                Err(TrySendError::Full(message)) => return self.refuse(to, &message),
+                Err(TrySendError::Closed(message)) => message,
+            },
+        };
+        self.open(to, message);
+    }
+
+    /// Reports a message that found no room: it was never sent.
+    fn refuse(&self, to: SocketAddr, message: &LinkMessage) {
+        self.context.counters.refusal(RefusalReason::RingFull);
+        let unsent = request_id(message).into_iter().collect();
+        self.context.deliver(I::link_refused(to, unsent));
+    }
+
+    fn open(&mut self, to: SocketAddr, first: LinkMessage) {
+        let (queue, messages) = mpsc::channel(LINK_QUEUE);
+        let number = self.next_number();
+        let link = OutgoingLink {
+            to,
+            number,
+            messages,
+            context: self.context.clone(),
+            notify: self.notify.clone(),
+        };
+        // The queue is new and has room.
+        let _ = queue.try_send(first);
+        self.outgoing.insert(to, OpenLink { number, queue });
+        tokio::spawn(link.run());
+    }
+
+    fn reply(&self, link: LinkId, message: LinkMessage) {
+        let sent = self
+            .incoming
+            .get(&link)
+            .map(|queue| queue.try_send(message));
+        match sent {
+            Some(Ok(())) | None => {}
+            Some(Err(_)) => self.context.counters.refusal(RefusalReason::RingFull),
+        }
+    }
+
+    fn accept(&mut self, stream: TcpStream) {
+        if self.incoming.len() >= MAX_INCOMING {
+            self.context.counters.refusal(RefusalReason::QueueFull);
+            return;
+        }
+        let (queue, messages) = mpsc::channel(LINK_QUEUE);
+        let id = LinkId(self.next_number());
+        let link = IncomingLink {
+            id,
+            messages,
+            context: self.context.clone(),
+            notify: self.notify.clone(),
+        };
+        self.incoming.insert(id, queue);
+        tokio::spawn(link.run(stream));
+    }
+
+    fn forget(&mut self, notice: &LinkNotice) {
+        match notice {
+            LinkNotice::Incoming(id) => {
+                self.incoming.remove(id);
+            }
+            LinkNotice::Outgoing(to, number) => {
+                let same = self.outgoing.get(to).map(|link| link.number) == Some(*number);
+                if same {
+                    self.outgoing.remove(to);
+                }
+            }
+        }
+    }
+
+    /// Closes all queues and waits until every link has written what it holds.
+    async fn flush(mut self) {
+        self.incoming.clear();
+        self.outgoing.clear();
+        drop(self.notify);
+        while self.notices.recv().await.is_some() {}
+    }
+
+    fn next_number(&mut self) -> u64 {
+        self.last_number += 1;
+        self.last_number
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/links/outgoing.rs
@@ -0,0 +1,93 @@
+//! Link that this process opens.
+
+use super::frame::{FrameReader, ReadEnd, notes_input, read_message, split, write_messages};
+use super::{LinkContext, LinkNotice};
+use crate::decision::{RoleInput, request_id};
+use hornbeamlead_core::counter::RefusalReason;
+use hornbeamlead_core::ids::RequestId;
+use hornbeamlead_core::message::request::LinkMessage;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+/// Longest time for opening a link.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Link to an address.
+pub(crate) struct OutgoingLink<I> {
+    /// Address of the other side.
+    pub(crate) to: SocketAddr,
+    /// Number of the link.
+    pub(crate) number: u64,
+    /// Messages to send.
+    pub(crate) messages: mpsc::Receiver<LinkMessage>,
+    /// What every link needs.
+    pub(crate) context: LinkContext<I>,
+    /// Takes the notice that the link has ended.
+    pub(crate) notify: mpsc::Sender<LinkNotice>,
+}
+
+impl<I: RoleInput> OutgoingLink<I> {
+    /// Opens the link and serves it to its end.
+    pub(crate) async fn run(mut self) {
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.to)).await;
+        match connected {
+            Ok(Ok(stream)) => self.serve(stream).await,
+            Ok(Err(_)) | Err(_) => self.refuse_rest(),
+        }
+        let notice = LinkNotice::Outgoing(self.to, self.number);
+        // The receiver is gone only while the process ends.
+        let _ = self.notify.send(notice).await;
+    }
+
+    async fn serve(&mut self, stream: TcpStream) {
+        let (mut reader, mut writer) = split(stream);
+        let clock = self.context.clock;
+        tokio::select! {
+            written = write_messages(&mut writer, &mut self.messages, &clock) => {
+                if written.is_ok() {
+                    return;
+                }
+            }
+            () = read_replies(&mut reader, self.to, &self.context) => {}
+        }
+        drop(writer);
+        self.refuse_rest();
+        self.context.deliver(I::link_broken(self.to));
+    }
+
+    /// Reports what still waits: no byte of it was written.
+    fn refuse_rest(&mut self) {
+        self.messages.close();
+        let mut unsent: Vec<RequestId> = Vec::new();
+        while let Ok(message) = self.messages.try_recv() {
+            unsent.extend(request_id(&message));
+        }
+        self.context.deliver(I::link_refused(self.to, unsent));
+    }
+}
+
+/// Reads until the link ends or sends what cannot be understood.
+async fn read_replies<I: RoleInput>(
+    reader: &mut FrameReader,
+    from: SocketAddr,
+    context: &LinkContext<I>,
+) {
+    loop {
+        let message = match read_message(reader, &context.clock).await {
+            Ok(message) => message,
+            Err(ReadEnd::Closed) => return,
+            Err(ReadEnd::Undecodable) => {
+                context.counters.refusal(RefusalReason::Undecodable);
+                return;
+            }
+        };
+        let input = notes_input(None, message)
+            .or_else(|other| I::outgoing(from, other).ok_or(ReadEnd::Undecodable));
+        match input {
+            Ok(input) => context.deliver(input),
+            Err(_) => context.counters.refusal(RefusalReason::Undecodable),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/logs.rs
@@ -0,0 +1,30 @@
+//! Writes one key=value line an event to standard error.
+
+use slog::{Drain, Level, LevelFilter, Logger, o};
+use slog_async::OverflowStrategy;
+use slog_logfmt::Logfmt;
+
+/// Lines that may wait for the writing thread; more are dropped and counted by slog.
+const LOG_QUEUE: usize = 4096;
+
+/// Environment variable that raises the level to debug.
+const DEBUG_VARIABLE: &str = "HORNBEAMLEAD_DEBUG";
+
+/// Opens the log of the process; the guard writes what is left when it is dropped.
+pub(crate) fn open_log(host: &str, role: &'static str) -> (Logger, slog_async::AsyncGuard) {
+    let lines = Logfmt::new(std::io::stderr()).no_prefix().print_level(true);
+    let filtered = LevelFilter::new(lines.build(), level()).fuse();
+    let (queued, guard) = slog_async::Async::new(filtered)
+        .chan_size(LOG_QUEUE)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build_with_guard();
+    let context = o!("role" => role, "host" => host.to_owned());
+    (Logger::root(queued.fuse(), context), guard)
+}
+
+fn level() -> Level {
+    match std::env::var_os(DEBUG_VARIABLE) {
+        Some(_) => Level::Debug,
+        None => Level::Info,
+    }
+}
--- a/crates/hornbeamlead_daemon/src/main.rs
+++ b/crates/hornbeamlead_daemon/src/main.rs
@@ -1,3 +1,8 @@
-//! Starts the program.
+//! Starts the daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args = hornbeamlead_daemon::parse_args();
+    hornbeamlead_daemon::run(&args).into()
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/platform/endpoint.rs
@@ -0,0 +1,182 @@
+//! Endpoint thread: hands requests to the endpoint of the host, side by side.
+
+use crate::clock::HostClock;
+use crate::counters::ProcessCounters;
+use crate::decision::InboxItem;
+use crate::ring::RingSender;
+use crate::web::headers;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::future::{AbortHandle, Abortable};
+use futures_util::stream::FuturesUnordered;
+use hornbeamlead_core::counter::RefusalReason;
+use hornbeamlead_core::event::{AgentEvent, EndpointOutcome};
+use hornbeamlead_core::ids::RequestId;
+use hornbeamlead_core::message::request::{EndpointAnswer, ForwardedRequest, MAX_BODY_BYTES};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Commands that may wait for the endpoint thread.
+pub(crate) const ENDPOINT_RING: usize = 1024;
+
+/// Exchanges with the endpoint at a time, at most; it accepts as many connections.
+const MAX_EXCHANGES: usize = 64;
+
+/// Longest time for opening a connection to the endpoint.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time after which an unused connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Header that carries the id of a request to the endpoint.
+const REQUEST_HEADER: &str = "hornbeamlead-request";
+
+/// Command to the endpoint thread.
+#[derive(Debug)]
+pub(crate) enum EndpointCommand {
+    /// Hands a request over.
+    Call {
+        /// Address of the endpoint.
+        address: SocketAddr,
+        /// The request.
+        request: ForwardedRequest,
+    },
+    /// Drops an exchange.
+    Abandon(RequestId),
+}
+
+type EndpointClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Duty of the endpoint thread.
+pub(crate) struct EndpointDuty {
+    /// What is to be done.
+    pub(crate) commands: mpsc::Receiver<EndpointCommand>,
+    /// Ring into the decisions.
+    pub(crate) inbox: RingSender<InboxItem<AgentEvent>>,
+    /// Counters.
+    pub(crate) counters: Arc<ProcessCounters>,
+    /// Clocks.
+    pub(crate) clock: HostClock,
+}
+
+impl EndpointDuty {
+    /// Serves requests until the decision thread has ended.
+    pub(crate) async fn run(mut self) {
+        let client = open_client();
+        let mut exchanges = FuturesUnordered::new();
+        let mut handles: HashMap<RequestId, AbortHandle> = HashMap::new();
+        loop {
+            tokio::select! {
+                command = self.commands.recv() => match command {
+                    Some(EndpointCommand::Call { address, request }) => {
+                        if exchanges.len() >= MAX_EXCHANGES {
+                            self.counters.refusal(RefusalReason::QueueFull);
+                            self.finish(request.id, EndpointOutcome::Unreachable);
+                            continue;
+                        }
+                        let id = request.id.clone();
+                        let (handle, registration) = AbortHandle::new_pair();
+                        handles.insert(id.clone(), handle);
+                        let call = exchange(client.clone(), address, request, self.clock);
+                        let call = Abortable::new(call, registration);
+                        exchanges.push(async move { (id, call.await) });
+                    }
+                    Some(EndpointCommand::Abandon(id)) => {
+                        if let Some(handle) = handles.get(&id) {
+                            handle.abort();
+                        }
+                    }
+                    None => return,
+                },
+                Some((id, outcome)) = exchanges.next() => {
+                    handles.remove(&id);
+                    self.finish(id, outcome.unwrap_or(EndpointOutcome::Broken));
+                }
+            }
+        }
+    }
+
+    fn finish(&self, id: RequestId, outcome: EndpointOutcome) {
+        let event = AgentEvent::EndpointDone { id, outcome };
+        if self.inbox.deliver(InboxItem::Input(event)).is_err() {
+            self.counters.refusal(RefusalReason::RingFull);
+        }
+    }
+}
+
+fn open_client() -> EndpointClient {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_nodelay(true);
+    // A request that finds its pooled connection closed is sent again on a new one only if the
+    // library got it back whole, before a byte of it was written.
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(MAX_EXCHANGES)
+        .retry_canceled_requests(true)
+        .build(connector)
+}
+
+async fn exchange(
+    client: EndpointClient,
+    address: SocketAddr,
+    request: ForwardedRequest,
+    clock: HostClock,
+) -> EndpointOutcome {
+    let left = clock.until(request.deadline);
+    if left.is_zero() {
+        return EndpointOutcome::Unreachable;
+    }
+    let Some(worded) = word_request(address, &request) else {
+        return EndpointOutcome::Unreachable;
+    };
+    match tokio::time::timeout(left, ask(&client, worded)).await {
+        Ok(outcome) => outcome,
+        Err(_) => EndpointOutcome::Broken,
+    }
+}
+
+async fn ask(client: &EndpointClient, request: Request<Full<Bytes>>) -> EndpointOutcome {
+    match client.request(request).await {
+        Ok(response) => read_answer(response).await,
+        Err(error) if error.is_connect() => EndpointOutcome::Unreachable,
+        Err(_) => EndpointOutcome::Broken,
+    }
+}
+
+/// Words the request; `None` if it cannot be worded in HTTP.
+fn word_request(address: SocketAddr, forwarded: &ForwardedRequest) -> Option<Request<Full<Bytes>>> {
+    let asked = &forwarded.request;
+    let uri = format!("http://{address}/{}{}", asked.service, asked.path);
+    let mut builder = Request::builder().method(&*asked.method).uri(uri);
+    for field in &asked.headers {
+        builder = builder.header(&*field.name, &*field.value);
+    }
+    builder
+        .header(REQUEST_HEADER, forwarded.id.to_string())
+        .body(Full::new(asked.body.clone()))
+        .ok()
+}
+
+/// Reads the whole answer; a part of one is none.
+async fn read_answer(response: Response<Incoming>) -> EndpointOutcome {
+    let (head, body) = response.into_parts();
+    match Limited::new(body, MAX_BODY_BYTES).collect().await {
+        Ok(body) => EndpointOutcome::Answered(EndpointAnswer {
+            status: head.status.as_u16(),
+            headers: headers::answer_fields(&head.headers),
+            body: body.to_bytes(),
+        }),
+        Err(_) => EndpointOutcome::Broken,
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/platform/log.rs
@@ -0,0 +1,211 @@
+//! Log thread: reads and appends, in order within each stream.
+
+use super::lanes::CallLanes;
+use super::notes::place_note;
+use crate::clock::HostClock;
+use crate::counters::ProcessCounters;
+use crate::decision::{InboxItem, RoleInput};
+use crate::ring::RingSender;
+use bytes::Bytes;
+use hornbeamlead_core::counter::RefusalReason;
+use hornbeamlead_core::effect::OwnRecord;
+use hornbeamlead_core::event::{AgentEvent, StreamBatch};
+use hornbeamlead_core::ids::{LogOffset, RecordId};
+use hornbeamlead_core::record::{LogBatch, LogFault, PlacedRecord, StreamName};
+use hornbeamlead_platform::log::LogClient;
+use hornbeamlead_settings::note::encode_snapshot;
+use hornbeamlead_wire::{WireError, decode_cell, decode_job, encode_cell, encode_job};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+/// Commands that may wait for the log thread.
+pub(crate) const LOG_RING: usize = 1024;
+
+/// Records asked for in one read.
+const READ_RECORDS: usize = 512;
+
+/// Command to the log thread.
+#[derive(Debug)]
+pub(crate) enum LogCommand {
+    /// Reads a stream from an offset on.
+    Read {
+        /// Stream.
+        stream: StreamName,
+        /// First offset wanted.
+        from: LogOffset,
+    },
+    /// Appends a record.
+    Append {
+        /// Stream.
+        stream: StreamName,
+        /// Record.
+        record: OwnRecord,
+    },
+}
+
+/// Roles that may append to the log.
+pub(crate) trait AppendResult: Sized {
+    /// An append was answered, or not; `None` where the role never appends.
+    fn appended(
+        stream: StreamName,
+        id: RecordId,
+        result: Result<LogOffset, LogFault>,
+    ) -> Option<Self>;
+}
+
+impl AppendResult for AgentEvent {
+    fn appended(
+        stream: StreamName,
+        id: RecordId,
+        result: Result<LogOffset, LogFault>,
+    ) -> Option<Self> {
+        Some(Self::LogAppended { stream, id, result })
+    }
+}
+
+impl AppendResult for crate::decision::EntryInput {
+    fn appended(
+        _stream: StreamName,
+        _id: RecordId,
+        _result: Result<LogOffset, LogFault>,
+    ) -> Option<Self> {
+        None
+    }
+}
+
+/// Duty of the log thread.
+pub(crate) struct LogDuty<I> {
+    /// Address of the log.
+    pub(crate) address: SocketAddr,
+    /// What is to be done.
+    pub(crate) commands: mpsc::Receiver<LogCommand>,
+    /// Ring into the decisions.
+    pub(crate) inbox: RingSender<InboxItem<I>>,
+    /// Counters.
+    pub(crate) counters: Arc<ProcessCounters>,
+    /// Clocks.
+    pub(crate) clock: HostClock,
+}
+
+impl<I: RoleInput + AppendResult> LogDuty<I> {
+    /// Serves the log until the decision thread has ended.
+    pub(crate) async fn run(mut self) {
+        let caller = LogCaller {
+            client: LogClient::new(self.address),
+            inbox: self.inbox.clone(),
+            counters: Arc::clone(&self.counters),
+            clock: self.clock,
+        };
+        let start = |stream, command| caller.clone().perform(stream, command);
+        let mut lanes = CallLanes::new(LOG_RING);
+        loop {
+            tokio::select! {
+                command = self.commands.recv(), if lanes.has_room() => match command {
+                    Some(command) => lanes.add(lane_of(&command), command, start),
+                    None => return,
+                },
+                () = lanes.advance(start) => {}
+            }
+        }
+    }
+}
+
+fn lane_of(command: &LogCommand) -> StreamName {
+    match command {
+        LogCommand::Read { stream, .. } | LogCommand::Append { stream, .. } => stream.clone(),
+    }
+}
+
+/// Client with the way back to the decisions.
+struct LogCaller<I> {
+    client: LogClient,
+    inbox: RingSender<InboxItem<I>>,
+    counters: Arc<ProcessCounters>,
+    clock: HostClock,
+}
+
+impl<I> Clone for LogCaller<I> {
+    fn clone(&self) -> Self {
+        Self {
+            client: self.client.clone(),
+            inbox: self.inbox.clone(),
+            counters: Arc::clone(&self.counters),
+            clock: self.clock,
+        }
+    }
+}
+
+impl<I: RoleInput + AppendResult> LogCaller<I> {
+    async fn perform(self, lane: StreamName, command: LogCommand) -> StreamName {
+        let input = match command {
+            LogCommand::Read { stream, from } => self.read(stream, from).await,
+            LogCommand::Append { stream, record } => self.append(stream, &record).await,
+        };
+        let delivered = input.map(|input| self.inbox.deliver(InboxItem::Input(input)));
+        if let Some(Err(_)) = delivered {
+            self.counters.refusal(RefusalReason::RingFull);
+        }
+        lane
+    }
+
+    async fn read(&self, stream: StreamName, from: LogOffset) -> Option<I> {
+        let began = self.clock.mono();
+        let result = self.client.read(&stream, from, READ_RECORDS).await;
+        let result = result.map(|batch| self.decode(&stream, batch));
+        I::log_read(stream, began, result)
+    }
+
+    async fn append(&self, stream: StreamName, record: &OwnRecord) -> Option<I> {
+        let (id, payload) = encode(record);
+        let result = self.client.append(&stream, payload).await;
+        I::appended(stream, id?, result)
+    }
+
+    fn decode(&self, stream: &StreamName, batch: LogBatch<Bytes>) -> StreamBatch {
+        match stream {
+            StreamName::Notes => StreamBatch::Notes(LogBatch {
+                oldest: batch.oldest,
+                next: batch.next,
+                records: batch.records.into_iter().map(note_of).collect(),
+            }),
+            StreamName::Jobs => StreamBatch::Jobs(self.decode_records(batch, decode_job)),
+            StreamName::Cell(_) => StreamBatch::Cell(self.decode_records(batch, decode_cell)),
+        }
+    }
+
+    /// Decodes records and leaves out those that cannot be decoded, which all processes do alike.
+    fn decode_records<R>(
+        &self,
+        batch: LogBatch<Bytes>,
+        decode: fn(&[u8]) -> Result<R, WireError>,
+    ) -> LogBatch<R> {
+        let mut records = Vec::with_capacity(batch.records.len());
+        for placed in batch.records {
+            match decode(&placed.record) {
+                Ok(record) => records.push(PlacedRecord {
+                    offset: placed.offset,
+                    record,
+                }),
+                Err(_) => self.counters.refusal(RefusalReason::Undecodable),
+            }
+        }
+        LogBatch {
+            oldest: batch.oldest,
+            next: batch.next,
+            records,
+        }
+    }
+}
+
+fn note_of(placed: PlacedRecord<Bytes>) -> PlacedRecord<hornbeamlead_core::event::NoteRecord> {
+    place_note(placed.offset, placed.record)
+}
+
+fn encode(record: &OwnRecord) -> (Option<RecordId>, Bytes) {
+    match record {
+        OwnRecord::NotesSnapshot(snapshot) => (None, encode_snapshot(snapshot)),
+        OwnRecord::Job(record) => (Some(record.id.clone()), encode_job(record)),
+        OwnRecord::Cell(record) => (Some(record.id.clone()), encode_cell(record)),
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/platform/mod.rs
@@ -0,0 +1,14 @@
+//! Platform threads: one each for the log, the worker and the endpoint.
+//!
+//! A slow log never delays a call to the worker, and neither delays a request.
+
+mod endpoint;
+mod lanes;
+mod log;
+mod notes;
+mod worker;
+
+pub(crate) use endpoint::{ENDPOINT_RING, EndpointCommand, EndpointDuty};
+pub(crate) use log::{AppendResult, LOG_RING, LogCommand, LogDuty};
+pub(crate) use notes::place_note;
+pub(crate) use worker::{WORKER_RING, WorkerCommand, WorkerDuty};
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/platform/notes.rs
@@ -0,0 +1,18 @@
+//! Decodes records of the notes stream.
+
+use bytes::Bytes;
+use hornbeamlead_core::event::NoteRecord;
+use hornbeamlead_core::ids::LogOffset;
+use hornbeamlead_core::record::{PlacedRecord, RawRecord};
+use hornbeamlead_settings::note::decode_entry;
+
+/// Decodes a record; every process skips one that cannot be decoded alike.
+pub(crate) fn place_note(offset: LogOffset, payload: Bytes) -> PlacedRecord<NoteRecord> {
+    PlacedRecord {
+        offset,
+        record: NoteRecord {
+            entry: decode_entry(&payload).ok(),
+            raw: RawRecord { offset, payload },
+        },
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/platform/worker.rs
@@ -0,0 +1,109 @@
+//! Worker thread: calls about tasks, in order for each attempt.
+
+use super::lanes::CallLanes;
+use crate::clock::HostClock;
+use crate::counters::ProcessCounters;
+use crate::decision::InboxItem;
+use crate::ring::RingSender;
+use hornbeamlead_core::counter::RefusalReason;
+use hornbeamlead_core::event::AgentEvent;
+use hornbeamlead_core::ids::AttemptId;
+use hornbeamlead_core::task::WorkerCall;
+use hornbeamlead_platform::worker::WorkerClient;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+/// Calls that may wait for the worker thread.
+pub(crate) const WORKER_RING: usize = 1024;
+
+/// Call to the worker.
+#[derive(Debug)]
+pub(crate) struct WorkerCommand {
+    /// Address of the worker.
+    pub(crate) address: SocketAddr,
+    /// The call.
+    pub(crate) call: WorkerCall,
+}
+
+/// Calls that are made one after the other.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum WorkerLane {
+    /// Calls about one attempt.
+    Attempt(AttemptId),
+    /// Renewals.
+    Renewals,
+    /// Reports.
+    Reports,
+}
+
+/// Duty of the worker thread.
+pub(crate) struct WorkerDuty {
+    /// What is to be done.
+    pub(crate) commands: mpsc::Receiver<WorkerCommand>,
+    /// Ring into the decisions.
+    pub(crate) inbox: RingSender<InboxItem<AgentEvent>>,
+    /// Counters.
+    pub(crate) counters: Arc<ProcessCounters>,
+    /// Clocks.
+    pub(crate) clock: HostClock,
+}
+
+impl WorkerDuty {
+    /// Serves the worker until the decision thread has ended.
+    pub(crate) async fn run(mut self) {
+        let caller = WorkerCaller {
+            client: WorkerClient::default(),
+            inbox: self.inbox.clone(),
+            counters: Arc::clone(&self.counters),
+            clock: self.clock,
+        };
+        let start = |lane, command| caller.clone().perform(lane, command);
+        let mut lanes = CallLanes::new(WORKER_RING);
+        loop {
+            tokio::select! {
+                command = self.commands.recv(), if lanes.has_room() => match command {
+                    Some(command) => lanes.add(lane_of(&command.call), command, start),
+                    None => return,
+                },
+                () = lanes.advance(start) => {}
+            }
+        }
+    }
+}
+
+fn lane_of(call: &WorkerCall) -> WorkerLane {
+    match call {
+        WorkerCall::Start { order, .. } => WorkerLane::Attempt(order.attempt.clone()),
+        WorkerCall::Checkpoint { attempt }
+        | WorkerCall::Throttle { attempt, .. }
+        | WorkerCall::Stop { attempt, .. }
+        | WorkerCall::Forget { attempt } => WorkerLane::Attempt(attempt.clone()),
+        WorkerCall::Renew { .. } => WorkerLane::Renewals,
+        WorkerCall::Report => WorkerLane::Reports,
+    }
+}
+
+/// Client with the way back to the decisions.
+#[derive(Clone)]
+struct WorkerCaller {
+    client: WorkerClient,
+    inbox: RingSender<InboxItem<AgentEvent>>,
+    counters: Arc<ProcessCounters>,
+    clock: HostClock,
+}
+
+impl WorkerCaller {
+    async fn perform(self, lane: WorkerLane, command: WorkerCommand) -> WorkerLane {
+        let now = self.clock.mono();
+        let result = self.client.call(command.address, &command.call, now).await;
+        let event = AgentEvent::WorkerDone {
+            call: command.call,
+            result,
+        };
+        if self.inbox.deliver(InboxItem::Input(event)).is_err() {
+            self.counters.refusal(RefusalReason::RingFull);
+        }
+        lane
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/web/callers.rs
@@ -0,0 +1,175 @@
+//! Callers' listener: reads a request whole, waits for its answer, passes it on.
+
+mod parse;
+
+use super::connection::ConnectionTable;
+use super::{headers, reply};
+use crate::clock::HostClock;
+use crate::counters::ProcessCounters;
+use crate::decision::{CallerCall, EntryInput, InboxItem};
+use crate::ring::{OfferRefusal, RingSender};
+use bytes::Bytes;
+use futures_util::FutureExt;
+use gotham::handler::HandlerFuture;
+use gotham::helpers::http::Body;
+use gotham::state::{FromState, State, client_addr};
+use hornbeamlead_core::counter::RefusalReason;
+use hornbeamlead_core::effect::CallerAnswer;
+use hornbeamlead_core::event::EntryEvent;
+use hornbeamlead_core::ids::{CallerTicket, HostId, Incarnation};
+use hornbeamlead_core::message::request::EndpointAnswer;
+use hyper::{Method, Response, StatusCode, Uri};
+use parse::{CallRefusal, ParsedCall};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+
+/// Path that the platform's balancer asks for readiness.
+const HEALTH_PATH: &str = "/_health";
+
+/// Time after which a caller may come back that found the process busy or stopping.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What the callers' handlers share.
+pub(crate) struct CallerDesk {
+    /// Host of the entry.
+    pub(crate) host: HostId,
+    /// Life of the entry.
+    pub(crate) incarnation: Incarnation,
+    /// Ring into the decisions.
+    pub(crate) inbox: RingSender<InboxItem<EntryInput>>,
+    /// Counters.
+    pub(crate) counters: Arc<ProcessCounters>,
+    /// Clocks.
+    pub(crate) clock: HostClock,
+    /// Connections of the listener.
+    pub(crate) table: Arc<ConnectionTable>,
+    /// Last ticket given out.
+    pub(crate) last_ticket: AtomicU64,
+}
+
+/// Handles one request on the callers' listener.
+pub(crate) fn call_handler(desk: Arc<CallerDesk>, state: State) -> Pin<Box<HandlerFuture>> {
+    async move {
+        let mut state = state;
+        let guard = client_addr(&state).map(|peer| desk.table.begin_request(peer));
+        let mut response = desk.respond(&mut state).await;
+        if desk.table.is_stopping() {
+            reply::end_connection(&mut response);
+        }
+        drop(guard);
+        Ok((state, response))
+    }
+    .boxed()
+}
+
+impl CallerDesk {
+    async fn respond(&self, state: &mut State) -> Response<Body> {
+        if Uri::borrow_from(state).path() == HEALTH_PATH {
+            return self.health();
+        }
+        let began = Instant::now();
+        let ticket = CallerTicket(self.last_ticket.fetch_add(1, Ordering::Relaxed) + 1);
+        let name = format!("{}/{}/{}", self.host, self.incarnation, ticket);
+        let bodiless = *Method::borrow_from(state) == Method::HEAD;
+        let answer = match parse::read_call(state, &self.clock).await {
+            Ok(call) => self.ask(ticket, call).await,
+            Err(refusal) => return self.refuse_call(&refusal, &name),
+        };
+        self.counters.request(began.elapsed());
+        word_answer(answer, bodiless, &name)
+    }
+
+    fn health(&self) -> Response<Body> {
+        match self.table.is_stopping() {
+            false => reply::plain(StatusCode::OK, Bytes::from_static(b"ready\n")),
+            true => reply::plain(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Bytes::from_static(b"stopping\n"),
+            ),
+        }
+    }
+
+    async fn ask(&self, ticket: CallerTicket, call: ParsedCall) -> CallerAnswer {
+        let (sender, receiver) = oneshot::channel();
+        let input = EntryInput::Call(CallerCall {
+            ticket,
+            request: call.request,
+            deadline: call.deadline,
+            answer: sender,
+        });
+        if let Err(refusal) = self.inbox.offer(InboxItem::Input(input)) {
+            return self.refuse_offer(&refusal);
+        }
+        let mut waiting = WaitingCaller {
+            desk: self,
+            ticket,
+            answered: false,
+        };
+        let answer = receiver.await;
+        waiting.answered = true;
+        // The decisions end only when nothing is in progress; this is the last way out.
+        answer.unwrap_or(CallerAnswer::Unknown {
+            reason: RefusalReason::Leaving,
+        })
+    }
+
+    fn refuse_offer<T>(&self, refusal: &OfferRefusal<T>) -> CallerAnswer {
+        let reason = refusal.reason();
+        self.counters.refusal(reason);
+        CallerAnswer::NotRun {
+            reason,
+            retry_after: RETRY_AFTER,
+        }
+    }
+
+    fn refuse_call(&self, refusal: &CallRefusal, name: &str) -> Response<Body> {
+        self.counters.refusal(refusal.reason);
+        let mut response = reply::not_run(refusal.reason, RETRY_AFTER, name);
+        if refusal.ends_connection {
+            reply::end_connection(&mut response);
+        }
+        response
+    }
+}
+
+/// Caller that waits; tells the decisions when it goes away before its answer.
+struct WaitingCaller<'a> {
+    desk: &'a CallerDesk,
+    ticket: CallerTicket,
+    answered: bool,
+}
+
+impl Drop for WaitingCaller<'_> {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let ticket = self.ticket;
+        let input = EntryInput::Event(EntryEvent::CallerGone { ticket });
+        if self.desk.inbox.deliver(InboxItem::Input(input)).is_err() {
+            self.desk.counters.refusal(RefusalReason::RingFull);
+        }
+    }
+}
+
+fn word_answer(answer: CallerAnswer, bodiless: bool, name: &str) -> Response<Body> {
+    match answer {
+        CallerAnswer::Answered(answer) => pass_on(&answer, bodiless),
+        CallerAnswer::NotRun {
+            reason,
+            retry_after,
+        } => reply::not_run(reason, retry_after, name),
+        CallerAnswer::Unknown { reason } => reply::unknown(reason, name),
+    }
+}
+
+/// Passes on the whole answer of the endpoint.
+fn pass_on(answer: &EndpointAnswer, bodiless: bool) -> Response<Body> {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = reply::plain(status, answer.body.clone());
+    headers::add_answer_fields(&answer.headers, bodiless, response.headers_mut());
+    response
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/web/callers/parse.rs
@@ -0,0 +1,160 @@
+//! Reads a caller's request whole and checks it.
+
+use crate::clock::HostClock;
+use crate::web::headers;
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use gotham::state::{FromState, State};
+use hornbeamlead_core::clock::MonoTime;
+use hornbeamlead_core::counter::RefusalReason;
+use hornbeamlead_core::ids::{IdempotencyKey, ServiceName};
+use hornbeamlead_core::message::request::{CallerRequest, MAX_BODY_BYTES, RequestSafety};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::header::CONTENT_LENGTH;
+use hyper::{HeaderMap, Method, Uri};
+use std::time::Duration;
+
+/// Header in which a caller names its timeout, in milliseconds.
+const TIMEOUT_HEADER: &str = "request-timeout-ms";
+
+/// Header in which a caller names its idempotency key.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// Longest time in which a body must have come.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Request that was read whole.
+pub(super) struct ParsedCall {
+    /// What is asked.
+    pub(super) request: CallerRequest,
+    /// Deadline that the caller named.
+    pub(super) deadline: Option<MonoTime>,
+}
+
+/// Why a request is refused before the decisions see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct CallRefusal {
+    /// Reason.
+    pub(super) reason: RefusalReason,
+    /// Whether unread bytes may follow on the connection.
+    pub(super) ends_connection: bool,
+}
+
+impl From<RefusalReason> for CallRefusal {
+    fn from(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            ends_connection: true,
+        }
+    }
+}
+
+/// Reads a request whole.
+pub(super) async fn read_call(
+    state: &mut State,
+    clock: &HostClock,
+) -> Result<ParsedCall, CallRefusal> {
+    let method = Method::borrow_from(state).clone();
+    let uri = Uri::borrow_from(state).clone();
+    let header_map = HeaderMap::take_from(state);
+    let body = Body::take_from(state);
+    let (service, path) = split_path(&uri)?;
+    let safety = safety_of(&method)?;
+    let timeout = read_timeout(&header_map)?;
+    let key = read_key(&header_map)?;
+    let fields = headers::request_fields(&header_map).map_err(|_| RefusalReason::BadRequest)?;
+    let deadline = timeout.map(|span| clock.mono().plus(span));
+    let body = read_body(&header_map, body).await?;
+    let request = CallerRequest {
+        service,
+        method: method.as_str().into(),
+        path,
+        headers: fields,
+        body,
+        safety,
+        key,
+    };
+    Ok(ParsedCall { request, deadline })
+}
+
+/// Splits `/{service}/{rest}` with its query.
+fn split_path(uri: &Uri) -> Result<(ServiceName, Box<str>), RefusalReason> {
+    let path = uri.path().strip_prefix('/');
+    let path = path.ok_or(RefusalReason::BadRequest)?;
+    let end = path.find('/').unwrap_or(path.len());
+    let (name, rest) = path.split_at(end);
+    let service = ServiceName::new(name).map_err(|_| RefusalReason::UnknownService)?;
+    let rest = match rest {
+        "" => "/",
+        rest => rest,
+    };
+    let whole = match uri.query() {
+        Some(query) => format!("{rest}?{query}"),
+        None => rest.to_owned(),
+    };
+    Ok((service, whole.into()))
+}
+
+fn safety_of(method: &Method) -> Result<RequestSafety, RefusalReason> {
+    match *method {
+        Method::CONNECT | Method::TRACE => Err(RefusalReason::BadRequest),
+        Method::GET | Method::HEAD | Method::PUT | Method::DELETE | Method::OPTIONS => {
+            Ok(RequestSafety::Idempotent)
+        }
+        _ => Ok(RequestSafety::NonIdempotent),
+    }
+}
+
+/// Returns the only value of a header; a header that stands twice is malformed.
+fn only_value<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, RefusalReason> {
+    let mut values = headers.get_all(name).iter();
+    match (values.next(), values.next()) {
+        (None, _) => Ok(None),
+        (Some(value), None) => value
+            .to_str()
+            .map(Some)
+            .map_err(|_| RefusalReason::BadRequest),
+        (Some(_), Some(_)) => Err(RefusalReason::BadRequest),
+    }
+}
+
+fn read_timeout(headers: &HeaderMap) -> Result<Option<Duration>, RefusalReason> {
+    let Some(text) = only_value(headers, TIMEOUT_HEADER)? else {
+        return Ok(None);
+    };
+    match text.trim().parse::<u64>() {
+        Ok(0) | Err(_) => Err(RefusalReason::BadRequest),
+        Ok(millis) => Ok(Some(Duration::from_millis(millis))),
+    }
+}
+
+fn read_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, RefusalReason> {
+    match only_value(headers, KEY_HEADER)? {
+        None => Ok(None),
+        Some(text) => IdempotencyKey::new(text)
+            .map(Some)
+            .ok_or(RefusalReason::BadRequest),
+    }
+}
+
+/// Reads a body whole, within its limit and in time.
+async fn read_body(headers: &HeaderMap, body: Body) -> Result<Bytes, RefusalReason> {
+    if announced_length(headers) > MAX_BODY_BYTES as u64 {
+        return Err(RefusalReason::BodyTooLong);
+    }
+    let collected = Limited::new(body, MAX_BODY_BYTES).collect();
+    match tokio::time::timeout(BODY_TIMEOUT, collected).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalReason::BodyTooLong),
+        Ok(Err(_)) | Err(_) => Err(RefusalReason::BadRequest),
+    }
+}
+
+/// Returns the announced length; the library has checked that it is a number.
+fn announced_length(headers: &HeaderMap) -> u64 {
+    headers
+        .get(CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0)
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/web/connection.rs
@@ -0,0 +1,236 @@
+//! Connections of one HTTP listener: cap, read deadlines and the planned stop.
+
+use crate::counters::ProcessCounters;
+use futures_util::task::AtomicWaker;
+use hornbeamlead_core::counter::RefusalReason;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Limits of a listener's connections.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionLimits {
+    /// Connections open at a time.
+    pub(crate) connections: usize,
+    /// Longest time from the first byte of a request to the end of its head.
+    pub(crate) head: Duration,
+    /// Longest time without a request.
+    pub(crate) idle: Duration,
+    /// Longest time for which the other side may refuse to take a byte of an answer.
+    pub(crate) write: Duration,
+}
+
+impl Default for ConnectionLimits {
+    fn default() -> Self {
+        Self {
+            connections: 4096,
+            head: Duration::from_secs(5),
+            idle: Duration::from_secs(60),
+            write: Duration::from_secs(10),
+        }
+    }
+}
+
+/// All connections of a listener.
+pub(crate) struct ConnectionTable {
+    limits: ConnectionLimits,
+    counters: Arc<ProcessCounters>,
+    open: Mutex<HashMap<SocketAddr, Arc<ConnectionState>>>,
+    stopping: AtomicBool,
+    closing: AtomicBool,
+    changed: Notify,
+}
+
+/// What the stream and the handlers of one connection share.
+pub(crate) struct ConnectionState {
+    progress: Mutex<ReadProgress>,
+    waker: AtomicWaker,
+}
+
+/// Where a connection stands between two requests.
+#[derive(Clone, Copy, Debug)]
+struct ReadProgress {
+    /// Requests that a handler works on.
+    handled: usize,
+    /// Whether bytes of a further request came.
+    begun: bool,
+    /// When the other side must have sent the head of its request.
+    read_by: Instant,
+}
+
+/// What a reader is to do that finds no bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReadWait {
+    /// Wait without a deadline: a request is being handled.
+    Unbounded,
+    /// Wait until a moment.
+    Until(Instant),
+    /// End the connection: the process stops and no request has begun.
+    End,
+}
+
+impl ConnectionTable {
+    /// Makes an empty table.
+    pub(crate) fn new(limits: ConnectionLimits, counters: Arc<ProcessCounters>) -> Arc<Self> {
+        Arc::new(Self {
+            limits,
+            counters,
+            open: Mutex::new(HashMap::new()),
+            stopping: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
+            changed: Notify::new(),
+        })
+    }
+
+    /// Returns the limits.
+    pub(crate) fn limits(&self) -> &ConnectionLimits {
+        &self.limits
+    }
+
+    /// Admits a connection unless the cap is reached.
+    pub(crate) fn admit(&self, peer: SocketAddr) -> Option<Arc<ConnectionState>> {
+        let mut open = lock(&self.open);
+        if open.len() >= self.limits.connections {
+            self.counters.refusal(RefusalReason::QueueFull);
+            return None;
+        }
+        let state = Arc::new(ConnectionState::new(Instant::now() + self.limits.head));
+        open.insert(peer, Arc::clone(&state));
+        Some(state)
+    }
+
+    /// Forgets a connection that has ended.
+    pub(crate) fn remove(&self, peer: SocketAddr) {
+        lock(&self.open).remove(&peer);
+        self.changed.notify_waiters();
+    }
+
+    /// Notes that a handler works on a request, until the guard is dropped.
+    pub(crate) fn begin_request(self: &Arc<Self>, peer: SocketAddr) -> RequestGuard {
+        let state = lock(&self.open).get(&peer).map(Arc::clone);
+        if let Some(state) = &state {
+            state.begin_request();
+        }
+        RequestGuard {
+            state,
+            idle: self.limits.idle,
+        }
+    }
+
+    /// Asks that each answer end its connection from now on.
+    pub(crate) fn stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Returns whether answers are to end their connections.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Ends the listener and all connections without a request.
+    pub(crate) fn close(&self) {
+        self.stop();
+        self.closing.store(true, Ordering::Release);
+        self.changed.notify_waiters();
+        for state in lock(&self.open).values() {
+            state.waker.wake();
+        }
+    }
+
+    /// Waits until [`close`](Self::close) is called.
+    pub(crate) async fn closed(&self) {
+        self.wait_for(|| self.closing.load(Ordering::Acquire)).await;
+    }
+
+    /// Waits until no connection is open.
+    pub(crate) async fn emptied(&self) {
+        self.wait_for(|| lock(&self.open).is_empty()).await;
+    }
+
+    /// Says what a reader is to do that finds no bytes.
+    pub(crate) fn read_wait(&self, state: &ConnectionState) -> ReadWait {
+        let progress = *lock(&state.progress);
+        let closing = self.closing.load(Ordering::Acquire);
+        match progress {
+            ReadProgress { handled, .. } if handled > 0 => ReadWait::Unbounded,
+            ReadProgress { begun, .. } if closing && !begun => ReadWait::End,
+            ReadProgress { read_by, .. } => ReadWait::Until(read_by),
+        }
+    }
+
+    /// Notes that bytes came.
+    pub(crate) fn bytes_came(&self, state: &ConnectionState) {
+        let mut progress = lock(&state.progress);
+        if progress.handled == 0 && !progress.begun {
+            progress.begun = true;
+            progress.read_by = Instant::now() + self.limits.head;
+        }
+    }
+
+    async fn wait_for(&self, done: impl Fn() -> bool) {
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if done() {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
+impl ConnectionState {
+    fn new(read_by: Instant) -> Self {
+        Self {
+            progress: Mutex::new(ReadProgress {
+                handled: 0,
+                begun: false,
+                read_by,
+            }),
+            waker: AtomicWaker::new(),
+        }
+    }
+
+    /// Has the reader woken when its wait changes.
+    pub(crate) fn register(&self, waker: &std::task::Waker) {
+        self.waker.register(waker);
+    }
+
+    fn begin_request(&self) {
+        let mut progress = lock(&self.progress);
+        progress.handled += 1;
+        progress.begun = false;
+    }
+
+    fn end_request(&self, idle: Duration) {
+        let mut progress = lock(&self.progress);
+        progress.handled = progress.handled.saturating_sub(1);
+        progress.read_by = Instant::now() + idle;
+        drop(progress);
+        self.waker.wake();
+    }
+}
+
+/// Notes the end of a request when it is dropped.
+pub(crate) struct RequestGuard {
+    state: Option<Arc<ConnectionState>>,
+    idle: Duration,
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        if let Some(state) = &self.state {
+            state.end_request(self.idle);
+        }
+    }
+}
+
+/// Locks a mutex whose holders never leave it half changed.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/web/mod.rs
@@ -0,0 +1,19 @@
+//! HTTP listeners: callers, operators and the endpoint of the host.
+//!
+//! gotham boxes its handlers; that `dyn` ends here, before the ring into the decisions.
+
+mod callers;
+mod connection;
+mod local;
+mod operators;
+mod reply;
+mod server;
+mod stream;
+
+pub(crate) mod headers;
+
+pub(crate) use callers::{CallerDesk, call_handler};
+pub(crate) use connection::{ConnectionLimits, ConnectionTable};
+pub(crate) use local::{LocalDesk, local_handler};
+pub(crate) use operators::{OperatorDesk, operator_handler};
+pub(crate) use server::serve;
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/web/operators.rs
@@ -0,0 +1,114 @@
+//! Operators' listener: status, explanations and fates of notes.
+
+use super::connection::ConnectionTable;
+use super::reply;
+use crate::decision::{InboxItem, OperatorAnswer, OperatorQuestion};
+use crate::ring::RingSender;
+use bytes::Bytes;
+use futures_util::FutureExt;
+use gotham::handler::HandlerFuture;
+use gotham::helpers::http::Body;
+use gotham::state::{FromState, State, client_addr};
+use hornbeamlead_core::event::StatusAsk;
+use hornbeamlead_core::ids::NoteId;
+use hyper::{Method, Response, StatusCode, Uri};
+use std::pin::Pin;
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// What the operators' handlers share.
+pub(crate) struct OperatorDesk<I> {
+    /// Ring into the decisions.
+    pub(crate) inbox: RingSender<InboxItem<I>>,
+    /// Connections of the listener.
+    pub(crate) table: Arc<ConnectionTable>,
+}
+
+/// Handles one request on the operators' listener.
+pub(crate) fn operator_handler<I: Send + 'static>(
+    desk: Arc<OperatorDesk<I>>,
+    state: State,
+) -> Pin<Box<HandlerFuture>> {
+    async move {
+        let guard = client_addr(&state).map(|peer| desk.table.begin_request(peer));
+        let mut response = match read_question(&state) {
+            Ok(ask) => desk.answer(ask).await,
+            Err(status) => reply::plain(status, Bytes::new()),
+        };
+        if desk.table.is_stopping() {
+            reply::end_connection(&mut response);
+        }
+        drop(guard);
+        Ok((state, response))
+    }
+    .boxed()
+}
+
+impl<I> OperatorDesk<I> {
+    async fn answer(&self, ask: StatusAsk) -> Response<Body> {
+        let (sender, receiver) = oneshot::channel();
+        let question = OperatorQuestion {
+            ask,
+            answer: sender,
+        };
+        let offered = self.inbox.offer(InboxItem::Question(question));
+        let answer = match offered {
+            Ok(()) => receiver.await.ok(),
+            Err(_) => None,
+        };
+        match answer {
+            Some(OperatorAnswer::Note(None)) => reply::plain(StatusCode::NOT_FOUND, Bytes::new()),
+            Some(answer) => reply::json(StatusCode::OK, &answer),
+            None => reply::plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        }
+    }
+}
+
+fn read_question(state: &State) -> Result<StatusAsk, StatusCode> {
+    if *Method::borrow_from(state) != Method::GET {
+        return Err(StatusCode::METHOD_NOT_ALLOWED);
+    }
+    let uri = Uri::borrow_from(state);
+    match uri.path() {
+        "/status" => Ok(StatusAsk::Fleet),
+        "/explain" => read_subject(uri).map(StatusAsk::Explain),
+        path => match path.strip_prefix("/note/") {
+            Some(name) => NoteId::new(name)
+                .map(StatusAsk::Note)
+                .map_err(|_| StatusCode::BAD_REQUEST),
+            None => Err(StatusCode::NOT_FOUND),
+        },
+    }
+}
+
+/// Returns the subject of `?subject=`, with its percent signs resolved.
+fn read_subject(uri: &Uri) -> Result<Box<str>, StatusCode> {
+    let query = uri.query().unwrap_or_default();
+    let subject = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("subject="));
+    let subject = subject.ok_or(StatusCode::BAD_REQUEST)?;
+    percent_decode(subject).ok_or(StatusCode::BAD_REQUEST)
+}
+
+fn percent_decode(text: &str) -> Option<Box<str>> {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((first, tail)) = rest.split_first() {
+        let (byte, after) = match (first, tail) {
+            (b'%', [high, low, after @ ..]) => (hex_byte(*high, *low)?, after),
+            (b'%', _) => return None,
+            (b'+', after) => (b' ', after),
+            (plain, after) => (*plain, after),
+        };
+        bytes.push(byte);
+        rest = after;
+    }
+    String::from_utf8(bytes).ok().map(Into::into)
+}
+
+fn hex_byte(high: u8, low: u8) -> Option<u8> {
+    let high = char::from(high).to_digit(16)?;
+    let low = char::from(low).to_digit(16)?;
+    u8::try_from(high * 16 + low).ok()
+}
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/web/stream.rs
@@ -0,0 +1,132 @@
+//! TCP stream that keeps the limits of its listener.
+
+use super::connection::{ConnectionState, ConnectionTable, ReadWait};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep};
+
+/// Connection of an HTTP listener.
+pub(crate) struct GuardedStream {
+    stream: TcpStream,
+    peer: SocketAddr,
+    table: Arc<ConnectionTable>,
+    state: Arc<ConnectionState>,
+    read_timer: Pin<Box<Sleep>>,
+    write_timer: Pin<Box<Sleep>>,
+    write_blocked: bool,
+}
+
+impl GuardedStream {
+    /// Admits a connection, or drops it when the cap is reached.
+    pub(crate) fn admit(stream: TcpStream, table: &Arc<ConnectionTable>) -> Result<Self, ()> {
+        let peer = stream.peer_addr().map_err(drop)?;
+        let state = table.admit(peer).ok_or(())?;
+        // A connection that cannot be tuned works all the same.
+        let _ = stream.set_nodelay(true);
+        Ok(Self {
+            stream,
+            peer,
+            table: Arc::clone(table),
+            state,
+            read_timer: Box::pin(tokio::time::sleep_until(Instant::now())),
+            write_timer: Box::pin(tokio::time::sleep_until(Instant::now())),
+            write_blocked: false,
+        })
+    }
+
+    /// Fails a write that has been blocked for too long.
+    fn check_write<T>(
+        &mut self,
+        context: &mut Context<'_>,
+        outcome: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if outcome.is_ready() {
+            self.write_blocked = false;
+            return outcome;
+        }
+        if !self.write_blocked {
+            self.write_blocked = true;
+            let limit = self.table.limits().write;
+            self.write_timer.as_mut().reset(Instant::now() + limit);
+        }
+        ready!(self.write_timer.as_mut().poll(context));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
+    /// Decides what becomes of a read that found no bytes.
+    fn wait_for_bytes(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.state.register(context.waker());
+        match self.table.read_wait(&self.state) {
+            ReadWait::Unbounded => Poll::Pending,
+            ReadWait::End => Poll::Ready(Ok(())),
+            ReadWait::Until(moment) => {
+                if self.read_timer.deadline() != moment {
+                    self.read_timer.as_mut().reset(moment);
+                }
+                ready!(self.read_timer.as_mut().poll(context));
+                Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+            }
+        }
+    }
+}
+
+impl Drop for GuardedStream {
+    fn drop(&mut self) {
+        self.table.remove(self.peer);
+    }
+}
+
+impl AsyncRead for GuardedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buffer.filled().len();
+        let outcome = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if outcome.is_pending() {
+            return self.wait_for_bytes(context);
+        }
+        if buffer.filled().len() > filled {
+            self.table.bytes_came(&self.state);
+        }
+        outcome
+    }
+}
+
+impl AsyncWrite for GuardedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let outcome = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.check_write(context, outcome)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let outcome = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.check_write(context, outcome)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
