--- a/crates/hornbeamlead_daemon/src/lib.rs
+++ b/crates/hornbeamlead_daemon/src/lib.rs
@@ -6,6 +6,8 @@
 //!
 //! gotham boxes its handlers (`dyn`); that stays at the rim, before the ring into the decisions.
 
+#![warn(clippy::unwrap_used)]
+
 mod args;
 mod clock;
 mod control;
--- a/crates/hornbeamlead_wire/tests/round_trip.rs
+++ b/crates/hornbeamlead_wire/tests/round_trip.rs
@@ -1,7 +1,5 @@
 //! Every message and record comes back as it was sent.
 
-#![allow(clippy::unwrap_used)]
-
 use bytes::Bytes;
 use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_core::counter::RefusalReason;
@@ -13,8 +11,8 @@
     AgentAnnounce, CellView, ControlMessage, HeartbeatReply, HostHeartbeat, TaskCommand, ViewMember,
 };
 use hornbeamlead_core::message::request::{
-    CallerRequest, EndpointAnswer, ForwardedRequest, HeaderField, KeyGrant, LinkMessage,
-    LoadSample, NoteCopy, RequestReply, RequestSafety, RequestVerdict,
+    CallerRequest, EndpointAnswer, ForwardedRequest, HeaderField, KeyAnswer, KeyGrant,
+    KeyKnowledge, LinkMessage, LoadSample, NoteCopy, RequestReply, RequestSafety, RequestVerdict,
 };
 use hornbeamlead_core::note::DeliveryMode;
 use hornbeamlead_core::record::{
@@ -293,7 +291,28 @@
             payload: Bytes::from(payload),
         }])
     });
-    prop_oneof![forwarded().prop_map(LinkMessage::Request), reply, notes]
+    let answered = (
+        host(),
+        any::<u64>(),
+        proptest::option::of(0..u64::MAX),
+        view(),
+    )
+        .prop_map(|(host, query, watched_us, view)| {
+            LinkMessage::KeyAnswer(KeyAnswer {
+                query,
+                host,
+                incarnation: Incarnation(5),
+                knowledge: KeyKnowledge::Absent,
+                watched: watched_us.map_or(Duration::MAX, Duration::from_micros),
+                past: vec![view],
+            })
+        });
+    prop_oneof![
+        forwarded().prop_map(LinkMessage::Request),
+        reply,
+        notes,
+        answered
+    ]
 }
 
 fn change() -> impl Strategy<Value = AttemptChange> {
@@ -338,6 +357,7 @@
                 up_to: LogOffset(8),
                 epoch: Epoch(2),
                 claim: Some(claim),
+                forced: Epoch(1),
                 attempts,
             })
         ),
