[ctl] Test notes in a fleet of processes; ask laggards in short rounds

Need: racing operators, an outage, a lost answer, a process frozen over three revisions, retention and a start without the log, with real processes: no revision ever goes down, and a note is in force within 5 s.

A frozen process held each round of the wait up for 2 s, so that a short wait named processes that were merely asked too early; a round now waits 500 ms for an answer (laggard_named failed before and passes now).

The other 7 pass.

--- a/crates/hornbeamlead_ctl/src/operators.rs
+++ b/crates/hornbeamlead_ctl/src/operators.rs
@@ -27,15 +27,22 @@
 #[derive(Clone, Debug)]
 pub(crate) struct OperatorsClient {
     http: Client<HttpConnector, Empty<Bytes>>,
+    patience: Duration,
 }
 
 impl OperatorsClient {
     /// Makes a client.
     pub(crate) fn new() -> Self {
+        Self::with_patience(ANSWER_TIMEOUT)
+    }
+
+    /// Makes a client for which a process counts as silent after `patience`.
+    pub(crate) fn with_patience(patience: Duration) -> Self {
         let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(ANSWER_TIMEOUT));
+        connector.set_connect_timeout(Some(patience));
         Self {
             http: Client::builder(TokioExecutor::new()).build(connector),
+            patience,
         }
     }
 
@@ -48,7 +55,7 @@
         path: &str,
     ) -> Option<T> {
         let uri: Uri = format!("http://{address}{path}").parse().ok()?;
-        let answer = tokio::time::timeout(ANSWER_TIMEOUT, self.fetch(uri)).await;
+        let answer = tokio::time::timeout(self.patience, self.fetch(uri)).await;
         let body = answer.ok().flatten()?;
         serde_json::from_slice(&body).ok()
     }
--- a/crates/hornbeamlead_ctl/src/rollout.rs
+++ b/crates/hornbeamlead_ctl/src/rollout.rs
@@ -11,6 +11,9 @@
 /// Time between two rounds of questions.
 const ROUND_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time after which a process counts as silent in one round.
+const ROUND_PATIENCE: Duration = Duration::from_millis(500);
+
 /// Process in which a revision is not in force.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct LaggingProcess {
@@ -37,15 +40,15 @@
 
 /// Asks all known processes until the revision is in force in each, or the time is up.
 pub(crate) async fn wait_for(
-    client: &OperatorsClient,
     entries: &[SocketAddr],
     revision: Revision,
     timeout: Duration,
 ) -> RolloutReport {
+    let client = OperatorsClient::with_patience(ROUND_PATIENCE);
     let began = Instant::now();
     let deadline = began + timeout;
     loop {
-        let known = ask_fleet(client, entries).await;
+        let known = ask_fleet(&client, entries).await;
         let lagging: Vec<_> = known.iter().filter_map(|one| lag(one, revision)).collect();
         if lagging.is_empty() || Instant::now() + ROUND_INTERVAL >= deadline {
             return RolloutReport {
--- a/crates/hornbeamlead_ctl/src/run.rs
+++ b/crates/hornbeamlead_ctl/src/run.rs
@@ -136,9 +136,8 @@
     if let (true, PublishVerdict::Accepted, Some(revision)) =
         (options.wait, report.outcome, report.revision)
     {
-        let client = OperatorsClient::new();
         let revision = Revision(revision);
-        let rollout = wait_for(&client, &settings.entries, revision, options.timeout).await;
+        let rollout = wait_for(&settings.entries, revision, options.timeout).await;
         report.rollout = Some(rollout);
     }
     Ok(report)
--- /dev/null
+++ b/crates/hornbeamlead_ctl/tests/fleet_notes.rs
@@ -0,0 +1,154 @@
+//! Notes in a fleet of processes: races, outages, frozen and restarted processes, retention.
+
+mod common;
+#[path = "common/fleet.rs"]
+mod fleet;
+
+use common::{ToolRun, finish, text};
+use fleet::{ToolFleet, small_plan};
+use hornbeamlead_standin::log::OutageMode;
+use serde_json::json;
+use std::time::Duration;
+
+/// Bound on the time from acceptance until a note is in force everywhere.
+const IN_FORCE: &str = "5s";
+
+fn assert_in_force(run: &ToolRun, revision: u64, processes: usize) {
+    assert_eq!(run.status, 0, "{run:?}");
+    let accepted = format!("accepted: revision {revision}");
+    let everywhere = format!("in force in all {processes} known processes");
+    assert!(run.out.contains(&accepted), "{run:?}");
+    assert!(run.out.contains(&everywhere), "{run:?}");
+}
+
+#[test]
+fn force_within_bound() {
+    let fleet = ToolFleet::start(small_plan());
+    let watch = fleet.watch();
+    for (index, centre) in ["negombo", "colombo", "kalutara"].into_iter().enumerate() {
+        let basis = index as u64;
+        let run = fleet.add_centre(basis, centre, &["--wait", "--timeout", IN_FORCE]);
+        assert_in_force(&run, basis + 1, 6);
+    }
+    watch.finish();
+}
+
+#[test]
+fn racing_operators() {
+    let fleet = ToolFleet::start(small_plan());
+    let files = ["negombo", "colombo"].map(|centre| fleet.desk.centre_note(centre, "0", centre));
+    let runs = files.map(|file| fleet.desk.spawn(&["note", "apply", text(&file), "--wait"]));
+    let mut runs = runs.map(finish);
+    runs.sort_by_key(|run| run.status);
+    assert_in_force(&runs[0], 1, 6);
+    assert_eq!(runs[1].status, 1, "{runs:?}");
+    assert!(
+        runs[1].out.contains("but revision 1 is in force"),
+        "{runs:?}"
+    );
+    fleet.await_revision(1);
+}
+
+#[test]
+fn outage_note() {
+    let fleet = ToolFleet::start(small_plan());
+    let watch = fleet.watch();
+    assert_in_force(&fleet.add_centre(0, "negombo", &["--wait"]), 1, 6);
+    fleet
+        .fleet
+        .log
+        .control(|control| control.outage = OutageMode::Refusing);
+    let run = fleet.add_centre(1, "colombo", &["--timeout", "1s"]);
+    assert_eq!(run.status, 1, "{run:?}");
+    assert!(run.out.contains("not sent"), "{run:?}");
+    let run = fleet.desk.run(&["note", "status", "open-negombo"]);
+    assert!(run.out.contains("accepted: revision 1"), "{run:?}");
+    let file = fleet.desk.centre_note("open-colombo", "1", "colombo");
+    let waiting = fleet
+        .desk
+        .spawn(&["note", "apply", text(&file), "--wait", "--timeout", "20s"]);
+    std::thread::sleep(Duration::from_secs(1));
+    fleet
+        .fleet
+        .log
+        .control(|control| control.outage = OutageMode::None);
+    assert_in_force(&finish(waiting), 2, 6);
+    watch.finish();
+}
+
+#[test]
+fn lost_answer() {
+    let fleet = ToolFleet::start(small_plan());
+    fleet
+        .fleet
+        .log
+        .control(|control| control.lost_answer_percent = 100);
+    assert_in_force(&fleet.add_centre(0, "negombo", &["--wait"]), 1, 6);
+    let records = fleet.fleet.log.records("notes");
+    let notes = records
+        .iter()
+        .filter(|record| record.starts_with(b"{\"note\""));
+    assert_eq!(notes.count(), 1);
+}
+
+#[test]
+fn frozen_process() {
+    let mut fleet = ToolFleet::start(small_plan());
+    let watch = fleet.watch();
+    let frozen = fleet.fleet.host_index("negombo-02");
+    fleet.fleet.freeze_host(frozen);
+    for (index, centre) in ["negombo", "colombo", "kalutara"].into_iter().enumerate() {
+        let run = fleet.add_centre(index as u64, centre, &[]);
+        assert_eq!(run.status, 0, "{run:?}");
+    }
+    fleet.fleet.wake_host(frozen);
+    fleet.await_revision(3);
+    watch.finish();
+}
+
+#[test]
+fn laggard_named() {
+    let mut fleet = ToolFleet::start(small_plan());
+    let frozen = fleet.fleet.host_index("colombo-01");
+    fleet.fleet.freeze_host(frozen);
+    let run = fleet.add_centre(0, "negombo", &["--wait", "--timeout", IN_FORCE]);
+    assert_eq!(run.status, 1, "{run:?}");
+    assert!(run.out.contains("not yet in force in 1 of 6"), "{run:?}");
+    assert!(run.out.contains("agent colombo-01"), "{run:?}");
+    fleet.fleet.wake_host(frozen);
+    fleet.await_revision(1);
+}
+
+#[test]
+fn start_without_log() {
+    let mut fleet = ToolFleet::start(small_plan());
+    assert_in_force(&fleet.add_centre(0, "negombo", &["--wait"]), 1, 6);
+    fleet
+        .fleet
+        .log
+        .control(|control| control.outage = OutageMode::Silent);
+    fleet.fleet.restart_entry(0);
+    let host = fleet.fleet.host_index("negombo-01");
+    fleet.fleet.restart_agent(host);
+    fleet.await_revision(1);
+}
+
+#[test]
+fn snapshot_covers_retention() {
+    let plan = small_plan()
+        .log(|control| control.retention_records = 12)
+        .agent_settings(&json!({"schedule": {"snapshot_records": 4}}));
+    let mut fleet = ToolFleet::start(plan);
+    let watch = fleet.watch();
+    let mut revision = 0;
+    for index in 0..20 {
+        let run = fleet.add_centre(revision, &format!("centre-{index}"), &["--wait", "--json"]);
+        assert_eq!(run.status, 0, "{run:?}");
+        revision = run.json()["revision"].as_u64().expect("a revision is told");
+    }
+    watch.finish();
+    fleet.fleet.restart_entry(1);
+    let host = fleet.fleet.host_index("colombo-02");
+    fleet.fleet.restart_agent(host);
+    fleet.await_revision(revision);
+}
