[platform] Count the spans of a call from the moment it was made

Cause: a renewal or a start that lies in the buffer of a frozen worker counted its spans from the moment in which the worker read it. The lease then outlasted the one that the planner granted (renewal_read_late: still running 2.5 s after a renewal for 2 s), and a start came after its last moment (start_read_late). Change: a worker tells its clock with each answer; a call names a reading that the clock had passed when the spans were taken, and the worker counts from there. The daemon hands its clock to the client.

--- a/crates/hornbeamlead_daemon/src/platform/worker.rs
+++ b/crates/hornbeamlead_daemon/src/platform/worker.rs
@@ -52,11 +52,12 @@
 impl WorkerDuty {
     /// Serves the worker until the decision thread has ended.
     pub(crate) async fn run(mut self) {
+        let clock = self.clock;
         let caller = WorkerCaller {
-            client: WorkerClient::default(),
+            client: WorkerClient::new(move || clock.mono()),
             inbox: self.inbox.clone(),
             counters: Arc::clone(&self.counters),
-            clock: self.clock,
+            clock,
         };
         let start = |lane, command| caller.clone().perform(lane, command);
         let mut lanes = CallLanes::new(WORKER_RING);
--- a/crates/hornbeamlead_platform/src/http.rs
+++ b/crates/hornbeamlead_platform/src/http.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::header::CONTENT_TYPE;
+use hyper::header::{CONTENT_TYPE, HeaderMap};
 use hyper::{Method, Request, StatusCode, Uri};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -20,6 +20,8 @@
 pub(crate) struct HttpAnswer {
     /// Status.
     pub(crate) status: StatusCode,
+    /// Headers.
+    pub(crate) headers: HeaderMap,
     /// Whole body.
     pub(crate) body: Bytes,
 }
@@ -78,6 +80,7 @@
         })?;
         Ok(HttpAnswer {
             status: head.status,
+            headers: head.headers,
             body: body.to_bytes(),
         })
     }
--- a/crates/hornbeamlead_platform/src/lib.rs
+++ b/crates/hornbeamlead_platform/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(clippy::unwrap_used)]
 
 mod http;
+mod worker_clock;
 
 pub mod announce_wire;
 pub mod log;
--- a/crates/hornbeamlead_platform/src/worker.rs
+++ b/crates/hornbeamlead_platform/src/worker.rs
@@ -1,9 +1,10 @@
 //! Client of the worker of a host.
 
 use crate::http::{HttpAnswer, HttpClient, build_request};
+use crate::worker_clock::WorkerClocks;
 use crate::worker_wire::{
-    AttemptCall, AttemptWire, REFUSED_SEEN, RefusedAnswer, RenewCall, ReportAnswer, StartCall,
-    StopCall, ThrottleCall,
+    AttemptCall, AttemptWire, COUNTED_FROM_HEADER, REFUSED_SEEN, RefusedAnswer, RenewCall,
+    ReportAnswer, StartCall, StopCall, ThrottleCall, WORKER_CLOCK_HEADER,
 };
 use bytes::Bytes;
 use hornbeamlead_core::clock::MonoTime;
@@ -11,30 +12,41 @@
 use hornbeamlead_core::event::PLATFORM_TIMEOUT;
 use hornbeamlead_core::task::{WorkerAnswer, WorkerCall, WorkerFault, WorkerReport};
 use http_body_util::Full;
+use hyper::header::HeaderValue;
 use hyper::{Method, Request, StatusCode};
 use serde::Serialize;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Largest answer of a worker that is read, in bytes.
 pub const MAX_WORKER_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
+/// Reads the clock in which the deadlines of calls are given.
+type CallClock = Arc<dyn Fn() -> MonoTime + Send + Sync>;
+
 /// Calls workers over HTTP.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct WorkerClient {
     http: HttpClient,
+    clock: CallClock,
+    worker_clocks: WorkerClocks,
 }
 
-impl Default for WorkerClient {
-    fn default() -> Self {
+impl WorkerClient {
+    /// Makes a client; `clock` reads the clock in which the deadlines of calls are given.
+    #[must_use]
+    pub fn new(clock: impl Fn() -> MonoTime + Send + Sync + 'static) -> Self {
         Self {
             http: HttpClient::new(PLATFORM_TIMEOUT),
+            clock: Arc::new(clock),
+            worker_clocks: WorkerClocks::default(),
         }
     }
-}
 
-impl WorkerClient {
     /// Calls the worker at `address`; deadlines become the spans left at `now`.
     ///
+    /// The worker is asked for its clock first where that is not known yet.
+    ///
     /// # Errors
     /// Returns [`WorkerFault::Refused`] only where it is proven that the call had no effect: the
     /// worker said so, or a start was too late to be sent. Everything else is
@@ -46,13 +58,11 @@
         call: &WorkerCall,
         now: MonoTime,
     ) -> Result<WorkerAnswer, WorkerFault> {
+        if has_deadline(call) && self.worker_clocks.passed_at(address, now).is_none() {
+            self.exchange(address, &WorkerCall::Report, now).await?;
+        }
         check_start_time(call, now)?;
-        let request = word_call(address, call, now).ok_or(WorkerFault::NoAnswer)?;
-        let answer = self
-            .http
-            .exchange(request, MAX_WORKER_ANSWER_BYTES, PLATFORM_TIMEOUT)
-            .await
-            .map_err(|_| WorkerFault::NoAnswer)?;
+        let answer = self.exchange(address, call, now).await?;
         match answer.status {
             StatusCode::OK if *call == WorkerCall::Report => read_report(&answer),
             StatusCode::OK | StatusCode::NO_CONTENT => Ok(WorkerAnswer::Done),
@@ -60,6 +70,39 @@
             _ => Err(WorkerFault::NoAnswer),
         }
     }
+
+    /// Sends one call and remembers the worker's clock from the answer.
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        call: &WorkerCall,
+        now: MonoTime,
+    ) -> Result<HttpAnswer, WorkerFault> {
+        let mut request = word_call(address, call, now).ok_or(WorkerFault::NoAnswer)?;
+        if let Some(passed_us) = self.worker_clocks.passed_at(address, now) {
+            let value = HeaderValue::from(passed_us);
+            request.headers_mut().insert(COUNTED_FROM_HEADER, value);
+        }
+        let exchange = self
+            .http
+            .exchange(request, MAX_WORKER_ANSWER_BYTES, PLATFORM_TIMEOUT);
+        let answer = exchange.await.map_err(|_| WorkerFault::NoAnswer)?;
+        if let Some(worker_us) = read_clock(&answer) {
+            let received = (self.clock)();
+            self.worker_clocks.note(address, worker_us, received);
+        }
+        Ok(answer)
+    }
+}
+
+/// Returns whether spans of the call are counted by the worker's clock.
+fn has_deadline(call: &WorkerCall) -> bool {
+    matches!(call, WorkerCall::Start { .. } | WorkerCall::Renew { .. })
+}
+
+fn read_clock(answer: &HttpAnswer) -> Option<u64> {
+    let value = answer.headers.get(WORKER_CLOCK_HEADER)?;
+    value.to_str().ok()?.parse().ok()
 }
 
 /// Refuses a start whose last moment has come before a byte is sent.
--- a/crates/hornbeamlead_platform/src/worker_wire.rs
+++ b/crates/hornbeamlead_platform/src/worker_wire.rs
@@ -13,6 +13,12 @@
 /// Reason of a worker that has seen the attempt of a start before.
 pub const REFUSED_SEEN: &str = "already_seen";
 
+/// Header of each answer of a worker: its clock, in microseconds from a start of its choice.
+pub const WORKER_CLOCK_HEADER: &str = "worker-clock-us";
+
+/// Header of a call: reading of the worker's clock from which the spans of the call are counted.
+pub const COUNTED_FROM_HEADER: &str = "counted-from-us";
+
 /// Attempt.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AttemptWire {
--- a/crates/hornbeamlead_platform/tests/common/mod.rs
+++ b/crates/hornbeamlead_platform/tests/common/mod.rs
@@ -19,16 +19,17 @@
         .block_on(future)
 }
 
-/// Answers the first connection with `answer`, whatever is asked, and closes it.
-pub(crate) fn answer_once(answer: impl Into<Vec<u8>>) -> SocketAddr {
+/// Answers each connection with `answer`, whatever is asked, and closes it.
+pub(crate) fn answer_always(answer: impl Into<Vec<u8>>) -> SocketAddr {
     let listener = TcpListener::bind(any_port()).unwrap();
     let address = listener.local_addr().unwrap();
     let answer = answer.into();
     std::thread::spawn(move || {
-        let (mut stream, _) = listener.accept().unwrap();
-        let mut asked = [0; 4096];
-        let _ = stream.read(&mut asked).unwrap();
-        let _ = stream.write_all(&answer);
+        while let Ok((mut stream, _)) = listener.accept() {
+            let mut asked = [0; 4096];
+            let _ = stream.read(&mut asked);
+            let _ = stream.write_all(&answer);
+        }
     });
     address
 }
@@ -36,5 +37,5 @@
 /// Words an HTTP answer.
 pub(crate) fn http(status: &str, body: &str) -> String {
     let length = body.len();
-    format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n\r\n{body}")
+    format!("HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}")
 }
--- a/crates/hornbeamlead_platform/tests/log_client.rs
+++ b/crates/hornbeamlead_platform/tests/log_client.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use bytes::Bytes;
-use common::{answer_once, any_port, block_on, http};
+use common::{answer_always, any_port, block_on, http};
 use hornbeamlead_core::ids::{CellId, LogOffset};
 use hornbeamlead_core::record::{LogFault, StreamName};
 use hornbeamlead_platform::log::{LogClient, MAX_PAYLOAD_BYTES};
@@ -135,7 +135,7 @@
 #[case::gone_without_offset(http("410 Gone", "{}"))]
 #[case::other_status(http("302 Found", ""))]
 fn unsound_answer(#[case] answer: String) {
-    let client = LogClient::new(answer_once(answer));
+    let client = LogClient::new(answer_always(answer));
     let read = client.read(&StreamName::Notes, LogOffset(0), 1);
     assert_eq!(block_on(read), Err(LogFault::Unavailable));
 }
--- a/crates/hornbeamlead_platform/tests/worker_client.rs
+++ b/crates/hornbeamlead_platform/tests/worker_client.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{answer_once, block_on, http};
+use common::{answer_always, block_on, http};
 use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_core::ids::{AttemptId, JobName, KindName, TaskId};
 use hornbeamlead_core::note::DeliveryMode;
@@ -16,7 +16,7 @@
 use hornbeamlead_standin::worker::history::TaskEventKind;
 use rstest::rstest;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 const NOW: MonoTime = MonoTime(5_000_000);
 const LONG: Duration = Duration::from_secs(600);
@@ -52,7 +52,7 @@
 }
 
 fn call(address: SocketAddr, call: &WorkerCall) -> Result<WorkerAnswer, WorkerFault> {
-    block_on(WorkerClient::default().call(address, call, NOW))
+    block_on(WorkerClient::new(|| NOW).call(address, call, NOW))
 }
 
 fn report(worker: &WorkerStandin) -> Vec<TaskStatus> {
@@ -141,9 +141,9 @@
 #[test]
 fn lapsed_stays_lapsed() {
     let worker = idle_worker();
-    let lease = Duration::from_millis(1);
+    let lease = Duration::from_secs(1);
     call(worker.addr(), &start(order(1, 1000, LONG), lease)).unwrap();
-    std::thread::sleep(Duration::from_millis(20));
+    std::thread::sleep(Duration::from_millis(1_200));
     let renew = WorkerCall::Renew {
         attempts: vec![attempt(1)],
         lease_until: NOW.plus(LONG),
@@ -152,6 +152,55 @@
     assert_eq!(report(&worker)[0].phase, TaskPhase::Lapsed);
 }
 
+/// Sends a call to a worker that is frozen for `freeze` and then reads it.
+///
+/// Returns the time at which it was sent, in microseconds since the Unix epoch.
+fn call_frozen(worker: &WorkerStandin, call: &WorkerCall, freeze: Duration) -> u64 {
+    let client = WorkerClient::new(|| NOW);
+    block_on(async {
+        let known = client.call(worker.addr(), &WorkerCall::Report, NOW).await;
+        assert!(known.is_ok());
+        worker.control(|control| control.frozen = true);
+        let sent = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        let unfreeze = async {
+            tokio::time::sleep(freeze).await;
+            worker.control(|control| control.frozen = false);
+        };
+        let _ = tokio::join!(client.call(worker.addr(), call, NOW), unfreeze);
+        u64::try_from(sent.as_micros()).unwrap()
+    })
+}
+
+#[test]
+fn start_read_late() {
+    let worker = idle_worker();
+    let late = WorkerCall::Start {
+        order: order(1, 1000, LONG),
+        lease_until: NOW.plus(LONG),
+        start_by: NOW.plus(Duration::from_millis(100)),
+    };
+    call_frozen(&worker, &late, Duration::from_millis(300));
+    let kinds: Vec<TaskEventKind> = worker.history().events.iter().map(|it| it.event).collect();
+    assert_eq!(kinds, [TaskEventKind::LateRefused]);
+}
+
+#[test]
+fn renewal_read_late() {
+    let worker = idle_worker();
+    let lease = Duration::from_secs(2);
+    call(worker.addr(), &start(order(1, 1000, LONG), lease)).unwrap();
+    let renew = WorkerCall::Renew {
+        attempts: vec![attempt(1)],
+        lease_until: NOW.plus(lease),
+    };
+    let sent_us = call_frozen(&worker, &renew, Duration::from_secs(1));
+    std::thread::sleep(Duration::from_millis(1_500));
+    let lapsed = worker.history().events.pop().unwrap();
+    assert_eq!(lapsed.event, TaskEventKind::Lapsed);
+    let held = Duration::from_micros(lapsed.at_us.saturating_sub(sent_us));
+    assert!(held <= lease, "held for {held:?} after the call");
+}
+
 #[rstest]
 #[case::refused(http("409 Conflict", r#"{"refused":"no_room"}"#), true)]
 #[case::no_reason(http("409 Conflict", ""), false)]
@@ -160,7 +209,7 @@
 #[case::cut_off("HTTP/1.1 409 Conflict\r\ncontent-length: 90\r\n\r\n{\"refused\"".to_owned(), false)]
 #[case::closed(String::new(), false)]
 fn refusal_needs_proof(#[case] answer: String, #[case] refused: bool) {
-    let address = answer_once(answer);
+    let address = answer_always(answer);
     let fault = call(address, &start(order(1, 1000, LONG), LONG)).unwrap_err();
     assert_eq!(matches!(fault, WorkerFault::Refused { .. }), refused);
 }
--- a/crates/hornbeamlead_standin/src/worker/endpoint.rs
+++ b/crates/hornbeamlead_standin/src/worker/endpoint.rs
@@ -117,11 +117,24 @@
         path: path_and_query(ask).into(),
         key: header("idempotency-key"),
         body: String::from_utf8_lossy(&ask.body).into(),
+        own_headers: own_headers(ask),
         at_us,
         ended_us: None,
     }
 }
 
+fn own_headers(ask: &HttpAsk) -> Vec<Box<str>> {
+    let own = ask
+        .headers
+        .iter()
+        .filter(|(name, _)| name.as_str().starts_with("hornbeamlead-"));
+    own.map(|(name, value)| {
+        let value = String::from_utf8_lossy(value.as_bytes());
+        format!("{name}: {value}").into()
+    })
+    .collect()
+}
+
 fn draw_service_time(state: &mut WorkerState, ask: &HttpAsk) -> Duration {
     let service = state.control.service.clone();
     let time_us = ask.query_number("work_us").unwrap_or(service.time_us);
--- a/crates/hornbeamlead_standin/src/worker/history.rs
+++ b/crates/hornbeamlead_standin/src/worker/history.rs
@@ -91,6 +91,8 @@
     pub key: Option<Box<str>>,
     /// Body as text.
     pub body: Box<str>,
+    /// Headers whose names begin with `hornbeamlead-`, as `name: value`.
+    pub own_headers: Vec<Box<str>>,
     /// Start of the run.
     pub at_us: u64,
     /// End of the run, if it has ended.
--- a/crates/hornbeamlead_standin/src/worker/server.rs
+++ b/crates/hornbeamlead_standin/src/worker/server.rs
@@ -4,7 +4,8 @@
 use super::{SharedState, lock};
 use crate::control::patch_settings;
 use crate::http::{ConnectionCap, HttpAsk, HttpReply, empty_reply, error_reply, json_reply, serve};
-use hornbeamlead_platform::worker_wire::RefusedAnswer;
+use hornbeamlead_platform::worker_wire::{COUNTED_FROM_HEADER, RefusedAnswer, WORKER_CLOCK_HEADER};
+use hyper::header::HeaderValue;
 use hyper::{Method, StatusCode};
 use serde::de::DeserializeOwned;
 use std::io;
@@ -28,7 +29,10 @@
         return Some(reply);
     }
     wait_unfrozen(&state).await;
-    Some(answer_call(&state, &ask))
+    let mut reply = answer_call(&state, &ask);
+    let clock = HeaderValue::from(lock(&state).clock.now_us());
+    reply.headers_mut().insert(WORKER_CLOCK_HEADER, clock);
+    Some(reply)
 }
 
 /// Answers what tests ask of the stand-in itself; `None` for all else.
@@ -57,11 +61,12 @@
 
 fn answer_call(state: &SharedState, ask: &HttpAsk) -> HttpReply {
     let mut state = lock(state);
+    let from_us = counted_from(ask);
     match (&ask.method, &*ask.path) {
         (&Method::GET, "/tasks") => json_reply(StatusCode::OK, &state.report()),
-        (&Method::POST, "/tasks/start") => obey(ask, |call| state.start(call)),
+        (&Method::POST, "/tasks/start") => obey(ask, |call| state.start(call, from_us)),
         (&Method::POST, "/tasks/renew") => obey(ask, |call| {
-            state.renew(&call);
+            state.renew(&call, from_us);
             Ok(())
         }),
         (&Method::POST, "/tasks/checkpoint") => obey(ask, |call| state.checkpoint(&call)),
@@ -72,6 +77,15 @@
     }
 }
 
+/// Returns the reading of the clock from which the spans of a call are counted.
+///
+/// Without the header that is the moment in which the call is read.
+fn counted_from(ask: &HttpAsk) -> u64 {
+    let value = ask.headers.get(COUNTED_FROM_HEADER);
+    let text = value.and_then(|value| value.to_str().ok());
+    text.and_then(|text| text.parse().ok()).unwrap_or(u64::MAX)
+}
+
 fn obey<T: DeserializeOwned>(
     ask: &HttpAsk,
     act: impl FnOnce(T) -> Result<(), Refusal>,
--- a/crates/hornbeamlead_standin/src/worker/state.rs
+++ b/crates/hornbeamlead_standin/src/worker/state.rs
@@ -85,8 +85,17 @@
     }
 
     /// Starts an attempt, if it is in time, new and fits.
-    pub(crate) fn start(&mut self, call: StartCall) -> Result<(), Refusal> {
+    ///
+    /// Its spans are counted from `counted_from_us`.
+    pub(crate) fn start(
+        &mut self,
+        mut call: StartCall,
+        counted_from_us: u64,
+    ) -> Result<(), Refusal> {
         let now_us = self.advance();
+        let age_ms = now_us.saturating_sub(counted_from_us).div_ceil(1_000);
+        call.lease_ms = call.lease_ms.saturating_sub(age_ms);
+        call.start_within_ms = call.start_within_ms.saturating_sub(age_ms);
         let key = attempt_key(&call.attempt);
         if self.seen.contains(&key) {
             return Err(self.refuse(call, TaskEventKind::SeenRefused, REFUSED_SEEN));
@@ -107,9 +116,12 @@
     }
 
     /// Renews the leases of running attempts; others are passed over.
-    pub(crate) fn renew(&mut self, call: &RenewCall) {
+    ///
+    /// The span is counted from `counted_from_us`.
+    pub(crate) fn renew(&mut self, call: &RenewCall, counted_from_us: u64) {
         let now_us = self.advance();
-        let until_us = now_us.saturating_add(call.lease_ms.saturating_mul(1_000));
+        let from_us = now_us.min(counted_from_us);
+        let until_us = from_us.saturating_add(call.lease_ms.saturating_mul(1_000));
         for attempt in &call.attempts {
             if let Ok(task) = self.running(attempt) {
                 task.renew(until_us);
--- a/crates/hornbeamlead_standin/src/worker/tasks.rs
+++ b/crates/hornbeamlead_standin/src/worker/tasks.rs
@@ -101,9 +101,9 @@
         }
     }
 
-    /// Sets a new end of the lease; an attempt that has ended stays so.
+    /// Moves the end of the lease on, never back; an attempt that has ended stays so.
     pub(crate) fn renew(&mut self, lease_until_us: u64) {
-        self.lease_until_us = lease_until_us;
+        self.lease_until_us = self.lease_until_us.max(lease_until_us);
     }
 
     /// Sets the speed.
