[daemon] Count heads of requests that cannot be read

A connection that ends within a head now counts as a bad request; a caller that goes away within its head counts too.

--- a/crates/hornbeamlead_daemon/src/web/connection.rs
+++ b/crates/hornbeamlead_daemon/src/web/connection.rs
@@ -104,8 +104,14 @@
     }
 
     /// Forgets a connection that has ended.
+    ///
+    /// One that ends within the head of a request had a head that was broken, too long or too
+    /// slow: the library answers that itself and tells no handler, so it is counted here.
     pub(crate) fn remove(&self, peer: SocketAddr) {
-        lock(&self.open).remove(&peer);
+        let removed = lock(&self.open).remove(&peer);
+        if removed.is_some_and(|state| state.ends_within_head()) {
+            self.counters.refusal(RefusalReason::BadRequest);
+        }
         self.changed.notify_waiters();
     }
 
@@ -201,6 +207,12 @@
         self.waker.register(waker);
     }
 
+    /// Returns whether bytes of a request came that no handler has got.
+    fn ends_within_head(&self) -> bool {
+        let progress = lock(&self.progress);
+        progress.handled == 0 && progress.begun
+    }
+
     fn begin_request(&self) {
         let mut progress = lock(&self.progress);
         progress.handled += 1;
