--- /dev/null
+++ b/crates/hornbeamlead_daemon/tests/callers_apart.rs
@@ -0,0 +1,59 @@
+//! Callers reach services and nothing else: no operators' call, no header of the system's own.
+
+mod fleets;
+
+use fleets::{raw_exchange, runs_of, small_fleet};
+use hornbeamlead_standin::client::TestRequest;
+use rstest::rstest;
+
+#[rstest]
+#[case::status("/status")]
+#[case::explain("/explain?subject=note")]
+#[case::note("/note/base")]
+#[case::announce("/announce")]
+#[case::twice("//status")]
+#[case::climbing("/ledger/../status")]
+#[case::escaped("/%73tatus")]
+fn no_operators_call(#[case] path: &str) {
+    let fleet = small_fleet();
+    let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    let answer = raw_exchange(
+        fleet.entries[0].process.address("callers"),
+        request.as_bytes(),
+    );
+    assert!(!answer.contains("counters"), "{answer}");
+    assert!(!answer.contains("\"rule\""), "{answer}");
+}
+
+#[test]
+fn operators_by_name() {
+    let fleet = small_fleet();
+    let operators = fleet.entries[0].process.address("operators");
+    for request in [
+        format!(
+            "GET http://{operators}/status HTTP/1.1\r\nhost: {operators}\r\nconnection: close\r\n\r\n"
+        ),
+        format!("GET /status HTTP/1.1\r\nhost: {operators}\r\nconnection: close\r\n\r\n"),
+        format!("CONNECT {operators} HTTP/1.1\r\nhost: {operators}\r\nconnection: close\r\n\r\n"),
+    ] {
+        let callers = fleet.entries[0].process.address("callers");
+        let answer = raw_exchange(callers, request.as_bytes());
+        assert!(answer.starts_with("HTTP/1.1 4"), "{answer}");
+        assert!(!answer.contains("counters"), "{answer}");
+    }
+}
+
+#[test]
+fn own_headers_stripped() {
+    let fleet = small_fleet();
+    let request = TestRequest::post(fleet.log.addr(), "/ledger/casks", "hoop")
+        .header("hornbeamlead-request", "forged/1/1")
+        .header("Hornbeamlead-Key", "forged")
+        .header("connection", "keep-alive, x-dropped")
+        .header("x-dropped", "1")
+        .header("x-yard", "negombo");
+    assert_eq!(fleet.call(0, request).unwrap().status, 200);
+    let run = runs_of(&fleet, "/casks").remove(0);
+    assert_eq!(run.own_headers.len(), 1, "{:?}", run.own_headers);
+    assert!(run.request.starts_with("entry-01/"), "{}", run.request);
+}
