--- a/crates/hornbeamlead_request/src/gate.rs
+++ b/crates/hornbeamlead_request/src/gate.rs
@@ -2,26 +2,36 @@
 
 mod admission;
 mod announcer;
+mod arbitrate;
 mod endpoint;
 mod fence;
+mod grant;
 mod limit;
 mod serve;
 
+use crate::keys::arbiter::ArbiterTable;
+use crate::keys::history::ViewHistory;
+use crate::keys::homes::HomeHistory;
+use crate::keys::runner::RunnerTable;
 use admission::AdmissionQueue;
 use announcer::EntryAnnouncer;
 use endpoint::EndpointRecord;
 use fence::FenceTable;
+use grant::PeerLoad;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
 use hornbeamlead_core::counter::RefusalReason;
 use hornbeamlead_core::effect::AgentEffect;
 use hornbeamlead_core::event::AgentEvent;
 use hornbeamlead_core::fleet::FleetState;
-use hornbeamlead_core::ids::{LinkId, RequestId, Revision};
+use hornbeamlead_core::ids::{HostId, LinkId, RequestId, Revision};
 use hornbeamlead_core::message::control::{AnnounceReply, ControlMessage};
 use hornbeamlead_core::message::request::{LinkMessage, LoadSample, RequestReply, RequestVerdict};
 use hornbeamlead_core::policy::{AgentPolicy, ProcessPlace};
 use hornbeamlead_core::status::{GateStatus, HostStanding};
 use limit::ConcurrencyLimit;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -46,7 +56,13 @@
     admission: AdmissionQueue,
     limit: ConcurrencyLimit,
     fences: FenceTable,
+    arbiter: ArbiterTable,
+    runner: RunnerTable,
+    history: ViewHistory,
+    homes: HomeHistory,
+    peers: BTreeMap<HostId, PeerLoad>,
     announcer: EntryAnnouncer,
+    random: SmallRng,
     notes_asked_until: MonoTime,
     stopping: bool,
 }
@@ -74,7 +90,13 @@
             admission: AdmissionQueue::new(policy.gate.queue),
             limit: ConcurrencyLimit::new(),
             fences: FenceTable::new(policy.gate.max_fenced, policy.gate.fence_lifetime),
+            arbiter: ArbiterTable::new(&policy.gate),
+            runner: RunnerTable::new(&policy.gate),
+            history: ViewHistory::new(policy.gate.key_lifetime),
+            homes: HomeHistory::new(policy.gate.key_lifetime),
+            peers: BTreeMap::new(),
             announcer: EntryAnnouncer::new(&policy.entries),
+            random: SmallRng::seed_from_u64(place.seed),
             notes_asked_until: MonoTime(0),
             stopping: false,
             place,
@@ -95,6 +117,7 @@
             context,
             effects,
         };
+        self.follow_cell(&mut turn);
         self.take(&mut turn, event);
         self.pass_time(&mut turn);
         let wake_at = self.wake_at();
@@ -104,7 +127,7 @@
     /// Returns whether no request is queued or in progress.
     #[must_use]
     pub fn idle(&self) -> bool {
-        self.admission.idle()
+        self.admission.idle() && self.arbiter.idle()
     }
 
     /// Returns the status for operators.
@@ -117,7 +140,7 @@
                 .as_ref()
                 .map(|endpoint| endpoint.announce.services.clone())
                 .unwrap_or_default(),
-            keys: 0,
+            keys: self.arbiter.len() + self.runner.len(),
             fenced: self.fences.len(),
         }
     }
@@ -125,7 +148,7 @@
     fn take(&mut self, turn: &mut GateTurn<'_>, event: &AgentEvent) {
         match event {
             AgentEvent::Requested { link, request } => self.take_request(turn, *link, request),
-            AgentEvent::Cancelled { link, id } => self.cancel(turn, *link, id),
+            AgentEvent::Cancelled { id, .. } => self.cancel(turn, id),
             AgentEvent::EndpointDone { id, outcome } => self.take_outcome(turn, id, outcome),
             AgentEvent::EndpointAnnounced(announce) => self.take_endpoint(turn, announce),
             AgentEvent::Datagram {
@@ -133,12 +156,12 @@
                 message: ControlMessage::AnnounceReply(reply),
             } => self.take_announce_reply(turn, *from, reply),
             AgentEvent::StopAsked => self.stopping = true,
-            AgentEvent::Replied { .. }
-            | AgentEvent::KeyAsked { .. }
-            | AgentEvent::KeyAnswered { .. }
-            | AgentEvent::LinkClosed { .. }
-            | AgentEvent::LinkRefused { .. }
-            | AgentEvent::LinkBroken { .. }
+            AgentEvent::Replied { from, reply } => self.take_runner_reply(turn, *from, reply),
+            AgentEvent::KeyAsked { link, query } => self.answer_query(turn, *link, query),
+            AgentEvent::KeyAnswered { answer, .. } => self.take_key_answer(turn, answer),
+            AgentEvent::LinkRefused { to, unsent } => self.take_peer_refusal(turn, *to, unsent),
+            AgentEvent::LinkBroken { to } => self.take_peer_break(turn, *to),
+            AgentEvent::LinkClosed { .. }
             | AgentEvent::Datagram { .. }
             | AgentEvent::WorkerDone { .. }
             | AgentEvent::LogRead { .. }
@@ -149,10 +172,25 @@
         }
     }
 
+    /// Takes the view and the data centres in service as they are now.
+    fn follow_cell(&mut self, turn: &mut GateTurn<'_>) {
+        let now = turn.now.mono;
+        self.homes.follow(now, turn.context.fleet);
+        let view = turn.context.standing.view.as_ref();
+        if self.history.follow(now, view) {
+            self.settle_under_new_view(turn);
+        }
+    }
+
     /// Does all that is due by the clock.
     fn pass_time(&mut self, turn: &mut GateTurn<'_>) {
         let now = turn.now.mono;
         self.fences.expire(now);
+        self.runner.expire(now);
+        while let Some(name) = self.arbiter.pop_look(now) {
+            self.look_at_key(turn, &name);
+        }
+        self.arbiter.expire(now);
         self.drop_silent_endpoint(now);
         self.refuse_queued_if_closed(turn);
         self.refuse_expired(turn);
@@ -165,6 +203,7 @@
         endpoint
             .map_or(MonoTime::MAX, |endpoint| endpoint.silent_at)
             .min(self.admission.wake_at())
+            .min(self.arbiter.wake_at())
             .min(self.announcer.wake_at())
     }
 
--- a/crates/hornbeamlead_request/src/gate/serve.rs
+++ b/crates/hornbeamlead_request/src/gate/serve.rs
@@ -4,12 +4,13 @@
 use super::endpoint::EndpointRecord;
 use super::fence::FencedEnd;
 use super::{GateTurn, RequestGate};
+use crate::keys::KeyName;
 use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_core::counter::RefusalReason;
 use hornbeamlead_core::effect::AgentEffect;
 use hornbeamlead_core::event::EndpointOutcome;
 use hornbeamlead_core::ids::{LinkId, RequestId};
-use hornbeamlead_core::message::request::{ForwardedRequest, RequestVerdict};
+use hornbeamlead_core::message::request::{ForwardedRequest, RequestSafety, RequestVerdict};
 use std::time::Duration;
 
 /// Longest time for which a broken exchange keeps its slot.
@@ -26,20 +27,32 @@
         if self.answer_copy(turn, link, &request.id) {
             return;
         }
-        if let Err(reason) = self.check(turn, request) {
-            return self.refuse(turn, link, &request.id, reason);
+        let keyed = KeyName::of(&request.request)
+            .filter(|_| request.request.safety == RequestSafety::NonIdempotent);
+        match (keyed, &request.granted) {
+            (Some(name), Some(grant)) => self.take_granted(turn, link, request, &name, grant),
+            (Some(name), None) => self.arbitrate(turn, link, request, &name),
+            (None, _) => match self.check(turn, request) {
+                Ok(()) => self.admit(turn, link, request),
+                Err(reason) => self.refuse(turn, link, &request.id, reason),
+            },
         }
-        self.admit(turn, link, request);
     }
 
     /// Drops a request that the endpoint was not given yet, and fences its id.
-    pub(super) fn cancel(&mut self, turn: &mut GateTurn<'_>, link: LinkId, id: &RequestId) {
-        if let Some(queued) = self.admission.remove(id) {
-            return self.refuse(turn, queued.link, id, RefusalReason::Fenced);
+    ///
+    /// Whoever cancels has closed the request, so there is nobody to answer.
+    pub(super) fn cancel(&mut self, turn: &mut GateTurn<'_>, id: &RequestId) {
+        if let Some(waiter) = self.arbiter.take_waiter(id) {
+            return self.fences.add(turn.now.mono, waiter.id, FencedEnd::Ran);
         }
-        if !self.admission.holds(id) && self.fences.get(id).is_none() {
-            self.refuse(turn, link, id, RefusalReason::Fenced);
+        let queued = self.admission.remove(id).is_some();
+        if !queued && self.admission.holds(id) {
+            return;
         }
+        self.runner.cancel(id);
+        let end = FencedEnd::NotRun(RefusalReason::Fenced);
+        self.fences.add(turn.now.mono, id.clone(), end);
     }
 
     /// Takes what the endpoint did with a request.
@@ -58,6 +71,7 @@
             EndpointOutcome::Answered(answer) => {
                 self.limit.note_answer(now, now.since(running.started));
                 self.fences.add(now, id.clone(), FencedEnd::Ran);
+                self.runner.answered(id, answer);
                 let verdict = RequestVerdict::Answered(answer.clone());
                 self.reply(turn, running.link, id, verdict);
             }
@@ -68,6 +82,7 @@
                 let linger = self.limit.service_time().min(MAX_LINGER);
                 self.admission.linger(now.plus(linger));
                 self.fences.add(now, id.clone(), FencedEnd::Ran);
+                self.runner.broken(id);
                 let reason = RefusalReason::EndpointBroken;
                 turn.push(AgentEffect::CountRefusal(reason));
                 self.reply(turn, running.link, id, RequestVerdict::Unknown { reason });
@@ -110,7 +125,7 @@
 
     /// Answers a copy of an id that was seen before; returns whether it was one.
     fn answer_copy(&mut self, turn: &mut GateTurn<'_>, link: LinkId, id: &RequestId) -> bool {
-        if self.admission.holds(id) {
+        if self.admission.holds(id) || self.arbiter.waits(id) {
             // The one answer to the first copy is on its way.
             turn.push(AgentEffect::CountRefusal(RefusalReason::Fenced));
             return true;
@@ -129,7 +144,11 @@
         true
     }
 
-    fn check(&self, turn: &GateTurn<'_>, request: &ForwardedRequest) -> Result<(), RefusalReason> {
+    pub(super) fn check(
+        &self,
+        turn: &GateTurn<'_>,
+        request: &ForwardedRequest,
+    ) -> Result<(), RefusalReason> {
         if let Some(reason) = self.closed(turn.context.fleet) {
             return Err(reason);
         }
@@ -148,7 +167,13 @@
         }
     }
 
-    fn admit(&mut self, turn: &mut GateTurn<'_>, link: LinkId, request: &ForwardedRequest) {
+    /// Hands a request to the endpoint, or lets it wait, or refuses it.
+    pub(super) fn admit(
+        &mut self,
+        turn: &mut GateTurn<'_>,
+        link: LinkId,
+        request: &ForwardedRequest,
+    ) {
         if self.slot_free() && self.admission.queued() == 0 {
             return self.call_endpoint(turn, link, request.clone());
         }
@@ -183,7 +208,7 @@
     }
 
     /// Refuses a request before the endpoint has seen a byte; its id never runs from now on.
-    fn refuse(
+    pub(super) fn refuse(
         &mut self,
         turn: &mut GateTurn<'_>,
         link: LinkId,
@@ -192,6 +217,7 @@
     ) {
         let now = turn.now.mono;
         self.fences.add(now, id.clone(), FencedEnd::NotRun(reason));
+        self.runner.cancel(id);
         turn.push(AgentEffect::CountRefusal(reason));
         let verdict = self.not_run(reason);
         self.reply(turn, link, id, verdict);
--- a/crates/hornbeamlead_request/src/keys.rs
+++ b/crates/hornbeamlead_request/src/keys.rs
@@ -1,3 +1,29 @@
 //! Requests with an idempotency key: one arbiter decides that a key runs once.
 
+pub(crate) mod arbiter;
+pub(crate) mod history;
+pub(crate) mod homes;
 pub(crate) mod route;
+pub(crate) mod runner;
+
+use hornbeamlead_core::ids::{IdempotencyKey, ServiceName};
+use hornbeamlead_core::message::request::CallerRequest;
+
+/// Key of a service's caller.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct KeyName {
+    /// Service called.
+    pub(crate) service: ServiceName,
+    /// Key chosen by the caller.
+    pub(crate) key: IdempotencyKey,
+}
+
+impl KeyName {
+    /// Returns the key of a request, if it has one.
+    pub(crate) fn of(request: &CallerRequest) -> Option<Self> {
+        Some(Self {
+            service: request.service.clone(),
+            key: request.key.clone()?,
+        })
+    }
+}
