[core] Pass the data centres in service with an answer about a key

A key's home moves when a data centre leaves or returns. An arbiter that started after the change has not seen the earlier set; its peers tell it, so that it does not run a key that ran elsewhere.

--- a/crates/hornbeamlead_core/src/message/request.rs
+++ b/crates/hornbeamlead_core/src/message/request.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::MonoTime;
 use crate::counter::RefusalReason;
-use crate::ids::{HostId, IdempotencyKey, Incarnation, RequestId, ServiceName};
+use crate::ids::{DataCentreName, HostId, IdempotencyKey, Incarnation, RequestId, ServiceName};
 use crate::message::control::CellView;
 use bytes::Bytes;
 use std::time::Duration;
@@ -172,6 +172,8 @@
     pub watched: Duration,
     /// Views before the one it follows now, as far as they still matter.
     pub past: Vec<CellView>,
+    /// Sets of data centres in service, the one in force there and those before that still matter.
+    pub homes: Vec<Vec<DataCentreName>>,
 }
 
 /// Message on a link.
--- a/crates/hornbeamlead_wire/src/request.rs
+++ b/crates/hornbeamlead_wire/src/request.rs
@@ -1,7 +1,7 @@
 //! Forms of requests, replies and what is known of keys.
 
 use crate::announce::ViewForm;
-use crate::convert::{forms, key, micros, name, optional, text, values};
+use crate::convert::{forms, key, micros, name, names, optional, text, values};
 use crate::error::WireError;
 use bytes::Bytes;
 use hornbeamlead_core::clock::MonoTime;
@@ -398,6 +398,7 @@
     knowledge: KnowledgeForm,
     watched_us: Option<u64>,
     past: Vec<ViewForm>,
+    homes: Vec<Vec<Box<str>>>,
 }
 
 impl From<&KeyAnswer> for KeyAnswerForm {
@@ -409,6 +410,11 @@
             knowledge: (&answer.knowledge).into(),
             watched_us: (answer.watched != Duration::MAX).then(|| micros(answer.watched)),
             past: forms(&answer.past),
+            homes: answer
+                .homes
+                .iter()
+                .map(|centres| centres.iter().map(text).collect())
+                .collect(),
         }
     }
 }
@@ -424,6 +430,11 @@
             knowledge: form.knowledge.into(),
             watched: form.watched_us.map_or(Duration::MAX, Duration::from_micros),
             past: values(form.past)?,
+            homes: form
+                .homes
+                .iter()
+                .map(|centres| names(centres))
+                .collect::<Result<_, _>>()?,
         })
     }
 }
--- a/crates/hornbeamlead_wire/tests/round_trip.rs
+++ b/crates/hornbeamlead_wire/tests/round_trip.rs
@@ -307,6 +307,7 @@
                 knowledge: KeyKnowledge::Absent,
                 watched: watched_us.map_or(Duration::MAX, Duration::from_micros),
                 past: vec![view],
+                homes: vec![vec!["negombo".parse().unwrap()], Vec::new()],
             })
         });
     prop_oneof![
