[request] Take missing views and earlier homes into account

The model found two ways for a key to run twice: a view that no surviving member has seen (numbers of one planner's term now have to be without a gap), and a restarted arbiter that starts after a drain which its peers have not applied yet (peers now pass the set in force there as well).

--- a/crates/hornbeamlead_request/src/gate/arbitrate.rs
+++ b/crates/hornbeamlead_request/src/gate/arbitrate.rs
@@ -99,7 +99,7 @@
         };
         let now = turn.now.mono;
         self.history.learn(now, &self.place, answer);
-        self.homes.learn(now, &answer.past_homes);
+        self.homes.learn(now, &answer.homes);
         let same_life = question.host == answer.host && question.incarnation == answer.incarnation;
         let phase = self.arbiter.get(&question.name).map(|record| &record.phase);
         match phase {
--- a/crates/hornbeamlead_request/src/gate/grant.rs
+++ b/crates/hornbeamlead_request/src/gate/grant.rs
@@ -192,7 +192,7 @@
             knowledge,
             watched: self.history.watched(now),
             past,
-            past_homes: self.homes.past(),
+            homes: self.homes.known(),
         };
         turn.push(AgentEffect::ReplyLink {
             link,
--- a/crates/hornbeamlead_request/src/keys/history.rs
+++ b/crates/hornbeamlead_request/src/keys/history.rs
@@ -86,7 +86,7 @@
 
     /// Takes the view that the agent knows now; returns whether it is a new one.
     pub(crate) fn follow(&mut self, now: MonoTime, view: Option<&CellView>) -> bool {
-        self.past.retain(|_, past| past.matters_until > now);
+        self.forget_old(now);
         let Some(view) = view.filter(|view| view.number > self.number()) else {
             return false;
         };
@@ -158,7 +158,27 @@
             Some(gap) => now.since(gap.since) >= self.lifetime,
             None => true,
         };
-        closed && self.watched(now) >= self.lifetime
+        closed && self.contiguous() && self.watched(now) >= self.lifetime
+    }
+
+    /// Returns whether no number is missing among the views that are known of each planner's term.
+    fn contiguous(&self) -> bool {
+        let known = self.past.keys().copied().chain([self.number()]);
+        let numbers: Vec<u64> = known.collect();
+        numbers.windows(2).all(|pair| match pair {
+            [earlier, later] => earlier + 1 >= *later || term(*earlier) != term(*later),
+            _ => true,
+        })
+    }
+
+    /// Forgets views that do not matter any more, the oldest first, so that none is missing between.
+    fn forget_old(&mut self, now: MonoTime) {
+        while let Some(oldest) = self.past.first_entry() {
+            if oldest.get().matters_until > now {
+                return;
+            }
+            oldest.remove();
+        }
     }
 
     /// Returns a member of the newest view by host.
@@ -237,6 +257,11 @@
     }
 }
 
+/// Returns the planner's term in which a view was made.
+fn term(number: u64) -> u64 {
+    number / CellView::FIRST_NUMBER
+}
+
 /// Tells whether a member of a view is this process, in this life.
 pub(crate) fn is_self(place: &ProcessPlace, member: &ViewMember) -> bool {
     member.host == place.host && member.incarnation == place.incarnation
--- a/crates/hornbeamlead_request/src/keys/homes.rs
+++ b/crates/hornbeamlead_request/src/keys/homes.rs
@@ -56,15 +56,19 @@
     pub(crate) fn learn(&mut self, now: MonoTime, past: &[Vec<DataCentreName>]) {
         for centres in past {
             let known = self.past.iter().any(|past| past.centres == *centres);
-            if !known {
+            if !known && *centres != self.current {
                 self.keep(now, centres.clone());
             }
         }
     }
 
-    /// Returns the sets before the one in force that still matter.
-    pub(crate) fn past(&self) -> Vec<Vec<DataCentreName>> {
-        self.past.iter().map(|past| past.centres.clone()).collect()
+    /// Returns the sets that still matter: a peer may know a newer one than the one followed here.
+    pub(crate) fn known(&self) -> Vec<Vec<DataCentreName>> {
+        let past = self.past.iter().map(|past| &past.centres);
+        past.chain([&self.current])
+            .filter(|centres| !centres.is_empty())
+            .cloned()
+            .collect()
     }
 
     /// Returns the home of a key.
