--- /dev/null
+++ b/crates/hornbeamlead_measure/src/capacity.rs
@@ -0,0 +1,28 @@
+//! Experiment on size: state, messages, processor time and memory of each role.
+//!
+//! Each part is measured at four or more sizes; the slope between the smallest and the largest is
+//! what `docs/CAPACITY.md` carries to the two-year size.
+
+mod allocation;
+mod configuration;
+mod entry;
+mod messages;
+mod samples;
+
+use crate::report::{MeasureError, TableReport};
+
+/// Runs the experiment.
+///
+/// # Errors
+/// Returns [`MeasureError`] when a part could not be measured.
+pub fn run() -> Result<TableReport, MeasureError> {
+    let tables = vec![
+        messages::measure(),
+        configuration::measure()?,
+        entry::measure()?,
+    ];
+    Ok(TableReport {
+        tables,
+        remarks: vec![],
+    })
+}
