--- a/crates/hornbeamlead_schedule/src/machine.rs
+++ b/crates/hornbeamlead_schedule/src/machine.rs
@@ -31,6 +31,9 @@
 /// Time between requests to a peer for notes.
 const NOTES_ASK_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time for which a status of the cell stands.
+const STATUS_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Longest time without a wake-up.
 const LONGEST_WAIT: Duration = Duration::from_millis(500);
 
@@ -53,8 +56,9 @@
     /// When a forced claim was first read, and the epoch it began.
     forced: Option<(Epoch, MonoTime)>,
     planner: Option<Box<CellPlanner>>,
-    /// Status of the cell as of the last event, while this agent plans.
+    /// Status of the cell, made again now and then while this agent plans.
     planning: Option<CellStatus>,
+    next_status: MonoTime,
 }
 
 impl ScheduleMachine {
@@ -72,6 +76,7 @@
             forced: None,
             planner: None,
             planning: None,
+            next_status: MonoTime(0),
             place,
             policy,
         }
@@ -482,7 +487,10 @@
         if self.election.is_claiming() {
             planner.tenure_mut().drop_promise();
         }
-        self.planning = Some(planner.status(inputs.cell, turn.fleet, turn.mono()));
+        if turn.mono() >= self.next_status {
+            self.next_status = turn.mono().plus(STATUS_INTERVAL);
+            self.planning = Some(planner.status(inputs.cell, turn.fleet, turn.mono()));
+        }
     }
 
     fn cell_interval(&self) -> Duration {
--- a/crates/hornbeamlead_schedule/src/planner.rs
+++ b/crates/hornbeamlead_schedule/src/planner.rs
@@ -63,6 +63,8 @@
     orders: OrderBook,
     view: ViewKeeper,
     next_batch: MonoTime,
+    /// Whether a stream brought something new since the last plan.
+    changed: bool,
     next_cell_snapshot: MonoTime,
     next_job_snapshot: MonoTime,
     next_promise_ask: MonoTime,
@@ -104,6 +106,7 @@
             orders: OrderBook::default(),
             view: ViewKeeper::default(),
             next_batch: MonoTime(0),
+            changed: true,
             next_cell_snapshot: MonoTime(0),
             next_job_snapshot: MonoTime(0),
             next_promise_ask: MonoTime(0),
@@ -176,6 +179,7 @@
         match result {
             Ok(batch) => {
                 let at_tail = self.jobs.take(batch);
+                self.changed |= !batch.records.is_empty();
                 for placed in &batch.records {
                     self.job_slot.settle(JobState::id(&placed.record));
                 }
@@ -204,6 +208,7 @@
     ) {
         for id in ids {
             self.cell_slot.settle(id);
+            self.changed = true;
         }
         if let Some(began) = tail {
             self.tenure.read_tail(began);
@@ -233,12 +238,14 @@
         self.jobs_read.start(self.jobs.cursor(), turn);
         self.ask_promise(inputs.cell, turn);
         self.refresh_view(turn.mono());
-        if !self.tenure.is_fresh(turn.mono(), self.schedule()) {
+        let wanted = std::mem::take(&mut self.changed) || turn.mono() >= self.next_batch;
+        if !wanted || !self.tenure.is_fresh(turn.mono(), self.schedule()) {
             return;
         }
         let jobs = std::mem::take(&mut self.jobs);
         let tasks = owned_tasks(self.policy.cell, jobs.state(), inputs.cell, turn.fleet);
         if turn.mono() >= self.next_batch || self.has_urgent(&tasks) {
+            self.next_batch = turn.mono().plus(self.schedule().batch_interval);
             self.write_cell(&jobs, &tasks, inputs, turn);
         }
         self.write_jobs(&jobs, &tasks, inputs, turn);
--- a/crates/hornbeamlead_schedule/src/planner/record_step.rs
+++ b/crates/hornbeamlead_schedule/src/planner/record_step.rs
@@ -40,7 +40,6 @@
         if !self.cell_slot.is_free() {
             return;
         }
-        self.next_batch = turn.mono().plus(self.schedule().batch_interval);
         self.settle_orders(inputs.cell);
         self.plan_policy(tasks, turn);
         let mut changes = self.changes(inputs, turn);
