--- a/crates/hornbeamlead_settings/tests/common/strategies.rs
+++ b/crates/hornbeamlead_settings/tests/common/strategies.rs
@@ -121,8 +121,6 @@
         (part, parts) in any::<(u16, u16)>(),
         items in items(),
         fates in vec((name(), option::of(any::<u64>().prop_map(Revision))), 0..4),
-        part in any::<u16>(),
-        parts in any::<u16>(),
     ) -> FleetSnapshot {
         let fates = fates.into_iter().map(|(id, revision)| NoteFate { id, revision }).collect();
         FleetSnapshot { up_to, revision, part, parts, items, fates }
