[ctl] Keep asking processes that the entries drop during a wait

A frozen agent was dropped by the entries after 5 s, and a wait that was still on then said that the note was in force in all known processes. The timeout of a publication is exact, and the ids of made notes name their subject, so that explain finds them by it. A page test checks that docs/OPERATING.md names every key and every counted reason.

--- a/crates/hornbeamlead_ctl/src/made_note.rs
+++ b/crates/hornbeamlead_ctl/src/made_note.rs
@@ -7,6 +7,9 @@
 use std::hash::{BuildHasher, RandomState};
 use std::time::SystemTime;
 
+/// Characters of the subject's name in an id; the whole has to stay within a name's length.
+const SUBJECT_CHARS: usize = 20;
+
 /// Makes the note that takes a data centre out of service, or brings it back.
 pub(crate) fn move_note(
     author: &str,
@@ -24,7 +27,7 @@
     };
     Ok(ReleaseNote {
         changed,
-        ..empty_note(author, verb)?
+        ..empty_note(author, verb, data_centre.as_str())?
     })
 }
 
@@ -36,13 +39,13 @@
     };
     Ok(ReleaseNote {
         withdrawn,
-        ..empty_note(author, "cancel")?
+        ..empty_note(author, "cancel", job.as_str())?
     })
 }
 
-fn empty_note(author: &str, verb: &str) -> Result<ReleaseNote, NameError> {
+fn empty_note(author: &str, verb: &str, subject: &str) -> Result<ReleaseNote, NameError> {
     Ok(ReleaseNote {
-        id: fresh_id(verb)?,
+        id: fresh_id(verb, subject)?,
         based_on: None,
         author: author.into(),
         added: NoteItems::default(),
@@ -51,10 +54,13 @@
     })
 }
 
-/// Makes an id that no other run of the tool makes: the time and 64 random bits.
-fn fresh_id(verb: &str) -> Result<NoteId, NameError> {
+/// Makes an id that no other run of the tool makes: it ends with the time and 64 random bits.
+///
+/// It names its subject, so that `explain` finds the note by it.
+fn fresh_id(verb: &str, subject: &str) -> Result<NoteId, NameError> {
     let now = humantime::format_rfc3339_seconds(SystemTime::now()).to_string();
     let time: String = now.chars().filter(char::is_ascii_alphanumeric).collect();
     let random = RandomState::new().hash_one(&time);
-    NoteId::new(&format!("{verb}-{time}-{random:016x}"))
+    let subject: String = subject.chars().take(SUBJECT_CHARS).collect();
+    NoteId::new(&format!("{verb}-{subject}-{time}-{random:016x}"))
 }
--- a/crates/hornbeamlead_ctl/src/publish.rs
+++ b/crates/hornbeamlead_ctl/src/publish.rs
@@ -11,7 +11,6 @@
 use hornbeamlead_settings::note::encode_note;
 use serde::Serialize;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Time between two tries while the log does not answer.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
@@ -83,24 +82,34 @@
     note: &ReleaseNote,
     timeout: Duration,
 ) -> Result<PublishReport, ToolFailure> {
-    let deadline = Instant::now() + timeout;
-    let mut reader = NotesReader::new(log.clone(), note.id.clone());
     let mut sent = false;
+    let resolved = tokio::time::timeout(timeout, publish_until(log, note, &mut sent)).await;
+    match (resolved, sent) {
+        (Ok(report), _) => report,
+        (Err(_), true) => Ok(PublishReport::new(note, PublishVerdict::Unknown)),
+        (Err(_), false) => Ok(PublishReport::new(note, PublishVerdict::NotSent)),
+    }
+}
+
+/// Goes on until the verdict is known; `sent` is set before anything goes to the log.
+async fn publish_until(
+    log: &LogClient,
+    note: &ReleaseNote,
+    sent: &mut bool,
+) -> Result<PublishReport, ToolFailure> {
+    let mut reader = NotesReader::new(log.clone(), note.id.clone());
     loop {
         match reader.read_to_end().await {
             Ok(()) => match verdict(&reader, note) {
                 Some(report) => return Ok(report),
                 None => {
-                    sent = true;
+                    *sent = true;
                     append(log, note).await;
                 }
             },
             Err(ToolFailure::LogDown) => tokio::time::sleep(RETRY_INTERVAL).await,
             Err(failure) => return Err(failure),
         }
-        if Instant::now() >= deadline {
-            return last_verdict(&mut reader, note, sent).await;
-        }
     }
 }
 
@@ -112,22 +121,6 @@
     }
 }
 
-async fn last_verdict(
-    reader: &mut NotesReader,
-    note: &ReleaseNote,
-    sent: bool,
-) -> Result<PublishReport, ToolFailure> {
-    let unresolved = match sent {
-        true => PublishVerdict::Unknown,
-        false => PublishVerdict::NotSent,
-    };
-    match reader.read_to_end().await {
-        Ok(()) => Ok(verdict(reader, note).unwrap_or(PublishReport::new(note, unresolved))),
-        Err(ToolFailure::LogDown) => Ok(PublishReport::new(note, unresolved)),
-        Err(failure) => Err(failure),
-    }
-}
-
 fn verdict(reader: &NotesReader, note: &ReleaseNote) -> Option<PublishReport> {
     match reader.finding(Some(note)) {
         NoteFinding::Absent => None,
--- a/crates/hornbeamlead_ctl/src/rollout.rs
+++ b/crates/hornbeamlead_ctl/src/rollout.rs
@@ -4,6 +4,7 @@
 use crate::operators::OperatorsClient;
 use hornbeamlead_core::ids::Revision;
 use serde::Serialize;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -39,6 +40,8 @@
 }
 
 /// Asks all known processes until the revision is in force in each, or the time is up.
+///
+/// A process that the entries drop meanwhile still counts, since it may be frozen.
 pub(crate) async fn wait_for(
     entries: &[SocketAddr],
     revision: Revision,
@@ -47,12 +50,13 @@
     let client = OperatorsClient::with_patience(ROUND_PATIENCE);
     let began = Instant::now();
     let deadline = began + timeout;
+    let mut seen = BTreeMap::new();
     loop {
-        let known = ask_fleet(&client, entries).await;
-        let lagging: Vec<_> = known.iter().filter_map(|one| lag(one, revision)).collect();
+        ask_round(&client, entries, &mut seen).await;
+        let lagging: Vec<_> = seen.values().filter_map(|one| lag(one, revision)).collect();
         if lagging.is_empty() || Instant::now() + ROUND_INTERVAL >= deadline {
             return RolloutReport {
-                processes: known.len(),
+                processes: seen.len(),
                 lagging,
                 waited_ms: u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX),
             };
@@ -61,6 +65,33 @@
     }
 }
 
+/// Asks the fleet, and those processes seen before that no entry knows any more.
+async fn ask_round(
+    client: &OperatorsClient,
+    entries: &[SocketAddr],
+    seen: &mut BTreeMap<Box<str>, KnownProcess>,
+) {
+    let known = ask_fleet(client, entries).await;
+    let known: BTreeMap<_, _> = known.into_iter().map(|one| (place_of(&one), one)).collect();
+    let dropped = seen.iter().filter(|(place, _)| !known.contains_key(*place));
+    let dropped: Vec<SocketAddr> = dropped.map(|(_, process)| process.address).collect();
+    for (address, status) in client.ask_all(dropped, "/status").await {
+        let process = seen.values_mut().find(|one| one.address == address);
+        if let Some(process) = process {
+            process.status = status;
+        }
+    }
+    seen.extend(known);
+}
+
+/// Returns what stays the same when a process is restarted: an agent's host, an entry's address.
+fn place_of(process: &KnownProcess) -> Box<str> {
+    match process.role {
+        "agent" => process.host.clone(),
+        _ => process.address.to_string().into(),
+    }
+}
+
 fn lag(known: &KnownProcess, wanted: Revision) -> Option<LaggingProcess> {
     let revision = known.status.as_ref().map(|status| status.revision);
     if revision.is_some_and(|revision| revision >= wanted.0) {
--- a/crates/hornbeamlead_ctl/src/status.rs
+++ b/crates/hornbeamlead_ctl/src/status.rs
@@ -158,7 +158,8 @@
             self.role, self.host, self.operators
         )?;
         let (Some(centre), Some(revision)) = (&self.data_centre, self.revision) else {
-            return write!(f, " no answer");
+            let state = self.state.as_deref().unwrap_or("unknown");
+            return write!(f, " no answer state={state}");
         };
         let log = if self.log_up == Some(true) {
             "up"
--- a/crates/hornbeamlead_ctl/tests/fleet_notes.rs
+++ b/crates/hornbeamlead_ctl/tests/fleet_notes.rs
@@ -111,7 +111,7 @@
     let mut fleet = ToolFleet::start(small_plan());
     let frozen = fleet.fleet.host_index("colombo-01");
     fleet.fleet.freeze_host(frozen);
-    let run = fleet.add_centre(0, "negombo", &["--wait", "--timeout", IN_FORCE]);
+    let run = fleet.add_centre(0, "negombo", &["--wait", "--timeout", "8s"]);
     assert_eq!(run.status, 1, "{run:?}");
     assert!(run.out.contains("not yet in force in 1 of 6"), "{run:?}");
     assert!(run.out.contains("agent colombo-01"), "{run:?}");
--- a/crates/hornbeamlead_ctl/tests/note_publish.rs
+++ b/crates/hornbeamlead_ctl/tests/note_publish.rs
@@ -116,6 +116,17 @@
     assert!(bench.log.records("notes").is_empty());
 }
 
+#[test]
+fn outcome_unknown() {
+    let bench = ToolBench::start();
+    bench
+        .log
+        .control(|control| control.append_latency_ms = 60_000);
+    let file = bench.centre_note("open", "0", "negombo");
+    let run = bench.apply(&file, &["--timeout", "1s"]);
+    assert_refused(&run, "outcome unknown");
+}
+
 #[test]
 fn outage_ends() {
     let bench = ToolBench::start();
@@ -190,10 +201,15 @@
         &bench.apply(&bench.centre_note("open", "0", "negombo"), &[]),
         1,
     );
-    assert_accepted(&bench.run(&["drain", "negombo"]), 2);
+    let drain = bench.run(&["drain", "negombo"]);
+    assert_accepted(&drain, 2);
+    assert!(drain.out.starts_with("note drain-negombo-"), "{drain:?}");
     assert_accepted(&bench.run(&["return", "negombo"]), 3);
     let run = bench.run(&["drain", "colombo"]);
     assert_refused(&run, "data centre colombo does not exist");
     let run = bench.run(&["cancel", "seasoning-7"]);
     assert_refused(&run, "job seasoning-7 does not exist");
+    let long = "x".repeat(64);
+    let run = bench.run(&["cancel", &long]);
+    assert_refused(&run, &format!("job {long} does not exist"));
 }
--- /dev/null
+++ b/crates/hornbeamlead_settings/tests/page_complete.rs
@@ -0,0 +1,57 @@
+//! The operators' page names every key of the settings and every reason that is counted.
+
+use hornbeamlead_core::counter::{RefusalReason, RetryReason};
+use rstest::rstest;
+
+fn read_root(name: &str) -> String {
+    let path = format!("{}/../../{name}", env!("CARGO_MANIFEST_DIR"));
+    std::fs::read_to_string(path).expect("the file can be read")
+}
+
+/// Returns whether a table row of the page begins with `name`.
+fn has_row(page: &str, name: &str) -> bool {
+    page.lines()
+        .any(|line| line.starts_with(&format!("| `{name}` |")))
+}
+
+#[test]
+fn reasons_listed() {
+    let page = read_root("docs/OPERATING.md");
+    let refusals = RefusalReason::ALL.iter().map(|reason| reason.as_str());
+    let retries = RetryReason::ALL.iter().map(|reason| reason.as_str());
+    for name in refusals.chain(retries) {
+        assert!(has_row(&page, name), "{name} has no row");
+    }
+}
+
+/// The example files hold every key, which `examples_sound` compares with the policies.
+#[rstest]
+#[case("examples/settings/entry.json")]
+#[case("examples/settings/agent.json")]
+fn keys_listed(#[case] example: &str) {
+    let page = read_root("docs/OPERATING.md");
+    let example = read_root(example);
+    let keys = example.lines().filter_map(|line| {
+        let (key, _) = line.trim().strip_prefix('"')?.split_once("\":")?;
+        Some(key.to_owned())
+    });
+    for key in keys.filter(|key| !is_section(key)) {
+        assert!(
+            page.contains(&format!("`{key}`")) || page.contains(&format!(".{key}`")),
+            "{key}"
+        );
+    }
+}
+
+fn is_section(key: &str) -> bool {
+    [
+        "addresses",
+        "log",
+        "metrics",
+        "requests",
+        "schedule",
+        "weights",
+        "batch_capacity",
+    ]
+    .contains(&key)
+}
