--- a/crates/hornbeamlead_core/src/policy.rs
+++ b/crates/hornbeamlead_core/src/policy.rs
@@ -26,9 +26,47 @@
     pub seed: u64,
 }
 
+/// How an entry chooses a worker and when it tries again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum BalanceRule {
+    /// The less busy of two, with ejection, hedging and a retry budget.
+    #[default]
+    LeastBusy,
+    /// Any worker alike, with a fixed number of retries; for comparison.
+    Random,
+}
+
+impl std::fmt::Display for BalanceRule {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::LeastBusy => "least_busy",
+            Self::Random => "random",
+        })
+    }
+}
+
+/// Reports a text that names no balance rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, snafu::Snafu)]
+#[snafu(display("a balance rule is \"least_busy\" or \"random\""))]
+pub struct UnknownRule;
+
+impl std::str::FromStr for BalanceRule {
+    type Err = UnknownRule;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "least_busy" => Ok(Self::LeastBusy),
+            "random" => Ok(Self::Random),
+            _ => Err(UnknownRule),
+        }
+    }
+}
+
 /// Settings of the request path of an entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EntryPolicy {
+    /// How a worker is chosen.
+    pub balance: BalanceRule,
     /// Workers of one service that the entry chooses among.
     pub subset: usize,
     /// Retries allowed, in percent of first tries.
@@ -50,6 +88,7 @@
 impl Default for EntryPolicy {
     fn default() -> Self {
         Self {
+            balance: BalanceRule::default(),
             subset: 32,
             retry_percent: 10,
             notes_interval: Duration::from_millis(500),
--- a/crates/hornbeamlead_settings/src/policy.rs
+++ b/crates/hornbeamlead_settings/src/policy.rs
@@ -15,6 +15,7 @@
         return default;
     };
     let policy = EntryPolicy {
+        balance: section.or_default("balance", default.balance, log),
         subset: section.or_default("subset", default.subset, log),
         retry_percent: section.or_default("retry_percent", default.retry_percent, log),
         notes_interval: section.or_default("notes_interval", default.notes_interval, log),
--- a/crates/hornbeamlead_settings/src/value.rs
+++ b/crates/hornbeamlead_settings/src/value.rs
@@ -7,6 +7,7 @@
     TeamName,
 };
 use hornbeamlead_core::note::DeliveryMode;
+use hornbeamlead_core::policy::BalanceRule;
 use hornbeamlead_core::resource::{AcceleratorCount, CpuMillis, MemoryMebibytes};
 use jsonc_parser::ast::Value;
 use std::fmt::Display;
@@ -99,6 +100,7 @@
 }
 
 text_values!(
+    BalanceRule => "\"least_busy\"",
     HostId => "\"negombo-01\"",
     DataCentreName => "\"negombo\"",
     RackName => "\"negombo-r1\"",
