--- a/crates/hornbeamlead_ctl/src/notes_reader.rs
+++ b/crates/hornbeamlead_ctl/src/notes_reader.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use hornbeamlead_core::event::{NoteEntry, NoteRecord};
 use hornbeamlead_core::fleet::{FleetState, NoteRefusal};
-use hornbeamlead_core::ids::{LogOffset, NoteId, Revision};
+use hornbeamlead_core::ids::{NoteId, Revision};
 use hornbeamlead_core::note::ReleaseNote;
 use hornbeamlead_core::notes_keeper::NotesKeeper;
 use hornbeamlead_core::record::{LogBatch, LogFault, PlacedRecord, RawRecord, StreamName};
@@ -32,7 +32,7 @@
 pub(crate) struct NotesReader {
     log: LogClient,
     keeper: NotesKeeper,
-    watched: NoteId,
+    watched: Option<NoteId>,
     seen: Option<ReleaseNote>,
     refusal: Option<NoteRefusal>,
 }
@@ -40,10 +40,18 @@
 impl NotesReader {
     /// Makes a reader that watches for one note.
     pub(crate) fn new(log: LogClient, watched: NoteId) -> Self {
+        Self {
+            watched: Some(watched),
+            ..Self::unwatched(log)
+        }
+    }
+
+    /// Makes a reader of the configuration alone.
+    pub(crate) fn unwatched(log: LogClient) -> Self {
         Self {
             log,
             keeper: NotesKeeper::default(),
-            watched,
+            watched: None,
             seen: None,
             refusal: None,
         }
@@ -60,27 +68,24 @@
     /// Returns [`ToolFailure::LogDown`] without an answer, and [`ToolFailure::LogIncomplete`]
     /// when the records that are left do not make up a configuration.
     pub(crate) async fn read_to_end(&mut self) -> Result<(), ToolFailure> {
-        let mut from = self.fleet().next();
         loop {
+            let from = self.keeper.read_from();
             let batch = match self.log.read(&StreamName::Notes, from, READ_LIMIT).await {
                 Ok(batch) => batch,
                 Err(LogFault::Gone { oldest }) if oldest > from => {
-                    from = oldest;
+                    self.keeper.lose_place(oldest);
                     continue;
                 }
                 Err(LogFault::Gone { .. } | LogFault::Unavailable) => {
                     return Err(ToolFailure::LogDown);
                 }
             };
-            let before = self.fleet().next();
             self.apply(&batch);
-            let applied = self.fleet().next();
-            if applied >= batch.next {
+            if self.fleet().next() >= batch.next {
                 return Ok(());
             }
-            let passed = end_of(&batch).unwrap_or(batch.next);
-            from = if applied > before { applied } else { passed };
-            if from >= batch.next {
+            let reached = self.keeper.read_from();
+            if reached >= batch.next || reached == from {
                 return Err(ToolFailure::LogIncomplete);
             }
         }
@@ -88,7 +93,8 @@
 
     /// Tells what became of the watched note, which is expected to read `wanted` if given.
     pub(crate) fn finding(&self, wanted: Option<&ReleaseNote>) -> NoteFinding {
-        let Some(fate) = self.fleet().fate(&self.watched) else {
+        let watched = self.watched.as_ref();
+        let Some(fate) = watched.and_then(|id| self.fleet().fate(id)) else {
             return NoteFinding::Absent;
         };
         match (wanted, &self.seen) {
@@ -107,7 +113,7 @@
             let verdicts = self.keeper.apply_records(&[record]);
             for verdict in verdicts {
                 match verdict.result {
-                    Err(refusal) if verdict.id == self.watched && self.refusal.is_none() => {
+                    Err(refusal) if self.watches(&verdict.id) && self.refusal.is_none() => {
                         self.refusal = Some(refusal);
                     }
                     Err(_) | Ok(_) => {}
@@ -116,10 +122,14 @@
         }
     }
 
+    fn watches(&self, id: &NoteId) -> bool {
+        self.watched.as_ref() == Some(id)
+    }
+
     /// Remembers the first note of the watched id.
     fn watch(&mut self, record: &PlacedRecord<NoteRecord>) {
         match &record.record.entry {
-            Some(NoteEntry::Note(note)) if note.id == self.watched && self.seen.is_none() => {
+            Some(NoteEntry::Note(note)) if self.watches(&note.id) && self.seen.is_none() => {
                 self.seen = Some(note.clone());
             }
             _ => {}
@@ -139,9 +149,3 @@
         },
     }
 }
-
-/// Returns the offset after the last record of a batch.
-fn end_of(batch: &LogBatch<Bytes>) -> Option<LogOffset> {
-    let last = batch.records.last()?;
-    Some(LogOffset(last.offset.0.saturating_add(1)))
-}
