--- a/crates/hornbeamlead_measure/src/capacity.rs
+++ b/crates/hornbeamlead_measure/src/capacity.rs
@@ -4,9 +4,13 @@
 //! what `docs/CAPACITY.md` carries to the two-year size.
 
 mod allocation;
+mod cell;
+mod cell_model;
 mod configuration;
 mod entry;
 mod messages;
+mod model_log;
+mod model_worker;
 mod samples;
 
 use crate::report::{MeasureError, TableReport};
@@ -20,6 +24,7 @@
         messages::measure(),
         configuration::measure()?,
         entry::measure()?,
+        cell::measure()?,
     ];
     Ok(TableReport {
         tables,
--- /dev/null
+++ b/crates/hornbeamlead_measure/src/capacity/cell.rs
@@ -0,0 +1,117 @@
+//! Cost of the agents of one cell as the number of its workers grows.
+
+use super::allocation::held_by;
+use super::cell_model::{AgentCost, CellModel};
+use super::samples::{failed, job, name, note, size, team_note};
+use crate::report::{MeasureError, ReportTable};
+use hornbeamlead_core::note::{DataCentreSpec, JobSpec};
+use hornbeamlead_core::policy::SchedulePolicy;
+use std::time::Duration;
+
+/// Numbers of workers in a cell that are measured.
+const WORKER_COUNTS: [usize; 5] = [4, 8, 16, 32, 64];
+
+/// Tasks that fit on one worker: 278,000 tasks on 14,000 workers.
+const TASKS_EACH: u32 = 20;
+
+/// Time until the cell is full.
+const WARM_UP: Duration = Duration::from_secs(60);
+
+/// Time measured.
+const WINDOW: Duration = Duration::from_secs(60);
+
+/// Shortest run time of a task.
+const SHORTEST_RUN: Duration = Duration::from_secs(80);
+
+/// Step between the run times of jobs.
+const RUN_STEP: Duration = Duration::from_secs(8);
+
+/// Jobs that keep the cell full.
+const JOBS: usize = 20;
+
+/// Measures planner and ordinary agent.
+///
+/// # Errors
+/// Returns [`MeasureError`] when a cell has no planner or does not fill.
+pub(crate) fn measure() -> Result<ReportTable, MeasureError> {
+    let columns = [
+        "workers",
+        "running",
+        "starts/s",
+        "planner core %",
+        "planner KB/s",
+        "planner KiB",
+        "agent core %",
+        "agent KB/s",
+        "appends/s",
+    ];
+    let title = "one cell, 20 tasks a worker, default policy";
+    let mut table = ReportTable::new(title, &columns);
+    for workers in WORKER_COUNTS {
+        table.push(measure_at(workers)?);
+    }
+    Ok(table)
+}
+
+fn measure_at(workers: usize) -> Result<[String; 9], MeasureError> {
+    let policy = SchedulePolicy::default();
+    let (mut model, held) = held_by(|| filled(workers, &policy));
+    let planner = model
+        .planner()
+        .ok_or_else(|| failed("the cell has no planner"))?;
+    let started = model.started();
+    model.clear_costs();
+    model.run(WINDOW);
+    let starts = model.started() - started;
+    let costs = model.costs();
+    let ordinary = median(&costs, planner);
+    let seconds = WINDOW.as_secs_f64();
+    let appends: usize = costs.iter().map(|cost| cost.appends).sum();
+    Ok([
+        workers.to_string(),
+        model.running().to_string(),
+        format!("{:.1}", starts as f64 / seconds),
+        format!("{:.3}", costs[planner].time.as_secs_f64() * 100.0 / seconds),
+        format!("{:.2}", costs[planner].bytes as f64 / 1000.0 / seconds),
+        (held / 1024).to_string(),
+        format!("{:.3}", ordinary.time.as_secs_f64() * 100.0 / seconds),
+        format!("{:.2}", ordinary.bytes as f64 / 1000.0 / seconds),
+        format!("{:.1}", appends as f64 / seconds),
+    ])
+}
+
+fn median(costs: &[AgentCost], planner: usize) -> AgentCost {
+    let mut others: Vec<AgentCost> = costs
+        .iter()
+        .enumerate()
+        .filter(|(index, _)| *index != planner)
+        .map(|(_, cost)| *cost)
+        .collect();
+    others.sort_by_key(|cost| cost.time);
+    others.get(others.len() / 2).copied().unwrap_or_default()
+}
+
+fn filled(workers: usize, policy: &SchedulePolicy) -> CellModel {
+    let mut model = CellModel::new(workers, TASKS_EACH, policy);
+    model.log().publish(team_note());
+    let mut note = note("work");
+    note.added.data_centres = vec![DataCentreSpec {
+        name: name("negombo"),
+        in_service: true,
+    }];
+    note.added.jobs = (0..JOBS).map(|number| long_job(number, workers)).collect();
+    model.log().publish(note);
+    model.run(WARM_UP);
+    model
+}
+
+/// Returns a job whose run time differs from that of the others, so that ends are spread.
+fn long_job(number: usize, workers: usize) -> JobSpec {
+    let mut job = job(number);
+    let steps = u32::try_from(number).unwrap_or_default();
+    job.run_time = SHORTEST_RUN + RUN_STEP * steps;
+    job.tasks = u32::try_from(workers).unwrap_or_default() * TASKS_EACH / 4;
+    job.size = size(1);
+    job.size.accelerators.0 = 0;
+    job
+}
--- /dev/null
+++ b/crates/hornbeamlead_measure/src/capacity/cell_model.rs
@@ -0,0 +1,284 @@
+//! Drives the agents of one cell against a log and workers in memory, in virtual time.
+//!
+//! There are no faults here: the model only gives each agent its ordinary events, and counts the
+//! processor time and the bytes that each agent spends.
+
+use super::model_log::ModelLog;
+use super::model_worker::ModelWorker;
+use super::samples::{SAMPLE_LIFE, SAMPLE_WALL, address, host, name, size};
+use hornbeamlead_agent::AgentMachine;
+use hornbeamlead_core::clock::{ClockReading, MonoTime, WallTime};
+use hornbeamlead_core::effect::AgentEffect;
+use hornbeamlead_core::event::{AgentEvent, EndpointAnnounce};
+use hornbeamlead_core::ids::{CellId, LogOffset, Revision};
+use hornbeamlead_core::message::control::ControlMessage;
+use hornbeamlead_core::message::request::LinkMessage;
+use hornbeamlead_core::policy::{AgentPolicy, GatePolicy, ProcessPlace, SchedulePolicy};
+use hornbeamlead_wire::encode_control;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Delay of a datagram or link message.
+const NET_DELAY: Duration = Duration::from_millis(1);
+
+/// Delay of a read of the log or a call to a worker.
+const CALL_DELAY: Duration = Duration::from_millis(2);
+
+/// Delay of an append to the log.
+const APPEND_DELAY: Duration = Duration::from_millis(20);
+
+/// What one agent spent since the counts were last cleared.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct AgentCost {
+    /// Processor time of its decisions.
+    pub(crate) time: Duration,
+    /// Bytes of datagrams sent and received, headers included.
+    pub(crate) bytes: usize,
+    /// Records appended to the log.
+    pub(crate) appends: usize,
+}
+
+struct ModelHost {
+    machine: AgentMachine,
+    worker: ModelWorker,
+    wake: MonoTime,
+    cost: AgentCost,
+}
+
+enum ModelItem {
+    Event(usize, Box<AgentEvent>),
+    Wake(usize),
+}
+
+/// Agents of one cell with their surroundings.
+pub(crate) struct CellModel {
+    now: MonoTime,
+    hosts: Vec<ModelHost>,
+    log: ModelLog,
+    queue: BTreeMap<(MonoTime, u64), ModelItem>,
+    sequence: u64,
+}
+
+impl CellModel {
+    /// Makes a cell of some workers, each with room for some tasks of one core.
+    pub(crate) fn new(workers: usize, tasks_each: u32, schedule: &SchedulePolicy) -> Self {
+        let mut model = Self {
+            now: MonoTime(1_000_000),
+            hosts: Vec::new(),
+            log: ModelLog::default(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+        };
+        for number in 0..workers {
+            model.add_host(number, tasks_each, schedule);
+        }
+        model
+    }
+
+    /// Returns the log, to publish notes.
+    pub(crate) fn log(&mut self) -> &mut ModelLog {
+        &mut self.log
+    }
+
+    /// Lets virtual time pass.
+    pub(crate) fn run(&mut self, span: Duration) {
+        let end = self.now.plus(span);
+        while let Some(next) = self.queue.first_entry() {
+            if next.key().0 > end {
+                break;
+            }
+            let ((at, _), item) = next.remove_entry();
+            self.now = at;
+            self.step(item);
+        }
+        self.now = end;
+    }
+
+    /// Forgets what was spent so far.
+    pub(crate) fn clear_costs(&mut self) {
+        for host in &mut self.hosts {
+            host.cost = AgentCost::default();
+        }
+    }
+
+    /// Returns what each agent spent.
+    pub(crate) fn costs(&self) -> Vec<AgentCost> {
+        self.hosts.iter().map(|host| host.cost).collect()
+    }
+
+    /// Returns the index of the agent that plans the cell.
+    pub(crate) fn planner(&self) -> Option<usize> {
+        let plans = |host: &ModelHost| host.machine.status().schedule.planning.is_some();
+        self.hosts.iter().position(plans)
+    }
+
+    /// Returns the number of tasks that run on all workers.
+    pub(crate) fn running(&self) -> usize {
+        self.hosts.iter().map(|host| host.worker.running()).sum()
+    }
+
+    /// Returns the number of tasks started on all workers so far.
+    pub(crate) fn started(&self) -> usize {
+        self.hosts.iter().map(|host| host.worker.started()).sum()
+    }
+
+    fn add_host(&mut self, number: usize, tasks_each: u32, schedule: &SchedulePolicy) {
+        let place = ProcessPlace {
+            host: name(&host(number)),
+            incarnation: SAMPLE_LIFE,
+            data_centre: name("negombo"),
+            rack: name(&format!("negombo-r{}", number / 3)),
+            link_address: address(number),
+            control_address: address(number),
+            operator_address: address(number),
+            seed: u64::try_from(number).unwrap_or_default(),
+        };
+        let policy = AgentPolicy {
+            cell: CellId(1),
+            entries: Vec::new(),
+            seeds: vec![address(0)],
+            batch_capacity: size(tasks_each),
+            gate: GatePolicy::default(),
+            schedule: schedule.clone(),
+        };
+        self.hosts.push(ModelHost {
+            machine: AgentMachine::new(place, policy),
+            worker: ModelWorker::default(),
+            wake: MonoTime::MAX,
+            cost: AgentCost::default(),
+        });
+        let announce = EndpointAnnounce {
+            incarnation: SAMPLE_LIFE,
+            address: address(number),
+            worker_address: address(number),
+            services: Vec::new(),
+            slots: 8,
+            connections: 64,
+            capacity: size(tasks_each),
+            leaving: false,
+        };
+        self.send(
+            number,
+            Duration::ZERO,
+            AgentEvent::EndpointAnnounced(announce),
+        );
+    }
+
+    fn push(&mut self, delay: Duration, item: ModelItem) {
+        self.sequence += 1;
+        self.queue
+            .insert((self.now.plus(delay), self.sequence), item);
+    }
+
+    fn send(&mut self, to: usize, delay: Duration, event: AgentEvent) {
+        self.push(delay, ModelItem::Event(to, Box::new(event)));
+    }
+
+    fn step(&mut self, item: ModelItem) {
+        match item {
+            ModelItem::Event(index, event) => self.give(index, &event),
+            ModelItem::Wake(index) if self.hosts[index].wake <= self.now => {
+                self.hosts[index].wake = MonoTime::MAX;
+                self.give(index, &AgentEvent::Woke);
+            }
+            ModelItem::Wake(_) => {}
+        }
+    }
+
+    fn give(&mut self, index: usize, event: &AgentEvent) {
+        let wall = WallTime(SAMPLE_WALL.0 + self.now.0 / 1000);
+        let now = ClockReading {
+            mono: self.now,
+            wall,
+        };
+        let host = &mut self.hosts[index];
+        let began = Instant::now();
+        let effects = host.machine.handle(now, event);
+        host.cost.time += began.elapsed();
+        for effect in effects {
+            self.take(index, effect);
+        }
+    }
+
+    fn take(&mut self, index: usize, effect: AgentEffect) {
+        match effect {
+            AgentEffect::SendDatagram { to, message } => self.carry(index, to, message),
+            AgentEffect::SendLink { to, message } => self.ask_peer(index, to, &message),
+            AgentEffect::CallWorker { call, .. } => {
+                let result = Ok(self.hosts[index].worker.call(self.now, &call));
+                self.send(index, CALL_DELAY, AgentEvent::WorkerDone { call, result });
+            }
+            AgentEffect::ReadLog { stream, from } => {
+                let result = Ok(self.log.read(&stream, from));
+                let began = self.now;
+                self.send(
+                    index,
+                    CALL_DELAY,
+                    AgentEvent::LogRead {
+                        stream,
+                        began,
+                        result,
+                    },
+                );
+            }
+            AgentEffect::AppendLog { stream, record } => {
+                self.hosts[index].cost.appends += 1;
+                let (id, offset) = self.log.append(&stream, record);
+                let result = Ok(offset);
+                self.send(
+                    index,
+                    APPEND_DELAY,
+                    AgentEvent::LogAppended { stream, id, result },
+                );
+            }
+            AgentEffect::WakeAt(at) => self.wake(index, at),
+            AgentEffect::ReplyLink { .. }
+            | AgentEffect::CallEndpoint { .. }
+            | AgentEffect::AbandonEndpoint { .. }
+            | AgentEffect::CountRefusal(_)
+            | AgentEffect::CountRetry(_)
+            | AgentEffect::Decide(_)
+            | AgentEffect::Exit => {}
+        }
+    }
+
+    fn wake(&mut self, index: usize, at: MonoTime) {
+        let at = at.max(self.now);
+        if at < self.hosts[index].wake {
+            self.hosts[index].wake = at;
+            self.push(at.since(self.now), ModelItem::Wake(index));
+        }
+    }
+
+    fn carry(&mut self, index: usize, to: SocketAddr, message: ControlMessage) {
+        let Some(receiver) = self.at(to) else {
+            return;
+        };
+        let bytes = encode_control(&message).len() + super::messages::HEADER_BYTES;
+        if receiver != index {
+            self.hosts[index].cost.bytes += bytes;
+            self.hosts[receiver].cost.bytes += bytes;
+        }
+        let from = address(index);
+        self.send(receiver, NET_DELAY, AgentEvent::Datagram { from, message });
+    }
+
+    /// Answers a question for notes out of the log, as the peer would.
+    fn ask_peer(&mut self, index: usize, to: SocketAddr, message: &LinkMessage) {
+        match (self.at(to), message) {
+            (Some(_), LinkMessage::NotesAsk(Revision(from))) => {
+                let records = self.log.notes_from(LogOffset(*from));
+                self.send(index, NET_DELAY, AgentEvent::NotesPassed(records));
+            }
+            (Some(_) | None, _) => {
+                let unsent = Vec::new();
+                self.send(index, NET_DELAY, AgentEvent::LinkRefused { to, unsent });
+            }
+        }
+    }
+
+    fn at(&self, to: SocketAddr) -> Option<usize> {
+        (0..self.hosts.len()).find(|number| address(*number) == to)
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_measure/src/capacity/model_log.rs
@@ -0,0 +1,89 @@
+//! Log in memory for the model of a cell: typed records, no faults.
+
+use hornbeamlead_core::effect::OwnRecord;
+use hornbeamlead_core::event::{NoteEntry, NoteRecord, StreamBatch};
+use hornbeamlead_core::ids::{LogOffset, RecordId};
+use hornbeamlead_core::note::ReleaseNote;
+use hornbeamlead_core::record::{
+    CellRecord, JobRecord, LogBatch, PlacedRecord, RawRecord, StreamName,
+};
+
+/// Records in one read, at most.
+const READ_LIMIT: usize = 200;
+
+/// Streams of one cell.
+#[derive(Debug, Default)]
+pub(crate) struct ModelLog {
+    notes: Vec<PlacedRecord<NoteRecord>>,
+    jobs: Vec<PlacedRecord<JobRecord>>,
+    cell: Vec<PlacedRecord<CellRecord>>,
+}
+
+impl ModelLog {
+    /// Publishes a note.
+    pub(crate) fn publish(&mut self, note: ReleaseNote) {
+        self.add_note(NoteEntry::Note(note));
+    }
+
+    /// Appends a record; returns its id and position.
+    pub(crate) fn append(
+        &mut self,
+        stream: &StreamName,
+        record: OwnRecord,
+    ) -> (RecordId, LogOffset) {
+        match record {
+            OwnRecord::NotesSnapshot(snapshot) => {
+                let offset = self.add_note(NoteEntry::Snapshot(snapshot));
+                (super::samples::name(&format!("{stream}.{offset}")), offset)
+            }
+            OwnRecord::Job(record) => (record.id.clone(), push(&mut self.jobs, record)),
+            OwnRecord::Cell(record) => (record.id.clone(), push(&mut self.cell, record)),
+        }
+    }
+
+    /// Reads a stretch.
+    pub(crate) fn read(&self, stream: &StreamName, from: LogOffset) -> StreamBatch {
+        match stream {
+            StreamName::Notes => StreamBatch::Notes(cut(&self.notes, from)),
+            StreamName::Jobs => StreamBatch::Jobs(cut(&self.jobs, from)),
+            StreamName::Cell(_) => StreamBatch::Cell(cut(&self.cell, from)),
+        }
+    }
+
+    /// Returns all notes from an offset on.
+    pub(crate) fn notes_from(&self, from: LogOffset) -> Vec<PlacedRecord<NoteRecord>> {
+        cut(&self.notes, from).records
+    }
+
+    fn add_note(&mut self, entry: NoteEntry) -> LogOffset {
+        let offset = LogOffset(self.notes.len() as u64);
+        let raw = RawRecord {
+            offset,
+            payload: bytes::Bytes::new(),
+        };
+        push(
+            &mut self.notes,
+            NoteRecord {
+                entry: Some(entry),
+                raw,
+            },
+        )
+    }
+}
+
+fn push<R>(records: &mut Vec<PlacedRecord<R>>, record: R) -> LogOffset {
+    let offset = LogOffset(records.len() as u64);
+    records.push(PlacedRecord { offset, record });
+    offset
+}
+
+fn cut<R: Clone>(records: &[PlacedRecord<R>], from: LogOffset) -> LogBatch<R> {
+    let start = usize::try_from(from.0)
+        .unwrap_or(usize::MAX)
+        .min(records.len());
+    LogBatch {
+        oldest: LogOffset(0),
+        next: LogOffset(records.len() as u64),
+        records: records[start..].iter().take(READ_LIMIT).cloned().collect(),
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_measure/src/capacity/model_worker.rs
@@ -0,0 +1,91 @@
+//! Worker in memory for the model of a cell: tasks run for their declared time and finish.
+
+use hornbeamlead_core::clock::MonoTime;
+use hornbeamlead_core::ids::AttemptId;
+use hornbeamlead_core::task::{
+    TaskOrder, TaskPhase, TaskStatus, WorkerAnswer, WorkerCall, WorkerReport,
+};
+use std::collections::BTreeMap;
+
+#[derive(Debug)]
+struct ModelTask {
+    order: TaskOrder,
+    ends_at: MonoTime,
+    phase: TaskPhase,
+}
+
+/// Worker that refuses nothing.
+#[derive(Debug, Default)]
+pub(crate) struct ModelWorker {
+    tasks: BTreeMap<AttemptId, ModelTask>,
+    started: usize,
+}
+
+impl ModelWorker {
+    /// Does what the agent asks.
+    pub(crate) fn call(&mut self, now: MonoTime, call: &WorkerCall) -> WorkerAnswer {
+        self.finish_due(now);
+        match call {
+            WorkerCall::Start { order, .. } => self.start(now, order),
+            WorkerCall::Stop { attempt, .. } => {
+                if let Some(task) = self.tasks.get_mut(attempt) {
+                    task.phase = TaskPhase::Stopped;
+                }
+            }
+            WorkerCall::Forget { attempt } => drop(self.tasks.remove(attempt)),
+            WorkerCall::Report => return WorkerAnswer::Report(self.report()),
+            WorkerCall::Renew { .. }
+            | WorkerCall::Checkpoint { .. }
+            | WorkerCall::Throttle { .. } => {}
+        }
+        WorkerAnswer::Done
+    }
+
+    /// Returns the number of running tasks.
+    pub(crate) fn running(&self) -> usize {
+        let running = |task: &&ModelTask| task.phase == TaskPhase::Running;
+        self.tasks.values().filter(running).count()
+    }
+
+    /// Returns the number of tasks started so far.
+    pub(crate) fn started(&self) -> usize {
+        self.started
+    }
+
+    fn start(&mut self, now: MonoTime, order: &TaskOrder) {
+        self.started += 1;
+        let task = ModelTask {
+            ends_at: now.plus(order.run_time),
+            phase: TaskPhase::Running,
+            order: order.clone(),
+        };
+        self.tasks.insert(order.attempt.clone(), task);
+    }
+
+    fn finish_due(&mut self, now: MonoTime) {
+        for task in self.tasks.values_mut() {
+            if task.phase == TaskPhase::Running && task.ends_at <= now {
+                task.phase = TaskPhase::Finished;
+            }
+        }
+    }
+
+    fn report(&self) -> WorkerReport {
+        WorkerReport {
+            tasks: self.tasks.values().map(status).collect(),
+            ..WorkerReport::default()
+        }
+    }
+}
+
+fn status(task: &ModelTask) -> TaskStatus {
+    TaskStatus {
+        attempt: task.order.attempt.clone(),
+        phase: task.phase,
+        size: task.order.size,
+        kind: task.order.kind.clone(),
+        checkpoint: None,
+        speed_percent: 100,
+        usage: Some(task.order.size),
+    }
+}
