--- a/crates/hornbeamlead_daemon/src/decision/agent.rs
+++ b/crates/hornbeamlead_daemon/src/decision/agent.rs
@@ -173,7 +173,7 @@
     }
 
     fn status(&self, now: ClockReading) -> RoleWire {
-        RoleWire::Agent(AgentWire::new(&self.machine.status(), now.mono))
+        RoleWire::Agent(Box::new(AgentWire::new(&self.machine.status(), now.mono)))
     }
 }
 
--- a/crates/hornbeamlead_daemon/src/decision/role.rs
+++ b/crates/hornbeamlead_daemon/src/decision/role.rs
@@ -49,6 +49,10 @@
 }
 
 /// Effect, sorted by who performs it.
+#[expect(
+    clippy::large_enum_variant,
+    reason = "it is taken apart at once; a box would cost each request an allocation"
+)]
 pub(crate) enum SortedEffect<O> {
     /// Known to both roles.
     Shared(SharedEffect),
--- a/crates/hornbeamlead_daemon/src/decision/status.rs
+++ b/crates/hornbeamlead_daemon/src/decision/status.rs
@@ -76,7 +76,7 @@
     /// Entry.
     Entry(EntryWire),
     /// Agent.
-    Agent(AgentWire),
+    Agent(Box<AgentWire>),
 }
 
 /// Status of an entry.
--- a/crates/hornbeamlead_daemon/src/links/frame.rs
+++ b/crates/hornbeamlead_daemon/src/links/frame.rs
@@ -9,6 +9,7 @@
 use hornbeamlead_core::message::request::{LinkMessage, NoteCopy};
 use hornbeamlead_core::record::PlacedRecord;
 use hornbeamlead_wire::{MAX_FRAME_BYTES, decode_link, encode_link};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -108,20 +109,27 @@
     SinkExt::<Bytes>::close(writer).await
 }
 
-/// Returns the event of a message about notes; gives other messages back.
-pub(crate) fn notes_input<I: RoleInput>(
-    link: Option<LinkId>,
-    message: LinkMessage,
-) -> Result<I, LinkMessage> {
-    match (link, message) {
-        (_, LinkMessage::Notes(copies)) => Ok(I::notes_passed(
-            copies.into_iter().map(place_copy).collect(),
-        )),
-        (Some(link), LinkMessage::NotesAsk(from)) => Ok(I::notes_asked(link, from)),
-        (_, other) => Err(other),
+/// Returns the event of a message on an incoming link; `None` if it has no place there.
+pub(crate) fn incoming_input<I: RoleInput>(link: LinkId, message: LinkMessage) -> Option<I> {
+    match message {
+        LinkMessage::Notes(copies) => Some(passed_notes(copies)),
+        LinkMessage::NotesAsk(from) => Some(I::notes_asked(link, from)),
+        other => I::incoming(link, other),
     }
 }
 
+/// Returns the event of a message on an outgoing link; `None` if it has no place there.
+pub(crate) fn outgoing_input<I: RoleInput>(from: SocketAddr, message: LinkMessage) -> Option<I> {
+    match message {
+        LinkMessage::Notes(copies) => Some(passed_notes(copies)),
+        other => I::outgoing(from, other),
+    }
+}
+
+fn passed_notes<I: RoleInput>(copies: Vec<NoteCopy>) -> I {
+    I::notes_passed(copies.into_iter().map(place_copy).collect())
+}
+
 fn place_copy(copy: NoteCopy) -> PlacedRecord<NoteRecord> {
     crate::platform::place_note(copy.offset, copy.payload)
 }
--- a/crates/hornbeamlead_daemon/src/links/incoming.rs
+++ b/crates/hornbeamlead_daemon/src/links/incoming.rs
@@ -1,7 +1,7 @@
 //! Link that another process opened.
 
 use super::frame::{
-    FrameReader, FrameWriter, ReadEnd, close, notes_input, read_message, split, write_batch,
+    FrameReader, FrameWriter, ReadEnd, close, incoming_input, read_message, split, write_batch,
 };
 use super::{LinkContext, LinkNotice};
 use crate::clock::HostClock;
@@ -87,12 +87,10 @@
             }
         };
         let request = request_id(&message);
-        let input = notes_input(Some(link), message)
-            .or_else(|other| I::incoming(link, other).ok_or(ReadEnd::Undecodable));
-        match (input, request) {
-            (Ok(input), Some(id)) => offer_request(context, input, id, refuse),
-            (Ok(input), None) => context.deliver(input),
-            (Err(_), _) => context.counters.refusal(RefusalReason::Undecodable),
+        match (incoming_input(link, message), request) {
+            (Some(input), Some(id)) => offer_request(context, input, id, refuse),
+            (Some(input), None) => context.deliver(input),
+            (None, _) => context.counters.refusal(RefusalReason::Undecodable),
         }
     }
 }
--- a/crates/hornbeamlead_daemon/src/links/mod.rs
+++ b/crates/hornbeamlead_daemon/src/links/mod.rs
@@ -187,13 +187,11 @@
     }
 
     fn reply(&self, link: LinkId, message: LinkMessage) {
-        let sent = self
-            .incoming
-            .get(&link)
-            .map(|queue| queue.try_send(message));
-        match sent {
-            Some(Ok(())) | None => {}
-            Some(Err(_)) => self.context.counters.refusal(RefusalReason::RingFull),
+        let Some(queue) = self.incoming.get(&link) else {
+            return;
+        };
+        if queue.try_send(message).is_err() {
+            self.context.counters.refusal(RefusalReason::RingFull);
         }
     }
 
--- a/crates/hornbeamlead_daemon/src/links/outgoing.rs
+++ b/crates/hornbeamlead_daemon/src/links/outgoing.rs
@@ -1,6 +1,6 @@
 //! Link that this process opens.
 
-use super::frame::{FrameReader, ReadEnd, notes_input, read_message, split, write_messages};
+use super::frame::{FrameReader, ReadEnd, outgoing_input, read_message, split, write_messages};
 use super::{LinkContext, LinkNotice};
 use crate::decision::{RoleInput, request_id};
 use hornbeamlead_core::counter::RefusalReason;
@@ -83,11 +83,9 @@
                 return;
             }
         };
-        let input = notes_input(None, message)
-            .or_else(|other| I::outgoing(from, other).ok_or(ReadEnd::Undecodable));
-        match input {
-            Ok(input) => context.deliver(input),
-            Err(_) => context.counters.refusal(RefusalReason::Undecodable),
+        match outgoing_input(from, message) {
+            Some(input) => context.deliver(input),
+            None => context.counters.refusal(RefusalReason::Undecodable),
         }
     }
 }
