--- a/crates/hornbeamlead_daemon/src/decision/role.rs
+++ b/crates/hornbeamlead_daemon/src/decision/role.rs
@@ -49,6 +49,10 @@
 }
 
 /// Effect, sorted by who performs it.
+#[expect(
+    clippy::large_enum_variant,
+    reason = "it is taken apart at once; a box would cost each request an allocation"
+)]
 pub(crate) enum SortedEffect<O> {
     /// Known to both roles.
     Shared(SharedEffect),
@@ -91,6 +95,9 @@
     /// The process was asked to stop.
     fn stop_asked() -> Self;
 
+    /// Returns whether it brings new work, rather than news of work in progress.
+    fn is_new_work(&self) -> bool;
+
     /// A datagram came.
     fn datagram(from: SocketAddr, message: ControlMessage) -> Self;
 
