[schedule] Send a start to one life of an agent only, test random faults

An order now goes to the life of the agent that it was first sent to, and not at all once the host's table has shown the attempt.

--- a/crates/hornbeamlead_schedule/src/planner/orders.rs
+++ b/crates/hornbeamlead_schedule/src/planner/orders.rs
@@ -2,7 +2,7 @@
 
 use crate::planner::hosts::HostEntry;
 use hornbeamlead_core::clock::MonoTime;
-use hornbeamlead_core::ids::{AttemptId, HostId, TaskId};
+use hornbeamlead_core::ids::{AttemptId, HostId, Incarnation, TaskId};
 use hornbeamlead_core::message::control::TaskCommand;
 use hornbeamlead_core::policy::SchedulePolicy;
 use hornbeamlead_core::resource::ResourceSize;
@@ -22,6 +22,8 @@
     pub(crate) order: TaskOrder,
     /// When the command was last sent; `None` if it never was.
     pub(crate) sent_at: Option<MonoTime>,
+    /// Life of the agent that it was sent to; another life may not know what the first did.
+    sent_to: Option<Incarnation>,
     /// Whether the order is not to be sent any more.
     pub(crate) cancelled: bool,
 }
@@ -40,6 +42,7 @@
             host,
             order,
             sent_at: None,
+            sent_to: None,
             cancelled: false,
         };
         self.orders.insert(attempt, start);
@@ -99,11 +102,16 @@
         }
         let mut commands = Vec::new();
         for (attempt, start) in &mut self.orders {
-            let wanted = start.host == *host && !start.cancelled;
-            if !wanted || entry.status(attempt).is_some() || !recorded(attempt) {
+            if start.host != *host || start.cancelled || !recorded(attempt) {
+                continue;
+            }
+            let other_life = start.sent_to.is_some_and(|life| life != entry.incarnation);
+            if other_life || entry.status(attempt).is_some() {
+                start.cancelled = true;
                 continue;
             }
             start.sent_at = Some(now);
+            start.sent_to = Some(entry.incarnation);
             commands.push(TaskCommand::Start {
                 order: start.order.clone(),
                 start_by,
--- a/crates/hornbeamlead_schedule/src/planner/reconcile.rs
+++ b/crates/hornbeamlead_schedule/src/planner/reconcile.rs
@@ -93,16 +93,15 @@
     now: MonoTime,
     schedule: &SchedulePolicy,
 ) -> Option<AttemptChange> {
-    if absent.lapsed {
-        return Some(rule.change(None));
-    }
     let never_sent = absent.start.is_some_and(|start| start.sent_at.is_none());
-    match absent.start {
-        Some(start) if never_sent && (start.cancelled || !absent.may_send) => {
+    let given_up = absent.start.is_some_and(|start| start.cancelled);
+    match never_sent {
+        true if absent.lapsed || given_up || !absent.may_send => {
             return Some(AttemptChange::Released { token: None });
         }
-        Some(start) if never_sent && !start.cancelled => return None,
-        Some(_) | None => {}
+        true => return None,
+        false if absent.lapsed => return Some(rule.change(None)),
+        false => {}
     }
     let entry = absent.entry?;
     let sent_at = absent
