--- a/crates/hornbeamlead_core/src/fleet.rs
+++ b/crates/hornbeamlead_core/src/fleet.rs
@@ -4,114 +4,16 @@
 use crate::note::{
     DataCentreSpec, JobSpec, NoteItems, NoteNames, ReleaseNote, ServiceSpec, TeamSpec,
 };
-use snafu::Snafu;
 use std::collections::{BTreeMap, VecDeque};
 
-/// Note ids remembered, so that a note that stands twice on the log is accepted once.
-pub const REMEMBERED_NOTES: usize = 4096;
-
-/// Kind of an item, for messages.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ItemKind {
-    /// Data centre.
-    DataCentre,
-    /// Team.
-    Team,
-    /// Service.
-    Service,
-    /// Job.
-    Job,
-}
+pub mod refusal;
+pub mod snapshot;
 
-impl std::fmt::Display for ItemKind {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
-            Self::DataCentre => "data centre",
-            Self::Team => "team",
-            Self::Service => "service",
-            Self::Job => "job",
-        })
-    }
-}
+pub use refusal::{ItemKind, NoteRefusal};
+pub use snapshot::{FleetSnapshot, NoteFate};
 
-/// Why a note was refused.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
-pub enum NoteRefusal {
-    /// Another note was accepted since the author looked.
-    #[snafu(display("based on revision {based_on}, but revision {current} is in force"))]
-    Outdated {
-        /// Revision the author saw.
-        based_on: Revision,
-        /// Revision in force.
-        current: Revision,
-    },
-    /// The id was used before.
-    #[snafu(display("note id {id} was used before, at revision {earlier}"))]
-    UsedId {
-        /// The id.
-        id: NoteId,
-        /// Revision of the earlier note; 0 if that was refused.
-        earlier: Revision,
-    },
-    /// An added item exists already.
-    #[snafu(display("{kind} {name} exists already; list it under changed"))]
-    Exists {
-        /// Kind of the item.
-        kind: ItemKind,
-        /// Its name.
-        name: Box<str>,
-    },
-    /// A changed or withdrawn item does not exist.
-    #[snafu(display("{kind} {name} does not exist; list it under added"))]
-    Missing {
-        /// Kind of the item.
-        kind: ItemKind,
-        /// Its name.
-        name: Box<str>,
-    },
-    /// A job names something that is not declared.
-    #[snafu(display("job {job} names {kind} {name}, which is not declared"))]
-    Dangling {
-        /// The job.
-        job: JobName,
-        /// Kind of what is missing.
-        kind: ItemKind,
-        /// Its name.
-        name: Box<str>,
-    },
-    /// An item is still named by a job.
-    #[snafu(display("{kind} {name} is still named by job {job}"))]
-    InUse {
-        /// Kind of the item.
-        kind: ItemKind,
-        /// Its name.
-        name: Box<str>,
-        /// A job that names it.
-        job: JobName,
-    },
-}
-
-/// Fate of a note whose id is remembered.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct NoteFate {
-    /// Note.
-    pub id: NoteId,
-    /// Revision that it made; `None` if it was refused.
-    pub revision: Option<Revision>,
-}
-
-/// Whole configuration, as it is written to the log again before retention runs out.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct FleetSnapshot {
-    /// Records before this offset are contained.
-    pub up_to: LogOffset,
-    /// Revision in force.
-    pub revision: Revision,
-    /// All items.
-    pub items: NoteItems,
-    /// Fates of the newest notes, oldest first.
-    pub fates: Vec<NoteFate>,
-}
+/// Note ids remembered, so that a note that stands twice on the log is accepted once.
+pub const REMEMBERED_NOTES: usize = 4096;
 
 /// Configuration in force, made by applying the notes stream in order.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -217,9 +119,9 @@
         })
     }
 
-    /// Loads a snapshot if it is ahead of this state; returns whether it was.
+    /// Loads a whole snapshot if it is ahead of this state; returns whether it was.
     pub fn load(&mut self, snapshot: &FleetSnapshot) -> bool {
-        if snapshot.up_to <= self.next {
+        if snapshot.up_to <= self.next || !snapshot.is_whole() {
             return false;
         }
         let mut fresh = Self {
@@ -239,6 +141,8 @@
         FleetSnapshot {
             up_to: self.next,
             revision: self.revision,
+            part: 0,
+            parts: 1,
             items: NoteItems {
                 data_centres: self.data_centres.values().cloned().collect(),
                 teams: self.teams.values().cloned().collect(),
@@ -269,12 +173,10 @@
         self.check_added(&note.added)?;
         self.check_changed(&note.changed)?;
         self.check_withdrawn(&note.withdrawn)?;
-        let mut next = self.clone();
-        next.remove(&note.withdrawn);
-        next.insert(&note.added);
-        next.insert(&note.changed);
-        next.check_references(note)?;
-        *self = next;
+        self.check_references(note)?;
+        self.remove(&note.withdrawn);
+        self.insert(&note.added);
+        self.insert(&note.changed);
         Ok(())
     }
 
@@ -326,45 +228,69 @@
         Ok(())
     }
 
-    /// Checks that the jobs touched by a note name declared items, and that no job lost one.
+    /// Checks that the jobs touched by a note name declared items, and that no other job loses one.
     fn check_references(&self, note: &ReleaseNote) -> Result<(), NoteRefusal> {
         for spec in note.added.jobs.iter().chain(&note.changed.jobs) {
-            self.check_job(spec)?;
+            self.check_job(spec, note)?;
         }
-        let by_team = |name: &TeamName| self.jobs.values().find(|job| job.team == *name);
         for name in &note.withdrawn.teams {
-            unused(by_team(name), ItemKind::Team, name.as_str())?;
+            let user = self.untouched_job(note, |job| job.team == *name);
+            unused(user, ItemKind::Team, name.as_str())?;
         }
-        let by_centre = |name: &DataCentreName| {
-            self.jobs
-                .values()
-                .find(|job| job.data_centres.contains(name))
-        };
         for name in &note.withdrawn.data_centres {
-            unused(by_centre(name), ItemKind::DataCentre, name.as_str())?;
+            let user = self.untouched_job(note, |job| job.data_centres.contains(name));
+            unused(user, ItemKind::DataCentre, name.as_str())?;
         }
         Ok(())
     }
 
-    fn check_job(&self, spec: &JobSpec) -> Result<(), NoteRefusal> {
+    /// Finds a job that the note leaves as it is and that satisfies the condition.
+    fn untouched_job(
+        &self,
+        note: &ReleaseNote,
+        condition: impl Fn(&JobSpec) -> bool,
+    ) -> Option<&JobSpec> {
+        let changed = |job: &JobSpec| note.changed.jobs.iter().any(|spec| spec.name == job.name);
+        self.jobs
+            .values()
+            .filter(|job| condition(job))
+            .find(|job| !note.withdrawn.jobs.contains(&job.name) && !changed(job))
+    }
+
+    fn check_job(&self, spec: &JobSpec, note: &ReleaseNote) -> Result<(), NoteRefusal> {
         let dangling = |kind, name: &str| NoteRefusal::Dangling {
             job: spec.name.clone(),
             kind,
             name: name.into(),
         };
-        if !self.teams.contains_key(&spec.team) {
+        if !self.has_team_after(&spec.team, note) {
             return Err(dangling(ItemKind::Team, spec.team.as_str()));
         }
         let unknown = spec
             .data_centres
             .iter()
-            .find(|name| !self.data_centres.contains_key(name));
+            .find(|name| !self.has_centre_after(name, note));
         match unknown {
             Some(name) => Err(dangling(ItemKind::DataCentre, name.as_str())),
             None => Ok(()),
         }
     }
 
+    fn has_team_after(&self, name: &TeamName, note: &ReleaseNote) -> bool {
+        let kept = self.teams.contains_key(name) && !note.withdrawn.teams.contains(name);
+        kept || note.added.teams.iter().any(|spec| spec.name == *name)
+    }
+
+    fn has_centre_after(&self, name: &DataCentreName, note: &ReleaseNote) -> bool {
+        let withdrawn = note.withdrawn.data_centres.contains(name);
+        let kept = self.data_centres.contains_key(name) && !withdrawn;
+        kept || note
+            .added
+            .data_centres
+            .iter()
+            .any(|spec| spec.name == *name)
+    }
+
     fn remove(&mut self, names: &NoteNames) {
         names
             .data_centres
--- a/crates/hornbeamlead_schedule/src/lib.rs
+++ b/crates/hornbeamlead_schedule/src/lib.rs
@@ -1,5 +1,7 @@
 //! Decides where batch tasks run, under which lease, and when they move, without I/O.
 
+#![warn(clippy::unwrap_used)]
+
 mod appender;
 mod election;
 mod keeper;
