--- a/crates/hornbeamlead_schedule/tests/random_faults.rs
+++ b/crates/hornbeamlead_schedule/tests/random_faults.rs
@@ -133,7 +133,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: std::env::var("CASES").map_or(24, |text| text.parse().expect("number")), max_shrink_iters: 40, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 24, max_shrink_iters: 40, ..ProptestConfig::default() })]
 
     #[test]
     fn holds_and_converges(
