--- a/crates/hornbeamlead_daemon/src/decision/agent.rs
+++ b/crates/hornbeamlead_daemon/src/decision/agent.rs
@@ -173,7 +173,7 @@
     }
 
     fn status(&self, now: ClockReading) -> RoleWire {
-        RoleWire::Agent(AgentWire::new(&self.machine.status(), now.mono))
+        RoleWire::Agent(Box::new(AgentWire::new(&self.machine.status(), now.mono)))
     }
 }
 
@@ -186,6 +186,10 @@
         Self::StopAsked
     }
 
+    fn is_new_work(&self) -> bool {
+        matches!(self, Self::Requested { .. })
+    }
+
     fn datagram(from: SocketAddr, message: ControlMessage) -> Self {
         Self::Datagram { from, message }
     }
