[agent] Write the configuration again before its records run out

Ruled out: every agent, as 14,000 would press on one record number; a fixed number, as all planners would write at once. Parts of one offset are alike, so that two writers do no harm.

--- a/crates/hornbeamlead_agent/src/lib.rs
+++ b/crates/hornbeamlead_agent/src/lib.rs
@@ -3,5 +3,6 @@
 #![warn(clippy::unwrap_used)]
 
 mod machine;
+mod snapshot_pace;
 
 pub use machine::AgentMachine;
--- a/crates/hornbeamlead_agent/src/machine.rs
+++ b/crates/hornbeamlead_agent/src/machine.rs
@@ -1,14 +1,16 @@
 //! State machine of an agent: request side, batch side and configuration.
 
+use crate::snapshot_pace::SnapshotPace;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
-use hornbeamlead_core::effect::AgentEffect;
-use hornbeamlead_core::event::{AgentEvent, StreamBatch};
+use hornbeamlead_core::effect::{AgentEffect, OwnRecord};
+use hornbeamlead_core::event::{AgentEvent, NoteRecord, StreamBatch};
 use hornbeamlead_core::explain::DecisionNote;
 use hornbeamlead_core::fleet::FleetState;
 use hornbeamlead_core::ids::{LinkId, LogOffset, Revision};
 use hornbeamlead_core::message::request::LinkMessage;
 use hornbeamlead_core::notes_keeper::{NoteVerdict, NotesKeeper};
 use hornbeamlead_core::policy::{AgentPolicy, ProcessPlace};
+use hornbeamlead_core::record::{LogBatch, StreamName};
 use hornbeamlead_core::status::AgentStatus;
 use hornbeamlead_request::gate::{GateContext, RequestGate};
 use hornbeamlead_schedule::machine::ScheduleMachine;
@@ -19,6 +21,7 @@
 #[derive(Debug)]
 pub struct AgentMachine {
     keeper: NotesKeeper,
+    snapshots: SnapshotPace,
     schedule: ScheduleMachine,
     gate: RequestGate,
     stopping: bool,
@@ -30,6 +33,7 @@
     pub fn new(place: ProcessPlace, policy: AgentPolicy) -> Self {
         Self {
             keeper: NotesKeeper::default(),
+            snapshots: SnapshotPace::new(place.seed, policy.schedule.snapshot_records),
             schedule: ScheduleMachine::new(place.clone(), policy.clone()),
             gate: RequestGate::new(place, policy),
             stopping: false,
@@ -80,6 +84,7 @@
             } => {
                 let verdicts = self.keeper.apply_batch(batch);
                 self.report(now, &verdicts, out);
+                self.write_snapshot(now, batch, out);
             }
             AgentEvent::NotesPassed(records) => {
                 let verdicts = self.keeper.apply_records(records);
@@ -91,6 +96,24 @@
         }
     }
 
+    /// Writes the configuration again if that is due; only planners do, and only at the tail.
+    fn write_snapshot(
+        &mut self,
+        now: ClockReading,
+        batch: &LogBatch<NoteRecord>,
+        out: &mut Vec<AgentEffect>,
+    ) {
+        self.snapshots.read(&batch.records);
+        if !self.schedule.is_planner() || self.keeper.fleet().next() < batch.next {
+            return;
+        }
+        let parts = self.snapshots.due(now.mono, self.keeper.fleet());
+        out.extend(parts.into_iter().map(|part| AgentEffect::AppendLog {
+            stream: StreamName::Notes,
+            record: OwnRecord::NotesSnapshot(part),
+        }));
+    }
+
     fn pass_notes(&self, link: LinkId, from: Revision) -> AgentEffect {
         let copies = self.keeper.copies_from(LogOffset(from.0));
         AgentEffect::ReplyLink {
--- a/crates/hornbeamlead_schedule/src/machine.rs
+++ b/crates/hornbeamlead_schedule/src/machine.rs
@@ -107,6 +107,12 @@
         self.keeper.standing()
     }
 
+    /// Returns whether this process plans its cell.
+    #[must_use]
+    pub fn is_planner(&self) -> bool {
+        self.planner.is_some()
+    }
+
     /// Returns whether this process may exit: nothing runs that nobody else looks after.
     ///
     /// Running tasks go on under their lease at the worker, and the next process adopts them.
