--- a/crates/hornbeamlead_core/src/notes_keeper.rs
+++ b/crates/hornbeamlead_core/src/notes_keeper.rs
@@ -9,7 +9,7 @@
 use std::collections::VecDeque;
 
 /// Records kept for passing on, at most.
-const KEPT_RECORDS: usize = 512;
+pub const KEPT_RECORDS: usize = 512;
 
 /// Bytes of records kept for passing on, at most.
 const KEPT_BYTES: usize = 4 * 1024 * 1024;
--- a/crates/hornbeamlead_core/src/policy.rs
+++ b/crates/hornbeamlead_core/src/policy.rs
@@ -171,7 +171,8 @@
     pub read_interval: Duration,
     /// Time between batches of start records, urgent ones excepted.
     pub batch_interval: Duration,
-    /// Records after which a stream's snapshot is written again.
+    /// Records of the notes stream after which its snapshot is written again, at the latest after
+    /// one and a half times as many.
     pub snapshot_records: u64,
     /// Evictions allowed a minute in one cell.
     pub evictions_per_minute: u32,
@@ -194,7 +195,7 @@
             start_bound: Duration::from_millis(2500),
             read_interval: Duration::from_millis(250),
             batch_interval: Duration::from_millis(250),
-            snapshot_records: 2_000,
+            snapshot_records: 300,
             evictions_per_minute: 6,
             service_p99_goal: Duration::from_millis(50),
             weights: AimWeights::default(),
