--- a/crates/hornbeamlead_ctl/tests/fleet_notes.rs
+++ b/crates/hornbeamlead_ctl/tests/fleet_notes.rs
@@ -133,6 +133,34 @@
     fleet.await_revision(1);
 }
 
+#[test]
+fn many_notes_passed() {
+    let mut fleet = ToolFleet::start(small_plan());
+    assert_in_force(&fleet.add_centre(0, "negombo", &["--wait"]), 1, 6);
+    for index in 0..700 {
+        let centre = json!({"name": "negombo", "in_service": index % 2 == 0});
+        let note = json!({"based_on": null, "changed": {"data_centres": [centre]}});
+        fleet.fleet.publish(&format!("change-{index}"), &note);
+    }
+    fleet.await_revision(701);
+    fleet
+        .fleet
+        .await_that("a snapshot stands on the log", |fleet| {
+            let records = fleet.log.records("notes");
+            records
+                .iter()
+                .any(|record| record.starts_with(b"{\"snapshot\""))
+        });
+    fleet
+        .fleet
+        .log
+        .control(|control| control.outage = OutageMode::Silent);
+    fleet.fleet.restart_entry(0);
+    let host = fleet.fleet.host_index("negombo-01");
+    fleet.fleet.restart_agent(host);
+    fleet.await_revision(701);
+}
+
 #[test]
 fn snapshot_covers_retention() {
     let plan = small_plan()
--- a/crates/hornbeamlead_settings/src/policy.rs
+++ b/crates/hornbeamlead_settings/src/policy.rs
@@ -2,12 +2,17 @@
 
 use crate::finding::FindingLog;
 use crate::section::Section;
+use hornbeamlead_core::notes_keeper::KEPT_RECORDS;
 use hornbeamlead_core::policy::{AimWeights, EntryPolicy, GatePolicy, SchedulePolicy};
 use std::time::Duration;
 
 /// Longest time from a read to a start that relied on it, so that a drain holds within 3 s.
 const MAX_START_BOUND: Duration = Duration::from_millis(2900);
 
+/// Most records between two snapshots: the writer may wait for half as many more, and processes
+/// keep [`KEPT_RECORDS`] for their peers.
+const MAX_SNAPSHOT_RECORDS: u64 = KEPT_RECORDS as u64 * 2 / 3;
+
 /// Reads the key `requests` of an entry.
 pub(crate) fn read_entry_policy(parent: &mut Section<'_>, log: &mut FindingLog<'_>) -> EntryPolicy {
     let default = EntryPolicy::default();
@@ -133,6 +138,15 @@
         usize::try_from(policy.snapshot_records).unwrap_or(usize::MAX),
         log,
     );
+    section.check(
+        policy.snapshot_records <= MAX_SNAPSHOT_RECORDS,
+        &["snapshot_records"],
+        || format!("snapshot_records is {}", policy.snapshot_records),
+        &format!(
+            "write at most {MAX_SNAPSHOT_RECORDS}, so that peers keep what follows a snapshot"
+        ),
+        log,
+    );
     let lease = ("lease", policy.lease);
     check_greater(section, lease, ("heartbeat", policy.heartbeat), log);
     check_greater(section, lease, ("margin", policy.margin), log);
--- a/crates/hornbeamlead_settings/tests/process_settings.rs
+++ b/crates/hornbeamlead_settings/tests/process_settings.rs
@@ -91,6 +91,13 @@
     "\"400ms\"",
     "lease (400ms) is not greater than"
 )]
+#[case::few_snapshots(
+    AGENT,
+    "\"learning\"",
+    "\"snapshot_records\": 342, \"learning\"",
+    "342",
+    "write at most 341"
+)]
 #[case::bad_name(
     ENTRY,
     "\"entry-01\"",
