--- a/crates/hornbeamlead_daemon/src/counters.rs
+++ b/crates/hornbeamlead_daemon/src/counters.rs
@@ -14,7 +14,7 @@
 const METRIC_QUEUE: usize = 4096;
 
 /// Counters of a process, shared by its threads.
-pub(crate) struct ProcessCounters {
+pub struct ProcessCounters {
     refusals: Vec<AtomicU64>,
     retries: Vec<AtomicU64>,
     requests: AtomicU64,
@@ -26,7 +26,7 @@
     ///
     /// # Errors
     /// Returns the error of the socket.
-    pub(crate) fn new(statsd: Option<SocketAddr>) -> std::io::Result<Self> {
+    pub fn new(statsd: Option<SocketAddr>) -> std::io::Result<Self> {
         Ok(Self {
             refusals: zeros(RefusalReason::ALL.len()),
             retries: zeros(RetryReason::ALL.len()),
@@ -36,19 +36,19 @@
     }
 
     /// Counts a refusal.
-    pub(crate) fn refusal(&self, reason: RefusalReason) {
+    pub fn refusal(&self, reason: RefusalReason) {
         self.refusals[usize::from(reason.number())].fetch_add(1, Ordering::Relaxed);
         self.send_count(&format!("refusal.{reason}"));
     }
 
     /// Counts a retry.
-    pub(crate) fn retry(&self, reason: RetryReason) {
+    pub fn retry(&self, reason: RetryReason) {
         self.retries[usize::from(reason.number())].fetch_add(1, Ordering::Relaxed);
         self.send_count(&format!("retry.{reason}"));
     }
 
     /// Counts a request and how long it took.
-    pub(crate) fn request(&self, latency: Duration) {
+    pub fn request(&self, latency: Duration) {
         self.requests.fetch_add(1, Ordering::Relaxed);
         if let Some(client) = &self.statsd {
             let _ = client.count("requests", 1u64);
@@ -57,18 +57,18 @@
     }
 
     /// Returns the number of requests.
-    pub(crate) fn requests(&self) -> u64 {
+    pub fn requests(&self) -> u64 {
         self.requests.load(Ordering::Relaxed)
     }
 
     /// Returns the refusals that happened, by name.
-    pub(crate) fn refusals(&self) -> BTreeMap<&'static str, u64> {
+    pub fn refusals(&self) -> BTreeMap<&'static str, u64> {
         let names = RefusalReason::ALL.iter().map(|reason| reason.as_str());
         nonzero(names, &self.refusals)
     }
 
     /// Returns the retries that happened, by name.
-    pub(crate) fn retries(&self) -> BTreeMap<&'static str, u64> {
+    pub fn retries(&self) -> BTreeMap<&'static str, u64> {
         let names = RetryReason::ALL.iter().map(|reason| reason.as_str());
         nonzero(names, &self.retries)
     }
--- a/crates/hornbeamlead_daemon/src/lib.rs
+++ b/crates/hornbeamlead_daemon/src/lib.rs
@@ -11,7 +11,6 @@
 mod args;
 mod clock;
 mod control;
-mod counters;
 mod decision;
 mod launch;
 mod links;
@@ -19,7 +18,9 @@
 mod platform;
 mod ring;
 mod signals;
-mod web;
+
+pub mod counters;
+pub mod web;
 
 pub use args::{DaemonArgs, parse_args};
 pub use launch::{ExitStatus, run};
--- a/crates/hornbeamlead_daemon/src/web/connection.rs
+++ b/crates/hornbeamlead_daemon/src/web/connection.rs
@@ -13,15 +13,15 @@
 
 /// Limits of a listener's connections.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct ConnectionLimits {
+pub struct ConnectionLimits {
     /// Connections open at a time.
-    pub(crate) connections: usize,
+    pub connections: usize,
     /// Longest time from the first byte of a request to the end of its head.
-    pub(crate) head: Duration,
+    pub head: Duration,
     /// Longest time without a request.
-    pub(crate) idle: Duration,
+    pub idle: Duration,
     /// Longest time for which the other side may refuse to take a byte of an answer.
-    pub(crate) write: Duration,
+    pub write: Duration,
 }
 
 impl Default for ConnectionLimits {
@@ -36,7 +36,7 @@
 }
 
 /// All connections of a listener.
-pub(crate) struct ConnectionTable {
+pub struct ConnectionTable {
     limits: ConnectionLimits,
     counters: Arc<ProcessCounters>,
     open: Mutex<HashMap<SocketAddr, Arc<ConnectionState>>>,
@@ -46,7 +46,7 @@
 }
 
 /// What the stream and the handlers of one connection share.
-pub(crate) struct ConnectionState {
+pub struct ConnectionState {
     progress: Mutex<ReadProgress>,
     waker: AtomicWaker,
 }
@@ -64,7 +64,7 @@
 
 /// What a reader is to do that finds no bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ReadWait {
+pub enum ReadWait {
     /// Wait without a deadline: a request is being handled.
     Unbounded,
     /// Wait until a moment.
@@ -75,7 +75,7 @@
 
 impl ConnectionTable {
     /// Makes an empty table.
-    pub(crate) fn new(limits: ConnectionLimits, counters: Arc<ProcessCounters>) -> Arc<Self> {
+    pub fn new(limits: ConnectionLimits, counters: Arc<ProcessCounters>) -> Arc<Self> {
         Arc::new(Self {
             limits,
             counters,
@@ -87,12 +87,12 @@
     }
 
     /// Returns the limits.
-    pub(crate) fn limits(&self) -> &ConnectionLimits {
+    pub fn limits(&self) -> &ConnectionLimits {
         &self.limits
     }
 
     /// Admits a connection unless the cap is reached.
-    pub(crate) fn admit(&self, peer: SocketAddr) -> Option<Arc<ConnectionState>> {
+    pub fn admit(&self, peer: SocketAddr) -> Option<Arc<ConnectionState>> {
         let mut open = lock(&self.open);
         if open.len() >= self.limits.connections {
             self.counters.refusal(RefusalReason::QueueFull);
@@ -107,7 +107,7 @@
     ///
     /// One that ends within the head of a request had a head that was broken, too long or too
     /// slow: the library answers that itself and tells no handler, so it is counted here.
-    pub(crate) fn remove(&self, peer: SocketAddr) {
+    pub fn remove(&self, peer: SocketAddr) {
         let removed = lock(&self.open).remove(&peer);
         if removed.is_some_and(|state| state.ends_within_head()) {
             self.counters.refusal(RefusalReason::BadRequest);
@@ -116,7 +116,7 @@
     }
 
     /// Notes that a handler works on a request, until the guard is dropped.
-    pub(crate) fn begin_request(self: &Arc<Self>, peer: SocketAddr) -> RequestGuard {
+    pub fn begin_request(self: &Arc<Self>, peer: SocketAddr) -> RequestGuard {
         let state = lock(&self.open).get(&peer).map(Arc::clone);
         if let Some(state) = &state {
             state.begin_request();
@@ -128,17 +128,17 @@
     }
 
     /// Asks that each answer end its connection from now on.
-    pub(crate) fn stop(&self) {
+    pub fn stop(&self) {
         self.stopping.store(true, Ordering::Release);
     }
 
     /// Returns whether answers are to end their connections.
-    pub(crate) fn is_stopping(&self) -> bool {
+    pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
     }
 
     /// Ends the listener and all connections without a request.
-    pub(crate) fn close(&self) {
+    pub fn close(&self) {
         self.stop();
         self.closing.store(true, Ordering::Release);
         self.changed.notify_waiters();
@@ -148,17 +148,17 @@
     }
 
     /// Waits until [`close`](Self::close) is called.
-    pub(crate) async fn closed(&self) {
+    pub async fn closed(&self) {
         self.wait_for(|| self.closing.load(Ordering::Acquire)).await;
     }
 
     /// Waits until no connection is open.
-    pub(crate) async fn emptied(&self) {
+    pub async fn emptied(&self) {
         self.wait_for(|| lock(&self.open).is_empty()).await;
     }
 
     /// Says what a reader is to do that finds no bytes.
-    pub(crate) fn read_wait(&self, state: &ConnectionState) -> ReadWait {
+    pub fn read_wait(&self, state: &ConnectionState) -> ReadWait {
         let progress = *lock(&state.progress);
         let closing = self.closing.load(Ordering::Acquire);
         match progress {
@@ -169,7 +169,7 @@
     }
 
     /// Notes that bytes came.
-    pub(crate) fn bytes_came(&self, state: &ConnectionState) {
+    pub fn bytes_came(&self, state: &ConnectionState) {
         let mut progress = lock(&state.progress);
         if progress.handled == 0 && !progress.begun {
             progress.begun = true;
@@ -203,7 +203,7 @@
     }
 
     /// Has the reader woken when its wait changes.
-    pub(crate) fn register(&self, waker: &std::task::Waker) {
+    pub fn register(&self, waker: &std::task::Waker) {
         self.waker.register(waker);
     }
 
@@ -229,7 +229,7 @@
 }
 
 /// Notes the end of a request when it is dropped.
-pub(crate) struct RequestGuard {
+pub struct RequestGuard {
     state: Option<Arc<ConnectionState>>,
     idle: Duration,
 }
--- a/crates/hornbeamlead_daemon/src/web/mod.rs
+++ b/crates/hornbeamlead_daemon/src/web/mod.rs
@@ -13,7 +13,7 @@
 pub(crate) mod headers;
 
 pub(crate) use callers::{CallerDesk, call_handler};
-pub(crate) use connection::{ConnectionLimits, ConnectionTable};
+pub use connection::{ConnectionLimits, ConnectionState, ConnectionTable, ReadWait, RequestGuard};
 pub(crate) use local::{LocalDesk, local_handler};
 pub(crate) use operators::{OperatorDesk, operator_handler};
-pub(crate) use server::serve;
+pub use server::serve;
--- a/crates/hornbeamlead_daemon/src/web/server.rs
+++ b/crates/hornbeamlead_daemon/src/web/server.rs
@@ -11,7 +11,7 @@
 const CLOSE_LIMIT: Duration = Duration::from_secs(15);
 
 /// Serves until the table is closed, then lets the open connections write their answers.
-pub(crate) async fn serve<H>(listener: TcpListener, handler: H, table: Arc<ConnectionTable>)
+pub async fn serve<H>(listener: TcpListener, handler: H, table: Arc<ConnectionTable>)
 where
     H: NewHandler + 'static,
 {
