[measure] Measure live requests against random choice with plain retries

Open-loop load on real processes: ordinary, one slow worker, one failing worker, twice the capacity, and the time after it, under each balance rule on a fresh fleet.

--- a/crates/hornbeamlead_measure/src/requests.rs
+++ b/crates/hornbeamlead_measure/src/requests.rs
@@ -1,11 +1,138 @@
 //! Experiment on live requests: this policy beside random choice with plain retries.
 
-use crate::report::{MeasureError, TableReport};
+mod load;
+mod place;
+mod scenario;
 
-/// Runs the experiment.
+use crate::report::{MeasureError, ReportTable, TableReport};
+use load::LoadResult;
+use place::RequestPlace;
+use scenario::Scenario;
+use std::collections::BTreeMap;
+
+/// Policies that are compared, by the value of the entries' setting `balance`.
+const POLICIES: [&str; 2] = ["least_busy", "random"];
+
+/// Columns of the main table.
+const COLUMNS: [&str; 13] = [
+    "policy",
+    "scenario",
+    "offered/s",
+    "goodput/s",
+    "answered %",
+    "p50 ms",
+    "p99 ms",
+    "p99.9 ms",
+    "failed",
+    "not run",
+    "unknown",
+    "no answer",
+    "retries %",
+];
+
+/// Runs the experiment: all scenarios under each policy, on a fresh fleet each.
 ///
 /// # Errors
 /// Returns [`MeasureError`] when a process could not be started or asked.
 pub fn run() -> Result<TableReport, MeasureError> {
-    Err(MeasureError::new("this experiment is not built yet"))
+    let mut main = ReportTable::new("live requests, open loop", &COLUMNS);
+    let mut reasons = ReportTable::new(
+        "refusals and retries by reason, counted by the entries",
+        &["policy", "scenario", "kind", "reason", "count"],
+    );
+    let mut remarks = Vec::new();
+    for policy in POLICIES {
+        let place = RequestPlace::start(policy)?;
+        let mut results = BTreeMap::new();
+        for scenario in Scenario::ALL {
+            let result = place.measure(scenario)?;
+            push_result(&mut main, policy, scenario, &result);
+            push_reasons(&mut reasons, policy, scenario, &result);
+            results.insert(scenario, result);
+        }
+        remarks.extend(judge(policy, &results));
+    }
+    Ok(TableReport {
+        tables: vec![main, reasons],
+        remarks,
+    })
+}
+
+fn push_result(table: &mut ReportTable, policy: &str, scenario: Scenario, result: &LoadResult) {
+    let percentile = |quantile| format!("{:.1}", result.quantile_ms(quantile));
+    table.push([
+        policy.to_owned(),
+        scenario.to_string(),
+        format!("{:.0}", result.offered_rate()),
+        format!("{:.0}", result.goodput()),
+        format!("{:.2}", result.answered_percent()),
+        percentile(0.5),
+        percentile(0.99),
+        percentile(0.999),
+        result.failed.to_string(),
+        result.not_run.to_string(),
+        result.unknown.to_string(),
+        result.lost.to_string(),
+        format!("{:.1}", result.retry_percent()),
+    ]);
+}
+
+fn push_reasons(table: &mut ReportTable, policy: &str, scenario: Scenario, result: &LoadResult) {
+    for (kind, counts) in [("refusal", &result.refusals), ("retry", &result.retries)] {
+        for (reason, count) in counts {
+            table.push([
+                policy.to_owned(),
+                scenario.to_string(),
+                kind.to_owned(),
+                reason.to_string(),
+                count.to_string(),
+            ]);
+        }
+    }
+}
+
+/// Compares the results of one policy with the targets.
+fn judge(policy: &str, results: &BTreeMap<Scenario, LoadResult>) -> Vec<Box<str>> {
+    let (Some(ordinary), Some(slow), Some(overload)) = (
+        results.get(&Scenario::Ordinary),
+        results.get(&Scenario::SlowWorker),
+        results.get(&Scenario::Overload),
+    ) else {
+        return Vec::new();
+    };
+    let share = overload.goodput() / scenario::CAPACITY_RATE * 100.0;
+    let ratio = slow.quantile_ms(0.99) / ordinary.quantile_ms(0.99).max(0.001);
+    let retries = results.values().map(LoadResult::retry_percent);
+    let most = retries.fold(0.0, f64::max);
+    vec![
+        verdict(
+            policy,
+            "goodput at 2x overload, % of capacity",
+            share,
+            share >= 90.0,
+            ">= 90",
+        ),
+        verdict(
+            policy,
+            "most retries, % of the load",
+            most,
+            most <= 10.0,
+            "<= 10",
+        ),
+        verdict(
+            policy,
+            "p99 with a slow worker over p99 without",
+            ratio,
+            ratio <= 1.3,
+            "<= 1.3",
+        ),
+    ]
+}
+
+fn verdict(policy: &str, what: &str, value: f64, met: bool, target: &str) -> Box<str> {
+    let word = match met {
+        true => "met",
+        false => "not met",
+    };
+    format!("{policy}: {what}: {value:.2} (target {target}): {word}").into()
 }
--- /dev/null
+++ b/crates/hornbeamlead_measure/src/requests/place.rs
@@ -0,0 +1,134 @@
+//! Fleet of real processes on which live requests are measured.
+
+use super::load::{self, LoadPlan, LoadResult};
+use super::scenario::{HOSTS_EACH, Scenario, healthy_service};
+use crate::report::MeasureError;
+use hornbeamlead_standin::fleet::{Fleet, FleetPlan};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+/// Service that is called.
+const SERVICE: &str = "ledger";
+
+/// Entries, each with a load generator of its own.
+const ENTRIES: usize = 2;
+
+/// Counts by reason.
+pub(super) type ReasonCounts = BTreeMap<Box<str>, u64>;
+
+/// Fleet under one policy.
+pub(super) struct RequestPlace {
+    fleet: Fleet,
+}
+
+impl RequestPlace {
+    /// Starts a fleet whose entries follow a policy, and declares its service.
+    ///
+    /// # Errors
+    /// Returns [`MeasureError`] when the daemon was not built.
+    pub(super) fn start(policy: &str) -> Result<Self, MeasureError> {
+        let fleet = FleetPlan::new(daemon_path()?)
+            .service(SERVICE)
+            .entries(ENTRIES)
+            .data_centre("negombo", HOSTS_EACH)
+            .data_centre("colombo", HOSTS_EACH)
+            .entry_settings(&json!({"requests": {"balance": policy}}))
+            .workers(|worker| worker.control.service = healthy_service())
+            .start();
+        let size = json!({"cpu": "1000m", "memory": "1GiB", "accelerators": 0});
+        let note = json!({"based_on": 0, "added": {
+            "data_centres": [
+                {"name": "negombo", "in_service": true},
+                {"name": "colombo", "in_service": true},
+            ],
+            "services": [{
+                "name": SERVICE,
+                "reserve": size,
+                "default_timeout_ms": 1_000,
+                "max_timeout_ms": 2_000,
+            }],
+        }});
+        fleet.publish("base", &note);
+        fleet.await_that("the entries know all agents", |fleet| {
+            fleet.entries.iter().all(|entry| {
+                let status = entry.status();
+                let members = status["members"].as_array().map_or(0, Vec::len);
+                members == 2 * HOSTS_EACH && status["revision"].as_u64() >= Some(1)
+            })
+        });
+        Ok(Self { fleet })
+    }
+
+    /// Offers the load of a scenario and returns what became of it.
+    ///
+    /// # Errors
+    /// Returns [`MeasureError`] when the load could not be offered.
+    pub(super) fn measure(&self, scenario: Scenario) -> Result<LoadResult, MeasureError> {
+        std::thread::sleep(scenario.rest());
+        let service = scenario.first_worker();
+        self.fleet
+            .control_worker(0, |control| control.service = service);
+        let before = self.counts();
+        let plan = LoadPlan {
+            rate: scenario.rate(),
+            length: scenario.length(),
+            path: format!("/{SERVICE}/orders"),
+            entries: self
+                .fleet
+                .entries
+                .iter()
+                .map(|entry| entry.process.address("callers"))
+                .collect(),
+        };
+        let mut result = load::offer(&plan)?;
+        let after = self.counts();
+        self.fleet
+            .control_worker(0, |control| control.service = healthy_service());
+        result.refusals = grown(&before.0, &after.0);
+        result.retries = grown(&before.1, &after.1);
+        Ok(result)
+    }
+
+    /// Returns the refusals and the retries that the entries have counted.
+    fn counts(&self) -> (ReasonCounts, ReasonCounts) {
+        let mut refusals = ReasonCounts::new();
+        let mut retries = ReasonCounts::new();
+        for entry in &self.fleet.entries {
+            let status = entry.status();
+            add_counts(&mut refusals, &status["counters"]["refusals"]);
+            add_counts(&mut retries, &status["counters"]["retries"]);
+        }
+        (refusals, retries)
+    }
+}
+
+fn add_counts(counts: &mut ReasonCounts, told: &Value) {
+    for (reason, count) in told.as_object().into_iter().flatten() {
+        *counts.entry(reason.as_str().into()).or_default() += count.as_u64().unwrap_or(0);
+    }
+}
+
+fn grown(before: &ReasonCounts, after: &ReasonCounts) -> ReasonCounts {
+    let growth = |(reason, count): (&Box<str>, &u64)| {
+        let earlier = before.get(reason).copied().unwrap_or(0);
+        (reason.clone(), count.saturating_sub(earlier))
+    };
+    after
+        .iter()
+        .map(growth)
+        .filter(|(_, count)| *count > 0)
+        .collect()
+}
+
+/// Returns the daemon that was built beside this program.
+fn daemon_path() -> Result<PathBuf, MeasureError> {
+    let own = std::env::current_exe().map_err(MeasureError::new)?;
+    let daemon = own.with_file_name("hornbeamd");
+    match daemon.exists() {
+        true => Ok(daemon),
+        false => Err(MeasureError::new(
+            "hornbeamd is not built; run cargo build --release -p hornbeamlead_daemon first",
+        )),
+    }
+}
--- a/crates/hornbeamlead_request/tests/worker_choice.rs
+++ b/crates/hornbeamlead_request/tests/worker_choice.rs
@@ -84,8 +84,10 @@
         ..load(0)
     };
     tell_load(&mut entry, "a", 210, slow, 4000);
-    let event = asked(1, RequestSafety::NonIdempotent, 6000);
-    assert_eq!(sent(&entry.handle(at(4001), event))[0].0, address(220));
+    for ticket in 0..8 {
+        let event = asked(ticket, RequestSafety::NonIdempotent, 60_000);
+        assert_eq!(sent(&entry.handle(at(4001), event))[0].0, address(220));
+    }
 }
 
 #[test]
