--- /dev/null
+++ b/crates/hornbeamlead_daemon/tests/keyed_requests.rs
@@ -0,0 +1,118 @@
+//! Requests with an idempotency key through running processes: each key runs once.
+
+mod common;
+
+use common::{open_service, plan};
+use hornbeamlead_standin::client::TestRequest;
+use hornbeamlead_standin::fleet::Fleet;
+use std::collections::BTreeMap;
+use std::thread::sleep;
+use std::time::Duration;
+
+/// Time in which a lapsed host is taken out of its cell's view: lease, margin and a heartbeat.
+const VIEW_TIME: Duration = Duration::from_secs(9);
+
+/// Time after which a retrying caller gives up.
+const CALLER_PATIENCE: Duration = Duration::from_secs(20);
+
+fn fleet() -> Fleet {
+    let plan = plan().entries(2).data_centre("negombo", 4);
+    let fleet = plan.start();
+    open_service(&fleet);
+    fleet
+}
+
+/// Sends a keyed order and returns its outcome: the status, and the reason where there is one.
+fn order(fleet: &Fleet, entry: usize, key: &str) -> (u16, String) {
+    let request = TestRequest::post(fleet.log.addr(), "/ledger/orders", key.to_owned())
+        .header("idempotency-key", key)
+        .timeout(CALLER_PATIENCE);
+    match fleet.call(entry, request) {
+        Ok(answer) => {
+            let reason = answer.json()["reason"].as_str().unwrap_or("").to_owned();
+            (answer.status.as_u16(), reason)
+        }
+        Err(fault) => (0, fault.to_string()),
+    }
+}
+
+/// Sends keyed orders until one is answered, so that the cell has a view.
+fn await_arbiters(fleet: &Fleet) {
+    fleet.await_that("a keyed request is answered", |fleet| {
+        order(fleet, 0, "first-key").0 == 200
+    });
+}
+
+fn runs_by_key(fleet: &Fleet) -> BTreeMap<Box<str>, usize> {
+    let mut counts = BTreeMap::new();
+    let runs = fleet.runs();
+    for key in runs
+        .iter()
+        .flat_map(|it| &it.runs)
+        .filter_map(|it| it.key.clone())
+    {
+        *counts.entry(key).or_default() += 1;
+    }
+    counts
+}
+
+fn assert_single_runs(fleet: &Fleet) {
+    let runs = runs_by_key(fleet);
+    let repeated: Vec<_> = runs.iter().filter(|(_, count)| **count > 1).collect();
+    assert!(repeated.is_empty(), "{repeated:?}");
+}
+
+#[test]
+fn other_entry_repeats_answer() {
+    let fleet = fleet();
+    await_arbiters(&fleet);
+    for number in 0..20 {
+        let key = format!("key-{number}");
+        assert_eq!(order(&fleet, 0, &key).0, 200);
+        assert_eq!(order(&fleet, 1, &key).0, 200);
+    }
+    assert_single_runs(&fleet);
+    assert_eq!(runs_by_key(&fleet).len(), 21);
+}
+
+#[test]
+fn agent_killed_between() {
+    let mut fleet = fleet();
+    await_arbiters(&fleet);
+    let keys: Vec<String> = (0..20).map(|number| format!("key-{number}")).collect();
+    for key in &keys {
+        assert_eq!(order(&fleet, 0, key).0, 200);
+    }
+    fleet.agents[1].process.kill();
+    sleep(VIEW_TIME);
+    for key in &keys {
+        order(&fleet, 1, key);
+    }
+    assert_single_runs(&fleet);
+    assert_eq!(runs_by_key(&fleet).len(), keys.len() + 1);
+}
+
+#[test]
+fn frozen_agent_wakes() {
+    let fleet = fleet();
+    await_arbiters(&fleet);
+    let keys: Vec<String> = (0..20).map(|number| format!("key-{number}")).collect();
+    fleet.agents[1].process.freeze();
+    std::thread::scope(|scope| {
+        for key in &keys {
+            scope.spawn(|| order(&fleet, 0, key));
+        }
+    });
+    sleep(VIEW_TIME);
+    std::thread::scope(|scope| {
+        for key in &keys {
+            scope.spawn(|| order(&fleet, 1, key));
+        }
+    });
+    fleet.agents[1].process.wake();
+    sleep(VIEW_TIME);
+    for key in &keys {
+        order(&fleet, 0, key);
+    }
+    assert_single_runs(&fleet);
+}
