[schedule] Test who may say that a lease has lapsed, let a powerless planner follow

A planner cut off from the log alone lost its own tasks to the lapse of its lease, since it never learned of its successor. It now asks the successor for a lease once it may not renew. A process takes the duty up only at the stream's tail, so that a stretch cut short before a newer claim cannot mislead it.

--- a/crates/hornbeamlead_schedule/src/machine.rs
+++ b/crates/hornbeamlead_schedule/src/machine.rs
@@ -13,7 +13,7 @@
 use hornbeamlead_core::effect::AgentEffect;
 use hornbeamlead_core::event::{AgentEvent, StreamBatch};
 use hornbeamlead_core::fleet::FleetState;
-use hornbeamlead_core::ids::{Epoch, LogOffset, Revision};
+use hornbeamlead_core::ids::{Epoch, HostId, LogOffset, Revision};
 use hornbeamlead_core::message::control::{ControlMessage, HeartbeatReply, HostHeartbeat};
 use hornbeamlead_core::message::request::LinkMessage;
 use hornbeamlead_core::policy::{AgentPolicy, ProcessPlace};
@@ -226,6 +226,10 @@
 
     fn take_reply(&mut self, reply: &HeartbeatReply, turn: &mut TurnContext<'_>) {
         let accepted = self.keeper.take_reply(reply, turn);
+        let replaced = self.planner.as_ref();
+        if replaced.is_some_and(|planner| accepted && planner.epoch() < reply.epoch) {
+            self.lay_down(reply.epoch, &reply.planner, turn);
+        }
         if accepted && reply.lease_until.is_some() {
             self.election.hear(turn.mono());
         }
@@ -317,7 +321,7 @@
             return;
         }
         self.note_forced(turn.mono());
-        self.follow_claim(began, turn);
+        self.follow_claim(began, at_tail, turn);
         let tail = at_tail.then_some(began);
         if let Some(planner) = &mut self.planner {
             let ids = batch
@@ -362,7 +366,7 @@
     }
 
     /// Takes the planner's duty up, goes on with it, or lays it down, as the log has it.
-    fn follow_claim(&mut self, began: MonoTime, turn: &mut TurnContext<'_>) {
+    fn follow_claim(&mut self, began: MonoTime, at_tail: bool, turn: &mut TurnContext<'_>) {
         let state = self.cell.state();
         let Some(claim) = state.claim() else {
             return;
@@ -378,7 +382,7 @@
         self.keeper.follow(epoch, known);
         match (&mut self.planner, self.election.holds(state)) {
             (Some(planner), true) => planner.continue_as(epoch),
-            (None, true) => {
+            (None, true) if at_tail && epoch >= self.keeper.epoch() => {
                 let schedule = &self.policy.schedule;
                 let mut tenure = PlannerTenure::new(claim, turn.mono(), began, schedule);
                 if let Some((_, at)) = self.forced {
@@ -389,18 +393,24 @@
                 self.planner = Some(Box::new(planner));
             }
             (Some(_), false) => {
-                let inputs = format!("epoch={epoch} host={}", claim.host);
-                turn.decide(
-                    "planner_replaced",
-                    format!("cell:{}", self.policy.cell),
-                    inputs,
-                );
-                self.planner = None;
+                let host = claim.host.clone();
+                self.lay_down(epoch, &host, turn);
             }
-            (None, false) => {}
+            (None, true | false) => {}
         }
     }
 
+    /// Lays the planner's duty down, since a newer epoch is another's.
+    fn lay_down(&mut self, epoch: Epoch, host: &HostId, turn: &mut TurnContext<'_>) {
+        let subject = format!("cell:{}", self.policy.cell);
+        turn.decide(
+            "planner_replaced",
+            subject,
+            format!("epoch={epoch} host={host}"),
+        );
+        self.planner = None;
+    }
+
     fn take_append(
         &mut self,
         stream: &StreamName,
@@ -435,6 +445,7 @@
             if let Some(reply) = self.plan_reply(beat, turn) {
                 self.take_reply(&reply, turn);
             }
+            self.ask_successor(beat, turn);
             return;
         }
         let planner = self.keeper.planner().map(|planner| planner.address);
@@ -448,6 +459,18 @@
         }
     }
 
+    /// Asks the successor for a lease, since it may plan by now, while this planner may not renew.
+    fn ask_successor(&self, beat: &HostHeartbeat, turn: &mut TurnContext<'_>) {
+        let planner = self.planner.as_ref();
+        let powerless = planner.is_some_and(|planner| !planner.may_renew(turn.mono()));
+        if let Some(successor) = self.cell.state().successor().filter(|_| powerless) {
+            turn.emit(AgentEffect::SendDatagram {
+                to: successor.control_address,
+                message: ControlMessage::Heartbeat(beat.clone()),
+            });
+        }
+    }
+
     fn is_silent(&self, now: MonoTime) -> bool {
         let heartbeat = self.policy.schedule.heartbeat;
         self.keeper.planner().is_none()
--- a/crates/hornbeamlead_schedule/src/planner.rs
+++ b/crates/hornbeamlead_schedule/src/planner.rs
@@ -139,6 +139,16 @@
         &mut self.tenure
     }
 
+    /// Returns the epoch.
+    pub(crate) fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Returns whether leases may be renewed at this moment.
+    pub(crate) fn may_renew(&self, now: MonoTime) -> bool {
+        self.tenure.may_renew(now, self.schedule())
+    }
+
     /// Returns whether the log was read so recently that work may be started and moved.
     pub(crate) fn is_fresh(&self, now: MonoTime) -> bool {
         self.tenure.is_fresh(now, self.schedule())
