[schedule] Leave a drained data centre's tasks to end where they soon will

Within a grace that grows with the weight of evictions, a task that is expected to end is left to end; all others are checkpointed and stopped at once.

--- a/crates/hornbeamlead_schedule/src/planner.rs
+++ b/crates/hornbeamlead_schedule/src/planner.rs
@@ -79,6 +79,8 @@
     failures: BTreeMap<TaskId, Vec<HostId>>,
     infeasible: BTreeMap<JobName, Box<str>>,
     evictions: u64,
+    /// When the data centre was first seen to be drained; `None` while it is in service.
+    drained_at: Option<MonoTime>,
 }
 
 impl CellPlanner {
@@ -118,6 +120,7 @@
             failures: BTreeMap::new(),
             infeasible: BTreeMap::new(),
             evictions: 0,
+            drained_at: None,
             policy,
         }
     }
@@ -248,6 +251,7 @@
         self.jobs_read.start(self.jobs.cursor(), turn);
         self.ask_promise(inputs.cell, turn);
         self.refresh_view(turn.mono());
+        self.note_drain(turn);
         let wanted = std::mem::take(&mut self.changed) || turn.mono() >= self.next_batch;
         if !wanted || !self.tenure.is_fresh(turn.mono(), self.schedule()) {
             return;
--- a/crates/hornbeamlead_schedule/src/planner/policy_step.rs
+++ b/crates/hornbeamlead_schedule/src/planner/policy_step.rs
@@ -6,15 +6,23 @@
 use crate::planner::record_step::delivery;
 use crate::planner::tasks::{OwnedTask, TaskState};
 use crate::turn::TurnContext;
+use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_core::fleet::FleetState;
 use hornbeamlead_core::ids::{AttemptId, HostId};
 use hornbeamlead_core::message::control::HostHeartbeat;
-use hornbeamlead_core::note::DeliveryMode;
+use hornbeamlead_core::note::{DeliveryMode, JobSpec};
 use hornbeamlead_core::task::{TaskPhase, TaskStatus};
+use std::time::Duration;
 
 /// Speed of an attempt that is not throttled, in percent.
 const FULL_SPEED: u8 = 100;
 
+/// Time after a drain within which a task that is expected to end is left to end, per weight.
+const DRAIN_GRACE: Duration = Duration::from_secs(5);
+
+/// Largest weight of evictions that lengthens the grace.
+const MAX_GRACE_WEIGHT: u32 = 4;
+
 impl CellPlanner {
     /// Learns from a heartbeat and decides on throttling and eviction on its host.
     pub(super) fn observe(&mut self, beat: &HostHeartbeat, turn: &mut TurnContext<'_>) {
@@ -100,6 +108,7 @@
         &self,
         status: &TaskStatus,
         fleet: &FleetState,
+        now: MonoTime,
     ) -> Option<&'static str> {
         if status.phase != TaskPhase::Running {
             return None;
@@ -108,13 +117,40 @@
         match spec {
             None => Some("withdrawn"),
             Some(spec) if spec.delivery == DeliveryMode::AtMostOnce => None,
-            Some(_) if !self.in_service(fleet) => Some("drained"),
+            Some(spec) if self.leaves_now(spec, status, now) => Some("drained"),
+            Some(_) if !self.in_service(fleet) => None,
             Some(spec) if !super::claims::allows(spec, &self.place.data_centre) => Some("moved"),
             Some(_) if self.evicting.contains(&status.attempt) => Some("evicted"),
             Some(_) => None,
         }
     }
 
+    /// Returns whether a task is to leave a drained data centre without waiting for its end.
+    fn leaves_now(&self, spec: &JobSpec, status: &TaskStatus, now: MonoTime) -> bool {
+        let Some(drained_at) = self.drained_at else {
+            return false;
+        };
+        let schedule = self.schedule();
+        if !schedule.learning {
+            return true;
+        }
+        let weight = schedule.weights.evictions.clamp(1, MAX_GRACE_WEIGHT);
+        let grace_end = drained_at.plus(DRAIN_GRACE * weight);
+        let run = self.learner.run_time(&spec.kind, spec.run_time);
+        let done = status
+            .checkpoint
+            .as_ref()
+            .map_or(0, |token| token.progress_ms);
+        let rest = run.saturating_sub(Duration::from_millis(done));
+        now.plus(rest) > grace_end
+    }
+
+    /// Notes when the data centre was first seen to be drained.
+    pub(super) fn note_drain(&mut self, turn: &TurnContext<'_>) {
+        let drained_at = self.drained_at.unwrap_or(turn.mono());
+        self.drained_at = (!self.in_service(turn.fleet)).then_some(drained_at);
+    }
+
     /// Cancels the orders of withdrawn jobs and of a drained data centre, and tidies up.
     pub(super) fn plan_policy(&mut self, tasks: &[OwnedTask<'_>], turn: &TurnContext<'_>) {
         let drained = !self.in_service(turn.fleet);
--- a/crates/hornbeamlead_schedule/src/planner/reply_step.rs
+++ b/crates/hornbeamlead_schedule/src/planner/reply_step.rs
@@ -85,7 +85,7 @@
             return by_log;
         }
         let attempt = status.attempt.clone();
-        if self.stop_reason(status, turn.fleet).is_some() {
+        if self.stop_reason(status, turn.fleet, turn.mono()).is_some() {
             return Some(TaskCommand::Stop { attempt });
         }
         let speed_percent = self.wanted_speed(status);
--- a/crates/hornbeamlead_schedule/src/tenure.rs
+++ b/crates/hornbeamlead_schedule/src/tenure.rs
@@ -28,10 +28,9 @@
         tail_began: MonoTime,
         schedule: &SchedulePolicy,
     ) -> Self {
-        let earlier_right = match (claim.previous, claim.forced) {
-            (Epoch(0), _) => Duration::ZERO,
-            (_, true) => schedule.outage_bound + schedule.tail_validity,
-            (_, false) => schedule.tail_validity,
+        let earlier_right = match claim.previous {
+            Epoch(0) => Duration::ZERO,
+            _ => schedule.tail_validity,
         };
         Self {
             taken_over_at: now,
