[agent] Refuse requests for two seconds before a planned exit

Cause: an agent that was asked to stop exited as soon as nothing was in progress. Ruled out: closing the link by halves, which still leaves what is on its way without the agent's word.

--- a/crates/hornbeamlead_agent/src/machine.rs
+++ b/crates/hornbeamlead_agent/src/machine.rs
@@ -12,6 +12,14 @@
 use hornbeamlead_core::status::AgentStatus;
 use hornbeamlead_request::gate::{GateContext, RequestGate};
 use hornbeamlead_schedule::machine::ScheduleMachine;
+use std::time::Duration;
+
+/// Time for which a stopping agent still refuses requests before it exits.
+///
+/// A request may be on its way from an entry that has not heard of the stop. The agent's word that
+/// it did not run lets the entry give it to another worker; a closed link would leave its outcome
+/// unknown. Several announcements fall within this time, so that all entries hear.
+const LEAVING_GRACE: Duration = Duration::from_secs(2);
 
 /// State machine of an agent.
 ///
@@ -21,7 +29,8 @@
     keeper: NotesKeeper,
     schedule: ScheduleMachine,
     gate: RequestGate,
-    stopping: bool,
+    /// Earliest time of the exit, once the process was asked to stop.
+    exit_from: Option<MonoTime>,
 }
 
 impl AgentMachine {
@@ -32,7 +41,7 @@
             keeper: NotesKeeper::default(),
             schedule: ScheduleMachine::new(place.clone(), policy.clone()),
             gate: RequestGate::new(place, policy),
-            stopping: false,
+            exit_from: None,
         }
     }
 
@@ -49,9 +58,7 @@
             standing: self.schedule.standing(),
         };
         self.gate.handle(now, context, event, &mut effects);
-        if self.stopping && self.gate.idle() && self.schedule.idle() {
-            effects.push(AgentEffect::Exit);
-        }
+        effects.extend(self.leave(now));
         merge_wakes(effects)
     }
 
@@ -68,7 +75,16 @@
             revision: self.keeper.revision(),
             gate: self.gate.status(),
             schedule: self.schedule.status(),
-            stopping: self.stopping,
+            stopping: self.exit_from.is_some(),
+        }
+    }
+
+    /// Exits once the grace is over and nothing is in progress.
+    fn leave(&self, now: ClockReading) -> Option<AgentEffect> {
+        match self.exit_from? {
+            exit_from if now.mono < exit_from => Some(AgentEffect::WakeAt(exit_from)),
+            _ if self.gate.idle() && self.schedule.idle() => Some(AgentEffect::Exit),
+            _ => None,
         }
     }
 
@@ -86,7 +102,9 @@
                 self.report(now, &verdicts, out);
             }
             AgentEvent::NotesAsked { link, from } => out.push(self.pass_notes(*link, *from)),
-            AgentEvent::StopAsked => self.stopping = true,
+            AgentEvent::StopAsked => {
+                self.exit_from.get_or_insert(now.mono.plus(LEAVING_GRACE));
+            }
             _ => {}
         }
     }
