[daemon] Test requests and batch tasks of running processes under faults

Requests: kills, freezes, cuts, delays, swallowed and broken answers between entry, agent and endpoint under load of non-idempotent requests: each runs at most once, not_run is true, each answer is its caller's own and whole, slots and connections are not exceeded; planned stops cut nothing; the log down for 60 s costs no request. Batch: restarts of all agents and the log down for 60 s evict nothing; death, freeze and isolation of planner and hosts move tasks without two places at once, from the last checkpoint; a drain stops starts within 3 s and loses at most a checkpoint interval a task.

--- a/crates/hornbeamlead_daemon/tests/fleets/mod.rs
+++ b/crates/hornbeamlead_daemon/tests/fleets/mod.rs
@@ -1,12 +1,15 @@
 //! Fleets for the tests of running processes.
 #![allow(dead_code, reason = "each test file uses some of them")]
 
+pub(crate) mod load;
+
 use hornbeamlead_standin::client::TestRequest;
 use hornbeamlead_standin::fleet::{Fleet, FleetMember, FleetPlan, PATIENCE};
 use hornbeamlead_standin::worker::history::RequestRun;
 use serde_json::{Value, json};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Service of the small fleet.
 pub(crate) const SERVICE: &str = "ledger";
@@ -48,6 +51,41 @@
     fleet.publish(note, &json!({"based_on": null, "added": added}))
 }
 
+/// Publishes a job of tasks that take a sixteenth of a worker each.
+pub(crate) fn publish_job(fleet: &Fleet, name: &str, tasks: u32, run_time: Duration) -> u64 {
+    let deadline = SystemTime::now() + Duration::from_secs(3_600);
+    let since_epoch = deadline.duration_since(UNIX_EPOCH).unwrap();
+    let job = json!({
+        "name": name,
+        "team": "yard",
+        "kind": "report",
+        "tasks": tasks,
+        "size": size(1_000, 1_024),
+        "run_time_ms": millis(run_time),
+        "deadline_unix_ms": millis(since_epoch),
+        "priority": 1,
+        "urgent": false,
+        "delivery": "resumable",
+        "checkpoint_every_ms": 500,
+    });
+    let added = json!({"jobs": [job]});
+    fleet.publish(name, &json!({"based_on": null, "added": added}))
+}
+
+/// Returns settings of agents with leases short enough for tests.
+pub(crate) fn short_leases() -> Value {
+    json!({"schedule": {
+        "lease": "3s",
+        "heartbeat": "200ms",
+        "margin": "300ms",
+        "tail_validity": "1500ms",
+    }})
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap()
+}
+
 /// Waits until a revision or a later one is in force in all processes.
 pub(crate) fn await_revision(fleet: &Fleet, revision: u64) {
     fleet.await_that("the revision is in force", |fleet| {
--- a/crates/hornbeamlead_standin/src/client.rs
+++ b/crates/hornbeamlead_standin/src/client.rs
@@ -144,6 +144,14 @@
     Timeout,
 }
 
+impl TestFault {
+    /// Returns whether no connection was there, so that nothing can have arrived.
+    #[must_use]
+    pub fn is_unreachable(&self) -> bool {
+        matches!(self, Self::Unreachable { .. })
+    }
+}
+
 /// Client with a pool of connections.
 #[derive(Clone, Debug)]
 pub struct TestClient {
--- a/crates/hornbeamlead_standin/src/fleet.rs
+++ b/crates/hornbeamlead_standin/src/fleet.rs
@@ -25,7 +25,7 @@
 pub use process::DaemonProcess;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tempfile::TempDir;
 
 /// Time between looks at a condition.
@@ -215,6 +215,19 @@
         self.log.append("notes", Bytes::from(entry.to_string()))
     }
 
+    /// Publishes that a data centre is in service, or is not; returns the time of it.
+    ///
+    /// The time is in microseconds since the Unix epoch.
+    pub fn set_in_service(&self, data_centre: &str, in_service: bool) -> u64 {
+        let now_us = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |span| span.as_micros());
+        let changed = json!({"name": data_centre, "in_service": in_service});
+        let note = json!({"based_on": null, "changed": {"data_centres": [changed]}});
+        self.publish(&format!("{data_centre}-{now_us}"), &note);
+        u64::try_from(now_us).unwrap_or(u64::MAX)
+    }
+
     /// Sends a request to the callers' listener of an entry.
     ///
     /// # Errors
