--- a/crates/hornbeamlead_ctl/src/args.rs
+++ b/crates/hornbeamlead_ctl/src/args.rs
@@ -14,6 +14,9 @@
 /// Time allowed where none is named.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(11);
 
+/// Exit statuses, as help tells them.
+const EXIT_STATUSES: &str = "Exit status: 0 done, 1 refused or not done, 2 usage or settings.";
+
 /// Options that every command takes.
 #[derive(Clone, Debug, Bpaf)]
 pub struct CommonOptions {
@@ -85,10 +88,8 @@
 }
 
 /// Steers a hornbeamlead fleet: release notes, drains, cancellations, status, explanations
-///
-/// Exit status: 0 done, 1 refused or not done, 2 usage or settings.
 #[derive(Clone, Debug, Bpaf)]
-#[bpaf(options, version, generate(tool_options))]
+#[bpaf(options, version, footer(EXIT_STATUSES), generate(tool_options))]
 pub enum ToolCommand {
     /// Checks, publishes and follows release notes
     #[bpaf(command)]
--- a/crates/hornbeamlead_ctl/tests/command_line.rs
+++ b/crates/hornbeamlead_ctl/tests/command_line.rs
@@ -21,6 +21,15 @@
     assert!(!run.out.is_empty() || !run.err.is_empty());
 }
 
+#[test]
+fn statuses_told() {
+    let run = run_bare(&["--help"]);
+    assert!(
+        run.out.contains("Exit status: 0 done, 1 refused"),
+        "{run:?}"
+    );
+}
+
 #[test]
 fn sound_note() {
     let bench = ToolBench::start();
