--- a/crates/hornbeamlead_daemon/src/lib.rs
+++ b/crates/hornbeamlead_daemon/src/lib.rs
@@ -16,10 +16,10 @@
 mod links;
 mod logs;
 mod platform;
-mod ring;
 mod signals;
 
 pub mod counters;
+pub mod ring;
 pub mod web;
 
 pub use args::{DaemonArgs, parse_args};
--- a/crates/hornbeamlead_daemon/src/ring.rs
+++ b/crates/hornbeamlead_daemon/src/ring.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// Items that the ring into the decisions holds.
-const RING_ITEMS: usize = 8192;
+pub const RING_ITEMS: usize = 8192;
 
 /// Items in the ring above which new work is refused; the rest is kept for outcomes.
 const NEW_WORK_ITEMS: usize = RING_ITEMS / 2;
@@ -15,7 +15,7 @@
 
 /// Sending end of the ring into the decisions.
 #[derive(Debug)]
-pub(crate) struct RingSender<T> {
+pub struct RingSender<T> {
     sender: Sender<T>,
 }
 
@@ -29,7 +29,7 @@
 
 /// Why the ring did not take new work; the work is given back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum OfferRefusal<T> {
+pub enum OfferRefusal<T> {
     /// The ring has no room for new work.
     Full(T),
     /// The decision thread has ended.
@@ -38,7 +38,7 @@
 
 impl<T> OfferRefusal<T> {
     /// Returns the reason that is counted and told.
-    pub(crate) fn reason(&self) -> RefusalReason {
+    pub fn reason(&self) -> RefusalReason {
         match self {
             Self::Full(_) => RefusalReason::RingFull,
             Self::Ended(_) => RefusalReason::Leaving,
@@ -48,7 +48,7 @@
 
 impl<T> RingSender<T> {
     /// Offers new work, which is refused at once while the ring is half full.
-    pub(crate) fn offer(&self, item: T) -> Result<(), OfferRefusal<T>> {
+    pub fn offer(&self, item: T) -> Result<(), OfferRefusal<T>> {
         if self.sender.len() >= NEW_WORK_ITEMS {
             return Err(OfferRefusal::Full(item));
         }
@@ -61,7 +61,7 @@
     /// Delivers an outcome of work in progress, with a short wait where the ring is full.
     ///
     /// The decisions never wait for another thread, so room comes as soon as they run.
-    pub(crate) fn deliver(&self, item: T) -> Result<(), OfferRefusal<T>> {
+    pub fn deliver(&self, item: T) -> Result<(), OfferRefusal<T>> {
         self.sender
             .send_timeout(item, OUTCOME_PATIENCE)
             .map_err(|error| match error {
@@ -72,7 +72,7 @@
 }
 
 /// Makes the ring into the decisions.
-pub(crate) fn decision_ring<T>() -> (RingSender<T>, Receiver<T>) {
+pub fn decision_ring<T>() -> (RingSender<T>, Receiver<T>) {
     let (sender, receiver) = bounded(RING_ITEMS);
     (RingSender { sender }, receiver)
 }
