--- a/crates/hornbeamlead_daemon/src/counters.rs
+++ b/crates/hornbeamlead_daemon/src/counters.rs
@@ -2,6 +2,7 @@
 
 use cadence::{BufferedUdpMetricSink, Counted, MetricSink, QueuingMetricSink, StatsdClient, Timed};
 use hornbeamlead_core::counter::{RefusalReason, RetryReason};
+use slog::{Logger, debug};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -19,32 +20,36 @@
     retries: Vec<AtomicU64>,
     requests: AtomicU64,
     statsd: Option<StatsdClient>,
+    log: Logger,
 }
 
 impl ProcessCounters {
-    /// Makes counters at zero, which also go to a statsd server if one is named.
+    /// Makes counters at zero, which also go to the log and to a statsd server if one is named.
     ///
     /// # Errors
     /// Returns the error of the socket.
-    pub fn new(statsd: Option<SocketAddr>) -> std::io::Result<Self> {
+    pub fn new(statsd: Option<SocketAddr>, log: Logger) -> std::io::Result<Self> {
         Ok(Self {
             refusals: zeros(RefusalReason::ALL.len()),
             retries: zeros(RetryReason::ALL.len()),
             requests: AtomicU64::new(0),
             statsd: statsd.map(open_statsd).transpose()?,
+            log,
         })
     }
 
     /// Counts a refusal.
     pub fn refusal(&self, reason: RefusalReason) {
         self.refusals[usize::from(reason.number())].fetch_add(1, Ordering::Relaxed);
-        self.send_count(&format!("refusal.{reason}"));
+        debug!(self.log, ""; "event" => "refusal", "reason" => reason.as_str());
+        self.send_count("refusal", reason.as_str());
     }
 
     /// Counts a retry.
     pub fn retry(&self, reason: RetryReason) {
         self.retries[usize::from(reason.number())].fetch_add(1, Ordering::Relaxed);
-        self.send_count(&format!("retry.{reason}"));
+        debug!(self.log, ""; "event" => "retry", "reason" => reason.as_str());
+        self.send_count("retry", reason.as_str());
     }
 
     /// Counts a request and how long it took.
@@ -73,9 +78,9 @@
         nonzero(names, &self.retries)
     }
 
-    fn send_count(&self, name: &str) {
+    fn send_count(&self, kind: &str, reason: &str) {
         if let Some(client) = &self.statsd {
-            let _ = client.count(name, 1u64);
+            let _ = client.count(&format!("{kind}.{reason}"), 1u64);
         }
     }
 }
--- a/crates/hornbeamlead_daemon/src/launch/parts.rs
+++ b/crates/hornbeamlead_daemon/src/launch/parts.rs
@@ -51,7 +51,7 @@
         sockets: &BoundSockets,
         log: &Logger,
     ) -> Result<Self, LaunchError> {
-        let counters = ProcessCounters::new(settings.statsd);
+        let counters = ProcessCounters::new(settings.statsd, log.clone());
         let counters = counters.context(StartSnafu { duty: "metrics" })?;
         let (inbox, ring) = decision_ring();
         Ok(Self {
--- a/crates/hornbeamlead_daemon/src/logs.rs
+++ b/crates/hornbeamlead_daemon/src/logs.rs
@@ -13,13 +13,14 @@
 /// Opens the log of the process; the guard writes what is left when it is dropped.
 pub(crate) fn open_log(host: &str, role: &'static str) -> (Logger, slog_async::AsyncGuard) {
     let lines = Logfmt::new(std::io::stderr()).no_prefix().print_level(true);
-    let filtered = LevelFilter::new(lines.build(), level()).fuse();
-    let (queued, guard) = slog_async::Async::new(filtered)
+    let (queued, guard) = slog_async::Async::new(lines.build().fuse())
         .chan_size(LOG_QUEUE)
         .overflow_strategy(OverflowStrategy::DropAndReport)
         .build_with_guard();
+    // The level is checked before a line is worded for the queue.
+    let filtered = LevelFilter::new(queued, level()).fuse();
     let context = o!("role" => role, "host" => host.to_owned());
-    (Logger::root(queued.fuse(), context), guard)
+    (Logger::root(filtered, context), guard)
 }
 
 fn level() -> Level {
--- a/crates/hornbeamlead_daemon/tests/listener_limits.rs
+++ b/crates/hornbeamlead_daemon/tests/listener_limits.rs
@@ -37,7 +37,8 @@
 
 impl TestListener {
     fn start(limits: ConnectionLimits) -> Self {
-        let counters = Arc::new(ProcessCounters::new(None).unwrap());
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let counters = Arc::new(ProcessCounters::new(None, log).unwrap());
         let table = ConnectionTable::new(limits, Arc::clone(&counters));
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         listener.set_nonblocking(true).unwrap();
