[schedule] Look at what is overdue every 20 ms, not every millisecond

Cause: found while measuring the path. A planner that wants no promise leaves next_promise_ask in the past (and, while the log is down, next_batch), so its wake-up wish was always the next millisecond: strace counted 3038 timed-out waits of an idle planner's decisions in 4 s. Ruled out: moving the ask's time on, which would delay the first ask.

Change: what is due but could not be done waits for an event, or 20 ms. Tests of the package pass.

--- a/crates/hornbeamlead_schedule/src/machine.rs
+++ b/crates/hornbeamlead_schedule/src/machine.rs
@@ -37,6 +37,9 @@
 /// Longest time without a wake-up.
 const LONGEST_WAIT: Duration = Duration::from_millis(500);
 
+/// Time until the next look at what is due but cannot be done before some event comes.
+const OVERDUE_WAIT: Duration = Duration::from_millis(20);
+
 /// Heartbeats without an answer after which the planner counts as silent.
 const SILENT_HEARTBEATS: u32 = 3;
 
@@ -542,8 +545,10 @@
         let reads = reads.into_iter().flatten().filter(|_| active);
         let planner = self.planner.as_ref().map(|planner| planner.due());
         let dues = reads.chain(planner).chain([self.keeper.due()]);
-        let earliest = dues.min().unwrap_or(MonoTime::MAX);
-        let soonest = now.plus(Duration::from_millis(1));
-        earliest.min(now.plus(LONGEST_WAIT)).max(soonest)
+        match dues.min() {
+            Some(earliest) if earliest <= now => now.plus(OVERDUE_WAIT),
+            Some(earliest) => earliest.min(now.plus(LONGEST_WAIT)),
+            None => now.plus(LONGEST_WAIT),
+        }
     }
 }
