--- a/crates/hornbeamlead_agent/src/machine.rs
+++ b/crates/hornbeamlead_agent/src/machine.rs
@@ -14,14 +14,6 @@
 use hornbeamlead_core::status::AgentStatus;
 use hornbeamlead_request::gate::{GateContext, RequestGate};
 use hornbeamlead_schedule::machine::ScheduleMachine;
-use std::time::Duration;
-
-/// Time for which a stopping agent still refuses requests before it exits.
-///
-/// A request may be on its way from an entry that has not heard of the stop. The agent's word that
-/// it did not run lets the entry give it to another worker; a closed link would leave its outcome
-/// unknown. Several announcements fall within this time, so that all entries hear.
-const LEAVING_GRACE: Duration = Duration::from_secs(2);
 
 /// State machine of an agent.
 ///
@@ -32,8 +24,7 @@
     snapshots: SnapshotPace,
     schedule: ScheduleMachine,
     gate: RequestGate,
-    /// Earliest time of the exit, once the process was asked to stop.
-    exit_from: Option<MonoTime>,
+    stopping: bool,
 }
 
 impl AgentMachine {
@@ -45,7 +36,7 @@
             snapshots: SnapshotPace::new(place.seed, policy.schedule.snapshot_records),
             schedule: ScheduleMachine::new(place.clone(), policy.clone()),
             gate: RequestGate::new(place, policy),
-            exit_from: None,
+            stopping: false,
         }
     }
 
@@ -62,7 +53,9 @@
             standing: self.schedule.standing(),
         };
         self.gate.handle(now, context, event, &mut effects);
-        effects.extend(self.leave(now));
+        if self.stopping && self.gate.idle() && self.schedule.idle() {
+            effects.push(AgentEffect::Exit);
+        }
         merge_wakes(effects)
     }
 
@@ -79,16 +72,7 @@
             revision: self.keeper.revision(),
             gate: self.gate.status(),
             schedule: self.schedule.status(),
-            stopping: self.exit_from.is_some(),
-        }
-    }
-
-    /// Exits once the grace is over and nothing is in progress.
-    fn leave(&self, now: ClockReading) -> Option<AgentEffect> {
-        match self.exit_from? {
-            exit_from if now.mono < exit_from => Some(AgentEffect::WakeAt(exit_from)),
-            _ if self.gate.idle() && self.schedule.idle() => Some(AgentEffect::Exit),
-            _ => None,
+            stopping: self.stopping,
         }
     }
 
@@ -107,9 +91,7 @@
                 self.report(now, &verdicts, out);
             }
             AgentEvent::NotesAsked { link, from } => out.push(self.pass_notes(*link, *from)),
-            AgentEvent::StopAsked => {
-                self.exit_from.get_or_insert(now.mono.plus(LEAVING_GRACE));
-            }
+            AgentEvent::StopAsked => self.stopping = true,
             _ => {}
         }
     }
