--- a/crates/hornbeamlead_daemon/tests/exchange_faults.rs
+++ b/crates/hornbeamlead_daemon/tests/exchange_faults.rs
@@ -117,3 +117,15 @@
             .all(|it| it.slots_exceeded + it.connections_exceeded == 0)
     );
 }
+
+#[test]
+fn nothing_fails() {
+    let fleet = start_fleet();
+    let loads = [0, 1].map(|entry| RunningLoad::start(&fleet, entry, CALLERS));
+    std::thread::sleep(STRETCH);
+    for load in loads {
+        let outcomes = load.stop();
+        assert_runs(&fleet, &outcomes);
+        assert_eq!(answered(&outcomes), outcomes.len());
+    }
+}
--- a/crates/hornbeamlead_measure/src/requests/place.rs
+++ b/crates/hornbeamlead_measure/src/requests/place.rs
@@ -110,13 +110,10 @@
 }
 
 fn grown(before: &ReasonCounts, after: &ReasonCounts) -> ReasonCounts {
-    let growth = |(reason, count): (&Box<str>, &u64)| {
-        let earlier = before.get(reason).copied().unwrap_or(0);
-        (reason.clone(), count.saturating_sub(earlier))
-    };
+    let earlier = |reason: &str| before.get(reason).copied().unwrap_or(0);
     after
         .iter()
-        .map(growth)
+        .map(|(reason, count)| (reason.clone(), count.saturating_sub(earlier(reason))))
         .filter(|(_, count)| *count > 0)
         .collect()
 }
