--- a/crates/hornbeamlead_daemon/tests/cell_faults.rs
+++ b/crates/hornbeamlead_daemon/tests/cell_faults.rs
@@ -156,46 +156,48 @@
     assert_no_eviction(&fleet);
 }
 
-/// A planner that is cut off from the log and from the others across a drain starts nothing late.
-#[test]
-fn drain_while_cut_off() {
-    let fleet = cell_plan()
+/// Longest time from an accepted drain to the last start, in microseconds.
+const DRAIN_BOUND_US: u64 = 3_000_000;
+
+/// Starts two cells that are busy with short tasks.
+fn start_busy_cells(plan: FleetPlan) -> Fleet {
+    let fleet = plan
         .data_centre("negombo", 3)
         .data_centre("colombo", 2)
         .start();
     open_service(&fleet);
     publish_job(&fleet, 200, Duration::from_millis(700));
     fleet.await_that("tasks run", |fleet| started(fleet) > 20);
+    fleet
+}
+
+/// Asserts that the first data centre started nothing after the bound, and that the job ends.
+fn assert_drained(fleet: &Fleet, drained_us: u64) {
+    await_finished(fleet, 200);
+    assert_sound(fleet);
+    let starts = events_of(&fleet.histories()[..3], TaskEventKind::Started);
+    let late_us = drained_us + DRAIN_BOUND_US;
+    assert_eq!(starts.iter().find(|event| event.at_us > late_us), None);
+}
+
+#[test]
+fn drain_while_cut_off() {
+    let fleet = start_busy_cells(cell_plan());
     let planner = planner(&fleet).unwrap();
     fleet.isolate_agent(planner, true);
     let drained_us = fleet.set_in_service("negombo", false);
     std::thread::sleep(Duration::from_secs(8));
     fleet.rejoin_agent(planner);
-    await_finished(&fleet, 200);
-    assert_sound(&fleet);
-    let late_us = drained_us + 3_000_000;
-    let starts = events_of(&fleet.histories()[..3], TaskEventKind::Started);
-    assert_eq!(starts.iter().find(|event| event.at_us > late_us), None);
+    assert_drained(&fleet, drained_us);
 }
 
-/// A planner's host that sleeps across a drain starts nothing when it wakes.
 #[test]
 fn drain_while_frozen() {
-    let mut fleet = cell_plan()
-        .data_centre("negombo", 3)
-        .data_centre("colombo", 2)
-        .start();
-    open_service(&fleet);
-    publish_job(&fleet, 200, Duration::from_millis(700));
-    fleet.await_that("tasks run", |fleet| started(fleet) > 20);
+    let mut fleet = start_busy_cells(cell_plan());
     let planner = planner(&fleet).unwrap();
     fleet.freeze_host(planner);
     let drained_us = fleet.set_in_service("negombo", false);
     std::thread::sleep(Duration::from_millis(3_500));
     fleet.wake_host(planner);
-    await_finished(&fleet, 200);
-    assert_sound(&fleet);
-    let late_us = drained_us + 3_000_000;
-    let starts = events_of(&fleet.histories()[..3], TaskEventKind::Started);
-    assert_eq!(starts.iter().find(|event| event.at_us > late_us), None);
+    assert_drained(&fleet, drained_us);
 }
