--- a/crates/hornbeamlead_daemon/tests/callers_apart.rs
+++ b/crates/hornbeamlead_daemon/tests/callers_apart.rs
@@ -1,8 +1,8 @@
 //! Callers reach services and nothing else: no operators' call, no header of the system's own.
 
-mod fleets;
+mod common;
 
-use fleets::{raw_exchange, runs_of, small_fleet};
+use common::probes::{raw_exchange, runs_of, small_fleet};
 use hornbeamlead_standin::client::TestRequest;
 use rstest::rstest;
 
