--- a/crates/hornbeamlead_core/src/policy.rs
+++ b/crates/hornbeamlead_core/src/policy.rs
@@ -69,7 +69,7 @@
     pub balance: BalanceRule,
     /// Workers of one service that the entry chooses among.
     pub subset: usize,
-    /// Retries allowed, in percent of first tries.
+    /// Retries allowed, in percent of first tries; a small stock from calm times comes on top.
     pub retry_percent: u32,
     /// Time between reads of the notes stream.
     pub notes_interval: Duration,
@@ -90,7 +90,7 @@
         Self {
             balance: BalanceRule::default(),
             subset: 32,
-            retry_percent: 10,
+            retry_percent: 9,
             notes_interval: Duration::from_millis(500),
             suspect_after: Duration::from_millis(1500),
             drop_after: Duration::from_secs(5),
--- a/crates/hornbeamlead_measure/src/requests/load.rs
+++ b/crates/hornbeamlead_measure/src/requests/load.rs
@@ -31,6 +31,8 @@
     pub(super) length: Duration,
     /// Path that is called.
     pub(super) path: String,
+    /// Whether each request is non-idempotent and has a key of its own.
+    pub(super) keyed: bool,
     /// Callers' addresses of the entries.
     pub(super) entries: Vec<SocketAddr>,
 }
@@ -184,7 +186,7 @@
         if !wait.is_zero() {
             tokio::time::sleep(wait).await;
         }
-        let request = word_request(plan, entry, random.random_bool(IDEMPOTENT_SHARE));
+        let request = word_request(plan, entry, &mut random);
         let (client, sender) = (client.clone(), sender.clone());
         let due_at = began + due;
         tokio::spawn(async move {
@@ -196,12 +198,19 @@
     }
 }
 
-fn word_request(plan: &LoadPlan, entry: SocketAddr, idempotent: bool) -> TestRequest {
-    let request = match idempotent {
+fn word_request(plan: &LoadPlan, entry: SocketAddr, random: &mut SmallRng) -> TestRequest {
+    let request = match !plan.keyed && random.random_bool(IDEMPOTENT_SHARE) {
         true => TestRequest::get(entry, &plan.path),
         false => TestRequest::post(entry, &plan.path, "order"),
     };
-    request.timeout(PATIENCE)
+    let request = request.timeout(PATIENCE);
+    match plan.keyed {
+        true => request.header(
+            "idempotency-key",
+            &format!("{:032x}", random.random::<u128>()),
+        ),
+        false => request,
+    }
 }
 
 fn judge(result: Result<TestAnswer, TestFault>, latency: Duration) -> CallOutcome {
--- a/crates/hornbeamlead_measure/src/requests/place.rs
+++ b/crates/hornbeamlead_measure/src/requests/place.rs
@@ -74,6 +74,7 @@
             rate: scenario.rate(),
             length: scenario.length(),
             path: format!("/{SERVICE}/orders"),
+            keyed: scenario == Scenario::Keyed,
             entries: self
                 .fleet
                 .entries
--- a/crates/hornbeamlead_measure/src/requests/scenario.rs
+++ b/crates/hornbeamlead_measure/src/requests/scenario.rs
@@ -26,6 +26,8 @@
 pub(super) enum Scenario {
     /// Half of the capacity is asked for, all workers are well.
     Ordinary,
+    /// The same load of non-idempotent requests, each with a key of its own.
+    Keyed,
     /// The same load, with one worker ten times slower.
     SlowWorker,
     /// The same load, with one worker that answers each request with a failure at once.
@@ -38,8 +40,9 @@
 
 impl Scenario {
     /// All scenarios in their order; the recovery follows the overload without a rest.
-    pub(super) const ALL: [Self; 5] = [
+    pub(super) const ALL: [Self; 6] = [
         Self::Ordinary,
+        Self::Keyed,
         Self::SlowWorker,
         Self::FailingWorker,
         Self::Overload,
@@ -50,9 +53,11 @@
     pub(super) fn rate(self) -> f64 {
         match self {
             Self::Overload => CAPACITY_RATE * OVERLOAD_SHARE,
-            Self::Ordinary | Self::SlowWorker | Self::FailingWorker | Self::Recovery => {
-                CAPACITY_RATE * ORDINARY_SHARE
-            }
+            Self::Ordinary
+            | Self::Keyed
+            | Self::SlowWorker
+            | Self::FailingWorker
+            | Self::Recovery => CAPACITY_RATE * ORDINARY_SHARE,
         }
     }
 
@@ -60,9 +65,11 @@
     pub(super) fn length(self) -> Duration {
         match self {
             Self::Recovery => Duration::from_secs(5),
-            Self::Ordinary | Self::SlowWorker | Self::FailingWorker | Self::Overload => {
-                Duration::from_secs(10)
-            }
+            Self::Ordinary
+            | Self::Keyed
+            | Self::SlowWorker
+            | Self::FailingWorker
+            | Self::Overload => Duration::from_secs(10),
         }
     }
 
@@ -70,9 +77,11 @@
     pub(super) fn rest(self) -> Duration {
         match self {
             Self::Recovery => Duration::ZERO,
-            Self::Ordinary | Self::SlowWorker | Self::FailingWorker | Self::Overload => {
-                Duration::from_secs(3)
-            }
+            Self::Ordinary
+            | Self::Keyed
+            | Self::SlowWorker
+            | Self::FailingWorker
+            | Self::Overload => Duration::from_secs(3),
         }
     }
 
@@ -89,7 +98,7 @@
                 fault: ServiceFault::Failing,
                 ..healthy
             },
-            Self::Ordinary | Self::Overload | Self::Recovery => healthy,
+            Self::Ordinary | Self::Keyed | Self::Overload | Self::Recovery => healthy,
         }
     }
 }
@@ -98,6 +107,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(match self {
             Self::Ordinary => "ordinary",
+            Self::Keyed => "keyed orders",
             Self::SlowWorker => "slow worker",
             Self::FailingWorker => "failing worker",
             Self::Overload => "overload 2x",
--- a/crates/hornbeamlead_request/src/entry.rs
+++ b/crates/hornbeamlead_request/src/entry.rs
@@ -165,8 +165,8 @@
             self.look_at(turn, ticket);
         }
         self.pass_silence(turn);
-        let applied = self.keeper.fleet().next();
-        if let Some(from) = self.reader.start_due(now, applied) {
+        if self.reader.start_due(now) {
+            let from = self.keeper.read_from();
             turn.push(EntryEffect::ReadNotes { from });
         }
     }
@@ -189,10 +189,9 @@
                 self.report(turn, &verdicts);
             }
             Err(LogFault::Unavailable) => turn.push(EntryEffect::CountRetry(RetryReason::LogRead)),
-            Err(LogFault::Gone { .. }) => {}
+            Err(LogFault::Gone { oldest }) => self.keeper.lose_place(*oldest),
         }
-        let applied = self.keeper.fleet().next();
-        self.reader.finish(turn.now.mono, result, applied);
+        self.reader.finish(turn.now.mono, result);
     }
 
     fn report(&self, turn: &mut EntryTurn, verdicts: &[NoteVerdict]) {
--- a/crates/hornbeamlead_request/src/notes_reader.rs
+++ b/crates/hornbeamlead_request/src/notes_reader.rs
@@ -1,12 +1,11 @@
-//! Paces the reading of the notes stream and finds the way round records that ran out.
+//! Paces the reading of the notes stream.
 
 use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_core::event::{NoteRecord, PLATFORM_TIMEOUT};
-use hornbeamlead_core::ids::LogOffset;
 use hornbeamlead_core::record::{LogBatch, LogFault};
 use std::time::Duration;
 
-/// When and from where the notes stream is read next.
+/// When the notes stream is read next; the keeper of the notes knows from where.
 #[derive(Debug)]
 pub(crate) struct NotesReader {
     interval: Duration,
@@ -14,7 +13,6 @@
     given_up: MonoTime,
     reading: bool,
     log_up: bool,
-    cursor: LogOffset,
 }
 
 impl NotesReader {
@@ -26,7 +24,6 @@
             given_up: MonoTime(0),
             reading: false,
             log_up: false,
-            cursor: LogOffset(0),
         }
     }
 
@@ -43,53 +40,35 @@
         }
     }
 
-    /// Returns the offset to read from if a read is due; `applied` is the next one wanted.
-    pub(crate) fn start_due(&mut self, now: MonoTime, applied: LogOffset) -> Option<LogOffset> {
+    /// Returns whether a read is due; it counts as begun then.
+    pub(crate) fn start_due(&mut self, now: MonoTime) -> bool {
         if now < self.wake_at() {
-            return None;
+            return false;
         }
         self.reading = true;
         self.given_up = now.plus(2 * PLATFORM_TIMEOUT);
-        self.cursor = self.cursor.max(applied);
-        Some(self.cursor)
+        true
     }
 
-    /// Takes the outcome of a read; `applied` is the next offset wanted after applying it.
+    /// Takes the outcome of a read; the next one is due at once if there is more to read.
     pub(crate) fn finish(
         &mut self,
         now: MonoTime,
         result: &Result<LogBatch<NoteRecord>, LogFault>,
-        applied: LogOffset,
     ) {
         self.reading = false;
-        self.next_read = now.plus(self.interval);
-        match result {
-            Ok(batch) => {
-                self.log_up = true;
-                self.follow(now, batch, applied);
-            }
-            Err(LogFault::Gone { oldest }) => {
-                self.log_up = true;
-                self.cursor = *oldest;
-                self.next_read = now;
-            }
-            Err(LogFault::Unavailable) => self.log_up = false,
-        }
-    }
-
-    /// Moves on past a batch, or back to the oldest record when no snapshot closed a gap.
-    fn follow(&mut self, now: MonoTime, batch: &LogBatch<NoteRecord>, applied: LogOffset) {
-        let past = batch
-            .records
-            .last()
-            .map_or(self.cursor, |placed| LogOffset(placed.offset.0 + 1));
-        let at_tail = past >= batch.next || batch.records.is_empty();
-        self.cursor = match at_tail {
-            true if applied < past => batch.oldest.max(applied),
-            true | false => past,
+        self.log_up = *result != Err(LogFault::Unavailable);
+        let more = match result {
+            Ok(batch) => batch
+                .records
+                .last()
+                .is_some_and(|placed| placed.offset.0 + 1 < batch.next.0),
+            Err(LogFault::Gone { .. }) => true,
+            Err(LogFault::Unavailable) => false,
+        };
+        self.next_read = match more {
+            true => now,
+            false => now.plus(self.interval),
         };
-        if !at_tail {
-            self.next_read = now;
-        }
     }
 }
