--- a/crates/hornbeamlead_request/src/gate/limit.rs
+++ b/crates/hornbeamlead_request/src/gate/limit.rs
@@ -7,7 +7,7 @@
 const ANSWERS_PER_STEP: u32 = 32;
 
 /// Answer time, in percent of the best, above which the limit is lowered.
-const SLOW_PERCENT: u64 = 200;
+const SLOW_PERCENT: u64 = 300;
 
 /// Part by which the limit is lowered, in percent.
 const LOWERED_TO_PERCENT: u32 = 90;
@@ -46,9 +46,9 @@
         }
     }
 
-    /// Returns the slots out of `slots` that may be used now; at least a quarter, and one.
+    /// Returns the slots out of `slots` that may be used now; at least half of them.
     pub(super) fn allowed(&self, slots: u16) -> u16 {
-        let floor = slots.div_ceil(4);
+        let floor = slots.div_ceil(2);
         let lowered = u32::from(slots) * self.lowered_milli / MILLI_SLOT;
         u16::try_from(lowered).unwrap_or(slots).clamp(floor, slots)
     }
@@ -97,6 +97,6 @@
             true => self.lowered_milli * LOWERED_TO_PERCENT / 100,
             false => (self.lowered_milli + MILLI_SLOT / 8).min(MILLI_SLOT),
         };
-        self.lowered_milli = self.lowered_milli.max(MILLI_SLOT / 4);
+        self.lowered_milli = self.lowered_milli.max(MILLI_SLOT / 2);
     }
 }
--- a/crates/hornbeamlead_request/tests/entry_request.rs
+++ b/crates/hornbeamlead_request/tests/entry_request.rs
@@ -182,3 +182,19 @@
     entry.handle(at(20_002), announced(announce("a", 210, 10)));
     assert_eq!(entry.status(at(20_002)).members.len(), 1);
 }
+
+#[test]
+fn refused_callers_spread() {
+    let mut entry = entry_knowing(&AGENTS);
+    entry.handle(at(4000), EntryEvent::StopAsked);
+    let mut spans = std::collections::BTreeSet::new();
+    for ticket in 0..50 {
+        let effects = entry.handle(at(4001), asked(ticket, RequestSafety::Idempotent, 6000));
+        let CallerAnswer::NotRun { retry_after, .. } = answers(&effects).remove(0).1 else {
+            panic!("a stopping entry refuses");
+        };
+        assert!(retry_after >= Duration::from_secs(1));
+        spans.insert(retry_after.as_millis() / 100);
+    }
+    assert!(spans.len() > 10, "{spans:?}");
+}
--- a/crates/hornbeamlead_request/tests/gate_admission.rs
+++ b/crates/hornbeamlead_request/tests/gate_admission.rs
@@ -181,3 +181,47 @@
     let effects = bench.handle(at(1), &done(0, EndpointOutcome::Answered(answer("done"))));
     assert_eq!(called(&effects), vec![request_id(100)]);
 }
+
+/// Answers requests one at a time, each after a span, and returns the slots told at the end.
+fn slots_after(bench: &mut GateBench, from: u64, count: u64, span: u64) -> u16 {
+    let mut slots = 0;
+    for number in 0..count {
+        let began = from + number * span;
+        let counter = from * 1_000 + number;
+        let announce = endpoint(&["ledger"], 8);
+        bench.handle(at(began), &AgentEvent::EndpointAnnounced(announce));
+        bench.handle(at(began), &requested(counter, began + 60_000));
+        let outcome = EndpointOutcome::Answered(answer("done"));
+        let effects = bench.handle(at(began + span), &done(counter, outcome));
+        slots = replies(&effects)[0].load.slots;
+    }
+    slots
+}
+
+#[test]
+fn limit_follows_latency() {
+    let mut bench = GateBench::serving(8);
+    assert_eq!(slots_after(&mut bench, 0, 100, 10), 8);
+    let lowered = slots_after(&mut bench, 1_000, 200, 50);
+    assert!((4..8).contains(&lowered), "{lowered}");
+    assert_eq!(slots_after(&mut bench, 11_000, 400, 10), 8);
+}
+
+#[test]
+fn older_endpoint_stays_out() {
+    let mut bench = GateBench::new(agent_policy(&[100]));
+    let mut newer = endpoint(&["ledger"], 8);
+    newer.incarnation = hornbeamlead_core::ids::Incarnation(2);
+    bench.handle(at(0), &AgentEvent::EndpointAnnounced(newer));
+    let older = endpoint(&["course"], 8);
+    bench.handle(at(1), &AgentEvent::EndpointAnnounced(older));
+    assert_eq!(called(&bench.handle(at(2), &requested(0, 5000))).len(), 1);
+}
+
+#[test]
+fn silent_endpoint_gone() {
+    let mut bench = GateBench::serving(8);
+    bench.handle(at(2_500), &AgentEvent::Woke);
+    let effects = bench.handle(at(2_501), &requested(0, 5000));
+    assert_eq!(reason(&effects), Some(RefusalReason::NoWorker));
+}
