--- /dev/null
+++ b/crates/hornbeamlead_measure/src/batch/deployment.rs
@@ -0,0 +1,114 @@
+//! The two deployments: places, weights and jobs with declarations that are far off.
+
+use serde_json::{Value, json};
+
+/// Deployment of the experiment.
+#[derive(Debug)]
+pub(super) struct Deployment {
+    /// Name.
+    pub(super) name: &'static str,
+    /// Data centres with their hosts; the first one is moved.
+    pub(super) centres: &'static [(&'static str, usize)],
+    /// Weights of tail latency, throughput and evictions.
+    weights: [u32; 3],
+    /// Time between checkpoints of all tasks, in milliseconds.
+    pub(super) checkpoint_ms: u64,
+    /// Urgent tasks declared while the queue is full.
+    pub(super) urgent: u64,
+}
+
+/// The cooperage's three yards with 11 workers.
+pub(super) const COOPERAGE: Deployment = Deployment {
+    name: "cooperage",
+    centres: &[("negombo", 4), ("colombo", 4), ("kalutara", 3)],
+    weights: [1, 1, 4],
+    checkpoint_ms: 1_000,
+    urgent: 12,
+};
+
+/// Crema's four campuses with 11 workers.
+pub(super) const CREMA: Deployment = Deployment {
+    name: "crema",
+    centres: &[
+        ("perth", 3),
+        ("fremantle", 3),
+        ("joondalup", 3),
+        ("bunbury", 2),
+    ],
+    weights: [4, 2, 1],
+    checkpoint_ms: 1_000,
+    urgent: 12,
+};
+
+impl Deployment {
+    /// Words the settings of the agents.
+    pub(super) fn settings(&self, learning: bool) -> Value {
+        let [tail_latency, throughput, evictions] = self.weights;
+        json!({"schedule": {
+            "learning": learning,
+            "service_p99_goal": "3ms",
+            "weights": {
+                "tail_latency": tail_latency,
+                "throughput": throughput,
+                "evictions": evictions,
+            },
+        }})
+    }
+
+    /// Words the real behaviour of the kinds: declared values are up to 4x off, either way.
+    pub(super) fn kinds() -> Value {
+        json!({
+            "seasoning": {"run_time_percent": 33, "usage_percent": 25, "slowdown_percent": 0},
+            "certificates": {"run_time_percent": 400, "usage_percent": 100, "slowdown_percent": 0},
+            "noisy": {"run_time_percent": 100, "usage_percent": 100, "slowdown_percent": 20},
+            "urgent": {"run_time_percent": 100, "usage_percent": 100, "slowdown_percent": 0},
+        })
+    }
+
+    /// Words the jobs that are there from the beginning.
+    pub(super) fn first_jobs(&self, deadline_ms: u64) -> Value {
+        json!([
+            self.job("seasoning", "seasoning", 700, 2_000, 12_000, deadline_ms),
+            self.job(
+                "certificates",
+                "certificates",
+                30,
+                1_000,
+                3_000,
+                deadline_ms
+            ),
+        ])
+    }
+
+    /// Words a wave of noisy tasks.
+    pub(super) fn wave(&self, number: u64, deadline_ms: u64) -> Value {
+        let name = format!("wave-{number}");
+        json!([self.job(&name, "noisy", 20, 1_000, 4_000, deadline_ms)])
+    }
+
+    /// Words an urgent job of one task.
+    pub(super) fn urgent_job(&self, number: u64, deadline_ms: u64) -> Value {
+        let name = format!("urgent-{number}");
+        let mut job = self.job(&name, "urgent", 1, 500, 500, deadline_ms);
+        job["urgent"] = json!(true);
+        json!([job])
+    }
+
+    fn job(
+        &self,
+        name: &str,
+        kind: &str,
+        tasks: u32,
+        cpu_millis: u32,
+        run_time_ms: u64,
+        deadline_ms: u64,
+    ) -> Value {
+        json!({
+            "name": name, "team": "yard", "kind": kind, "tasks": tasks,
+            "size": {"cpu_millis": cpu_millis, "memory_mebibytes": 1_024, "accelerators": 0},
+            "run_time_ms": run_time_ms, "deadline_unix_ms": deadline_ms,
+            "priority": 5, "urgent": false, "delivery": "resumable",
+            "checkpoint_every_ms": self.checkpoint_ms,
+        })
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_measure/src/batch/judge.rs
@@ -0,0 +1,129 @@
+//! Counts what a trial did, from the workers' own histories.
+
+use super::deployment::Deployment;
+use super::load::{ServiceLoad, p99_us, percentile};
+use hornbeamlead_standin::fleet::judge::{
+    TaskInterval, double_runs, events_of, lost_work_ms, task_intervals,
+};
+use hornbeamlead_standin::worker::history::{TaskEventKind, WorkerHistory};
+use std::time::Instant;
+
+/// Times of a trial.
+#[derive(Debug)]
+pub(super) struct TrialMarks {
+    /// Begin of the measurement without batch.
+    pub(super) quiet_from: Instant,
+    /// First jobs.
+    pub(super) busy_from: Instant,
+    /// End.
+    pub(super) busy_until: Instant,
+    /// Deadline of all jobs, in microseconds since the Unix epoch.
+    pub(super) deadline_us: u64,
+    /// When the data centre was taken out.
+    pub(super) out_us: u64,
+    /// When it was returned.
+    pub(super) back_us: u64,
+    /// When each urgent task was declared.
+    pub(super) urgent_us: Vec<u64>,
+}
+
+/// Result of a trial.
+#[derive(Debug)]
+pub(super) struct TrialResult {
+    pub(super) finished: u64,
+    pub(super) in_time: u64,
+    pub(super) evictions: u64,
+    pub(super) move_evictions: u64,
+    pub(super) failed_attempts: u64,
+    pub(super) lost_ms: u64,
+    pub(super) worst_move_loss_ms: u64,
+    pub(super) move_work_ms: u64,
+    pub(super) quiet_p99_us: u64,
+    pub(super) busy_p99_us: u64,
+    pub(super) failed_requests: u64,
+    pub(super) urgent_p99_ms: u64,
+    pub(super) urgent_started: u64,
+    pub(super) double_runs: u64,
+    pub(super) overfills: u64,
+}
+
+impl TrialResult {
+    /// Judges a trial.
+    pub(super) fn judge(
+        histories: &[WorkerHistory],
+        load: &ServiceLoad,
+        marks: &TrialMarks,
+        deployment: &Deployment,
+    ) -> Self {
+        let moved_hosts = deployment.centres[0].1;
+        let tasks = task_intervals(histories);
+        let all = || tasks.values().flatten();
+        let ended = |kind| move |it: &&TaskInterval| it.end == Some(kind);
+        let finished = || all().filter(ended(TaskEventKind::Finished));
+        let evicted = || all().filter(|it| is_eviction(it));
+        let in_move = |it: &&TaskInterval| {
+            it.worker < moved_hosts && it.until_us >= marks.out_us && it.until_us < marks.back_us
+        };
+        let quiet = load.within(marks.quiet_from, marks.busy_from);
+        let busy = load.within(marks.busy_from, marks.busy_until);
+        let failed = quiet.iter().chain(&busy).filter(|it| it.latency.is_none());
+        let urgent = urgent_starts_ms(histories, marks);
+        let move_loss = evicted().filter(in_move).map(move_loss_ms);
+        Self {
+            finished: count(finished()),
+            in_time: count(finished().filter(|it| it.until_us <= marks.deadline_us)),
+            evictions: count(evicted()),
+            move_evictions: count(evicted().filter(in_move)),
+            failed_attempts: count(all().filter(ended(TaskEventKind::Failed))),
+            lost_ms: lost_work_ms(histories).values().sum(),
+            worst_move_loss_ms: move_loss.max().unwrap_or(0),
+            move_work_ms: all().map(|it| work_within_ms(it, marks)).sum(),
+            quiet_p99_us: p99_us(&quiet),
+            busy_p99_us: p99_us(&busy),
+            failed_requests: count(failed),
+            urgent_p99_ms: percentile(&urgent, 99),
+            urgent_started: count(urgent.iter()),
+            double_runs: count(double_runs(histories).iter()),
+            overfills: count(events_of(histories, TaskEventKind::OverfillRefused).iter()),
+        }
+    }
+}
+
+fn count<T>(items: impl Iterator<Item = T>) -> u64 {
+    u64::try_from(items.count()).unwrap_or(u64::MAX)
+}
+
+fn is_eviction(interval: &TaskInterval) -> bool {
+    let kinds = [
+        TaskEventKind::Stopped,
+        TaskEventKind::Lapsed,
+        TaskEventKind::Killed,
+    ];
+    interval.end.is_some_and(|end| kinds.contains(&end))
+}
+
+fn move_loss_ms(interval: &TaskInterval) -> u64 {
+    interval.progress_ms.saturating_sub(interval.checkpoint_ms)
+}
+
+/// Returns the work that an interval did during the move, at an even pace.
+fn work_within_ms(interval: &TaskInterval, marks: &TrialMarks) -> u64 {
+    let until = interval.until_us.min(marks.back_us);
+    let from = interval.from_us.max(marks.out_us);
+    until.saturating_sub(from) / 1_000
+}
+
+fn urgent_starts_ms(histories: &[WorkerHistory], marks: &TrialMarks) -> Vec<u64> {
+    let starts = events_of(histories, TaskEventKind::Started);
+    let first_start = |number: usize| {
+        let job = format!("urgent-{number}");
+        let own = starts.iter().filter(|it| *it.attempt.job == *job);
+        own.map(|it| it.at_us).min()
+    };
+    let declared = marks.urgent_us.iter().enumerate();
+    let mut waits: Vec<u64> = declared
+        .filter_map(|(number, at_us)| Some(first_start(number)?.saturating_sub(*at_us) / 1_000))
+        .collect();
+    waits.sort_unstable();
+    waits
+}
--- a/crates/hornbeamlead_schedule/src/planner/start_step.rs
+++ b/crates/hornbeamlead_schedule/src/planner/start_step.rs
@@ -111,6 +111,7 @@
 
     /// Returns what each host under a lease has left.
     fn rooms(&self, now: MonoTime) -> Vec<HostRoom> {
+        let learning = self.schedule().learning;
         let usable = self.hosts.hosts().iter().filter(|(host, entry)| {
             !entry.leaving
                 && entry.table.is_some()
@@ -131,11 +132,11 @@
                 room: entry.capacity.minus(&taken),
                 kinds: running.map(|status| status.kind.clone()).collect(),
                 pressed: self.guard.is_pressed(host),
-                probe: self.quarantine.is_probing(host),
+                probe: learning && self.quarantine.is_probing(host),
             }
         });
         rooms
-            .filter(|room| !self.quarantine.is_closed(&room.host, now))
+            .filter(|room| !learning || !self.quarantine.is_closed(&room.host, now))
             .filter(|room| !room.probe || room.kinds.is_empty())
             .collect()
     }
--- /dev/null
+++ b/crates/hornbeamlead_schedule/tests/placement.rs
@@ -0,0 +1,99 @@
+//! Order of waiting tasks and choice of a host.
+
+use hornbeamlead_core::ids::{HostId, KindName, RackName};
+use hornbeamlead_core::resource::{AcceleratorCount, CpuMillis, MemoryMebibytes, ResourceSize};
+use hornbeamlead_schedule::placement::{
+    HostRoom, QueuedTask, SeekingTask, best_fit, first_fit, sort_by_need,
+};
+use std::collections::BTreeMap;
+
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("valid name")
+}
+
+fn size(cpu: u32) -> ResourceSize {
+    ResourceSize {
+        cpu: CpuMillis(cpu),
+        memory: MemoryMebibytes(cpu),
+        accelerators: AcceleratorCount(0),
+    }
+}
+
+fn room(host: &str, rack: &str, left: u32) -> HostRoom {
+    HostRoom {
+        host: name(host),
+        rack: name(rack),
+        capacity: size(8_000),
+        room: size(left),
+        kinds: Vec::new(),
+        pressed: false,
+        probe: false,
+    }
+}
+
+fn queued(index: usize, urgent: bool, slack_ms: i64, priority: u8) -> QueuedTask {
+    QueuedTask {
+        index,
+        urgent,
+        slack_ms,
+        priority,
+        rank: index as u64,
+    }
+}
+
+fn choose(hosts: &[HostRoom], avoid: Option<&HostId>, counts: &[(&str, u32)]) -> Option<usize> {
+    let kind: KindName = name("seasoning");
+    let on_rack: BTreeMap<RackName, u32> = counts
+        .iter()
+        .map(|(rack, count)| (name(rack), *count))
+        .collect();
+    let task = SeekingTask {
+        kind: &kind,
+        size: size(1_000),
+        avoid,
+        on_rack: &on_rack,
+    };
+    best_fit(&task, hosts, |_| 0)
+}
+
+#[test]
+fn urgent_then_slack() {
+    let mut queue = vec![
+        queued(0, false, 500, 1),
+        queued(1, false, 100, 1),
+        queued(2, false, 100, 9),
+        queued(3, true, 9_000, 1),
+    ];
+    sort_by_need(&mut queue);
+    let order: Vec<usize> = queue.iter().map(|task| task.index).collect();
+    assert_eq!(order, [3, 2, 1, 0]);
+}
+
+#[test]
+fn emptier_host_first() {
+    let hosts = [room("a", "r1", 2_000), room("b", "r1", 6_000)];
+    assert_eq!(choose(&hosts, None, &[]), Some(1));
+    assert_eq!(first_fit(&size(1_000), &hosts), Some(0));
+}
+
+#[test]
+fn spread_over_racks() {
+    let hosts = [room("a", "r1", 6_000), room("b", "r2", 2_000)];
+    assert_eq!(choose(&hosts, None, &[("r1", 3), ("r2", 1)]), Some(1));
+}
+
+#[test]
+fn failed_host_avoided() {
+    let hosts = [room("a", "r1", 6_000), room("b", "r1", 2_000)];
+    assert_eq!(choose(&hosts, Some(&name("a")), &[]), Some(1));
+}
+
+#[test]
+fn pressed_or_full_skipped() {
+    let mut hosts = [room("a", "r1", 6_000), room("b", "r1", 500)];
+    hosts[0].pressed = true;
+    assert_eq!(choose(&hosts, None, &[]), None);
+}
