--- a/crates/hornbeamlead_schedule/src/lib.rs
+++ b/crates/hornbeamlead_schedule/src/lib.rs
@@ -6,6 +6,7 @@
 mod election;
 mod keeper;
 mod keeper_table;
+mod note_snapshots;
 mod planner;
 mod read_slot;
 mod tenure;
--- a/crates/hornbeamlead_schedule/src/machine.rs
+++ b/crates/hornbeamlead_schedule/src/machine.rs
@@ -3,6 +3,7 @@
 use crate::cell_log::CellState;
 use crate::election::EpochElection;
 use crate::keeper::{KnownPlanner, TaskKeeper};
+use crate::note_snapshots::NoteSnapshots;
 use crate::planner::{CellPlanner, PlannerInputs};
 use crate::read_slot::ReadSlot;
 use crate::stream::{StreamReader, StreamState};
@@ -53,6 +54,7 @@
     /// Offset to read the notes from while a gap has to be passed over.
     notes_cursor: LogOffset,
     notes_asked: MonoTime,
+    note_snapshots: NoteSnapshots,
     /// When a forced claim was first read, and the epoch it began.
     forced: Option<(Epoch, MonoTime)>,
     planner: Option<Box<CellPlanner>>,
@@ -73,6 +75,7 @@
             notes_read: ReadSlot::new(StreamName::Notes),
             notes_cursor: LogOffset(0),
             notes_asked: MonoTime(0),
+            note_snapshots: NoteSnapshots::new(policy.cell, policy.schedule.snapshot_records),
             forced: None,
             planner: None,
             planning: None,
@@ -286,6 +289,7 @@
         let interval = self.notes_interval();
         match result {
             Ok(StreamBatch::Notes(batch)) => {
+                self.note_snapshots.take(batch, turn.mono());
                 let read_to = batch.records.last().map(|placed| placed.offset.0 + 1);
                 let read_to = LogOffset(read_to.unwrap_or(0)).max(self.notes_cursor);
                 let applied = turn.fleet.next() >= batch.next;
@@ -501,6 +505,9 @@
             notes_tail: self.notes_read.tail_began(),
         };
         planner.tick(inputs, turn);
+        if planner.is_fresh(turn.mono()) {
+            self.note_snapshots.write_if_due(turn);
+        }
         let wanted = planner.wanted_successor(inputs.cell, turn.mono());
         let fresh = planner.is_fresh(turn.mono());
         if let Some(successor) = wanted.filter(|_| fresh) {
--- a/crates/hornbeamlead_schedule/src/planner.rs
+++ b/crates/hornbeamlead_schedule/src/planner.rs
@@ -28,10 +28,12 @@
 use crate::turn::TurnContext;
 use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_core::counter::RetryReason;
-use hornbeamlead_core::ids::{AttemptId, CellId, Epoch, HostId, JobName, RecordId, TaskId};
+use hornbeamlead_core::ids::{
+    AttemptId, CellId, Epoch, HostId, JobName, LogOffset, RecordId, TaskId,
+};
 use hornbeamlead_core::message::control::{HostHeartbeat, PromiseGrant};
 use hornbeamlead_core::policy::{AgentPolicy, ProcessPlace, SchedulePolicy};
-use hornbeamlead_core::record::{JobRecord, LogBatch, LogFault, StreamName, WriterMark};
+use hornbeamlead_core::record::{JobEntry, JobRecord, LogBatch, LogFault, StreamName, WriterMark};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What a planner reads of the streams that the agent follows anyway.
@@ -67,6 +69,9 @@
     changed: bool,
     next_cell_snapshot: MonoTime,
     next_job_snapshot: MonoTime,
+    /// Offsets up to which the newest own snapshots go.
+    cell_snapshot_to: LogOffset,
+    job_snapshot_to: LogOffset,
     next_promise_ask: MonoTime,
     learner: KindLearner,
     guard: InterferenceGuard,
@@ -111,6 +116,8 @@
             changed: true,
             next_cell_snapshot: MonoTime(0),
             next_job_snapshot: MonoTime(0),
+            cell_snapshot_to: LogOffset(0),
+            job_snapshot_to: LogOffset(0),
             next_promise_ask: MonoTime(0),
             learner: KindLearner::default(),
             guard,
@@ -195,6 +202,10 @@
                 self.changed |= !batch.records.is_empty();
                 for placed in &batch.records {
                     self.job_slot.settle(JobState::id(&placed.record));
+                    if let JobEntry::Snapshot(snapshot) = &placed.record.entry {
+                        self.job_snapshot_to = self.job_snapshot_to.max(snapshot.up_to);
+                        self.put_job_snapshot_off(turn.mono());
+                    }
                 }
                 self.jobs_read.finish(began, at_tail, turn.mono(), interval);
                 if at_tail {
--- a/crates/hornbeamlead_schedule/src/planner/record_step.rs
+++ b/crates/hornbeamlead_schedule/src/planner/record_step.rs
@@ -6,8 +6,9 @@
 use crate::planner::reconcile::{self, AbsentAttempt, LossRule};
 use crate::planner::tasks::{OwnedTask, TaskState};
 use crate::planner::{CellPlanner, PlannerInputs};
-use crate::stream::StreamReader;
+use crate::stream::{StreamReader, StreamState};
 use crate::turn::TurnContext;
+use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_core::effect::OwnRecord;
 use hornbeamlead_core::fleet::FleetState;
 use hornbeamlead_core::ids::{AttemptId, HostId, TaskId};
@@ -25,6 +26,12 @@
 /// Time between snapshots of a stream, well within the time for which the log keeps records.
 const SNAPSHOT_INTERVAL: Duration = Duration::from_secs(60);
 
+/// Planners that wait for different spans before they write a snapshot of the jobs.
+const SNAPSHOT_TURNS: u32 = 64;
+
+/// Difference between two such spans, longer than a read interval and an append.
+const SNAPSHOT_TURN: Duration = Duration::from_millis(750);
+
 /// Failures of a task on sound hosts after which it has failed for good.
 const MAX_FAILURES: usize = 3;
 
@@ -41,6 +48,9 @@
             return;
         }
         self.settle_orders(inputs.cell);
+        if self.snapshot_cell(jobs.state(), inputs.cell, turn) {
+            return;
+        }
         self.plan_policy(tasks, turn);
         let mut changes = self.changes(inputs, turn);
         if self.may_start(jobs, inputs, turn) {
@@ -48,7 +58,6 @@
         }
         changes.truncate(CHANGES_PER_RECORD);
         if changes.is_empty() {
-            self.snapshot_cell(jobs.state(), inputs.cell, turn);
             return;
         }
         let epoch = self.epoch;
@@ -64,14 +73,24 @@
         self.cell_slot.append(id, OwnRecord::Cell(record), turn);
     }
 
-    fn snapshot_cell(&mut self, jobs: &JobState, cell: &CellState, turn: &mut TurnContext<'_>) {
-        if turn.mono() < self.next_cell_snapshot {
-            return;
+    /// Writes the cell's state again if that is due; returns whether it was.
+    fn snapshot_cell(
+        &mut self,
+        jobs: &JobState,
+        cell: &CellState,
+        turn: &mut TurnContext<'_>,
+    ) -> bool {
+        let records = cell.next().0.saturating_sub(self.cell_snapshot_to.0);
+        let many = records >= self.schedule().snapshot_records;
+        if turn.mono() < self.next_cell_snapshot && !many {
+            return false;
         }
         self.next_cell_snapshot = turn.mono().plus(SNAPSHOT_INTERVAL);
+        self.cell_snapshot_to = cell.next();
         let own = self.cell_id();
         let snapshot = cell.snapshot(|task| jobs.owns(own, task) || runs(cell, task));
         self.append_cell(CellEntry::Snapshot(snapshot), turn);
+        true
     }
 
     /// Drops the orders that the log shows as over, or that never became records.
@@ -290,13 +309,24 @@
     }
 
     fn snapshot_jobs(&mut self, jobs: &JobState, turn: &TurnContext<'_>) -> Option<JobEntry> {
-        if turn.mono() < self.next_job_snapshot {
+        let records = jobs.next().0.saturating_sub(self.job_snapshot_to.0);
+        let many = records >= self.schedule().snapshot_records;
+        if turn.mono() < self.next_job_snapshot && !many {
             return None;
         }
-        self.next_job_snapshot = turn.mono().plus(SNAPSHOT_INTERVAL);
+        self.job_snapshot_to = jobs.next();
+        self.put_job_snapshot_off(turn.mono());
         let known = |job: &_| turn.fleet.jobs().contains_key(job);
         Some(JobEntry::Snapshot(jobs.snapshot(known)))
     }
+
+    /// Puts this planner's next snapshot of the jobs off, since one was just written.
+    ///
+    /// Planners wait for different spans, so that one of them writes for all.
+    pub(super) fn put_job_snapshot_off(&mut self, now: MonoTime) {
+        let wait = SNAPSHOT_INTERVAL + SNAPSHOT_TURN * (self.cell_id().0 % SNAPSHOT_TURNS);
+        self.next_job_snapshot = now.plus(wait);
+    }
 }
 
 fn runs(cell: &CellState, task: &TaskId) -> bool {
