--- a/crates/hornbeamlead_schedule/tests/common/mod.rs
+++ b/crates/hornbeamlead_schedule/tests/common/mod.rs
@@ -2,26 +2,25 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+mod drive;
 pub(crate) mod log;
 pub(crate) mod worker;
 
-use hornbeamlead_core::clock::{ClockReading, MonoTime, WallTime};
-use hornbeamlead_core::effect::{AgentEffect, OwnRecord};
-use hornbeamlead_core::event::{AgentEvent, EndpointAnnounce, StreamBatch};
+use hornbeamlead_core::clock::{MonoTime, WallTime};
+use hornbeamlead_core::effect::OwnRecord;
+use hornbeamlead_core::event::AgentEvent;
 use hornbeamlead_core::ids::*;
-use hornbeamlead_core::message::control::ControlMessage;
-use hornbeamlead_core::message::request::LinkMessage;
 use hornbeamlead_core::note::*;
 use hornbeamlead_core::notes_keeper::NotesKeeper;
 use hornbeamlead_core::policy::*;
-use hornbeamlead_core::record::{LogFault, StreamName};
+use hornbeamlead_core::record::StreamName;
 use hornbeamlead_core::resource::*;
-use hornbeamlead_core::task::{TaskOrder, TaskPhase, WorkerCall, WorkerFault};
+use hornbeamlead_core::task::{TaskPhase, WorkerCall};
 use hornbeamlead_schedule::cell_log::CellState;
 use hornbeamlead_schedule::job_log::JobState;
 use hornbeamlead_schedule::machine::ScheduleMachine;
 use hornbeamlead_schedule::stream::StreamReader;
-use log::{FakeLog, record_id};
+use log::FakeLog;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -370,283 +369,6 @@
         workers.map(|worker| worker.running().count()).sum()
     }
 
-    fn push_in(&mut self, delay: u64, item: Item) {
-        self.sequence += 1;
-        self.queue.insert((self.now + delay, self.sequence), item);
-    }
-
-    fn chance(&mut self, percent: u32) -> bool {
-        percent > 0 && self.random.random_range(0..100) < percent
-    }
-
-    fn mono(&self, index: usize) -> MonoTime {
-        MonoTime(self.now + self.hosts[index].clock_offset)
-    }
-
-    fn is_live(&self, index: usize, life: u64) -> bool {
-        self.hosts[index].life == life && self.hosts[index].machine.is_some()
-    }
-
-    fn step(&mut self, item: Item) {
-        match item {
-            Item::Agent(index, life, event) if self.is_live(index, life) => {
-                let paused_until = self.hosts[index].paused_until;
-                if paused_until > self.now {
-                    let delay = paused_until - self.now;
-                    self.push_in(delay, Item::Agent(index, life, event));
-                    return;
-                }
-                self.deliver(index, &event);
-            }
-            Item::Wake(index, life, at) => {
-                let host = &self.hosts[index];
-                if host.wake == Some(at) && host.life == life {
-                    self.step(Item::Agent(index, life, AgentEvent::Woke));
-                }
-            }
-            Item::Announce(index) => self.announce(index),
-            Item::Call(index, life, call) => self.call_worker(index, life, &call),
-            Item::Read(index, life, stream, from, began) => {
-                let up = !self.log_down && !self.hosts[index].cut_from_log;
-                let result = match up {
-                    true => self.log.read(&stream, from),
-                    false => Err(LogFault::Unavailable),
-                };
-                let event = AgentEvent::LogRead {
-                    stream,
-                    began,
-                    result,
-                };
-                let delay = if up { 2 * MILLI } else { 500 * MILLI };
-                self.push_in(delay, Item::Agent(index, life, event));
-            }
-            Item::Append(index, life, stream, record, late) => {
-                self.append(index, life, &stream, record, late);
-            }
-            Item::Agent(..) => {}
-        }
-    }
-
-    fn announce(&mut self, index: usize) {
-        if self.hosts[index].worker.is_some() {
-            let event = AgentEvent::EndpointAnnounced(EndpointAnnounce {
-                incarnation: Incarnation(1),
-                address: Self::address(index),
-                worker_address: Self::address(index),
-                services: Vec::new(),
-                slots: 8,
-                connections: 64,
-                capacity: size(16_000, 65_536),
-                leaving: false,
-            });
-            let life = self.hosts[index].life;
-            self.step(Item::Agent(index, life, event));
-        }
-        self.push_in(500 * MILLI, Item::Announce(index));
-    }
-
-    fn append(
-        &mut self,
-        index: usize,
-        life: u64,
-        stream: &StreamName,
-        record: OwnRecord,
-        late: bool,
-    ) {
-        let id = record_id(&record);
-        let up = !self.log_down && !self.hosts[index].cut_from_log;
-        let mut result = Err(LogFault::Unavailable);
-        if up || late {
-            let offset = self.log.append(stream, record);
-            self.follow_log();
-            if !late && !self.chance(self.rates.lost_append) {
-                result = Ok(offset);
-            }
-        }
-        if late {
-            return;
-        }
-        let delay = if result.is_ok() { MILLI } else { 500 * MILLI };
-        let event = AgentEvent::LogAppended {
-            stream: stream.clone(),
-            id,
-            result,
-        };
-        self.push_in(delay, Item::Agent(index, life, event));
-    }
-
-    /// Keeps reference states of the streams, and checks what each start resumes from.
-    fn follow_log(&mut self) {
-        if let Ok(StreamBatch::Jobs(batch)) = self.log.read(&StreamName::Jobs, self.jobs.cursor()) {
-            self.jobs.take(&batch);
-        }
-        for stream in self.log.cells.keys().cloned().collect::<Vec<_>>() {
-            let StreamName::Cell(cell) = &stream else {
-                continue;
-            };
-            let reader = self.cells.entry(cell.0).or_default();
-            if let Ok(StreamBatch::Cell(batch)) = self.log.read(&stream, reader.cursor()) {
-                reader.take(&batch);
-            }
-        }
-    }
-
-    fn deliver(&mut self, index: usize, event: &AgentEvent) {
-        let now = ClockReading {
-            mono: self.mono(index),
-            wall: WallTime(self.now / MILLI),
-        };
-        let host = &mut self.hosts[index];
-        match event {
-            AgentEvent::LogRead {
-                result: Ok(StreamBatch::Notes(batch)),
-                ..
-            } => drop(host.keeper.apply_batch(batch)),
-            AgentEvent::NotesPassed(records) => drop(host.keeper.apply_records(records)),
-            _ => {}
-        }
-        let mut effects = Vec::new();
-        let machine = host.machine.as_mut().expect("live agent");
-        machine.handle(now, host.keeper.fleet(), event, &mut effects);
-        for effect in effects {
-            self.obey(index, effect);
-        }
-    }
-
-    fn obey(&mut self, index: usize, effect: AgentEffect) {
-        let life = self.hosts[index].life;
-        match effect {
-            AgentEffect::SendDatagram { to, message } => self.send(index, to, message),
-            AgentEffect::SendLink {
-                to,
-                message: LinkMessage::NotesAsk(from),
-            } => self.pass_notes(index, Self::host_at(to), from),
-            AgentEffect::CallWorker { call, .. } => {
-                self.push_in(MILLI, Item::Call(index, life, call));
-            }
-            AgentEffect::ReadLog { stream, from } => {
-                let began = self.mono(index);
-                self.push_in(2 * MILLI, Item::Read(index, life, stream, from, began));
-            }
-            AgentEffect::AppendLog { stream, record } => {
-                if self.chance(self.rates.late_append) {
-                    let delay = self.random.random_range(1..20 * SECOND);
-                    let copy = record.clone();
-                    self.push_in(delay, Item::Append(index, life, stream.clone(), copy, true));
-                }
-                let delay = self.append_ms * MILLI;
-                self.push_in(delay, Item::Append(index, life, stream, record, false));
-            }
-            AgentEffect::WakeAt(at) => {
-                let due =
-                    at.0.saturating_sub(self.hosts[index].clock_offset)
-                        .max(self.now);
-                self.hosts[index].wake = Some(due);
-                let delay = due - self.now;
-                self.push_in(delay, Item::Wake(index, life, due));
-            }
-            AgentEffect::Decide(note) => {
-                *self.decisions.entry(note.rule).or_insert(0) += 1;
-                let host = Self::host_name(index);
-                let line = format!(
-                    "{} {host} {} {} {}",
-                    self.now / MILLI,
-                    note.rule,
-                    note.subject,
-                    note.inputs
-                );
-                self.trace.push(line);
-            }
-            _ => {}
-        }
-    }
-
-    fn send(&mut self, from: usize, to: SocketAddr, message: ControlMessage) {
-        let target = Self::host_at(to);
-        let copies = 1 + u32::from(self.chance(self.rates.duplicate));
-        for _ in 0..copies {
-            let cut = self.hosts[from].side != self.hosts[target].side;
-            if cut || self.chance(self.rates.drop) {
-                continue;
-            }
-            let slow = self.chance(self.rates.delay);
-            let most = if slow { 3 * SECOND } else { 2 * MILLI };
-            let delay = self.random.random_range(500..most);
-            let event = AgentEvent::Datagram {
-                from: Self::address(from),
-                message: message.clone(),
-            };
-            let life = self.hosts[target].life;
-            self.push_in(delay, Item::Agent(target, life, event));
-        }
-    }
-
-    fn pass_notes(&mut self, asker: usize, target: usize, from: Revision) {
-        let cut = self.hosts[asker].side != self.hosts[target].side;
-        if cut || self.hosts[target].machine.is_none() {
-            return;
-        }
-        let copies = self.hosts[target].keeper.copies_from(LogOffset(from.0));
-        let records = copies
-            .iter()
-            .map(|copy| self.log.notes[copy.offset.0 as usize].clone())
-            .collect();
-        let life = self.hosts[asker].life;
-        self.push_in(
-            2 * MILLI,
-            Item::Agent(asker, life, AgentEvent::NotesPassed(records)),
-        );
-    }
-
-    fn call_worker(&mut self, index: usize, life: u64, call: &WorkerCall) {
-        let now = self.mono(index);
-        let lost = self.chance(self.rates.lost_call);
-        let Some(worker) = &mut self.hosts[index].worker else {
-            return;
-        };
-        let (result, started) = worker.call(call, now);
-        let result = if lost {
-            Err(WorkerFault::NoAnswer)
-        } else {
-            result
-        };
-        if let Some(order) = started {
-            self.note_start(index, &order);
-        }
-        let event = AgentEvent::WorkerDone {
-            call: call.clone(),
-            result,
-        };
-        let delay = if lost { 2 * SECOND } else { MILLI };
-        self.push_in(delay, Item::Agent(index, life, event));
-    }
-
-    fn note_start(&mut self, index: usize, order: &TaskOrder) {
-        let attempt = &order.attempt;
-        self.trace.push(format!(
-            "{} host-{index:02} START {attempt} from {:?}",
-            self.now / MILLI,
-            order.resume_from.as_ref().map(|token| token.progress_ms)
-        ));
-        self.start_times.insert(attempt.clone(), self.now);
-        *self.started.entry(attempt.task.clone()).or_insert(0) += 1;
-        if !self.attempts_run.insert(attempt.clone()) {
-            self.violations.push(format!("{attempt} was started twice"));
-        }
-        let data_centre = self.hosts[index].plan.data_centre;
-        let out = self.out_since.get(data_centre).copied();
-        let bound = u64::try_from(self.policy.start_bound.as_micros()).expect("short");
-        if out.is_some_and(|since| self.now > since + bound) {
-            self.violations
-                .push(format!("{attempt} started in a drained data centre"));
-        }
-        if order.delivery == DeliveryMode::AtMostOnce && self.started[&attempt.task] > 1 {
-            self.violations
-                .push(format!("{attempt} is at most once, but ran again"));
-        }
-        self.check_workers();
-    }
-
     /// Checks that no task runs twice and that no worker is overfilled.
     pub(crate) fn check_workers(&mut self) {
         let mut places: BTreeMap<TaskId, AttemptId> = BTreeMap::new();
--- a/crates/hornbeamlead_schedule/tests/interference.rs
+++ b/crates/hornbeamlead_schedule/tests/interference.rs
@@ -110,11 +110,11 @@
     let between = Some(40_000);
     assert_eq!(watch(&mut guard, 12..30, between, &tasks), Vec::new());
     let actions = watch(&mut guard, 30..50, CALM, &tasks);
-    let speeds = actions.iter().map(|(_, action)| match action {
+    let mut speeds = actions.iter().map(|(_, action)| match action {
         GuardAction::Throttle { speed_percent, .. } => *speed_percent,
         GuardAction::Evict { .. } => 0,
     });
-    assert_eq!(speeds.last(), Some(100));
+    assert_eq!(speeds.next_back(), Some(100));
     assert!(!guard.is_pressed(&host()));
 }
 
