[schedule] Blame batch tasks for latency only where throttling them helps

A host now learns its latency without batch and suspects its tasks above 1.4 times that; tasks whose throttling changes nothing are cleared.

--- a/crates/hornbeamlead_schedule/src/interference.rs
+++ b/crates/hornbeamlead_schedule/src/interference.rs
@@ -19,6 +19,15 @@
 /// Share of the goal below which a host is calm, in percent.
 const CALM_PERCENT: u64 = 70;
 
+/// Rise over the latency without batch up to which no neighbour is blamed, in percent.
+const QUIET_RISE_PERCENT: u64 = 140;
+
+/// Share of the first latency that must be left under full throttle to clear the tasks, in percent.
+const UNCHANGED_PERCENT: u64 = 80;
+
+/// Weight of a new reading in the latency without batch, as a divisor.
+const QUIET_DECAY: u64 = 4;
+
 /// Window of the cap on evictions.
 const EVICTION_WINDOW: Duration = Duration::from_secs(60);
 
@@ -55,6 +64,21 @@
     stepped_at: MonoTime,
     over_since: Option<MonoTime>,
     pressed: bool,
+    /// Latency without batch neighbours, or that throttling them did not change; 0 if unknown.
+    quiet_us: u64,
+    /// Latency when the tasks were first throttled.
+    pressed_us: u64,
+}
+
+impl HostPressure {
+    /// Clears the tasks of a host: throttling them did not change the latency.
+    fn clear(&mut self, p99_us: u64, now: MonoTime) {
+        self.quiet_us = self.quiet_us.max(p99_us);
+        self.step = 0;
+        self.stepped_at = now;
+        self.over_since = None;
+        self.pressed = false;
+    }
 }
 
 /// Guard of the live services.
@@ -128,10 +152,15 @@
         let Some(p99_us) = p99_us.filter(|_| self.learning) else {
             return Vec::new();
         };
-        self.learn(p99_us, &running);
+        if running.is_empty() {
+            self.learn_quiet(host, p99_us);
+            return Vec::new();
+        }
+        let limit_us = self.limit_us(host);
+        self.learn(p99_us, limit_us, &running);
         match () {
-            () if p99_us > self.goal_us => self.press(host, &running, now),
-            () if p99_us * 100 < self.goal_us * CALM_PERCENT => self.relax(host, &running, now),
+            () if p99_us > limit_us => self.press(host, p99_us, &running, now),
+            () if p99_us * 100 < limit_us * CALM_PERCENT => self.relax(host, &running, now),
             () => {
                 self.hosts.entry(host.clone()).or_default().over_since = None;
                 Vec::new()
@@ -139,6 +168,24 @@
         }
     }
 
+    /// Returns the latency above which the batch neighbours on a host are suspected.
+    fn limit_us(&self, host: &HostId) -> u64 {
+        let quiet_us = self.hosts.get(host).map_or(0, |pressure| pressure.quiet_us);
+        self.goal_us.max(quiet_us * QUIET_RISE_PERCENT / 100)
+    }
+
+    /// Learns the latency of a host on which no batch task runs.
+    fn learn_quiet(&mut self, host: &HostId, p99_us: u64) {
+        let pressure = self.hosts.entry(host.clone()).or_default();
+        pressure.quiet_us = match pressure.quiet_us {
+            0 => p99_us,
+            known => (known * (QUIET_DECAY - 1) + p99_us) / QUIET_DECAY,
+        };
+        pressure.pressed = false;
+        pressure.step = 0;
+        pressure.over_since = None;
+    }
+
     fn note_checkpoints(&mut self, running: &[&TaskStatus], now: MonoTime) {
         for status in running {
             let progress = status
@@ -160,9 +207,9 @@
         self.checkpoints.retain(|attempt, _| keep(attempt));
     }
 
-    fn learn(&mut self, p99_us: u64, running: &[&TaskStatus]) {
-        let over = p99_us.saturating_sub(self.goal_us);
-        let reading = (over * 1000 / self.goal_us).min(HARM_CAP);
+    fn learn(&mut self, p99_us: u64, limit_us: u64, running: &[&TaskStatus]) {
+        let over = p99_us.saturating_sub(limit_us);
+        let reading = (over * 1000 / limit_us).min(HARM_CAP);
         let free: Vec<&KindName> = running
             .iter()
             .filter(|status| status.speed_percent == SPEED_STEPS[0])
@@ -184,21 +231,35 @@
         *harm = (*harm * (HARM_DECAY - 1) + reading) / HARM_DECAY;
     }
 
-    fn press(&mut self, host: &HostId, running: &[&TaskStatus], now: MonoTime) -> Vec<GuardAction> {
+    fn press(
+        &mut self,
+        host: &HostId,
+        p99_us: u64,
+        running: &[&TaskStatus],
+        now: MonoTime,
+    ) -> Vec<GuardAction> {
         let hold = self.evict_hold;
         let pressure = self.hosts.entry(host.clone()).or_default();
         pressure.pressed = true;
         let since = *pressure.over_since.get_or_insert(now);
         let may_step = now >= pressure.stepped_at.plus(STEP_HOLD);
         let lowest = pressure.step + 1 >= SPEED_STEPS.len();
+        let unchanged = p99_us * 100 >= pressure.pressed_us * UNCHANGED_PERCENT;
         match () {
-            () if !may_step || running.is_empty() => Vec::new(),
+            () if !may_step => Vec::new(),
             () if !lowest => {
+                if pressure.step == 0 {
+                    pressure.pressed_us = p99_us;
+                }
                 pressure.step += 1;
                 pressure.stepped_at = now;
                 let speed = SPEED_STEPS[pressure.step];
                 throttle_all(running, speed)
             }
+            () if unchanged => {
+                pressure.clear(p99_us, now);
+                throttle_all(running, SPEED_STEPS[0])
+            }
             () if now >= since.plus(hold) => self.evict(host, running, now),
             () => Vec::new(),
         }
