--- a/crates/hornbeamlead_daemon/tests/common/load.rs
+++ b/crates/hornbeamlead_daemon/tests/common/load.rs
@@ -31,9 +31,12 @@
 pub(crate) struct RunningLoad {
     stop: Arc<AtomicBool>,
     balancer: JoinHandle<()>,
-    callers: Vec<JoinHandle<Vec<(Box<str>, CallerOutcome)>>>,
+    callers: Vec<JoinHandle<ToldCalls>>,
 }
 
+/// Bodies that a caller sent, with what it was told.
+type ToldCalls = Vec<(Box<str>, CallerOutcome)>;
+
 /// Pause of a caller between two requests.
 const PAUSE: Duration = Duration::from_millis(2);
 
@@ -88,7 +91,7 @@
     address: SocketAddr,
     entry: usize,
     caller: usize,
-) -> Vec<(Box<str>, CallerOutcome)> {
+) -> ToldCalls {
     let mut outcomes = Vec::new();
     while !stop.load(Ordering::Relaxed) {
         if !ready.load(Ordering::Relaxed) {
