[measure] Compare the intervals of small and large cells

The model's workers now report a usage of their own; before, they reported what was reserved, which the learner raised again and again, so that a cell seemed to fill only half. Both policies are measured over a window in which tasks end and start.

--- a/crates/hornbeamlead_measure/src/capacity.rs
+++ b/crates/hornbeamlead_measure/src/capacity.rs
@@ -14,6 +14,7 @@
 mod samples;
 
 use crate::report::{MeasureError, TableReport};
+use hornbeamlead_core::policy::SchedulePolicy;
 
 /// Runs the experiment.
 ///
@@ -24,7 +25,8 @@
         messages::measure(),
         configuration::measure()?,
         entry::measure()?,
-        cell::measure()?,
+        cell::measure("default policy", &SchedulePolicy::default())?,
+        cell::measure("intervals of a large cell", &cell::large_cell_policy())?,
     ];
     Ok(TableReport {
         tables,
--- a/crates/hornbeamlead_measure/src/capacity/cell.rs
+++ b/crates/hornbeamlead_measure/src/capacity/cell.rs
@@ -15,16 +15,16 @@
 const TASKS_EACH: u32 = 20;
 
 /// Time until the cell is full.
-const WARM_UP: Duration = Duration::from_secs(60);
+const WARM_UP: Duration = Duration::from_secs(110);
 
 /// Time measured.
-const WINDOW: Duration = Duration::from_secs(60);
+const WINDOW: Duration = Duration::from_secs(120);
 
 /// Shortest run time of a task.
-const SHORTEST_RUN: Duration = Duration::from_secs(80);
+const SHORTEST_RUN: Duration = Duration::from_secs(118);
 
 /// Step between the run times of jobs.
-const RUN_STEP: Duration = Duration::from_secs(8);
+const RUN_STEP: Duration = Duration::from_secs(4);
 
 /// Jobs that keep the cell full.
 const JOBS: usize = 20;
@@ -33,7 +33,7 @@
 ///
 /// # Errors
 /// Returns [`MeasureError`] when a cell has no planner or does not fill.
-pub(crate) fn measure() -> Result<ReportTable, MeasureError> {
+pub(crate) fn measure(title: &str, policy: &SchedulePolicy) -> Result<ReportTable, MeasureError> {
     let columns = [
         "workers",
         "running",
@@ -45,17 +45,29 @@
         "agent KB/s",
         "appends/s",
     ];
-    let title = "one cell, 20 tasks a worker, default policy";
-    let mut table = ReportTable::new(title, &columns);
+    let title = format!("one cell, 20 tasks a worker, {title}");
+    let mut table = ReportTable::new(&title, &columns);
     for workers in WORKER_COUNTS {
-        table.push(measure_at(workers)?);
+        table.push(measure_at(workers, policy)?);
     }
     Ok(table)
 }
 
-fn measure_at(workers: usize) -> Result<[String; 9], MeasureError> {
-    let policy = SchedulePolicy::default();
-    let (mut model, held) = held_by(|| filled(workers, &policy));
+/// Returns the intervals meant for cells of 32 to 64 workers.
+pub(crate) fn large_cell_policy() -> SchedulePolicy {
+    SchedulePolicy {
+        heartbeat: Duration::from_millis(2_500),
+        lease: Duration::from_secs(15),
+        tail_validity: Duration::from_secs(5),
+        start_bound: Duration::from_millis(2_800),
+        read_interval: Duration::from_millis(1_000),
+        batch_interval: Duration::from_millis(1_000),
+        ..SchedulePolicy::default()
+    }
+}
+
+fn measure_at(workers: usize, policy: &SchedulePolicy) -> Result<[String; 9], MeasureError> {
+    let (mut model, held) = held_by(|| filled(workers, policy));
     let planner = model
         .planner()
         .ok_or_else(|| failed("the cell has no planner"))?;
--- a/crates/hornbeamlead_measure/src/capacity/model_worker.rs
+++ b/crates/hornbeamlead_measure/src/capacity/model_worker.rs
@@ -2,6 +2,7 @@
 
 use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_core::ids::AttemptId;
+use hornbeamlead_core::resource::{AcceleratorCount, CpuMillis, MemoryMebibytes, ResourceSize};
 use hornbeamlead_core::task::{
     TaskOrder, TaskPhase, TaskStatus, WorkerAnswer, WorkerCall, WorkerReport,
 };
@@ -78,6 +79,15 @@
     }
 }
 
+/// Returns what each task uses, whatever was reserved for it: one core less a tenth.
+fn measured_usage() -> ResourceSize {
+    ResourceSize {
+        cpu: CpuMillis(900),
+        memory: MemoryMebibytes(3686),
+        accelerators: AcceleratorCount(0),
+    }
+}
+
 fn status(task: &ModelTask) -> TaskStatus {
     TaskStatus {
         attempt: task.order.attempt.clone(),
@@ -86,6 +96,6 @@
         kind: task.order.kind.clone(),
         checkpoint: None,
         speed_percent: 100,
-        usage: Some(task.order.size),
+        usage: Some(measured_usage()),
     }
 }
