--- a/crates/hornbeamlead_daemon/tests/batch_faults.rs
+++ b/crates/hornbeamlead_daemon/tests/batch_faults.rs
@@ -1,8 +1,8 @@
 //! Batch tasks of running processes while planners, agents, hosts, the log and data centres fail.
 
-mod fleets;
+mod common;
 
-use fleets::{await_revision, plan, publish_base, size};
+use common::{open_service, plan, size};
 use hornbeamlead_standin::fleet::Fleet;
 use hornbeamlead_standin::fleet::judge::{
     double_runs, events_of, finished_tasks, lost_work_ms, repeated_attempts, task_intervals,
@@ -23,8 +23,7 @@
         .iter()
         .fold(plan(), |plan, (name, hosts)| plan.data_centre(name, *hosts));
     let fleet = plan.start();
-    publish_base(&fleet);
-    await_revision(&fleet, 1);
+    open_service(&fleet);
     fleet
 }
 
--- a/crates/hornbeamlead_daemon/tests/common/load.rs
+++ b/crates/hornbeamlead_daemon/tests/common/load.rs
@@ -118,7 +118,11 @@
     match told["outcome"].as_str() {
         Some("not_run") => CallerOutcome::NotRun(reason),
         Some("unknown") => CallerOutcome::Unknown(reason),
-        _ if answer.status.is_success() => CallerOutcome::Answered,
+        _ if answer.status.is_success() => {
+            let own = [b"POST /ledger/orders\n", &*request.body].concat();
+            assert_eq!(answer.body, own, "answer of another request");
+            CallerOutcome::Answered
+        }
         _ => CallerOutcome::Cut(format!("status {}", answer.status)),
     }
 }
