--- a/crates/hornbeamlead_request/src/gate.rs
+++ b/crates/hornbeamlead_request/src/gate.rs
@@ -8,6 +8,7 @@
 mod grant;
 mod limit;
 mod serve;
+mod settle;
 
 use crate::keys::arbiter::ArbiterTable;
 use crate::keys::history::ViewHistory;
--- a/crates/hornbeamlead_request/tests/worker_choice.rs
+++ b/crates/hornbeamlead_request/tests/worker_choice.rs
@@ -114,15 +114,15 @@
         }
     }
     for (name, port) in &AGENTS[..2] {
-        tell_load(&mut entry, name, *port, load(2), 8000);
+        tell_load(&mut entry, name, *port, load(2), 8001);
     }
     let event = asked(98, RequestSafety::NonIdempotent, 60_000);
-    assert_ne!(sent(&entry.handle(at(8000), event))[0].0, address(230));
+    assert_ne!(sent(&entry.handle(at(8001), event))[0].0, address(230));
     for (name, port) in &AGENTS[..2] {
-        tell_load(&mut entry, name, *port, load(8), 8001);
+        tell_load(&mut entry, name, *port, load(8), 8002);
     }
     let event = asked(99, RequestSafety::NonIdempotent, 60_000);
-    assert_eq!(sent(&entry.handle(at(8001), event))[0].0, address(230));
+    assert_eq!(sent(&entry.handle(at(8002), event))[0].0, address(230));
 }
 
 #[test]
