--- a/crates/hornbeamlead_daemon/tests/bad_input.rs
+++ b/crates/hornbeamlead_daemon/tests/bad_input.rs
@@ -1,8 +1,9 @@
 //! Bad input at every listener of running processes: a clear error, a count, and life goes on.
 
-mod fleets;
+mod common;
 
-use fleets::{await_revision, declare_service, raw_exchange, refusal_count, runs_of, small_fleet};
+use common::await_revision;
+use common::probes::{declare_service, raw_exchange, refusal_count, runs_of, small_fleet};
 use hornbeamlead_standin::client::{TestRequest, send_blocking};
 use hornbeamlead_standin::fleet::Fleet;
 use hyper::Method;
--- a/crates/hornbeamlead_daemon/tests/common/mod.rs
+++ b/crates/hornbeamlead_daemon/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses some of them")]
 
 pub(crate) mod load;
+pub(crate) mod probes;
 
 use hornbeamlead_standin::client::TestRequest;
 use hornbeamlead_standin::fleet::{Fleet, FleetPlan};
@@ -21,16 +22,10 @@
     let mut names: Vec<&str> = fleet.hosts().iter().map(|it| &*it.data_centre).collect();
     names.dedup();
     let data_centres: Vec<Value> = names.iter().map(|it| data_centre(it, true)).collect();
-    let service = json!({
-        "name": SERVICE,
-        "reserve": size(1_000, 1_024),
-        "default_timeout_ms": 5_000,
-        "max_timeout_ms": 30_000,
-    });
     let added = json!({
         "data_centres": data_centres,
         "teams": [{"name": "yard", "quota": size(1_000_000, 1_000_000)}],
-        "services": [service],
+        "services": [service(SERVICE)],
     });
     fleet.publish("base", &json!({"based_on": 0, "added": added}));
     await_revision(fleet, 1);
@@ -59,6 +54,16 @@
     });
 }
 
+/// Words a service.
+pub(crate) fn service(name: &str) -> Value {
+    json!({
+        "name": name,
+        "reserve": size(1_000, 1_024),
+        "default_timeout_ms": 5_000,
+        "max_timeout_ms": 30_000,
+    })
+}
+
 /// Words a data centre.
 pub(crate) fn data_centre(name: &str, in_service: bool) -> Value {
     json!({"name": name, "in_service": in_service})
