--- a/crates/hornbeamlead_request/tests/gate_admission.rs
+++ b/crates/hornbeamlead_request/tests/gate_admission.rs
@@ -225,3 +225,16 @@
     let effects = bench.handle(at(2_501), &requested(0, 5000));
     assert_eq!(reason(&effects), Some(RefusalReason::NoWorker));
 }
+
+#[test]
+fn slots_shared_fairly() {
+    let mut bench = GateBench::new(agent_policy(&[100]));
+    let both = endpoint(&["ledger", "course"], 2);
+    bench.handle(at(0), &AgentEvent::EndpointAnnounced(both));
+    for counter in 0..6 {
+        bench.handle(at(0), &requested_of("course", counter, 9000));
+    }
+    bench.handle(at(0), &requested_of("ledger", 100, 9000));
+    let effects = bench.handle(at(1), &done(0, EndpointOutcome::Answered(answer("done"))));
+    assert_eq!(called(&effects), vec![request_id(100)]);
+}
