--- a/crates/hornbeamlead_request/tests/entry_request.rs
+++ b/crates/hornbeamlead_request/tests/entry_request.rs
@@ -198,3 +198,20 @@
     }
     assert!(spans.len() > 10, "{spans:?}");
 }
+
+#[test]
+fn earlier_copy_may_have_run() {
+    let mut entry = entry_knowing(&AGENTS);
+    let effects = entry.handle(at(4000), asked(1, RequestSafety::Idempotent, 6000));
+    let (to, _) = sent(&effects).remove(0);
+    let mut effects = entry.handle(at(4010), EntryEvent::LinkBroken { to });
+    while let Some((to, request)) = sent(&effects).pop() {
+        let refusal = not_run(RefusalReason::QueueFull);
+        effects = entry.handle(at(4020), reply(to.port(), &request.id, refusal));
+    }
+    let reason = RefusalReason::QueueFull;
+    assert_eq!(
+        answers(&effects),
+        vec![(CallerTicket(1), CallerAnswer::Unknown { reason })]
+    );
+}
