--- a/crates/hornbeamlead_request/tests/keyed_gate.rs
+++ b/crates/hornbeamlead_request/tests/keyed_gate.rs
@@ -326,3 +326,31 @@
     bench.handle(at(600_001), &AgentEvent::Woke);
     assert_eq!(bench.gate.status().keys, 0);
 }
+
+#[test]
+fn fenced_arbiter_refuses() {
+    let mut bench = two_members(FIRST);
+    let key = own_key();
+    bench.handle(at(1), &query(&key, FIRST + 1));
+    let effects = bench.handle(at(2), &keyed(1, &key, None));
+    assert_eq!(reason(&effects), Some(RefusalReason::NoArbiter));
+}
+
+#[rstest]
+#[case(vec![view(FIRST + 1, &[("agent-1", 200)])], true)]
+#[case(Vec::new(), false)]
+fn missed_view_told(#[case] past: Vec<CellView>, #[case] runs: bool) {
+    let mut bench = two_members(FIRST);
+    bench.handle(at(1), &AgentEvent::Woke);
+    bench.standing.view = Some(view(FIRST + 2, &[("agent-1", 200), ("agent-2", 300)]));
+    let effects = bench.handle(at(2), &keyed(1, &own_key(), None));
+    assert!(granted(&effects).is_empty());
+    let mut told = key_answer(asked(&effects)[0], KeyKnowledge::Absent);
+    if let AgentEvent::KeyAnswered { answer, .. } = &mut told {
+        answer.past = past;
+    }
+    let effects = bench.handle(at(3), &told);
+    assert_eq!(granted(&effects).len(), usize::from(runs));
+    let lost = reason(&effects) == Some(RefusalReason::KeyHistoryLost);
+    assert_eq!(lost, !runs);
+}
