--- a/crates/hornbeamlead_request/tests/keyed_gate.rs
+++ b/crates/hornbeamlead_request/tests/keyed_gate.rs
@@ -354,3 +354,14 @@
     let lost = reason(&effects) == Some(RefusalReason::KeyHistoryLost);
     assert_eq!(lost, !runs);
 }
+
+#[test]
+fn new_term_asks() {
+    let mut bench = two_members(FIRST);
+    bench.handle(at(1), &AgentEvent::Woke);
+    bench.standing.view = Some(view(2 * FIRST, &[("agent-1", 200), ("agent-2", 300)]));
+    let effects = bench.handle(at(2), &keyed(1, &own_key(), None));
+    assert!(granted(&effects).is_empty());
+    let told = key_answer(asked(&effects)[0], KeyKnowledge::Absent);
+    assert_eq!(granted(&bench.handle(at(3), &told)).len(), 1);
+}
