--- a/crates/hornbeamlead_schedule/src/lib.rs
+++ b/crates/hornbeamlead_schedule/src/lib.rs
@@ -6,7 +6,6 @@
 mod election;
 mod keeper;
 mod keeper_table;
-mod note_snapshots;
 mod planner;
 mod read_slot;
 mod tenure;
--- a/crates/hornbeamlead_schedule/src/machine.rs
+++ b/crates/hornbeamlead_schedule/src/machine.rs
@@ -5,7 +5,6 @@
 use crate::cell_log::CellState;
 use crate::election::EpochElection;
 use crate::keeper::TaskKeeper;
-use crate::note_snapshots::NoteSnapshots;
 use crate::planner::{CellPlanner, PlannerInputs};
 use crate::read_slot::ReadSlot;
 use crate::stream::StreamReader;
@@ -48,7 +47,6 @@
     /// Offset to read the notes from while a gap has to be passed over.
     notes_cursor: LogOffset,
     notes_asked: MonoTime,
-    note_snapshots: NoteSnapshots,
     /// When a forced claim was first read, and the epoch it began.
     forced: Option<(Epoch, MonoTime)>,
     planner: Option<Box<CellPlanner>>,
@@ -69,7 +67,6 @@
             notes_read: ReadSlot::new(StreamName::Notes),
             notes_cursor: LogOffset(0),
             notes_asked: MonoTime(0),
-            note_snapshots: NoteSnapshots::new(policy.cell, policy.schedule.snapshot_records),
             forced: None,
             planner: None,
             planning: None,
@@ -323,9 +320,6 @@
             notes_tail: self.notes_read.tail_began(),
         };
         planner.tick(inputs, turn);
-        if planner.is_fresh(turn.mono()) {
-            self.note_snapshots.write_if_due(turn);
-        }
         let wanted = planner.wanted_successor(inputs.cell, turn.mono());
         let fresh = planner.is_fresh(turn.mono());
         if let Some(successor) = wanted.filter(|_| fresh) {
--- a/crates/hornbeamlead_schedule/src/machine/intake.rs
+++ b/crates/hornbeamlead_schedule/src/machine/intake.rs
@@ -59,7 +59,6 @@
         let interval = self.notes_interval();
         match result {
             Ok(StreamBatch::Notes(batch)) => {
-                self.note_snapshots.take(batch, turn.mono());
                 let read_to = batch.records.last().map(|placed| placed.offset.0 + 1);
                 let read_to = LogOffset(read_to.unwrap_or(0)).max(self.notes_cursor);
                 let applied = turn.fleet.next() >= batch.next;
--- a/crates/hornbeamlead_schedule/src/placement.rs
+++ b/crates/hornbeamlead_schedule/src/placement.rs
@@ -65,6 +65,8 @@
     pub kind: &'a KindName,
     /// Reservation.
     pub size: ResourceSize,
+    /// Whether it may go to a host whose service is over its latency goal.
+    pub urgent: bool,
     /// Host on which its last attempt failed.
     pub avoid: Option<&'a HostId>,
     /// Tasks of the same job on each rack, for the spread.
@@ -89,12 +91,13 @@
     hosts
         .iter()
         .enumerate()
-        .filter(|(_, host)| !host.pressed && task.size.fits(&host.room))
+        .filter(|(_, host)| task.size.fits(&host.room))
+        .filter(|(_, host)| task.urgent || !host.pressed)
         .filter(|(_, host)| task.avoid != Some(&host.host))
         .min_by_key(|(_, host)| {
             let load = load_permille(host);
             let spread = task.on_rack.get(&host.rack).copied().unwrap_or(0);
-            (harm(host), spread, load)
+            (host.pressed, harm(host), spread, load)
         })
         .map(|(index, _)| index)
 }
--- a/crates/hornbeamlead_schedule/src/planner/start_step.rs
+++ b/crates/hornbeamlead_schedule/src/planner/start_step.rs
@@ -160,6 +160,7 @@
         let seeking = SeekingTask {
             kind: &spec.kind,
             size,
+            urgent: spec.urgent,
             avoid: failed_on.and_then(|hosts| hosts.last()),
             on_rack: &on_rack,
         };
--- a/crates/hornbeamlead_schedule/tests/placement.rs
+++ b/crates/hornbeamlead_schedule/tests/placement.rs
@@ -53,6 +53,7 @@
     let task = SeekingTask {
         kind: &kind,
         size: size(1_000),
+        urgent: false,
         avoid,
         on_rack: &on_rack,
     };
@@ -97,3 +98,21 @@
     hosts[0].pressed = true;
     assert_eq!(choose(&hosts, None, &[]), None);
 }
+
+#[test]
+fn urgent_on_pressed() {
+    let mut hosts = [room("a", "r1", 6_000), room("b", "r1", 2_000)];
+    hosts[0].pressed = true;
+    let kind: KindName = name("seasoning");
+    let on_rack = BTreeMap::new();
+    let mut task = SeekingTask {
+        kind: &kind,
+        size: size(1_000),
+        urgent: true,
+        avoid: None,
+        on_rack: &on_rack,
+    };
+    assert_eq!(best_fit(&task, &hosts, |_| 0), Some(1), "a calm host first");
+    task.size = size(4_000);
+    assert_eq!(best_fit(&task, &hosts, |_| 0), Some(0));
+}
--- a/crates/hornbeamlead_schedule/tests/snapshots.rs
+++ b/crates/hornbeamlead_schedule/tests/snapshots.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{World, job, name, plans};
-use hornbeamlead_core::event::NoteEntry;
+use hornbeamlead_core::effect::OwnRecord;
 use hornbeamlead_core::ids::{CellId, LogOffset};
 use hornbeamlead_core::policy::SchedulePolicy;
 use hornbeamlead_core::record::{CellEntry, JobEntry, StreamName};
@@ -50,15 +50,11 @@
             _ => None,
         });
     let jobs_from = kept.max().expect("a snapshot of the jobs");
-    let kept = world
+    let whole = world.log.fleet.snapshot();
+    let notes_from = whole.up_to.0;
+    world
         .log
-        .notes
-        .iter()
-        .filter_map(|placed| match &placed.record.entry {
-            Some(NoteEntry::Snapshot(snapshot)) => Some(snapshot.up_to.0),
-            _ => None,
-        });
-    let notes_from = kept.max().expect("a snapshot of the notes");
+        .append(&StreamName::Notes, OwnRecord::NotesSnapshot(whole));
     world.log.oldest.insert(cell, cell_from);
     world.log.oldest.insert(StreamName::Jobs, jobs_from);
     world.log.oldest.insert(StreamName::Notes, notes_from);
