--- a/crates/hornbeamlead_measure/src/batch.rs
+++ b/crates/hornbeamlead_measure/src/batch.rs
@@ -67,7 +67,7 @@
     row("most work lost by one task in the move, ms", &|it| {
         it.worst_move_loss_ms.to_string()
     });
-    row("work done during the move, ms", &|it| {
+    row("run time of tasks during the move, ms", &|it| {
         it.move_work_ms.to_string()
     });
     row("service p99 without batch, us", &|it| {
--- a/crates/hornbeamlead_measure/src/batch/judge.rs
+++ b/crates/hornbeamlead_measure/src/batch/judge.rs
@@ -106,7 +106,7 @@
     interval.progress_ms.saturating_sub(interval.checkpoint_ms)
 }
 
-/// Returns the work that an interval did during the move, at an even pace.
+/// Returns how long an interval ran during the move, throttled or not.
 fn work_within_ms(interval: &TaskInterval, marks: &TrialMarks) -> u64 {
     let until = interval.until_us.min(marks.back_us);
     let from = interval.from_us.max(marks.out_us);
