[schedule] Test that late start commands are refused

Agents that hear of no note and get commands up to 3 s late start nothing beyond the bound. With the bound a hundred times as long five tasks start in a drained data centre. A plain slow net with the default bound did not show the fault.

--- a/crates/hornbeamlead_schedule/tests/common/drive.rs
+++ b/crates/hornbeamlead_schedule/tests/common/drive.rs
@@ -228,7 +228,7 @@
 
     fn pass_notes(&mut self, asker: usize, target: usize, from: Revision) {
         let cut = self.hosts[asker].side != self.hosts[target].side;
-        if cut || self.hosts[target].machine.is_none() {
+        if cut || self.notes_blocked || self.hosts[target].machine.is_none() {
             return;
         }
         let copies = self.hosts[target].keeper.copies_from(LogOffset(from.0));
