--- a/crates/hornbeamlead_request/tests/entry_request.rs
+++ b/crates/hornbeamlead_request/tests/entry_request.rs
@@ -182,3 +182,36 @@
     entry.handle(at(20_002), announced(announce("a", 210, 10)));
     assert_eq!(entry.status(at(20_002)).members.len(), 1);
 }
+
+#[test]
+fn refused_callers_spread() {
+    let mut entry = entry_knowing(&AGENTS);
+    entry.handle(at(4000), EntryEvent::StopAsked);
+    let mut spans = std::collections::BTreeSet::new();
+    for ticket in 0..50 {
+        let effects = entry.handle(at(4001), asked(ticket, RequestSafety::Idempotent, 6000));
+        let CallerAnswer::NotRun { retry_after, .. } = answers(&effects).remove(0).1 else {
+            panic!("a stopping entry refuses");
+        };
+        assert!(retry_after >= Duration::from_secs(1));
+        spans.insert(retry_after.as_millis() / 100);
+    }
+    assert!(spans.len() > 10, "{spans:?}");
+}
+
+#[test]
+fn earlier_copy_may_have_run() {
+    let mut entry = entry_knowing(&AGENTS);
+    let effects = entry.handle(at(4000), asked(1, RequestSafety::Idempotent, 6000));
+    let (to, _) = sent(&effects).remove(0);
+    let mut effects = entry.handle(at(4010), EntryEvent::LinkBroken { to });
+    while let Some((to, request)) = sent(&effects).pop() {
+        let refusal = not_run(RefusalReason::QueueFull);
+        effects = entry.handle(at(4020), reply(to.port(), &request.id, refusal));
+    }
+    let reason = RefusalReason::QueueFull;
+    assert_eq!(
+        answers(&effects),
+        vec![(CallerTicket(1), CallerAnswer::Unknown { reason })]
+    );
+}
