--- a/crates/hornbeamlead_core/src/notes_keeper.rs
+++ b/crates/hornbeamlead_core/src/notes_keeper.rs
@@ -11,6 +11,9 @@
 /// Records kept for passing on, at most.
 pub const KEPT_RECORDS: usize = 512;
 
+/// Records kept for passing on at most while no snapshot contains the oldest.
+const MOST_RECORDS: usize = 8 * KEPT_RECORDS;
+
 /// Bytes of records kept for passing on, at most.
 const KEPT_BYTES: usize = 4 * 1024 * 1024;
 
@@ -182,11 +185,29 @@
             payload,
         };
         self.kept.insert(place, KeptRecord { copy, contains });
-        while self.kept.len() > KEPT_RECORDS || self.kept_bytes > KEPT_BYTES {
+        while self.has_spare_record() {
             let Some(dropped) = self.kept.pop_front() else {
                 break;
             };
             self.kept_bytes -= dropped.copy.payload.len();
         }
     }
+
+    /// Returns whether the oldest record may be dropped.
+    ///
+    /// Over [`KEPT_RECORDS`] that is one which a kept snapshot contains, so that a peer that starts
+    /// from nothing can be served all the time; over the hard bounds it is any.
+    fn has_spare_record(&self) -> bool {
+        if self.kept.len() > MOST_RECORDS || self.kept_bytes > KEPT_BYTES {
+            return true;
+        }
+        let Some(oldest) = self.kept.front().filter(|_| self.kept.len() > KEPT_RECORDS) else {
+            return false;
+        };
+        let newest = self.kept.iter().filter_map(|record| record.contains).max();
+        match oldest.contains {
+            Some(up_to) => newest.is_some_and(|newest| newest > up_to),
+            None => newest.is_some_and(|newest| newest > oldest.copy.offset),
+        }
+    }
 }
--- a/crates/hornbeamlead_core/tests/note_acceptance.rs
+++ b/crates/hornbeamlead_core/tests/note_acceptance.rs
@@ -7,7 +7,7 @@
 use hornbeamlead_core::note::{
     DataCentreSpec, DeliveryMode, JobSpec, NoteItems, NoteNames, ReleaseNote, TeamSpec,
 };
-use hornbeamlead_core::notes_keeper::NotesKeeper;
+use hornbeamlead_core::notes_keeper::{KEPT_RECORDS, NotesKeeper};
 use hornbeamlead_core::record::{PlacedRecord, RawRecord};
 use hornbeamlead_core::resource::ResourceSize;
 use proptest::prelude::*;
@@ -117,6 +117,38 @@
     assert!(state.apply(LogOffset(2), &withdrawal).is_ok());
 }
 
+/// Passes everything that a keeper keeps to one that starts from nothing.
+fn pass_all(peer: &NotesKeeper, stream: &[PlacedRecord<NoteRecord>]) -> NotesKeeper {
+    let copies = peer.copies_from(LogOffset(0));
+    let passed: Vec<_> = copies
+        .iter()
+        .map(|copy| stream[copy.offset.0 as usize].clone())
+        .collect();
+    let mut fresh = NotesKeeper::default();
+    fresh.apply_records(&passed);
+    fresh
+}
+
+/// A wave of notes that is longer than what is kept still reaches a process that starts from
+/// nothing, before and after a snapshot of it was read.
+#[test]
+fn long_wave_passed() {
+    let mut stream = Vec::new();
+    let mut keeper = NotesKeeper::default();
+    for offset in 0..KEPT_RECORDS as u64 + 200 {
+        let mut note = blank(&format!("n{offset}"), None);
+        note.added.teams.push(team(&format!("t{offset}")));
+        stream.push(placed(offset, NoteEntry::Note(note)));
+    }
+    keeper.apply_records(&stream);
+    assert_eq!(pass_all(&keeper, &stream).fleet(), keeper.fleet());
+    let snapshot = keeper.fleet().snapshot();
+    stream.push(placed(stream.len() as u64, NoteEntry::Snapshot(snapshot)));
+    keeper.apply_records(&stream[stream.len() - 1..]);
+    assert!(keeper.copies_from(LogOffset(0)).len() <= KEPT_RECORDS);
+    assert_eq!(pass_all(&keeper, &stream).fleet(), keeper.fleet());
+}
+
 /// Makes a note out of three small numbers.
 fn any_note() -> impl Strategy<Value = ReleaseNote> {
     (
--- a/crates/hornbeamlead_measure/src/capacity/cell.rs
+++ b/crates/hornbeamlead_measure/src/capacity/cell.rs
@@ -40,7 +40,7 @@
         "starts/s",
         "planner core %",
         "planner KB/s",
-        "planner KiB",
+        "whole cell KiB",
         "agent core %",
         "agent KB/s",
         "appends/s",
