--- a/crates/hornbeamlead_schedule/src/planner/policy_step.rs
+++ b/crates/hornbeamlead_schedule/src/planner/policy_step.rs
@@ -18,10 +18,10 @@
 const FULL_SPEED: u8 = 100;
 
 /// Time after a drain within which a task that is expected to end is left to end, per weight.
-const DRAIN_GRACE: Duration = Duration::from_secs(10);
+const DRAIN_GRACE: Duration = Duration::from_secs(5);
 
 /// Largest weight of evictions that lengthens the grace.
-const MAX_GRACE_WEIGHT: u32 = 2;
+const MAX_GRACE_WEIGHT: u32 = 4;
 
 impl CellPlanner {
     /// Learns from a heartbeat and decides on throttling and eviction on its host.
