--- a/crates/hornbeamlead_daemon/src/clock.rs
+++ b/crates/hornbeamlead_daemon/src/clock.rs
@@ -42,6 +42,31 @@
     }
 }
 
+/// Clocks of a process whose host may be suspended.
+///
+/// Counts `CLOCK_BOOTTIME`: unlike the monotonic clock it goes on while the host is suspended, so
+/// a lease or an order does not outlive a suspension.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct BootClock;
+
+impl BootClock {
+    /// Reads both clocks.
+    pub(crate) fn read(self) -> ClockReading {
+        ClockReading {
+            mono: self.mono(),
+            wall: WallTime(millis(since_epoch())),
+        }
+    }
+
+    /// Reads the clock that counts suspensions.
+    pub(crate) fn mono(self) -> MonoTime {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+        let nanos = u64::try_from(time.tv_nsec).unwrap_or_default();
+        MonoTime(seconds * 1_000_000 + nanos / 1000)
+    }
+}
+
 /// Returns the life of a process that starts now: wall-clock microseconds.
 pub(crate) fn new_incarnation() -> Incarnation {
     Incarnation(micros(since_epoch()))
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/fleet/worker.rs
@@ -0,0 +1,74 @@
+//! Worker thread: calls the worker of the host.
+
+use super::agent::AgentInput;
+use super::metrics::FleetMetrics;
+use crate::clock::BootClock;
+use crate::ring::RingSender;
+use hornbeamlead_adapter::WorkerClient;
+use hornbeamlead_jobs::keeper::KeeperEvent;
+use hornbeamlead_jobs::worker::{WorkerAsk, WorkerCall};
+use std::rc::Rc;
+use tokio::sync::{Semaphore, mpsc};
+
+/// Calls that wait for the worker thread.
+pub(super) const WORKER_RING: usize = 1024;
+
+/// Orders under way at a time; a worker takes 64 connections.
+const MAX_ORDERS: usize = 16;
+
+/// Worker thread.
+pub(super) struct WorkerDuty {
+    pub(super) calls: mpsc::Receiver<WorkerCall>,
+    pub(super) inbox: RingSender<AgentInput>,
+    pub(super) metrics: FleetMetrics,
+}
+
+impl WorkerDuty {
+    /// Makes calls until the decisions end.
+    pub(super) async fn run(mut self) {
+        let client = Rc::new(WorkerClient::default());
+        let orders = Rc::new(Semaphore::new(MAX_ORDERS));
+        let local = tokio::task::LocalSet::new();
+        local
+            .run_until(async move {
+                while let Some(call) = self.calls.recv().await {
+                    let client = Rc::clone(&client);
+                    let orders = Rc::clone(&orders);
+                    let inbox = self.inbox.clone();
+                    let metrics = self.metrics.clone();
+                    tokio::task::spawn_local(async move {
+                        let event = timed_call(&client, &orders, &metrics, call).await;
+                        // Fails only once the decisions have ended.
+                        let _ = inbox.deliver(AgentInput::Keeper(event));
+                    });
+                }
+            })
+            .await;
+    }
+}
+
+async fn timed_call(
+    client: &WorkerClient,
+    orders: &Semaphore,
+    metrics: &FleetMetrics,
+    call: WorkerCall,
+) -> KeeperEvent {
+    let is_hold = matches!(call.ask, WorkerAsk::Hold { .. });
+    // The semaphore is never closed, so a permit always comes.
+    let permit = if is_hold { None } else { orders.acquire().await.ok() };
+    let sent = BootClock.mono();
+    let reply = client.call(sent, &call).await;
+    drop(permit);
+    let name = match call.ask {
+        WorkerAsk::Start { .. } => "worker_start",
+        WorkerAsk::Stop { .. } => "worker_stop",
+        WorkerAsk::Hold { .. } => "worker_hold",
+        WorkerAsk::Pace { .. } => "worker_pace",
+    };
+    metrics.time(name, BootClock.mono().since(sent));
+    KeeperEvent::Replied {
+        tag: call.tag,
+        life: call.life,
+        reply,
+    }
+}
--- a/crates/hornbeamlead_daemon/src/launch/mod.rs
+++ b/crates/hornbeamlead_daemon/src/launch/mod.rs
@@ -1,7 +1,7 @@
 //! Starts the threads of a process and waits for its end.
 
 mod bind;
-mod duty;
+pub(crate) mod duty;
 mod error;
 mod parts;
 mod roles;
@@ -9,7 +9,9 @@
 use crate::args::DaemonArgs;
 use crate::logs::open_log;
 use bind::BoundSockets;
-use hornbeamlead_settings::{ProcessSettings, RoleSettings, read_settings};
+use hornbeamlead_settings::{
+    FleetSettings, ProcessSettings, RoleSettings, names_store, read_fleet_settings, read_settings,
+};
 use slog::{Logger, error, info};
 use std::path::Path;
 use std::process::ExitCode;
@@ -49,18 +51,37 @@
         println!("{}: no faults found", args.settings.display());
         return ExitStatus::Done;
     }
-    let (log, guard) = open_log(settings.host.as_str(), role_name(&settings.role));
-    let status = run_process(&settings, &log);
+    match settings {
+        LoadedSettings::Requests(settings) => run_requests(&settings),
+        LoadedSettings::Fleet(settings) => crate::fleet::run_fleet(&settings, &args.settings),
+    }
+}
+
+fn run_requests(settings: &ProcessSettings) -> ExitStatus {
+    let (host, role) = (settings.host.as_str(), role_name(&settings.role));
+    let (log, guard) = open_log(std::io::stderr(), host, role);
+    let status = run_process(settings, &log);
     drop(log);
     drop(guard);
     status
 }
 
-fn load_settings(path: &Path) -> Result<ProcessSettings, Box<str>> {
+/// Settings of either kind.
+enum LoadedSettings {
+    /// Live requests and tasks on the project's own log.
+    Requests(Box<ProcessSettings>),
+    /// Jobs on a platform with a store.
+    Fleet(Box<FleetSettings>),
+}
+
+fn load_settings(path: &Path) -> Result<LoadedSettings, Box<str>> {
     let name = path.display().to_string();
     let text = std::fs::read_to_string(path).map_err(|error| format!("{name}: {error}"))?;
-    let settings = read_settings(&name, &text).map_err(|findings| findings.to_string())?;
-    Ok(settings)
+    let loaded = match names_store(&text) {
+        true => read_fleet_settings(&name, &text).map(|it| LoadedSettings::Fleet(it.into())),
+        false => read_settings(&name, &text).map(|it| LoadedSettings::Requests(it.into())),
+    };
+    loaded.map_err(|findings| findings.to_string().into())
 }
 
 fn role_name(role: &RoleSettings) -> &'static str {
--- a/crates/hornbeamlead_daemon/src/lib.rs
+++ b/crates/hornbeamlead_daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod clock;
 mod control;
 mod decision;
+mod fleet;
 mod launch;
 mod links;
 mod logs;
--- a/crates/hornbeamlead_daemon/src/logs.rs
+++ b/crates/hornbeamlead_daemon/src/logs.rs
@@ -1,4 +1,6 @@
-//! Writes one key=value line an event to standard error.
+//! Writes one key=value line an event to a standard stream.
+//!
+//! A thread of its own writes; a reader that has stopped costs lines, never a decision.
 
 use slog::{Drain, Level, LevelFilter, Logger, o};
 use slog_async::OverflowStrategy;
@@ -11,8 +13,15 @@
 const DEBUG_VARIABLE: &str = "HORNBEAMLEAD_DEBUG";
 
 /// Opens the log of the process; the guard writes what is left when it is dropped.
-pub(crate) fn open_log(host: &str, role: &'static str) -> (Logger, slog_async::AsyncGuard) {
-    let lines = Logfmt::new(std::io::stderr()).no_prefix().print_level(true);
+pub(crate) fn open_log<W>(
+    stream: W,
+    host: &str,
+    role: &'static str,
+) -> (Logger, slog_async::AsyncGuard)
+where
+    W: std::io::Write + Send + 'static,
+{
+    let lines = Logfmt::new(stream).no_prefix().print_level(true);
     let (queued, guard) = slog_async::Async::new(lines.build().fuse())
         .chan_size(LOG_QUEUE)
         .overflow_strategy(OverflowStrategy::DropAndReport)
--- a/crates/hornbeamlead_daemon/src/web/connection.rs
+++ b/crates/hornbeamlead_daemon/src/web/connection.rs
@@ -152,6 +152,11 @@
         self.wait_for(|| self.closing.load(Ordering::Acquire)).await;
     }
 
+    /// Returns whether no connection is open.
+    pub fn is_empty(&self) -> bool {
+        lock(&self.open).is_empty()
+    }
+
     /// Waits until no connection is open.
     pub async fn emptied(&self) {
         self.wait_for(|| lock(&self.open).is_empty()).await;
--- /dev/null
+++ b/crates/hornbeamlead_jobs/src/ids.rs
@@ -0,0 +1,182 @@
+//! Names of jobs, tasks, attempts and lives.
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+use std::fmt;
+use std::str::FromStr;
+
+/// Reports why a text names no job or task.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{text:?} is not {expected}"))]
+pub struct IdError {
+    text: Box<str>,
+    expected: &'static str,
+}
+
+impl IdError {
+    fn new(text: &str, expected: &'static str) -> Self {
+        Self {
+            text: text.into(),
+            expected,
+        }
+    }
+}
+
+/// Digits of a job's id as text.
+const JOB_DIGITS: usize = 16;
+
+/// Names a job; chosen by the caller, written as 16 hexadecimal digits.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
+)]
+pub struct JobId(pub u64);
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for JobId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let digits = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
+        let error = || IdError::new(text, "16 lower-case hexadecimal digits");
+        if text.len() != JOB_DIGITS || !text.chars().all(digits) {
+            return Err(error());
+        }
+        u64::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| error())
+    }
+}
+
+/// Names a step of one occurrence of a job.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
+)]
+pub struct StepName {
+    /// Job.
+    pub job: JobId,
+    /// Occurrence, from 0; 0 for a job that runs once.
+    pub occurrence: u32,
+    /// Step, from 0.
+    pub step: u16,
+}
+
+impl fmt::Display for StepName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
+/// Names a task.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
+)]
+pub struct TaskName {
+    /// Step.
+    pub step: StepName,
+    /// Index within the step, from 0.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.step, self.index)
+    }
+}
+
+impl FromStr for TaskName {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = || IdError::new(text, "JOB.OCCURRENCE.STEP.INDEX");
+        let mut parts = text.split('.');
+        let mut next = || parts.next().ok_or_else(error);
+        let job = next()?.parse()?;
+        let occurrence = next()?.parse().map_err(|_| error())?;
+        let step = next()?.parse().map_err(|_| error())?;
+        let index = next()?.parse().map_err(|_| error())?;
+        let step = StepName {
+            job,
+            occurrence,
+            step,
+        };
+        match parts.next() {
+            None => Ok(Self { step, index }),
+            Some(_) => Err(error()),
+        }
+    }
+}
+
+/// Numbers the attempts of a task, from 1 and rising.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
+)]
+pub struct RunNumber(pub u32);
+
+impl fmt::Display for RunNumber {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl RunNumber {
+    /// Returns the number of the next attempt.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+/// One attempt of a task.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
+)]
+pub struct RunName {
+    /// Task.
+    pub task: TaskName,
+    /// Attempt.
+    pub run: RunNumber,
+}
+
+impl fmt::Display for RunName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.task, self.run)
+    }
+}
+
+/// Numbers the planners; a later one is greater. Doubles as the fencing token at workers.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
+)]
+pub struct PlannerEpoch(pub u64);
+
+impl fmt::Display for PlannerEpoch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// One life of a worker: ends with its process.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default)]
+pub struct WorkerLife {
+    /// Id under which the worker announces itself; it may come back under the same one.
+    pub id: Box<str>,
+    /// Start of the worker, in milliseconds since the Unix epoch.
+    pub born: u64,
+}
+
+impl fmt::Display for WorkerLife {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.id, self.born)
+    }
+}
+
+/// Names a host.
+pub type HostName = Box<str>;
+
+/// Position in a stream of the store.
+pub type StreamOffset = u64;
--- /dev/null
+++ b/crates/hornbeamlead_jobs/src/index.rs
@@ -0,0 +1,94 @@
+//! Phases of jobs as an entry follows them from the plan stream.
+
+use crate::ids::JobId;
+use crate::job::JobPhase;
+use crate::ledger::JobLedger;
+use crate::record::PlanRecord;
+use std::collections::HashMap;
+
+/// Job as an entry knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct IndexedJob {
+    phase: JobPhase,
+    queue: Box<str>,
+}
+
+/// Phases of all jobs, and how many of each queue wait.
+#[derive(Clone, Debug, Default)]
+pub struct PhaseIndex {
+    jobs: HashMap<JobId, IndexedJob>,
+    waiting: HashMap<Box<str>, usize>,
+}
+
+impl From<&JobLedger> for PhaseIndex {
+    fn from(ledger: &JobLedger) -> Self {
+        let mut index = Self::default();
+        for (&job, &phase) in &ledger.ended {
+            index.insert(job, "".into(), phase);
+        }
+        for (&job, state) in &ledger.jobs {
+            index.insert(job, state.queue.clone(), state.phase);
+        }
+        index
+    }
+}
+
+impl PhaseIndex {
+    /// Takes in a record.
+    pub fn apply(&mut self, record: &PlanRecord) {
+        match record {
+            PlanRecord::Accepted { job, .. } if self.jobs.contains_key(job) => {}
+            PlanRecord::Accepted { job, queue } => {
+                self.insert(*job, queue.clone(), JobPhase::Queued);
+            }
+            PlanRecord::Started { run, .. } => self.advance(run.task.step.job, JobPhase::Running),
+            PlanRecord::Closed { job, phase } => self.advance(*job, *phase),
+            _ => {}
+        }
+    }
+
+    /// Returns the phase of a job.
+    #[must_use]
+    pub fn phase(&self, job: JobId) -> Option<JobPhase> {
+        self.jobs.get(&job).map(|known| known.phase)
+    }
+
+    /// Returns the jobs of a queue of which no task has started.
+    #[must_use]
+    pub fn waiting(&self, queue: &str) -> usize {
+        self.waiting.get(queue).copied().unwrap_or(0)
+    }
+
+    /// Returns the number of jobs.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Returns whether no job is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    fn insert(&mut self, job: JobId, queue: Box<str>, phase: JobPhase) {
+        if phase == JobPhase::Queued {
+            *self.waiting.entry(queue.clone()).or_default() += 1;
+        }
+        self.jobs.insert(job, IndexedJob { phase, queue });
+    }
+
+    fn advance(&mut self, job: JobId, phase: JobPhase) {
+        let Some(known) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        if known.phase.is_final() {
+            return;
+        }
+        let waited = known.phase == JobPhase::Queued && phase != JobPhase::Queued;
+        known.phase = phase;
+        if waited && let Some(count) = self.waiting.get_mut(&known.queue) {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_jobs/src/keeper/calls.rs
@@ -0,0 +1,292 @@
+//! Calls to the worker and what their replies mean.
+
+use super::{KeeperMachine, RunStage, WorkerClock};
+use crate::effect::Effect;
+use crate::ids::{RunName, WorkerLife};
+use crate::worker::{
+    WorkerAnswer, WorkerAsk, WorkerCall, WorkerLists, WorkerRefusal, WorkerReply, WorkerTag,
+};
+use hornbeamlead_core::clock::MonoTime;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Time after which an order is given up and repeated. Workers answer within milliseconds.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Tries of a start before it is called off.
+const START_TRIES: u32 = 2;
+
+/// Lease in a start, beyond the worker's clock: a start that is carried out later is refused.
+const START_LEASE: Duration = Duration::from_millis(1200);
+
+/// Pause before a stop is repeated.
+const STOP_PAUSE: Duration = Duration::from_millis(200);
+
+/// Wait of a hold for an end.
+const HOLD_WAIT: Duration = Duration::from_millis(300);
+
+/// Time that a hold may take beyond its wait.
+const HOLD_SLACK: Duration = Duration::from_millis(500);
+
+/// Pause after a hold that was refused or not answered.
+const HOLD_PAUSE: Duration = Duration::from_millis(150);
+
+/// Pause between holds while ends are listed that the planner has not recorded yet.
+const UNACKNOWLEDGED_PAUSE: Duration = Duration::from_millis(60);
+
+/// Rows of a full list of ends; further ends are left out.
+const FULL_LIST: usize = 500;
+
+impl KeeperMachine {
+    pub(super) fn call_start(&mut self, now: MonoTime, run: RunName) {
+        let lease_until_ms = self.lease_until(now, START_LEASE);
+        let Some(RunStage::Starting { order, tries }) = self.runs.get_mut(&run) else {
+            return;
+        };
+        *tries += 1;
+        let ask = WorkerAsk::Start {
+            run,
+            spec: order.spec.clone(),
+            saved: order.saved.clone(),
+            lease_until_ms: lease_until_ms.unwrap_or_default(),
+        };
+        match lease_until_ms {
+            Some(_) => self.call(now, WorkerTag::Start(run), ask, ORDER_TIMEOUT),
+            None => {
+                // Without a reading of the worker's clock or a grant, no lease can be given.
+                let Some(RunStage::Starting { order, .. }) = self.runs.remove(&run) else {
+                    return;
+                };
+                self.log("start_dropped", run, "cause=no_lease".into());
+                self.not_started(run, order.life, None);
+            }
+        }
+    }
+
+    /// Returns the end of a lease of at most `span`, on the worker's clock.
+    fn lease_until(&self, now: MonoTime, span: Duration) -> Option<u64> {
+        let clock = self.worker.as_ref()?.clock?;
+        let permitted = self.granted?.plus(self.policy.lease_span).since(now);
+        let span = span.min(permitted);
+        (span > Duration::ZERO).then(|| clock.at(now) + span.as_millis() as u64)
+    }
+
+    fn call(&mut self, now: MonoTime, tag: WorkerTag, ask: WorkerAsk, timeout: Duration) {
+        let Some(worker) = &self.worker else {
+            return;
+        };
+        self.effects.push(Effect::Worker(WorkerCall {
+            tag,
+            address: worker.address,
+            life: worker.facts.life.clone(),
+            epoch: self.epoch,
+            ask,
+            deadline: now.plus(timeout),
+        }));
+    }
+
+    pub(super) fn advance_runs(&mut self, now: MonoTime) {
+        let due = |(run, stage): (&RunName, &mut RunStage)| match stage {
+            RunStage::Stopping { again } if again.is_some_and(|at| now >= at) => {
+                *again = None;
+                Some(*run)
+            }
+            _ => None,
+        };
+        let due: Vec<_> = self.runs.iter_mut().filter_map(due).collect();
+        for run in due {
+            let ask = WorkerAsk::Stop { run };
+            self.call(now, WorkerTag::Stop(run), ask, ORDER_TIMEOUT);
+        }
+    }
+
+    pub(super) fn poll_hold(&mut self, now: MonoTime) {
+        let hold_max = self.policy.hold_max;
+        let lease_until_ms = self.lease_until(now, hold_max);
+        let epoch = self.epoch;
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        if worker.hold_busy || now < worker.hold_at {
+            return;
+        }
+        worker.hold_busy = true;
+        worker.hold += 1;
+        worker.hold_epoch = epoch;
+        let number = worker.hold;
+        let ask = WorkerAsk::Hold {
+            lease_until_ms,
+            acknowledged: worker.acknowledged,
+            wait_until: now.plus(HOLD_WAIT),
+        };
+        self.call(now, WorkerTag::Hold(number), ask, HOLD_WAIT + HOLD_SLACK);
+    }
+
+    pub(super) fn take_reply(
+        &mut self,
+        now: MonoTime,
+        tag: WorkerTag,
+        life: &WorkerLife,
+        reply: WorkerReply,
+    ) {
+        let Some(worker) = self.worker.as_mut().filter(|worker| worker.facts.life == *life) else {
+            return;
+        };
+        if let Some(ms) = reply.clock_ms {
+            let clock = WorkerClock { ms, read: now };
+            let newer = worker.clock.is_none_or(|known| clock.ms >= known.at(now));
+            if newer {
+                worker.clock = Some(clock);
+            }
+        }
+        match reply.answer {
+            WorkerAnswer::Gone => self.end_life(life.clone(), "connection_refused"),
+            WorkerAnswer::Refused(WorkerRefusal::OtherLife) => {
+                self.end_life(life.clone(), "other_life_answers");
+            }
+            answer => match tag {
+                WorkerTag::Start(run) => self.started(now, run, answer),
+                WorkerTag::Stop(run) => self.stopped(now, run, &answer),
+                WorkerTag::Hold(number) => self.held(now, number, answer),
+                WorkerTag::Pace(run) => self.paced(run, &answer),
+            },
+        }
+    }
+
+    fn started(&mut self, now: MonoTime, run: RunName, answer: WorkerAnswer) {
+        let Some(RunStage::Starting { order, tries }) = self.runs.get(&run) else {
+            return;
+        };
+        let (life, tries) = (order.life.clone(), *tries);
+        let after = self.worker.as_ref().map_or(0, |worker| worker.hold);
+        match answer {
+            WorkerAnswer::Done => {
+                self.log("task_started", run, format!("tries={tries}"));
+                let stopped = false;
+                self.runs.insert(run, RunStage::Settling { after, stopped });
+            }
+            WorkerAnswer::Refused(refusal) if tries == 1 => {
+                self.log("start_refused", run, format!("cause={refusal:?}"));
+                self.runs.remove(&run);
+                self.not_started(run, life, Some(refusal));
+            }
+            WorkerAnswer::Unanswered if tries < START_TRIES => self.call_start(now, run),
+            _ => {
+                self.log("start_uncertain", run, format!("tries={tries}"));
+                let again = Some(now);
+                self.runs.insert(run, RunStage::Stopping { again });
+            }
+        }
+    }
+
+    fn stopped(&mut self, now: MonoTime, run: RunName, answer: &WorkerAnswer) {
+        let after = self.worker.as_ref().map_or(0, |worker| worker.hold);
+        let Some(stage @ RunStage::Stopping { .. }) = self.runs.get_mut(&run) else {
+            return;
+        };
+        let carried_out = matches!(
+            answer,
+            WorkerAnswer::Done | WorkerAnswer::Refused(WorkerRefusal::Superseded)
+        );
+        *stage = match carried_out {
+            true => RunStage::Settling {
+                after,
+                stopped: true,
+            },
+            false => RunStage::Stopping {
+                again: Some(now.plus(STOP_PAUSE)),
+            },
+        };
+        self.log("task_stopped", run, format!("answer={answer:?}"));
+    }
+
+    fn held(&mut self, now: MonoTime, number: u64, answer: WorkerAnswer) {
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        if number != worker.hold {
+            return;
+        }
+        worker.hold_busy = false;
+        let WorkerAnswer::Lists(lists) = answer else {
+            worker.hold_at = now.plus(HOLD_PAUSE);
+            return;
+        };
+        let unacknowledged = lists.ended.iter().any(|end| end.number > worker.acknowledged);
+        worker.hold_at = match unacknowledged {
+            true => now.plus(UNACKNOWLEDGED_PAUSE),
+            false => now,
+        };
+        let changed = runs_of(&lists) != runs_of(&worker.lists)
+            || lists.ended.last().map(|end| end.number)
+                != worker.lists.ended.last().map(|end| end.number);
+        let first = worker.listed != Some(worker.hold_epoch);
+        worker.listed = Some(worker.hold_epoch);
+        worker.lists = lists;
+        self.report_due |= changed || first;
+        self.settle(number);
+        self.adjust_pace(now);
+    }
+
+    /// Learns from the lists of a hold what became of orders that were answered before it.
+    fn settle(&mut self, number: u64) {
+        let Some(worker) = &self.worker else {
+            return;
+        };
+        let life = worker.facts.life.clone();
+        let running = runs_of(&worker.lists);
+        let ended: BTreeSet<_> = worker.lists.ended.iter().map(|end| end.run).collect();
+        let whole = worker.lists.ended.len() < FULL_LIST;
+        let mut absent = Vec::new();
+        self.runs.retain(|run, stage| {
+            let is_running = running.contains(run);
+            match stage {
+                _ if ended.contains(run) => false,
+                RunStage::Settling { after, stopped } if number > *after => {
+                    if !is_running && whole {
+                        absent.push(*run);
+                    } else if is_running && !*stopped {
+                        *stage = RunStage::Listed;
+                    }
+                    is_running || !whole
+                }
+                RunStage::Listed => is_running || !whole,
+                _ => true,
+            }
+        });
+        for run in running {
+            self.runs.entry(run).or_insert(RunStage::Listed);
+        }
+        for run in absent {
+            self.log("task_absent", run, format!("hold={number}"));
+            self.not_started(run, life.clone(), None);
+        }
+        if !self.effects.is_empty() {
+            self.report_due = true;
+        }
+    }
+
+    fn adjust_pace(&mut self, now: MonoTime) {
+        let Some(worker) = &self.worker else {
+            return;
+        };
+        let traits = &self.traits;
+        let changes = self.pace.adjust(now, &worker.lists.running, traits);
+        for (run, percent) in changes {
+            self.log("task_paced", run, format!("percent={percent}"));
+            let ask = WorkerAsk::Pace { run, percent };
+            self.call(now, WorkerTag::Pace(run), ask, ORDER_TIMEOUT);
+        }
+    }
+
+    fn paced(&mut self, run: RunName, answer: &WorkerAnswer) {
+        if *answer != WorkerAnswer::Done {
+            self.pace.forget(run);
+            self.log("pace_failed", run, format!("answer={answer:?}"));
+        }
+    }
+}
+
+fn runs_of(lists: &WorkerLists) -> BTreeSet<RunName> {
+    lists.running.iter().map(|row| row.run).collect()
+}
--- /dev/null
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -0,0 +1,333 @@
+//! State that the records of the plan stream add up to.
+
+use crate::ids::{HostName, JobId, RunName, RunNumber, StepName, StreamOffset, TaskName, WorkerLife};
+use crate::job::{JobPhase, JobRecord, RunEnd, StepSpec};
+use crate::record::PlanRecord;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Attempt that may be running.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskPlacement {
+    /// Attempt.
+    pub run: RunNumber,
+    /// Host.
+    pub host: HostName,
+    /// Life of the worker.
+    pub life: WorkerLife,
+}
+
+/// State of one task.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TaskState {
+    /// Highest attempt that was recorded.
+    pub last_run: RunNumber,
+    /// Attempts that ended as failed.
+    pub failures: u16,
+    /// Newest checkpoint.
+    pub saved: Option<Box<str>>,
+    /// Whether all its work is done.
+    pub done: bool,
+    /// Attempts that may be running.
+    pub placements: Vec<TaskPlacement>,
+}
+
+impl TaskState {
+    /// Returns whether the task needs an attempt.
+    #[must_use]
+    pub fn is_waiting(&self) -> bool {
+        !self.done && self.placements.is_empty()
+    }
+}
+
+/// State of one occurrence: its tasks by step.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct OccurrenceState {
+    /// Tasks, by step and index.
+    pub steps: Vec<Vec<TaskState>>,
+}
+
+impl OccurrenceState {
+    fn new(record: &JobRecord) -> Self {
+        let tasks = |step: &StepSpec| vec![TaskState::default(); step.tasks as usize];
+        Self {
+            steps: record.body.steps.iter().map(tasks).collect(),
+        }
+    }
+
+    /// Returns whether all tasks of a step are done.
+    #[must_use]
+    pub fn is_step_done(&self, step: u16) -> bool {
+        let tasks = self.steps.get(usize::from(step));
+        tasks.is_some_and(|tasks| tasks.iter().all(|task| task.done))
+    }
+
+    /// Returns whether a step's turn has come.
+    #[must_use]
+    pub fn is_step_ready(&self, step: &StepSpec) -> bool {
+        step.after.iter().all(|&earlier| self.is_step_done(earlier))
+    }
+
+    fn is_done(&self) -> bool {
+        let tasks = |tasks: &Vec<TaskState>| tasks.iter().all(|task| task.done);
+        self.steps.iter().all(tasks)
+    }
+}
+
+/// State of a job that has not ended, or whose attempts have not.
+#[derive(Clone, Debug, PartialEq)]
+pub struct JobState {
+    /// What was accepted; absent while the body has not been read again after a recovery.
+    pub record: Option<Arc<JobRecord>>,
+    /// Queue, as host and path prefix.
+    pub queue: Box<str>,
+    /// Phase.
+    pub phase: JobPhase,
+    /// Occurrences that have begun or may begin, by number.
+    pub occurrences: BTreeMap<u32, OccurrenceState>,
+}
+
+impl JobState {
+    fn new(queue: Box<str>) -> Self {
+        Self {
+            record: None,
+            queue,
+            phase: JobPhase::Queued,
+            occurrences: BTreeMap::new(),
+        }
+    }
+
+    /// Returns a step's specification.
+    #[must_use]
+    pub fn spec(&self, step: StepName) -> Option<&StepSpec> {
+        self.record.as_ref()?.step(step)
+    }
+
+    /// Returns a task.
+    #[must_use]
+    pub fn task(&self, name: TaskName) -> Option<&TaskState> {
+        let occurrence = self.occurrences.get(&name.step.occurrence)?;
+        let tasks = occurrence.steps.get(usize::from(name.step.step))?;
+        tasks.get(name.index as usize)
+    }
+
+    /// Returns a task, making room for it where its occurrence or step is not known yet.
+    fn task_mut(&mut self, name: TaskName) -> &mut TaskState {
+        let record = self.record.as_deref();
+        let make = || record.map(OccurrenceState::new).unwrap_or_default();
+        let occurrence = self.occurrences.entry(name.step.occurrence).or_insert_with(make);
+        let step = usize::from(name.step.step);
+        if occurrence.steps.len() <= step {
+            occurrence.steps.resize_with(step + 1, Vec::new);
+        }
+        let index = name.index as usize;
+        let tasks = &mut occurrence.steps[step];
+        if tasks.len() <= index {
+            tasks.resize_with(index + 1, TaskState::default);
+        }
+        &mut tasks[index]
+    }
+
+    /// Makes an occurrence whose tasks all wait, unless it is known.
+    pub fn open_occurrence(&mut self, occurrence: u32) {
+        if let Some(record) = &self.record {
+            let make = || OccurrenceState::new(record);
+            self.occurrences.entry(occurrence).or_insert_with(make);
+        }
+    }
+
+    /// Gives the job its body, and tasks that no record named yet their state.
+    fn set_record(&mut self, record: Arc<JobRecord>) {
+        for occurrence in self.occurrences.values_mut() {
+            let whole = OccurrenceState::new(&record);
+            occurrence.steps.resize_with(whole.steps.len(), Vec::new);
+            for (tasks, wanted) in occurrence.steps.iter_mut().zip(&whole.steps) {
+                tasks.resize_with(wanted.len(), TaskState::default);
+            }
+        }
+        self.record = Some(record);
+    }
+
+    /// Returns whether all tasks of all occurrences are done; never for lasting tasks.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        let Some(record) = &self.record else {
+            return false;
+        };
+        let expected = record.body.schedule.occurrences() as usize;
+        self.occurrences.len() == expected && self.occurrences.values().all(OccurrenceState::is_done)
+    }
+
+    /// Returns whether no attempt may be running.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.placements().next().is_none()
+    }
+
+    /// Returns all attempts that may be running, without their job.
+    pub fn placements(&self) -> impl Iterator<Item = (u32, u16, u32, &TaskPlacement)> {
+        self.occurrences.iter().flat_map(|(&occurrence, state)| {
+            state.steps.iter().enumerate().flat_map(move |(step, tasks)| {
+                tasks.iter().enumerate().flat_map(move |(index, task)| {
+                    let place = move |placement| (occurrence, step as u16, index as u32, placement);
+                    task.placements.iter().map(place)
+                })
+            })
+        })
+    }
+
+    /// Returns the names of all attempts that may be running.
+    pub fn runs(&self, job: JobId) -> impl Iterator<Item = (RunName, &TaskPlacement)> {
+        self.placements().map(move |(occurrence, step, index, placement)| {
+            let step = StepName {
+                job,
+                occurrence,
+                step,
+            };
+            let task = TaskName { step, index };
+            let run = placement.run;
+            (RunName { task, run }, placement)
+        })
+    }
+
+    fn end_run(&mut self, run: RunName, end: RunEnd, saved: Option<Box<str>>) {
+        let spec = self.spec(run.task.step);
+        let lasting = spec.is_some_and(|spec| spec.lasting);
+        let gang = spec.is_some_and(|spec| spec.gang);
+        let task = self.task_mut(run.task);
+        task.placements.retain(|placement| placement.run != run.run);
+        task.last_run = task.last_run.max(run.run);
+        if saved.is_some() {
+            task.saved = saved;
+        }
+        match end {
+            RunEnd::Done if lasting => {}
+            RunEnd::Done if gang => self.end_gang(run),
+            RunEnd::Done => task.done = true,
+            RunEnd::Failed => task.failures = task.failures.saturating_add(1),
+            _ => {}
+        }
+    }
+
+    /// One member's end `done` stands for all members of the same attempt.
+    fn end_gang(&mut self, run: RunName) {
+        let step = usize::from(run.task.step.step);
+        let occurrence = self.occurrences.get_mut(&run.task.step.occurrence);
+        let tasks = occurrence.and_then(|occurrence| occurrence.steps.get_mut(step));
+        for task in tasks.into_iter().flatten() {
+            task.done = true;
+            task.placements.retain(|placement| placement.run != run.run);
+        }
+    }
+}
+
+/// State of all jobs.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct JobLedger {
+    /// Jobs that have not ended, or whose attempts have not.
+    pub jobs: BTreeMap<JobId, JobState>,
+    /// Jobs that have ended for good.
+    pub ended: BTreeMap<JobId, JobPhase>,
+    /// Addresses of agents.
+    pub hosts: BTreeMap<HostName, SocketAddr>,
+    /// Next offset of the jobs stream that the planner reads.
+    pub jobs_read: StreamOffset,
+}
+
+impl JobLedger {
+    /// Takes in a record.
+    pub fn apply(&mut self, record: &PlanRecord) {
+        match record {
+            PlanRecord::Claim(_) => {}
+            PlanRecord::Tick { jobs_read } => self.jobs_read = self.jobs_read.max(*jobs_read),
+            PlanRecord::Accepted { job, .. } if self.ended.contains_key(job) => {}
+            PlanRecord::Accepted { job, queue } => {
+                let make = || JobState::new(queue.clone());
+                self.jobs.entry(*job).or_insert_with(make);
+            }
+            PlanRecord::Started { run, host, life } => self.begin_run(*run, host, life),
+            PlanRecord::Ended { run, end, saved } => {
+                if let Some(job) = self.jobs.get_mut(&run.task.step.job) {
+                    job.end_run(*run, *end, saved.clone());
+                }
+                self.drop_idle(run.task.step.job);
+            }
+            PlanRecord::Closed { job, phase } => {
+                if let Some(state) = self.jobs.get_mut(job) {
+                    state.phase = *phase;
+                }
+                self.ended.insert(*job, *phase);
+                self.drop_idle(*job);
+            }
+            PlanRecord::Host { host, address } => {
+                self.hosts.insert(host.clone(), *address);
+            }
+        }
+    }
+
+    fn begin_run(&mut self, run: RunName, host: &HostName, life: &WorkerLife) {
+        let Some(job) = self.jobs.get_mut(&run.task.step.job) else {
+            return;
+        };
+        if !job.phase.is_final() {
+            job.phase = JobPhase::Running;
+        }
+        let task = job.task_mut(run.task);
+        task.last_run = task.last_run.max(run.run);
+        task.placements.push(TaskPlacement {
+            run: run.run,
+            host: host.clone(),
+            life: life.clone(),
+        });
+    }
+
+    /// Forgets the tasks of a job that has ended, once none of them may be running.
+    fn drop_idle(&mut self, job: JobId) {
+        let idle = |state: &JobState| state.phase.is_final() && state.is_idle();
+        if self.jobs.get(&job).is_some_and(idle) {
+            self.jobs.remove(&job);
+        }
+    }
+
+    /// Gives a job its body, when that is read from the jobs stream.
+    pub fn set_record(&mut self, job: JobId, record: Arc<JobRecord>) {
+        if let Some(state) = self.jobs.get_mut(&job) {
+            state.set_record(record);
+        }
+    }
+
+    /// Returns the phase of a job.
+    #[must_use]
+    pub fn phase(&self, job: JobId) -> Option<JobPhase> {
+        let live = self.jobs.get(&job).map(|state| state.phase);
+        live.or_else(|| self.ended.get(&job).copied())
+    }
+
+    /// Returns a task and its job.
+    #[must_use]
+    pub fn task(&self, name: TaskName) -> Option<(&JobState, &TaskState)> {
+        let job = self.jobs.get(&name.step.job)?;
+        Some((job, job.task(name)?))
+    }
+
+    /// Returns the placement of an attempt.
+    #[must_use]
+    pub fn placement(&self, run: RunName) -> Option<&TaskPlacement> {
+        let (_, task) = self.task(run.task)?;
+        task.placements.iter().find(|placement| placement.run == run.run)
+    }
+
+    /// Notes a newer checkpoint of an attempt that runs; it is recorded with the attempt's end.
+    pub fn note_saved(&mut self, run: RunName, saved: &str) {
+        if self.placement(run).is_none() {
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&run.task.step.job) {
+            let task = job.task_mut(run.task);
+            if task.saved.as_deref() != Some(saved) {
+                task.saved = Some(saved.into());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -0,0 +1,90 @@
+//! What the planner knows of the hosts.
+
+use crate::effect::LinkId;
+use super::placement::TaskDemand;
+use crate::ids::{HostName, RunName, WorkerLife};
+use crate::message::AgentStamp;
+use crate::worker::WorkerFacts;
+use hornbeamlead_core::clock::MonoTime;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Silence after which nothing is ordered from a host; it reports every 300 ms.
+const REACH_SPAN: Duration = Duration::from_millis(1000);
+
+/// Host as the planner sees it.
+#[derive(Clone, Debug)]
+pub struct HostView {
+    /// Host.
+    pub host: HostName,
+    /// Link, while it is open.
+    pub link: Option<LinkId>,
+    /// Worker, while one is known to live.
+    pub worker: Option<WorkerFacts>,
+    /// Newest life that has ended for certain.
+    pub dead: Option<WorkerLife>,
+    /// When the newest report came; the beginning of the epoch before the first.
+    pub heard: MonoTime,
+    /// Whether a report came in this epoch.
+    pub reported: bool,
+    /// Stamp of the newest report.
+    pub stamp: AgentStamp,
+    /// Nothing starts there before.
+    pub not_before: MonoTime,
+    /// Failed attempts since the last one that was done.
+    pub strikes: u32,
+    /// Attempts that may be running there, with what they take.
+    pub runs: BTreeMap<RunName, TaskDemand>,
+    /// Whether only one task at a time is tried, after many failures.
+    pub probation: bool,
+    orders: u64,
+}
+
+impl HostView {
+    pub(super) fn new(host: HostName, heard: MonoTime) -> Self {
+        Self {
+            host,
+            link: None,
+            worker: None,
+            dead: None,
+            heard,
+            reported: false,
+            stamp: AgentStamp(0),
+            not_before: MonoTime(0),
+            strikes: 0,
+            runs: BTreeMap::new(),
+            probation: false,
+            orders: 0,
+        }
+    }
+
+    /// Returns the life of the worker.
+    #[must_use]
+    pub fn life(&self) -> Option<&WorkerLife> {
+        self.worker.as_ref().map(|worker| &worker.life)
+    }
+
+    /// Returns whether the worker is about to leave.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.worker.as_ref().is_some_and(|worker| worker.draining)
+    }
+
+    /// Returns whether orders reach the host.
+    #[must_use]
+    pub fn is_open(&self, now: MonoTime) -> bool {
+        self.link.is_some() && self.reported && now.since(self.heard) <= REACH_SPAN
+    }
+
+    /// Gives the next order on the link its number.
+    pub(super) fn next_order(&mut self) -> u64 {
+        self.orders += 1;
+        self.orders
+    }
+
+    /// Binds the host to a new link, on which orders are numbered anew.
+    pub(super) fn bind(&mut self, link: LinkId) -> Option<LinkId> {
+        self.orders = 0;
+        self.link.replace(link).filter(|old| *old != link)
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_jobs/src/planner/intake.rs
@@ -0,0 +1,135 @@
+//! Takes in new jobs and cancellations, and judges when a job has ended.
+
+use super::PlannerMachine;
+use super::batch::HeldStep;
+use crate::entry::{CANCEL_PREFIX, JOB_PREFIX};
+use crate::follow::FollowNews;
+use crate::ids::{JobId, RunName};
+use crate::job::{JobPhase, JobRecord};
+use crate::operators::OperatorFormat;
+use crate::record::{PlanRecord, decode};
+use crate::store::{ReadRecord, StoreOutcome};
+use hornbeamlead_core::clock::MonoTime;
+use std::sync::Arc;
+
+/// Returns whether a record of the jobs stream is a cancellation.
+pub(super) fn is_cancel(record: &ReadRecord) -> bool {
+    record.key.starts_with(CANCEL_PREFIX)
+}
+
+impl<F: OperatorFormat> PlannerMachine<F> {
+    pub(super) fn take_jobs(&mut self, now: MonoTime, outcome: StoreOutcome) {
+        match self.jobs_follower.take(now, outcome) {
+            FollowNews::Records { records, .. } => self.apply_jobs(now, &records),
+            // The planner has been away from the store for longer than records are kept.
+            FollowNews::Expired => self.depose("jobs_expired"),
+            FollowNews::Failed => {}
+        }
+    }
+
+    pub(super) fn apply_jobs(&mut self, now: MonoTime, records: &[ReadRecord]) {
+        for record in records {
+            let Some(value) = record.value.as_deref() else {
+                continue;
+            };
+            let job = record.key.strip_prefix(JOB_PREFIX).map(str::parse::<JobId>);
+            let cancel = record.key.strip_prefix(CANCEL_PREFIX).map(str::parse::<JobId>);
+            match (job, cancel) {
+                (Some(Ok(job)), _) => self.take_job(now, job, value),
+                (_, Some(Ok(job))) => self.cancel_job(now, job),
+                _ => {
+                    let detail = format!("offset={} key={:?}", record.offset, record.key);
+                    self.log("job_unreadable", "jobs", detail);
+                }
+            }
+        }
+    }
+
+    fn take_job(&mut self, now: MonoTime, job: JobId, value: &[u8]) {
+        if self.ledger.ended.contains_key(&job) {
+            self.upkeep.remove_body(job);
+            return;
+        }
+        let known = self.ledger.jobs.get(&job);
+        if known.is_some_and(|state| state.record.is_some()) {
+            return;
+        }
+        let is_new = known.is_none();
+        match decode::<JobRecord>(value) {
+            Ok(record) => {
+                let queue = record.terms.queue.clone();
+                if is_new {
+                    let steps = record.body.steps.len();
+                    self.log("job_taken", job, format!("queue={queue} steps={steps}"));
+                    self.record(now, PlanRecord::Accepted { job, queue });
+                }
+                self.ledger.set_record(job, Arc::new(record));
+                self.open_occurrences(job);
+            }
+            Err(error) => {
+                let cause = error.to_string();
+                self.log("job_unreadable", job, format!("cause={cause:?}"));
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// Makes the occurrence of a job that runs once; others open when they are due.
+    fn open_occurrences(&mut self, job: JobId) {
+        if let Some(state) = self.ledger.jobs.get_mut(&job) {
+            let once = state.record.as_ref().is_some_and(|record| record.body.schedule.times == 0);
+            if once {
+                state.open_occurrence(0);
+            }
+        }
+    }
+
+    fn cancel_job(&mut self, now: MonoTime, job: JobId) {
+        match self.ledger.phase(job) {
+            Some(phase) if !phase.is_final() => {
+                self.log("job_cancelled", job, format!("phase={phase}"));
+                self.close_job(now, job, JobPhase::Cancelled);
+            }
+            Some(_) => {}
+            None => self.log("cancel_unknown", job, String::new()),
+        }
+    }
+
+    /// Ends a job and stops what still runs of it.
+    pub(super) fn close_job(&mut self, now: MonoTime, job: JobId, phase: JobPhase) {
+        let runs: Vec<RunName> = match self.ledger.jobs.get(&job) {
+            Some(state) => state.runs(job).map(|(run, _)| run).collect(),
+            None => Vec::new(),
+        };
+        self.record(now, PlanRecord::Closed { job, phase });
+        self.upkeep.remove_body(job);
+        for run in runs {
+            self.batch.hold(HeldStep::Stop(run));
+        }
+    }
+
+    /// Ends a job all of whose tasks are done, or of which one has used up its attempts.
+    pub(super) fn judge_job(&mut self, now: MonoTime, job: JobId) {
+        let Some(state) = self.ledger.jobs.get(&job) else {
+            return;
+        };
+        let Some(record) = state.record.as_ref().filter(|_| !state.phase.is_final()) else {
+            return;
+        };
+        let attempts = record.terms.max_attempts.max(1);
+        let hopeless = state.occurrences.values().any(|occurrence| {
+            let steps = occurrence.steps.iter().zip(&record.body.steps);
+            let mut bounded = steps.filter(|(_, step)| !step.lasting);
+            bounded.any(|(tasks, _)| tasks.iter().any(|task| task.failures >= attempts))
+        });
+        let outcome = match () {
+            () if hopeless => Some(JobPhase::Failed),
+            () if state.is_done() => Some(JobPhase::Completed),
+            () => None,
+        };
+        if let Some(phase) = outcome {
+            self.log("job_ended", job, format!("phase={phase}"));
+            self.close_job(now, job, phase);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_jobs/src/planner/placement.rs
@@ -0,0 +1,174 @@
+//! Chooses the host for a task.
+
+use super::hosts::HostView;
+use crate::ids::{RunName, StepName};
+use crate::job::StepSpec;
+use crate::worker::WorkerFacts;
+use std::collections::BTreeMap;
+
+/// Weights of the choice of a host; each is a share of a whole worker.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacementPolicy {
+    /// Cost to a filler of the whole worker being taken by lasting tasks.
+    pub filler_beside_lasting: f64,
+    /// Gain to a lasting task of the whole worker being taken by others of its kind.
+    pub lasting_together: f64,
+    /// Cost to a lasting task of the whole worker being taken by fillers.
+    pub lasting_beside_filler: f64,
+    /// Tasks of one lasting step on one worker, where the job promises no fewer.
+    pub lasting_per_host: u32,
+    /// Cost of a rack that does not hold the data.
+    pub remote_data: f64,
+    /// Cost of a worker on which the task has failed.
+    pub failed_before: f64,
+}
+
+impl Default for PlacementPolicy {
+    fn default() -> Self {
+        Self {
+            filler_beside_lasting: 3.0,
+            lasting_together: 1.0,
+            lasting_beside_filler: 1.0,
+            lasting_per_host: 2,
+            remote_data: 1.0,
+            failed_before: 2.0,
+        }
+    }
+}
+
+/// What an attempt takes of its worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TaskDemand {
+    /// Step.
+    pub step: StepName,
+    /// Processors, in thousandths of a core.
+    pub cpu: u32,
+    /// Memory, in mebibytes.
+    pub memory: u32,
+    /// Accelerators.
+    pub accelerators: u32,
+    /// Whether it lives on what others leave unused.
+    pub filler: bool,
+    /// Whether it lasts.
+    pub lasting: bool,
+}
+
+impl TaskDemand {
+    pub(super) fn new(step: StepName, spec: &StepSpec) -> Self {
+        Self {
+            step,
+            cpu: spec.cpu,
+            memory: spec.memory,
+            accelerators: spec.accelerators,
+            filler: spec.filler,
+            lasting: spec.lasting,
+        }
+    }
+}
+
+/// What the attempts on a worker take together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct HostLoad {
+    pub(super) cpu: u32,
+    pub(super) memory: u32,
+    pub(super) accelerators: u32,
+    pub(super) filler_cpu: u32,
+    pub(super) lasting_cpu: u32,
+    pub(super) count: u32,
+}
+
+impl HostLoad {
+    pub(super) fn of(runs: &BTreeMap<RunName, TaskDemand>) -> Self {
+        let mut load = Self::default();
+        for demand in runs.values() {
+            load.add(demand);
+        }
+        load
+    }
+
+    pub(super) fn add(&mut self, demand: &TaskDemand) {
+        self.count += 1;
+        self.memory += demand.memory;
+        self.accelerators += demand.accelerators;
+        match demand.filler {
+            true => self.filler_cpu += demand.cpu,
+            false => self.cpu += demand.cpu,
+        }
+        if demand.lasting {
+            self.lasting_cpu += demand.cpu;
+        }
+    }
+
+    fn fits(&self, demand: &TaskDemand, worker: &WorkerFacts) -> bool {
+        let cpu = if demand.filler { 0 } else { demand.cpu };
+        self.cpu + cpu <= worker.cpu
+            && self.memory + demand.memory <= worker.memory
+            && self.accelerators + demand.accelerators <= worker.accelerators
+    }
+}
+
+/// Host that may take tasks in a pass of the schedule.
+#[derive(Clone, Debug)]
+pub(super) struct Candidate<'a> {
+    pub(super) view: &'a HostView,
+    pub(super) worker: &'a WorkerFacts,
+    pub(super) load: HostLoad,
+    /// Tasks by step that were placed in this pass.
+    pub(super) placed: BTreeMap<StepName, u32>,
+    /// Cost of the worker's record of failures.
+    pub(super) risk: f64,
+    /// Most tasks that may run there.
+    pub(super) limit: u32,
+}
+
+impl Candidate<'_> {
+    /// Returns how many tasks of a step run or are about to run there.
+    pub(super) fn step_count(&self, step: StepName) -> u32 {
+        let running = self.view.runs.values().filter(|demand| demand.step == step);
+        running.count() as u32 + self.placed.get(&step).copied().unwrap_or(0)
+    }
+
+    pub(super) fn take(&mut self, demand: &TaskDemand) {
+        self.load.add(demand);
+        *self.placed.entry(demand.step).or_default() += 1;
+    }
+
+    /// Returns whether a task may run there.
+    pub(super) fn admits(&self, demand: &TaskDemand, spec: &StepSpec, service: &str) -> bool {
+        let labelled = spec.label.as_ref().is_none_or(|label| self.worker.labels.contains(label));
+        let spread = spec.spread_limit;
+        *self.worker.service == *service
+            && labelled
+            && self.load.count < self.limit
+            && self.load.fits(demand, self.worker)
+            && spread.is_none_or(|limit| self.step_count(demand.step) < limit)
+    }
+
+    /// Returns the cost of running a task there; the least wins.
+    pub(super) fn cost(
+        &self,
+        policy: &PlacementPolicy,
+        demand: &TaskDemand,
+        spec: &StepSpec,
+    ) -> f64 {
+        let whole = f64::from(self.worker.cpu.max(1));
+        let share = |cpu: u32| f64::from(cpu) / whole;
+        let lasting = share(self.load.lasting_cpu);
+        let remote = spec.data_rack.as_ref().is_some_and(|rack| !self.worker.labels.contains(rack));
+        let base = match (demand.filler, demand.lasting) {
+            (true, _) => {
+                let busy = share(self.load.cpu + self.load.filler_cpu + demand.cpu);
+                busy + policy.filler_beside_lasting * lasting
+            }
+            (false, true) => {
+                let crowd = self.step_count(demand.step);
+                let crowded = crowd >= policy.lasting_per_host.max(spec.may_miss.unwrap_or(0));
+                let full = if crowded { 10.0 + f64::from(crowd) } else { 0.0 };
+                full + policy.lasting_beside_filler * share(self.load.filler_cpu)
+                    - policy.lasting_together * lasting
+            }
+            (false, false) => share(self.load.cpu + self.load.filler_cpu + demand.cpu),
+        };
+        base + self.risk + if remote { policy.remote_data } else { 0.0 }
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_jobs/src/planner/recovery.rs
@@ -0,0 +1,217 @@
+//! Recovers the state of all jobs from the store: newest snapshot, records after it, jobs.
+
+use super::PlannerMachine;
+use crate::effect::{Effect, LinkId};
+use crate::operators::OperatorFormat;
+use crate::follow::{FollowNews, NewestReader, NewestRecords, StreamFollower};
+use crate::ids::StreamOffset;
+use crate::message::AgentMessage;
+use crate::record::{PlanRecord, decode};
+use crate::snapshot::read_snapshot;
+use crate::store::{ReadRecord, StoreCaller, StoreOutcome, StreamName};
+use hornbeamlead_core::clock::MonoTime;
+use std::time::Duration;
+
+/// Time that opening a link to an agent that is called up may take.
+const SUMMONS_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// First number of the links by which agents are called up; far above all others of a process.
+const SUMMONS_LINKS: u64 = 1 << 56;
+
+#[derive(Debug)]
+enum PlanStage {
+    Snapshot(NewestReader),
+    Records(StreamFollower),
+    Done,
+}
+
+#[derive(Debug)]
+enum JobsStage {
+    Reading(NewestReader),
+    Read(NewestRecords),
+    Done,
+}
+
+/// Where a recovery stands.
+#[derive(Debug)]
+pub(super) struct RecoveryState {
+    claim: StreamOffset,
+    plan: PlanStage,
+    jobs: JobsStage,
+}
+
+impl RecoveryState {
+    pub(super) fn new(claim: StreamOffset) -> Self {
+        Self {
+            claim,
+            plan: snapshot_stage(),
+            jobs: JobsStage::Reading(NewestReader::new(StreamName::Jobs, StoreCaller::Recovery)),
+        }
+    }
+}
+
+fn snapshot_stage() -> PlanStage {
+    PlanStage::Snapshot(NewestReader::new(StreamName::Snapshots, StoreCaller::Plan))
+}
+
+impl<F: OperatorFormat> PlannerMachine<F> {
+    pub(super) fn poll_recovery(&mut self, now: MonoTime) {
+        let Some(recovery) = &mut self.recovery else {
+            return;
+        };
+        let plan = match &mut recovery.plan {
+            PlanStage::Snapshot(reader) => reader.poll(now),
+            PlanStage::Records(follower) => follower.poll(now),
+            PlanStage::Done => None,
+        };
+        let jobs = match &mut recovery.jobs {
+            JobsStage::Reading(reader) => reader.poll(now),
+            _ => None,
+        };
+        self.effects.extend(plan.into_iter().chain(jobs).map(Effect::Store));
+    }
+
+    pub(super) fn take_recovery(
+        &mut self,
+        now: MonoTime,
+        caller: StoreCaller,
+        outcome: StoreOutcome,
+    ) {
+        let Some(mut recovery) = self.recovery.take() else {
+            return;
+        };
+        match caller {
+            StoreCaller::Plan => self.recover_plan(now, &mut recovery, outcome),
+            _ => {
+                if let JobsStage::Reading(reader) = &mut recovery.jobs
+                    && let Some(newest) = reader.take(now, outcome)
+                {
+                    recovery.jobs = JobsStage::Read(newest);
+                }
+            }
+        }
+        match (&recovery.plan, &mut recovery.jobs) {
+            (PlanStage::Done, jobs @ JobsStage::Read(_)) => {
+                let jobs = std::mem::replace(jobs, JobsStage::Done);
+                if let JobsStage::Read(newest) = jobs {
+                    self.take_over(now, newest);
+                }
+            }
+            _ => self.recovery = Some(recovery),
+        }
+    }
+
+    fn recover_plan(
+        &mut self,
+        now: MonoTime,
+        recovery: &mut RecoveryState,
+        outcome: StoreOutcome,
+    ) {
+        match &mut recovery.plan {
+            PlanStage::Snapshot(reader) => {
+                if let Some(newest) = reader.take(now, outcome) {
+                    recovery.plan = self.recover_snapshot(&newest.records);
+                }
+            }
+            PlanStage::Records(follower) => match follower.take(now, outcome) {
+                FollowNews::Records { records, .. } => {
+                    if self.replay(recovery.claim, &records) {
+                        recovery.plan = PlanStage::Done;
+                    }
+                }
+                FollowNews::Expired => recovery.plan = snapshot_stage(),
+                FollowNews::Failed => {}
+            },
+            PlanStage::Done => {}
+        }
+    }
+
+    fn recover_snapshot(&mut self, records: &[ReadRecord]) -> PlanStage {
+        let mut follower = StreamFollower::new(
+            StreamName::Plan,
+            StoreCaller::Plan,
+            Duration::ZERO,
+            Duration::ZERO,
+        );
+        match read_snapshot(records) {
+            Ok(Some((ledger, offset))) => {
+                self.ledger = ledger;
+                follower.seek(offset);
+                PlanStage::Records(follower)
+            }
+            Ok(None) if records.is_empty() => {
+                self.ledger = Default::default();
+                PlanStage::Records(follower)
+            }
+            Ok(None) => snapshot_stage(),
+            Err(error) => {
+                let cause = error.to_string();
+                self.log("snapshot_unreadable", "plan", format!("cause={cause:?}"));
+                snapshot_stage()
+            }
+        }
+    }
+
+    /// Applies records up to the own claim; returns whether it was reached.
+    fn replay(&mut self, claim: StreamOffset, records: &[ReadRecord]) -> bool {
+        for read in records.iter().take_while(|read| read.offset <= claim) {
+            let record = decode::<PlanRecord>(read.value.as_deref().unwrap_or_default());
+            match record {
+                Ok(PlanRecord::Claim(other)) if read.offset == claim => {
+                    if other.incarnation != self.policy.incarnation {
+                        self.depose("claim_of_another");
+                    }
+                }
+                Ok(record) => self.ledger.apply(&record),
+                Err(error) => {
+                    let cause = error.to_string();
+                    let detail = format!("offset={} cause={cause:?}", read.offset);
+                    self.log("record_unreadable", "plan", detail);
+                }
+            }
+        }
+        records.last().is_some_and(|read| read.offset >= claim)
+    }
+
+    fn take_over(&mut self, now: MonoTime, newest: NewestRecords) {
+        self.jobs_follower.seek(newest.end);
+        let (cancels, jobs): (Vec<_>, Vec<_>) =
+            newest.records.into_iter().partition(super::intake::is_cancel);
+        self.apply_jobs(now, &jobs);
+        self.apply_jobs(now, &cancels);
+        let bodiless = |(job, state): (&crate::ids::JobId, &crate::ledger::JobState)| {
+            (state.record.is_none() && !state.phase.is_final()).then_some(*job)
+        };
+        let bodiless: Vec<_> = self.ledger.jobs.iter().filter_map(bodiless).collect();
+        for job in bodiless {
+            self.log("job_without_body", job, String::new());
+        }
+        self.adopt_placements(now);
+        let detail = format!(
+            "epoch={} jobs={} runs={} took_ms={}",
+            self.epoch,
+            self.ledger.jobs.len(),
+            self.runs.len(),
+            now.since(self.began).as_millis()
+        );
+        self.log("planner_active", self.policy.host.clone(), detail);
+        self.summon(now);
+    }
+
+    /// Calls up all agents that are known; the others find the planner's address at the store.
+    fn summon(&mut self, now: MonoTime) {
+        let (epoch, address) = (self.epoch, self.policy.address);
+        let agents = self.ledger.hosts.values().filter(|agent| **agent != address);
+        for (number, &agent) in agents.enumerate() {
+            let link = LinkId(SUMMONS_LINKS + now.0 + number as u64);
+            self.effects.push(Effect::Dial {
+                link,
+                address: agent,
+                deadline: now.plus(SUMMONS_TIMEOUT),
+            });
+            let message = AgentMessage::Summons { epoch, address };
+            self.effects.push(Effect::ToPlanner { link, message });
+            self.effects.push(Effect::Hang { link });
+        }
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -0,0 +1,335 @@
+//! Learns from agents' reports what runs, what has ended and what never began.
+
+use super::batch::HeldStep;
+use super::hosts::HostView;
+use super::placement::TaskDemand;
+use super::{CLOCK_SLACK, GRANT_SPAN, PlannerMachine, RunView};
+use crate::effect::{Effect, LinkId};
+use crate::ids::{HostName, PlannerEpoch, RunName, WorkerLife};
+use crate::job::RunEnd;
+use crate::message::{AgentMessage, HostReport, PlannerMessage, RunTraits};
+use crate::operators::OperatorFormat;
+use crate::record::PlanRecord;
+use crate::worker::WorkerRefusal;
+use hornbeamlead_core::clock::MonoTime;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Slack on the end of a lease: a worker kills what it runs within this time.
+const LAPSE_SLACK: Duration = Duration::from_millis(500);
+
+/// Pause before anything more starts at a worker that had no room.
+const NO_ROOM_PAUSE: Duration = Duration::from_millis(300);
+
+/// Pause before anything more starts at a worker that called itself unhealthy.
+const UNHEALTHY_PAUSE: Duration = Duration::from_millis(1000);
+
+impl<F: OperatorFormat> PlannerMachine<F> {
+    pub(super) fn take_agent(&mut self, now: MonoTime, link: LinkId, message: AgentMessage) {
+        match message {
+            AgentMessage::Hello {
+                host,
+                address,
+                epoch,
+            } => self.greet(now, link, host, address, epoch),
+            AgentMessage::Report(report) => self.take_report(now, link, report),
+            AgentMessage::NotStarted { run, life, refusal } => {
+                self.take_not_started(now, run, &life, refusal);
+            }
+            AgentMessage::Summons { .. } => {}
+        }
+    }
+
+    fn greet(
+        &mut self,
+        now: MonoTime,
+        link: LinkId,
+        host: HostName,
+        address: SocketAddr,
+        epoch: PlannerEpoch,
+    ) {
+        if epoch > self.epoch {
+            return self.depose("later_epoch_seen");
+        }
+        let heard = self.began;
+        let make = || HostView::new(host.clone(), heard);
+        let view = self.hosts.entry(host.clone()).or_insert_with(make);
+        if let Some(old) = view.bind(link) {
+            self.links.remove(&old);
+            self.effects.push(Effect::Hang { link: old });
+        }
+        self.links.insert(link, host.clone());
+        self.log("host_connected", &host, format!("address={address}"));
+        if self.recovery.is_none() {
+            self.note_address(now, &host, address);
+        }
+        self.forget_orders(&host);
+    }
+
+    fn note_address(&mut self, now: MonoTime, host: &HostName, address: SocketAddr) {
+        if self.ledger.hosts.get(host) != Some(&address) {
+            let host = host.clone();
+            self.record(now, PlanRecord::Host { host, address });
+        }
+    }
+
+    /// Orders of an earlier link may not have arrived; reports tell.
+    fn forget_orders(&mut self, host: &HostName) {
+        for run in self.runs_on(host) {
+            if let Some(view) = self.runs.get_mut(&run) {
+                view.ordered = view.ordered.map(|_| 0);
+                view.stop_sent = false;
+            }
+        }
+    }
+
+    /// Returns the attempts that may be running on a host.
+    pub(super) fn runs_on(&self, host: &HostName) -> Vec<RunName> {
+        let runs = self.hosts.get(host).map(|view| view.runs.keys().copied());
+        let placed = |run: &RunName| self.ledger.placement(*run).is_some();
+        runs.into_iter().flatten().filter(placed).collect()
+    }
+
+    pub(super) fn close_link(&mut self, _now: MonoTime, link: LinkId) {
+        let Some(host) = self.links.remove(&link) else {
+            return;
+        };
+        if let Some(view) = self.hosts.get_mut(&host).filter(|view| view.link == Some(link)) {
+            view.link = None;
+        }
+        self.log("host_disconnected", &host, String::new());
+    }
+
+    fn take_report(&mut self, now: MonoTime, link: LinkId, report: HostReport) {
+        let Some(host) = self.links.get(&link).cloned() else {
+            return;
+        };
+        let sound = self.recovery.is_none() && self.batch.is_sound(now);
+        self.effects.push(Effect::ToAgent {
+            link,
+            message: PlannerMessage::Grant {
+                epoch: self.epoch,
+                stamp: sound.then_some(report.stamp),
+                seen: report.stamp,
+            },
+        });
+        if self.recovery.is_some() {
+            return;
+        }
+        let Some(view) = self.hosts.get_mut(&host) else {
+            return;
+        };
+        let first = !view.reported;
+        let changed = view.worker != report.worker;
+        let other_life = view.life() != report.worker.as_ref().map(|worker| &worker.life);
+        view.heard = now;
+        view.reported = true;
+        view.stamp = report.stamp;
+        view.worker = report.worker.clone();
+        view.dead = report.dead.clone();
+        if other_life {
+            view.strikes = 0;
+            view.probation = false;
+            view.not_before = now;
+        }
+        self.dirty |= first || changed;
+        if first {
+            self.send_traits(link, &host);
+        }
+        self.end_past_lives(now, &host, &report);
+        self.take_ends(now, &host, &report);
+        self.take_running(now, &host, &report);
+        self.take_missing(&host, &report);
+    }
+
+    fn send_traits(&mut self, link: LinkId, host: &HostName) {
+        let traits = |run: RunName| {
+            let (job, _) = self.ledger.task(run.task)?;
+            let spec = job.spec(run.task.step)?;
+            Some((run, RunTraits::from(spec)))
+        };
+        let rows: Vec<_> = self.runs_on(host).into_iter().filter_map(traits).collect();
+        if !rows.is_empty() {
+            let message = PlannerMessage::Traits(rows);
+            self.effects.push(Effect::ToAgent { link, message });
+        }
+    }
+
+    /// Ends attempts of lives that are over for certain.
+    fn end_past_lives(&mut self, now: MonoTime, host: &HostName, report: &HostReport) {
+        let present = report.worker.as_ref().map(|worker| &worker.life);
+        let is_over = |life: &WorkerLife| match present {
+            Some(present) => life != present && life.born <= present.born,
+            None => report.dead.as_ref().is_some_and(|dead| life.born <= dead.born),
+        };
+        for run in self.runs_on(host) {
+            let placement = self.ledger.placement(run);
+            if placement.is_some_and(|placement| is_over(&placement.life)) {
+                self.end_run(now, run, RunEnd::Lost, None);
+            }
+        }
+    }
+
+    fn take_ends(&mut self, now: MonoTime, host: &HostName, report: &HostReport) {
+        let Some(life) = report.worker.as_ref().map(|worker| worker.life.clone()) else {
+            return;
+        };
+        for row in &report.ended {
+            let placement = self.ledger.placement(row.run);
+            if placement.is_some_and(|placement| placement.life == life) {
+                self.end_run(now, row.run, row.end, row.saved.clone());
+            }
+        }
+        if let Some(last) = report.ended.last() {
+            self.batch.hold(HeldStep::Acknowledge {
+                host: host.clone(),
+                life,
+                through: last.number,
+            });
+        }
+    }
+
+    fn take_running(&mut self, now: MonoTime, host: &HostName, report: &HostReport) {
+        for row in &report.running {
+            let placed = self.ledger.placement(row.run);
+            if placed.is_none_or(|placement| placement.host != *host) {
+                if report.listed && !report.busy.contains(&row.run) {
+                    self.stop_stray(host, row.run, report);
+                }
+                continue;
+            }
+            if let Some(saved) = &row.saved {
+                self.ledger.note_saved(row.run, saved);
+            }
+            let view = self.runs.entry(row.run).or_insert_with(|| RunView::new(now));
+            if !view.listed {
+                view.listed = true;
+                view.progressed = now;
+            }
+            if row.percent > view.percent {
+                view.progressed = now;
+                view.percent = row.percent;
+            }
+            let ended = self.ledger.phase(row.run.task.step.job);
+            if ended.is_none_or(|phase| phase.is_final()) && !self.was_stopped(row.run) {
+                self.order_stop(row.run);
+            }
+        }
+    }
+
+    fn was_stopped(&self, run: RunName) -> bool {
+        self.runs.get(&run).is_some_and(|view| view.stop_sent)
+    }
+
+    /// Stops an attempt that no record places on the host.
+    fn stop_stray(&mut self, host: &HostName, run: RunName, report: &HostReport) {
+        let Some(worker) = &report.worker else {
+            return;
+        };
+        let Some(view) = self.hosts.get_mut(host) else {
+            return;
+        };
+        let Some(link) = view.link else {
+            return;
+        };
+        let number = view.next_order();
+        let life = worker.life.clone();
+        let message = PlannerMessage::Stop { number, run, life };
+        self.effects.push(Effect::ToAgent { link, message });
+        self.log("stray_stopped", run, format!("host={host}"));
+    }
+
+    /// Has attempts that were ordered, but that the worker does not list, called off for good.
+    fn take_missing(&mut self, host: &HostName, report: &HostReport) {
+        if !report.listed {
+            return;
+        }
+        let running = report.running.iter().map(|row| row.run);
+        let ended = report.ended.iter().map(|row| row.run);
+        let busy = report.busy.iter().copied();
+        let told: BTreeSet<RunName> = running.chain(ended).chain(busy).collect();
+        for run in self.runs_on(host) {
+            let Some(view) = self.runs.get(&run) else {
+                continue;
+            };
+            let ordered = view.ordered.is_some_and(|number| number <= report.orders_seen);
+            if ordered && !view.stop_sent && !told.contains(&run) {
+                self.log("attempt_missing", run, format!("host={host}"));
+                self.order_stop(run);
+            }
+        }
+    }
+
+    fn take_not_started(
+        &mut self,
+        now: MonoTime,
+        run: RunName,
+        life: &WorkerLife,
+        refusal: Option<WorkerRefusal>,
+    ) {
+        if self.recovery.is_some() {
+            return;
+        }
+        let Some(placement) = self.ledger.placement(run) else {
+            return;
+        };
+        if placement.life != *life {
+            return;
+        }
+        let host = placement.host.clone();
+        self.log("not_started", run, format!("host={host} refusal={refusal:?}"));
+        self.end_run(now, run, RunEnd::NotStarted, None);
+        let pause = match refusal {
+            Some(WorkerRefusal::NoRoom) => NO_ROOM_PAUSE,
+            Some(WorkerRefusal::Unhealthy) => UNHEALTHY_PAUSE,
+            _ => return,
+        };
+        if let Some(view) = self.hosts.get_mut(&host) {
+            view.not_before = view.not_before.max(now.plus(pause));
+        }
+    }
+
+    /// Takes over the attempts that earlier planners recorded.
+    pub(super) fn adopt_placements(&mut self, now: MonoTime) {
+        let mut adopted = Vec::new();
+        for (&job, state) in &self.ledger.jobs {
+            for (run, placement) in state.runs(job) {
+                let spec = state.spec(run.task.step);
+                let demand = spec.map(|spec| TaskDemand::new(run.task.step, spec));
+                adopted.push((run, placement.host.clone(), demand.unwrap_or_default()));
+            }
+        }
+        for (run, host, demand) in adopted {
+            // It may have been ordered: number 0 is seen on every link.
+            let known = RunView {
+                ordered: Some(0),
+                ..RunView::new(now)
+            };
+            self.runs.insert(run, known);
+            let make = || HostView::new(host.clone(), now);
+            let view = self.hosts.entry(host.clone()).or_insert_with(make);
+            view.runs.insert(run, demand);
+        }
+    }
+
+    /// Ends attempts on hosts that have been silent for longer than any lease there can last.
+    pub(super) fn check_silence(&mut self, now: MonoTime) {
+        let lease = self.policy.lease_span.mul_f64(CLOCK_SLACK) + LAPSE_SLACK;
+        let lapsed = |view: &&HostView| {
+            let span = match view.reported {
+                true => lease,
+                // The planner before may have granted leases for a while after it was deposed.
+                false => lease + GRANT_SPAN,
+            };
+            now.since(view.heard) > span
+        };
+        let silent: Vec<_> = self.hosts.values().filter(lapsed).map(|view| view.host.clone()).collect();
+        for host in silent {
+            for run in self.runs_on(&host) {
+                self.log("lease_lapsed", run, format!("host={host}"));
+                self.end_run(now, run, RunEnd::Lost, None);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_jobs/src/planner/upkeep.rs
@@ -0,0 +1,141 @@
+//! Publishes the planner's address, writes snapshots, removes the bodies of ended jobs.
+
+use super::PlannerMachine;
+use crate::effect::Effect;
+use crate::entry::{CANCEL_PREFIX, JOB_PREFIX};
+use crate::ids::{JobId, StreamOffset};
+use crate::ledger::JobLedger;
+use crate::locator::{PlannerSeat, SEAT_KEY};
+use crate::operators::OperatorFormat;
+use crate::record::encode;
+use crate::snapshot::snapshot_records;
+use crate::store::{
+    AppendCondition, NewRecord, StoreAsk, StoreCall, StoreCaller, StoreOutcome, StreamName,
+};
+use hornbeamlead_core::clock::MonoTime;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Span between two snapshots. Records are kept for 20 s or more; a recovery after some seconds
+/// without a planner has to find all records since the newest snapshot.
+const SNAPSHOT_SPAN: Duration = Duration::from_secs(3);
+
+/// Time after which a call is given up and repeated.
+const UPKEEP_TIMEOUT: Duration = Duration::from_millis(1200);
+
+/// Pause after a failed call.
+const UPKEEP_PAUSE: Duration = Duration::from_millis(100);
+
+/// Most bodies removed in one call.
+const MAX_REMOVED: usize = 200;
+
+#[derive(Debug)]
+enum UpkeepJob {
+    Publish,
+    Snapshot,
+    Remove,
+}
+
+/// Calls that keep the store in order, one at a time.
+#[derive(Debug)]
+pub(super) struct UpkeepState {
+    waiting: VecDeque<(UpkeepJob, StreamName, Vec<NewRecord>)>,
+    busy: bool,
+    not_before: MonoTime,
+    published: bool,
+    snapshot_at: MonoTime,
+    /// Ended jobs whose bodies are still stored.
+    ended: Vec<JobId>,
+}
+
+impl UpkeepState {
+    pub(super) fn new(now: MonoTime) -> Self {
+        Self {
+            waiting: VecDeque::new(),
+            busy: false,
+            not_before: now,
+            published: false,
+            snapshot_at: now,
+            ended: Vec::new(),
+        }
+    }
+
+    pub(super) fn is_snapshot_due(&self, now: MonoTime) -> bool {
+        now >= self.snapshot_at
+    }
+
+    pub(super) fn remove_body(&mut self, job: JobId) {
+        self.ended.push(job);
+    }
+}
+
+impl<F: OperatorFormat> PlannerMachine<F> {
+    pub(super) fn poll_upkeep(&mut self, now: MonoTime) {
+        if !self.upkeep.published {
+            self.upkeep.published = true;
+            let (epoch, address) = (self.epoch, self.policy.address);
+            let record = NewRecord {
+                key: Some(SEAT_KEY.into()),
+                value: Some(encode(&PlannerSeat { epoch, address })),
+            };
+            let call = (UpkeepJob::Publish, StreamName::Planner, vec![record]);
+            self.upkeep.waiting.push_back(call);
+        }
+        if self.upkeep.busy || now < self.upkeep.not_before {
+            return;
+        }
+        if let Some((_, stream, records)) = self.upkeep.waiting.front() {
+            self.effects.push(Effect::Store(StoreCall {
+                caller: StoreCaller::Upkeep,
+                ask: StoreAsk::Append {
+                    stream: *stream,
+                    records: records.clone(),
+                    condition: AppendCondition::Always,
+                },
+                deadline: now.plus(UPKEEP_TIMEOUT),
+            }));
+            self.upkeep.busy = true;
+        }
+    }
+
+    pub(super) fn take_upkeep(&mut self, now: MonoTime, outcome: StoreOutcome) {
+        self.upkeep.busy = false;
+        match outcome {
+            StoreOutcome::Appended { .. } => {
+                self.upkeep.waiting.pop_front();
+            }
+            other => {
+                let job = self.upkeep.waiting.front().map(|(job, ..)| job);
+                let detail = format!("job={job:?} outcome={other:?}");
+                self.log("upkeep_failed", "store", detail);
+                self.upkeep.not_before = now.plus(UPKEEP_PAUSE);
+            }
+        }
+    }
+
+    /// Queues a snapshot, and the removal of bodies of jobs that had ended before it.
+    pub(super) fn save_snapshot(&mut self, now: MonoTime, ledger: &JobLedger, end: StreamOffset) {
+        self.upkeep.snapshot_at = now.plus(SNAPSHOT_SPAN);
+        let stale = |(job, ..): &(UpkeepJob, StreamName, Vec<NewRecord>)| {
+            matches!(job, UpkeepJob::Snapshot)
+        };
+        if self.upkeep.waiting.iter().any(stale) {
+            return;
+        }
+        let records = snapshot_records(ledger, end);
+        let snapshot = (UpkeepJob::Snapshot, StreamName::Snapshots, records);
+        self.upkeep.waiting.push_back(snapshot);
+        let count = self.upkeep.ended.len().min(MAX_REMOVED);
+        let removed = self.upkeep.ended.drain(..count);
+        let record = |key: String| NewRecord {
+            key: Some(key.into()),
+            value: None,
+        };
+        let keys = |job: JobId| [format!("{JOB_PREFIX}{job}"), format!("{CANCEL_PREFIX}{job}")];
+        let records: Vec<_> = removed.flat_map(keys).map(record).collect();
+        if !records.is_empty() {
+            let removal = (UpkeepJob::Remove, StreamName::Jobs, records);
+            self.upkeep.waiting.push_back(removal);
+        }
+    }
+}
--- a/crates/hornbeamlead_settings/src/process.rs
+++ b/crates/hornbeamlead_settings/src/process.rs
@@ -93,7 +93,7 @@
 
 /// Role as it is written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RoleName {
+pub(crate) enum RoleName {
     Entry,
     Agent,
 }
@@ -309,7 +309,7 @@
 }
 
 /// Makes a seed from the host's name (FNV-1a), so that hosts do not draw alike.
-fn seed_of(host: &HostId) -> u64 {
+pub(crate) fn seed_of(host: &HostId) -> u64 {
     host.as_str()
         .bytes()
         .fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
