[planner] Keep fillers off workers that serve at all

Cause: fillers weighed the share of a worker that lasting tasks take; one small serving task made a worker only a little dearer, and 147 s of serving time were over target. Ruled out: pacing alone (it slowed fillers on nearly all workers). Change: a filler pays 2.0 whole workers for any serving task; lasting tasks pack 3 to a worker and step.

--- a/crates/hornbeamlead_jobs/src/planner/placement.rs
+++ b/crates/hornbeamlead_jobs/src/planner/placement.rs
@@ -9,8 +9,9 @@
 /// Weights of the choice of a host; each is a share of a whole worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlacementPolicy {
-    /// Cost to a filler of the whole worker being taken by lasting tasks.
-    pub filler_beside_lasting: f64,
+    /// Cost to a filler of a worker that serves: how much it disturbs depends on what runs there,
+    /// not on how much of it.
+    pub filler_beside_serving: f64,
     /// Gain to a lasting task of the whole worker being taken by others of its kind.
     pub lasting_together: f64,
     /// Cost to a lasting task of the whole worker being taken by fillers.
@@ -26,10 +27,10 @@
 impl Default for PlacementPolicy {
     fn default() -> Self {
         Self {
-            filler_beside_lasting: 3.0,
-            lasting_together: 1.0,
-            lasting_beside_filler: 1.0,
-            lasting_per_host: 2,
+            filler_beside_serving: 2.0,
+            lasting_together: 2.0,
+            lasting_beside_filler: 2.0,
+            lasting_per_host: 3,
             remote_data: 1.0,
             failed_before: 2.0,
         }
@@ -158,7 +159,8 @@
         let base = match (demand.filler, demand.lasting) {
             (true, _) => {
                 let busy = share(self.load.cpu + self.load.filler_cpu + demand.cpu);
-                busy + policy.filler_beside_lasting * lasting
+                let serves = self.load.lasting_cpu > 0;
+                busy + if serves { policy.filler_beside_serving } else { 0.0 }
             }
             (false, true) => {
                 let crowd = self.step_count(demand.step);
