[planner] Learn which filler images press on which serving images

Cause: lasting tasks take four fifths of all workers, so fillers always run beside some; nine filler images press very unlike on five serving ones. All fillers of a worker were halved together after 1.5 s over target. Change: weights by pair of images from changes within half a second; lasting tasks of one image together; the pace follows the weight and doubts it after 1.1 s over target.

--- a/crates/hornbeamlead_jobs/src/keeper/calls.rs
+++ b/crates/hornbeamlead_jobs/src/keeper/calls.rs
@@ -272,6 +272,9 @@
         };
         let traits = &self.traits;
         let changes = self.pace.adjust(now, &worker.lists.running, traits);
+        if let Some(detail) = self.pace.take_news() {
+            self.log("serving_latency", self.policy.host.clone(), detail);
+        }
         for (run, percent) in changes {
             self.log("task_paced", run, format!("percent={percent}"));
             let ask = WorkerAsk::Pace { run, percent };
--- a/crates/hornbeamlead_jobs/src/keeper/pace.rs
+++ b/crates/hornbeamlead_jobs/src/keeper/pace.rs
@@ -1,7 +1,8 @@
-//! Paces fillers beside serving tasks that are over their target.
+//! Paces fillers beside serving tasks that come close to their target.
 //!
-//! The share of all fillers of a worker falls by half while a serving task is over its target and
-//! rises in steps once none is, as a congestion window does.
+//! Latency is taken as a base plus an excess that is proportional to what pressing fillers use.
+//! The controller scales that use so that the excess fits below the target, and lets it grow in
+//! steps while there is room. Fillers that do not press keep their full share.
 
 use crate::ids::RunName;
 use crate::message::RunTraits;
@@ -13,32 +14,52 @@
 /// Limits of the pacing.
 #[derive(Clone, Debug)]
 pub struct PacePolicy {
-    /// Time over target after which fillers are slowed.
+    /// Time close to the target after which fillers are slowed.
     pub patience: Duration,
     /// Span between two changes; readings cover the last half second.
     pub step: Duration,
 }
 
-/// Share that a filler begins with.
-const FULL_SHARE: u8 = 100;
+/// Share of the target at which the controller aims.
+const AIM: f64 = 0.97;
+
+/// Share of the target below which fillers are sped up.
+const CALM: f64 = 0.9;
+
+/// Share of the target that a serving task takes without any filler, as a rule.
+const BASE: f64 = 0.45;
+
+/// Use that is given back at a step, as a share of the whole.
+const RISE: f64 = 0.25;
+
+/// Least factor of one change: readings are rough.
+const LEAST_FACTOR: f64 = 0.3;
 
-/// Share that is given back at a step.
-const RISE: u8 = 25;
+/// Change of a share that is worth an order, in percent.
+const LEAST_CHANGE: u8 = 5;
 
-/// Share of the target below which fillers are sped up again, in percent.
-const CALM_PERCENT: u32 = 85;
+/// Time over target after which what is believed of fillers is doubted, well inside the 4 s that a
+/// serving task may be disturbed.
+const DISTRUST_SPAN: Duration = Duration::from_millis(1100);
+
+/// Full share, in percent.
+const FULL_SHARE: u8 = 100;
 
 /// State of the pacing on one worker.
 #[derive(Clone, Debug)]
 pub struct PaceBook {
     policy: PacePolicy,
+    /// Since when a serving task has been close to its target or over it.
+    close_since: Option<MonoTime>,
     /// Since when a serving task has been over its target.
     over_since: Option<MonoTime>,
     changed: MonoTime,
-    /// Share that fillers are to have.
-    share: u8,
-    /// Share that each filler was told.
+    /// Share of their use that pressing fillers may have.
+    use_share: f64,
+    /// Share that each filler was told, in percent.
     told: BTreeMap<RunName, u8>,
+    /// Change that has not been logged yet.
+    news: Option<String>,
 }
 
 impl PaceBook {
@@ -47,10 +68,12 @@
     pub fn new(policy: PacePolicy) -> Self {
         Self {
             policy,
+            close_since: None,
             over_since: None,
             changed: MonoTime(0),
-            share: FULL_SHARE,
+            use_share: 1.0,
             told: BTreeMap::new(),
+            news: None,
         }
     }
 
@@ -59,9 +82,14 @@
         *self = Self::new(self.policy.clone());
     }
 
+    /// Returns what changed about the latency of serving tasks since it was last asked.
+    pub fn take_news(&mut self) -> Option<String> {
+        self.news.take()
+    }
+
     /// Has a filler told its share again.
     pub fn forget(&mut self, run: RunName) {
-        self.told.insert(run, u8::MAX);
+        self.told.remove(&run);
     }
 
     /// Takes in a list and returns which fillers are to change, and to which share.
@@ -71,52 +99,81 @@
         rows: &[RunningRow],
         traits: &BTreeMap<RunName, RunTraits>,
     ) -> Vec<(RunName, u8)> {
-        let serving = rows.iter().filter_map(|row| {
+        let ratios = rows.iter().filter_map(|row| {
             let target = traits.get(&row.run)?.target_ms;
-            (target > 0).then_some((row.reading, target))
+            (target > 0).then(|| f64::from(row.reading) / f64::from(target))
         });
-        let (mut over, mut calm) = (false, true);
-        for (reading, target) in serving {
-            over |= reading > target;
-            calm &= reading * 100 <= target * CALM_PERCENT;
+        let worst = ratios.fold(0.0, f64::max);
+        self.note(now, worst);
+        let close = worst > AIM;
+        self.close_since = close.then(|| self.close_since.unwrap_or(now));
+        if now.since(self.changed) >= self.policy.step {
+            self.move_share(now, worst);
+        }
+        self.tell(now, rows, traits)
+    }
+
+    fn note(&mut self, now: MonoTime, worst: f64) {
+        let over = worst > 1.0;
+        if over != self.over_since.is_some() {
+            let share = self.use_share;
+            self.news = Some(format!("over={over} of_target={worst:.2} share={share:.2}"));
         }
         self.over_since = over.then(|| self.over_since.unwrap_or(now));
-        self.move_share(now, calm);
-        self.tell(rows, traits)
     }
 
-    fn move_share(&mut self, now: MonoTime, calm: bool) {
-        if now.since(self.changed) < self.policy.step {
-            return;
+    /// Returns the share of a change that applies to all fillers, whatever is believed of them.
+    fn least_press(&self, now: MonoTime) -> f64 {
+        let over = self.over_since.map_or(Duration::ZERO, |since| now.since(since));
+        match over {
+            _ if over >= DISTRUST_SPAN * 2 => 1.0,
+            _ if over >= DISTRUST_SPAN => 0.5,
+            _ => 0.0,
         }
-        let patience = self.policy.patience;
-        let share = match self.over_since {
-            Some(since) if now.since(since) >= patience => self.share / 2,
-            None if calm => self.share.saturating_add(RISE).min(FULL_SHARE),
-            _ => self.share,
+    }
+
+    fn move_share(&mut self, now: MonoTime, worst: f64) {
+        let patient = self.close_since.is_some_and(|since| now.since(since) < self.policy.patience);
+        let share = match worst {
+            _ if patient => self.use_share,
+            _ if worst > AIM => {
+                let factor = (AIM - BASE) / (worst - BASE);
+                self.use_share * factor.max(LEAST_FACTOR)
+            }
+            _ if worst < CALM => self.use_share + RISE,
+            _ => self.use_share,
         };
-        // Below this a filler all but stands still; then it may as well.
-        let share = if share < 8 && share < self.share { 0 } else { share };
-        if share != self.share {
-            self.share = share;
+        let share = share.clamp(0.0, 1.0);
+        if (share - self.use_share).abs() > f64::EPSILON {
+            self.use_share = share;
             self.changed = now;
         }
     }
 
     fn tell(
         &mut self,
+        now: MonoTime,
         rows: &[RunningRow],
         traits: &BTreeMap<RunName, RunTraits>,
     ) -> Vec<(RunName, u8)> {
-        let filler = |run: &RunName| traits.get(run).is_some_and(|traits| traits.filler);
-        let running = rows.iter().map(|row| row.run).filter(filler);
-        let running: Vec<RunName> = running.collect();
-        self.told.retain(|run, _| running.contains(run));
+        let filler = |row: &RunningRow| {
+            let traits = traits.get(&row.run).filter(|traits| traits.filler)?;
+            Some((row.run, traits.press_percent))
+        };
+        let fillers: BTreeMap<RunName, u8> = rows.iter().filter_map(filler).collect();
+        self.told.retain(|run, _| fillers.contains_key(run));
+        let least = self.least_press(now);
         let mut changes = Vec::new();
-        for run in running {
-            let told = self.told.insert(run, self.share);
-            if told.unwrap_or(FULL_SHARE) != self.share {
-                changes.push((run, self.share));
+        for (run, press) in fillers {
+            let press = f64::from(press.min(FULL_SHARE)) / f64::from(FULL_SHARE);
+            let press = press.max(least);
+            let share = (1.0 - (1.0 - self.use_share) * press) * f64::from(FULL_SHARE);
+            let share = share.round() as u8;
+            let told = self.told.entry(run).or_insert(FULL_SHARE);
+            let full = share == FULL_SHARE && *told != FULL_SHARE;
+            if told.abs_diff(share) >= LEAST_CHANGE || full {
+                *told = share;
+                changes.push((run, share));
             }
         }
         changes
--- a/crates/hornbeamlead_jobs/src/message.rs
+++ b/crates/hornbeamlead_jobs/src/message.rs
@@ -71,6 +71,8 @@
     pub filler: bool,
     /// Whether it runs until it is stopped.
     pub lasting: bool,
+    /// How strongly a filler presses on serving tasks, in percent of what is slowed in full.
+    pub press_percent: u8,
 }
 
 /// Order to begin an attempt.
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -6,6 +6,7 @@
 mod batch;
 mod health;
 mod hosts;
+mod impact;
 mod intake;
 mod placement;
 mod recovery;
@@ -14,7 +15,7 @@
 mod upkeep;
 
 pub use hosts::HostView;
-pub use placement::{PlacementPolicy, TaskDemand};
+pub use placement::{ImageId, PlacementPolicy, TaskDemand};
 
 use crate::effect::{Effect, LinkId};
 use crate::follow::StreamFollower;
@@ -26,6 +27,7 @@
 use crate::record::PlanRecord;
 use crate::store::{StoreCaller, StoreOutcome, StreamName};
 use batch::RecordBatch;
+use impact::ImpactModel;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
 use recovery::RecoveryState;
 use std::collections::BTreeMap;
@@ -122,6 +124,7 @@
     runs: BTreeMap<RunName, RunView>,
     /// Hosts on which a task has failed or stood still.
     failed_hosts: BTreeMap<TaskName, Vec<HostName>>,
+    impact: ImpactModel,
     batch: RecordBatch,
     upkeep: UpkeepState,
     dirty: bool,
@@ -153,6 +156,7 @@
             links: BTreeMap::new(),
             runs: BTreeMap::new(),
             failed_hosts: BTreeMap::new(),
+            impact: ImpactModel::default(),
             batch: RecordBatch::new(epoch, claim, now),
             upkeep: UpkeepState::new(now),
             dirty: false,
--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -1,7 +1,8 @@
 //! What the planner knows of the hosts.
 
 use crate::effect::LinkId;
-use super::placement::TaskDemand;
+use super::impact::ImpactReading;
+use super::placement::{ImageId, TaskDemand};
 use crate::ids::{HostName, RunName, WorkerLife};
 use crate::message::AgentStamp;
 use crate::worker::WorkerFacts;
@@ -12,6 +13,9 @@
 /// Silence after which nothing is ordered from a host; it reports every 300 ms.
 const REACH_SPAN: Duration = Duration::from_millis(1000);
 
+/// Latency of a worker that serves nothing: far below any target.
+pub(super) const NO_LATENCY: f64 = -3.0;
+
 /// Host as the planner sees it.
 #[derive(Clone, Debug)]
 pub struct HostView {
@@ -35,6 +39,10 @@
     pub strikes: u32,
     /// Attempts that may be running there, with what they take.
     pub runs: BTreeMap<RunName, TaskDemand>,
+    /// Logarithm of latency over target of the serving tasks, as last reported.
+    pub latency: f64,
+    /// When the impact of fillers was last learned from its reports, and from what.
+    pub(super) learned: (MonoTime, ImpactReading),
     /// Whether only one task at a time is tried, after many failures.
     pub probation: bool,
     orders: u64,
@@ -53,6 +61,8 @@
             not_before: MonoTime(0),
             strikes: 0,
             runs: BTreeMap::new(),
+            latency: NO_LATENCY,
+            learned: (MonoTime(0), ImpactReading::default()),
             probation: false,
             orders: 0,
         }
@@ -70,6 +80,15 @@
         self.worker.as_ref().is_some_and(|worker| worker.draining)
     }
 
+    /// Returns how many serving tasks of each image it runs.
+    pub(super) fn serving(&self) -> BTreeMap<ImageId, u32> {
+        let mut images = BTreeMap::new();
+        for demand in self.runs.values().filter(|demand| demand.target_ms > 0) {
+            *images.entry(demand.image).or_default() += 1;
+        }
+        images
+    }
+
     /// Returns whether orders reach the host.
     #[must_use]
     pub fn is_open(&self, now: MonoTime) -> bool {
--- /dev/null
+++ b/crates/hornbeamlead_jobs/src/planner/impact.rs
@@ -0,0 +1,132 @@
+//! Learns how strongly fillers of an image press on serving tasks of another.
+//!
+//! The logarithm of latency over target is taken as a level, which swings with the load of the
+//! serving task, plus for each filler image a weight times the share of the worker that its tasks
+//! use. Only changes within half a second are looked at, in which the level hardly moves. The
+//! weights of each pair of images follow by normalized least mean squares.
+
+use super::placement::ImageId;
+use crate::ids::RunName;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Share of an error that is corrected by one reading.
+const LEARNING_RATE: f64 = 0.4;
+
+/// Share of an error that is corrected in the weight of an image beside all others.
+const PRIOR_RATE: f64 = 0.15;
+
+/// Weight of an image before anything is known of it: a task of a tenth of the worker lets the
+/// latency rise by a fifth.
+pub(super) const UNKNOWN_PRESS: f64 = 2.0;
+
+/// Largest weight: beyond it one task takes any serving task over its target.
+const MAX_PRESS: f64 = 8.0;
+
+/// Keeps the correction small where little has changed.
+const DAMPING: f64 = 0.002;
+
+/// Change in use, as a share of the worker, that is worth a look.
+const LEAST_CHANGE: f64 = 0.03;
+
+/// Largest change of the logarithm that one reading is believed.
+const MAX_RISE: f64 = 1.5;
+
+/// What runs on a worker, with the latencies that were read at the same time.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ImpactReading {
+    /// Logarithm of latency over target and image, by serving attempt.
+    pub(super) serving: BTreeMap<RunName, (ImageId, f64)>,
+    /// Share of the worker that fillers use, by image.
+    pub(super) fillers: BTreeMap<ImageId, f64>,
+}
+
+impl ImpactReading {
+    /// Returns the mean logarithm of latency over target.
+    pub(super) fn latency(&self) -> Option<f64> {
+        let count = self.serving.len();
+        let sum: f64 = self.serving.values().map(|(_, latency)| latency).sum();
+        (count > 0).then(|| sum / count as f64)
+    }
+
+    fn use_of(&self, image: ImageId) -> f64 {
+        self.fillers.get(&image).copied().unwrap_or(0.0)
+    }
+}
+
+/// Weights by image.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ImpactModel {
+    /// By serving image and filler image.
+    pairs: BTreeMap<(ImageId, ImageId), f64>,
+    /// By filler image, beside any serving image.
+    alone: BTreeMap<ImageId, f64>,
+}
+
+impl ImpactModel {
+    /// Returns how strongly a filler image presses on a serving image: the rise of the logarithm
+    /// for a whole worker.
+    pub(super) fn press(&self, serving: ImageId, filler: ImageId) -> f64 {
+        let pair = self.pairs.get(&(serving, filler)).copied();
+        pair.unwrap_or_else(|| self.press_alone(filler))
+    }
+
+    fn press_alone(&self, filler: ImageId) -> f64 {
+        self.alone.get(&filler).copied().unwrap_or(UNKNOWN_PRESS)
+    }
+
+    /// Returns how strongly a filler image presses on what a worker serves.
+    pub(super) fn press_on(&self, serving: &BTreeMap<ImageId, u32>, filler: ImageId) -> f64 {
+        let rows = serving.iter().map(|(&image, &count)| (self.press(image, filler), count));
+        let (sum, count) = rows.fold((0.0, 0), |(sum, total), (press, count)| {
+            (sum + press * f64::from(count), total + count)
+        });
+        match count {
+            0 => self.press_alone(filler),
+            _ => sum / f64::from(count),
+        }
+    }
+
+    /// Describes the weights, strongest first.
+    pub(super) fn describe(&self) -> String {
+        let mut rows: Vec<_> = self.pairs.values().map(|press| (press * 10.0) as i64).collect();
+        rows.sort_unstable_by(|left, right| right.cmp(left));
+        format!("press_tenths={rows:?}")
+    }
+
+    /// Learns from two readings of a worker that follow one another.
+    pub(super) fn learn(&mut self, before: &ImpactReading, after: &ImpactReading) {
+        let images: BTreeSet<_> = before.fillers.keys().chain(after.fillers.keys()).collect();
+        let changes = images.into_iter().map(|&image| {
+            (image, after.use_of(image) - before.use_of(image))
+        });
+        let changes: Vec<(ImageId, f64)> = changes.collect();
+        let norm: f64 = changes.iter().map(|(_, change)| change * change).sum();
+        if norm < LEAST_CHANGE * LEAST_CHANGE {
+            return;
+        }
+        for (serving, rise) in rises(before, after) {
+            let expected = changes.iter().map(|&(filler, change)| self.press(serving, filler) * change);
+            let error = rise - expected.sum::<f64>();
+            let step = error / (norm + DAMPING);
+            for &(filler, change) in &changes {
+                let press = self.press(serving, filler) + LEARNING_RATE * step * change;
+                self.pairs.insert((serving, filler), press.clamp(0.0, MAX_PRESS));
+                let alone = self.press_alone(filler) + PRIOR_RATE * step * change;
+                self.alone.insert(filler, alone.clamp(0.0, MAX_PRESS));
+            }
+        }
+    }
+}
+
+/// Returns the mean rise of the logarithm by serving image, of attempts in both readings.
+fn rises(before: &ImpactReading, after: &ImpactReading) -> BTreeMap<ImageId, f64> {
+    let mut sums = BTreeMap::<ImageId, (f64, f64)>::new();
+    for (run, (image, latency)) in &after.serving {
+        if let Some((_, earlier)) = before.serving.get(run) {
+            let sum = sums.entry(*image).or_default();
+            sum.0 += (latency - earlier).clamp(-MAX_RISE, MAX_RISE);
+            sum.1 += 1.0;
+        }
+    }
+    sums.into_iter().map(|(image, (sum, count))| (image, sum / count)).collect()
+}
--- a/crates/hornbeamlead_jobs/src/planner/placement.rs
+++ b/crates/hornbeamlead_jobs/src/planner/placement.rs
@@ -1,21 +1,30 @@
 //! Chooses the host for a task.
 
 use super::hosts::HostView;
+use super::impact::UNKNOWN_PRESS;
 use crate::ids::{RunName, StepName};
 use crate::job::StepSpec;
 use crate::worker::WorkerFacts;
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Weights of the choice of a host; each is a share of a whole worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlacementPolicy {
-    /// Cost to a filler of a worker that serves: how much it disturbs depends on what runs there,
-    /// not on how much of it.
+    /// Cost to a filler of a worker that serves, for an image of which nothing is known; the more
+    /// an image presses, the dearer.
     pub filler_beside_serving: f64,
+    /// Cost to a filler of taking the serving tasks of a worker over their targets.
+    pub filler_harm: f64,
+    /// Cost to a filler of a worker whose serving tasks are over their targets already.
+    pub filler_beside_late: f64,
     /// Gain to a lasting task of the whole worker being taken by others of its kind.
     pub lasting_together: f64,
     /// Cost to a lasting task of the whole worker being taken by fillers.
     pub lasting_beside_filler: f64,
+    /// Cost to a lasting task of each serving task of another image: fillers that press on some
+    /// images leave others alone.
+    pub lasting_mixed: f64,
     /// Tasks of one lasting step on one worker, where the job promises no fewer.
     pub lasting_per_host: u32,
     /// Cost of a rack that does not hold the data.
@@ -28,8 +37,11 @@
     fn default() -> Self {
         Self {
             filler_beside_serving: 2.0,
+            filler_harm: 1.0,
+            filler_beside_late: 0.5,
             lasting_together: 2.0,
             lasting_beside_filler: 2.0,
+            lasting_mixed: 0.5,
             lasting_per_host: 3,
             remote_data: 1.0,
             failed_before: 2.0,
@@ -37,6 +49,18 @@
     }
 }
 
+/// Stands for the name of an image: its hash.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ImageId(pub u64);
+
+impl From<&str> for ImageId {
+    fn from(name: &str) -> Self {
+        let mut hasher = DefaultHasher::new();
+        name.hash(&mut hasher);
+        Self(hasher.finish())
+    }
+}
+
 /// What an attempt takes of its worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TaskDemand {
@@ -52,6 +76,10 @@
     pub filler: bool,
     /// Whether it lasts.
     pub lasting: bool,
+    /// Image.
+    pub image: ImageId,
+    /// Tail latency that a serving task must stay below, in milliseconds; 0 for none.
+    pub target_ms: u32,
 }
 
 impl TaskDemand {
@@ -63,6 +91,8 @@
             accelerators: spec.accelerators,
             filler: spec.filler,
             lasting: spec.lasting,
+            image: ImageId::from(&*spec.image),
+            target_ms: if spec.lasting { spec.target_ms } else { 0 },
         }
     }
 }
@@ -76,6 +106,7 @@
     pub(super) filler_cpu: u32,
     pub(super) lasting_cpu: u32,
     pub(super) count: u32,
+    pub(super) serving: u32,
 }
 
 impl HostLoad {
@@ -95,6 +126,7 @@
             true => self.filler_cpu += demand.cpu,
             false => self.cpu += demand.cpu,
         }
+        self.serving += u32::from(demand.target_ms > 0);
         if demand.lasting {
             self.lasting_cpu += demand.cpu;
         }
@@ -120,6 +152,10 @@
     pub(super) risk: f64,
     /// Most tasks that may run there.
     pub(super) limit: u32,
+    /// Logarithm of latency over target, with what was placed in this pass.
+    pub(super) latency: f64,
+    /// Serving tasks by image, with what was placed in this pass.
+    pub(super) serving: BTreeMap<ImageId, u32>,
 }
 
 impl Candidate<'_> {
@@ -129,7 +165,13 @@
         running.count() as u32 + self.placed.get(&step).copied().unwrap_or(0)
     }
 
-    pub(super) fn take(&mut self, demand: &TaskDemand) {
+    pub(super) fn take(&mut self, demand: &TaskDemand, press: f64) {
+        if demand.filler {
+            self.latency += press * f64::from(demand.cpu) / f64::from(self.worker.cpu.max(1));
+        }
+        if demand.target_ms > 0 {
+            *self.serving.entry(demand.image).or_default() += 1;
+        }
         self.load.add(demand);
         *self.placed.entry(demand.step).or_default() += 1;
     }
@@ -151,6 +193,7 @@
         policy: &PlacementPolicy,
         demand: &TaskDemand,
         spec: &StepSpec,
+        press: f64,
     ) -> f64 {
         let whole = f64::from(self.worker.cpu.max(1));
         let share = |cpu: u32| f64::from(cpu) / whole;
@@ -159,14 +202,22 @@
         let base = match (demand.filler, demand.lasting) {
             (true, _) => {
                 let busy = share(self.load.cpu + self.load.filler_cpu + demand.cpu);
-                let serves = self.load.lasting_cpu > 0;
-                busy + if serves { policy.filler_beside_serving } else { 0.0 }
+                let after = self.latency + press * share(demand.cpu);
+                let harm = lateness(after) - lateness(self.latency);
+                let serves = f64::from(self.load.serving.min(FULL_HARM_TASKS));
+                let weight = serves / f64::from(FULL_HARM_TASKS);
+                let late = policy.filler_beside_late * lateness(self.latency);
+                let beside = policy.filler_beside_serving * press / UNKNOWN_PRESS;
+                busy + weight * (beside + policy.filler_harm * harm + late)
             }
             (false, true) => {
                 let crowd = self.step_count(demand.step);
                 let crowded = crowd >= policy.lasting_per_host.max(spec.may_miss.unwrap_or(0));
                 let full = if crowded { 10.0 + f64::from(crowd) } else { 0.0 };
-                full + policy.lasting_beside_filler * share(self.load.filler_cpu)
+                let alike = self.serving.get(&demand.image).copied().unwrap_or(0);
+                let others = self.load.serving.saturating_sub(alike);
+                let mixed = policy.lasting_mixed * f64::from(others);
+                full + mixed + policy.lasting_beside_filler * share(self.load.filler_cpu)
                     - policy.lasting_together * lasting
             }
             (false, false) => share(self.load.cpu + self.load.filler_cpu + demand.cpu),
@@ -174,3 +225,14 @@
         base + self.risk + if remote { policy.remote_data } else { 0.0 }
     }
 }
+
+/// Serving tasks on a worker from which on their harm counts in full.
+const FULL_HARM_TASKS: u32 = 3;
+
+/// Room below the target that is kept: the load of serving tasks swings.
+const LATENCY_MARGIN: f64 = 0.3;
+
+/// Returns how far a latency, as a logarithm over target, is beyond what is kept free.
+fn lateness(latency: f64) -> f64 {
+    (latency + LATENCY_MARGIN).clamp(0.0, 1.5)
+}
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -4,9 +4,9 @@
 use super::placement::{Candidate, HostLoad, TaskDemand};
 use super::{PlannerMachine, RunView};
 use crate::ids::{HostName, JobId, RunName, RunNumber, StepName, TaskName, WorkerLife};
-use crate::job::{JobRecord, StepSpec};
+use crate::job::JobRecord;
 use crate::ledger::{JobState, OccurrenceState};
-use crate::message::{RunTraits, StartOrder};
+use crate::message::StartOrder;
 use crate::operators::OperatorFormat;
 use crate::record::PlanRecord;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
@@ -42,16 +42,6 @@
     life: WorkerLife,
 }
 
-impl From<&StepSpec> for RunTraits {
-    fn from(spec: &StepSpec) -> Self {
-        Self {
-            target_ms: if spec.lasting { spec.target_ms } else { 0 },
-            filler: spec.filler,
-            lasting: spec.lasting,
-        }
-    }
-}
-
 impl<F: OperatorFormat> PlannerMachine<F> {
     /// Runs a pass if something has changed.
     pub(super) fn schedule(&mut self, now: ClockReading) {
@@ -163,6 +153,8 @@
                     placed: BTreeMap::new(),
                     risk: f64::from(view.strikes),
                     limit: if view.probation { PROBATION_TASKS } else { u32::MAX },
+                    latency: view.latency,
+                    serving: view.serving(),
                 })
             })
             .collect()
@@ -188,13 +180,15 @@
                 let failed = self.failed_hosts.get(&task);
                 let failed = failed.is_some_and(|hosts| hosts.contains(&candidate.view.host));
                 let again = if failed { self.policy.placement.failed_before } else { 0.0 };
-                candidate.cost(&self.policy.placement, &demand, spec) + again
+                let press = self.press_at(candidate, &demand);
+                candidate.cost(&self.policy.placement, &demand, spec, press) + again
             };
             let fitting = candidates.iter_mut().filter(|it| it.admits(&demand, spec, service));
             let best = fitting.min_by(|left, right| cost(left).total_cmp(&cost(right)));
             match best {
                 Some(candidate) => {
-                    candidate.take(&demand);
+                    let press = self.press_at(candidate, &demand);
+                    candidate.take(&demand, press);
                     choices.push(Choice {
                         index,
                         host: candidate.view.host.clone(),
@@ -215,6 +209,14 @@
         choices
     }
 
+    /// Returns how strongly a filler would press on what a worker serves.
+    fn press_at(&self, candidate: &Candidate<'_>, demand: &TaskDemand) -> f64 {
+        match demand.filler {
+            true => self.impact.press_on(&candidate.serving, demand.image),
+            false => 0.0,
+        }
+    }
+
     fn start(&mut self, now: MonoTime, step: &ReadyStep, choices: Vec<Choice>) {
         let Some(spec) = step.record.step(step.name) else {
             return;
@@ -235,7 +237,7 @@
                 life: choice.life.clone(),
                 spec: step.record.body.spec.clone(),
                 saved: state.saved.clone(),
-                traits: RunTraits::from(spec),
+                traits: self.traits_of(spec, &choice.host),
             };
             let detail = format!("host={} slack_ms={}", choice.host, step.order.2);
             self.log("task_placed", run, detail);
--- a/crates/hornbeamlead_jobs/src/planner/upkeep.rs
+++ b/crates/hornbeamlead_jobs/src/planner/upkeep.rs
@@ -123,6 +123,7 @@
             return;
         }
         let records = snapshot_records(ledger, end);
+        self.log("impact_learned", end, self.impact.describe());
         let snapshot = (UpkeepJob::Snapshot, StreamName::Snapshots, records);
         self.upkeep.waiting.push_back(snapshot);
         let count = self.upkeep.ended.len().min(MAX_REMOVED);
--- a/crates/hornbeamlead_settings/src/fleet.rs
+++ b/crates/hornbeamlead_settings/src/fleet.rs
@@ -24,9 +24,8 @@
 /// platform kills after 6 s.
 const DEFAULT_STOP: Duration = Duration::from_millis(4500);
 
-/// Time over target after which fillers are slowed, where the settings name none; well inside the
-/// 4 s that a serving task may be disturbed.
-const DEFAULT_PATIENCE: Duration = Duration::from_millis(1500);
+/// Time close to a target after which fillers are slowed, where the settings name none.
+const DEFAULT_PATIENCE: Duration = Duration::ZERO;
 
 /// Span between two changes of the pace, where the settings name none: the worker's readings
 /// cover half a second.
@@ -52,7 +51,7 @@
         lease: Duration,
         /// Longest lease of a worker.
         hold_max: Duration,
-        /// Time over target after which fillers are slowed.
+        /// Time close to a target after which fillers are slowed.
         pace_patience: Duration,
         /// Span between two changes of the pace.
         pace_step: Duration,
