--- a/crates/hornbeamlead_daemon/src/fleet/agent.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/agent.rs
@@ -18,9 +18,7 @@
 use hornbeamlead_jobs::keeper::{KeeperEvent, KeeperMachine, KeeperPolicy, PacePolicy};
 use hornbeamlead_jobs::locator::{LocatorNews, LocatorPolicy, PlannerLocator, PlannerSeat};
 use hornbeamlead_jobs::message::{AgentMessage, PlannerMessage};
-use hornbeamlead_jobs::planner::{
-    PlacementPolicy, PlannerEvent, PlannerMachine, PlannerPolicy,
-};
+use hornbeamlead_jobs::planner::{PlacementPolicy, PlannerEvent, PlannerMachine, PlannerPolicy};
 use hornbeamlead_jobs::store::StoreCaller;
 use hornbeamlead_jobs::worker::{WorkerAnswer, WorkerCall, WorkerReply};
 use hornbeamlead_settings::{FleetRole, FleetSettings};
@@ -193,7 +191,11 @@
 impl AgentDesk {
     fn run(mut self, ring: &Receiver<AgentInput>) -> Result<(), FleetError> {
         while !self.stopping {
-            let tick = if self.planner.is_some() { PLANNER_TICK } else { KEEPER_TICK };
+            let tick = if self.planner.is_some() {
+                PLANNER_TICK
+            } else {
+                KEEPER_TICK
+            };
             match ring.recv_timeout(tick) {
                 Ok(input) => self.take(input),
                 Err(RecvTimeoutError::Timeout) => {}
@@ -214,7 +216,11 @@
         self.tell_keeper(KeeperEvent::Tick);
         self.locator.tick(BootClock.mono());
         self.drain_locator();
-        if self.planner.as_ref().is_some_and(PlannerMachine::is_deposed) {
+        if self
+            .planner
+            .as_ref()
+            .is_some_and(PlannerMachine::is_deposed)
+        {
             self.planner = None;
         }
         let metrics = &self.outlets.metrics;
--- a/crates/hornbeamlead_daemon/src/fleet/callers.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/callers.rs
@@ -49,7 +49,8 @@
         let guard = client_addr(&state).map(|peer| desk.table.begin_request(peer));
         let began = BootClock.mono();
         let reply = desk.reply(&mut state).await;
-        desk.metrics.time("caller_request", BootClock.mono().since(began));
+        desk.metrics
+            .time("caller_request", BootClock.mono().since(began));
         let mut response = word_reply(&reply);
         if desk.table.is_stopping() {
             end_connection(&mut response);
@@ -66,15 +67,19 @@
         let method = Method::borrow_from(state).clone();
         let path: Box<str> = Uri::borrow_from(state).path().into();
         let headers = HeaderMap::borrow_from(state);
-        let wait = deadline_header(headers).unwrap_or(DEFAULT_WAIT).min(MAX_WAIT);
+        let wait = deadline_header(headers)
+            .unwrap_or(DEFAULT_WAIT)
+            .min(MAX_WAIT);
         let Some(host) = host_of(headers, Uri::borrow_from(state)) else {
             return CallerReply::Invalid("no host is named");
         };
-        let body = Limited::new(Body::take_from(state), MAX_BODY_BYTES).collect().await;
+        let body = Limited::new(Body::take_from(state), MAX_BODY_BYTES)
+            .collect()
+            .await;
         let ask = match (method, body) {
-            (Method::POST, Ok(body)) => CallerAsk::Submit(
-                decode_job(&body.to_bytes()).map_err(|_| "the body is no job"),
-            ),
+            (Method::POST, Ok(body)) => {
+                CallerAsk::Submit(decode_job(&body.to_bytes()).map_err(|_| "the body is no job"))
+            }
             (Method::GET, _) => CallerAsk::Read,
             (Method::DELETE, _) => CallerAsk::Cancel,
             (Method::POST, Err(_)) => return CallerReply::Invalid("the body is cut or too long"),
@@ -118,7 +123,9 @@
     let (status, body, retry_after) = encode_reply(reply);
     let mut response = json_response(status, body);
     if let Some(seconds) = retry_after {
-        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+        response
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(seconds));
     }
     response
 }
--- a/crates/hornbeamlead_daemon/src/fleet/entry.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/entry.rs
@@ -124,7 +124,9 @@
             serve(listener, handler, table).await;
         }
     };
-    start_duty("callers", run).map(drop).context(StartSnafu { duty: "callers" })
+    start_duty("callers", run)
+        .map(drop)
+        .context(StartSnafu { duty: "callers" })
 }
 
 /// Starts a listener for readiness and metrics.
@@ -164,7 +166,9 @@
             serve(listener, handler, table).await;
         }
     };
-    start_duty(name, run).map(drop).context(StartSnafu { duty: name })
+    start_duty(name, run)
+        .map(drop)
+        .context(StartSnafu { duty: name })
 }
 
 /// Starts the store thread and returns its ring.
@@ -314,6 +318,7 @@
     fn may_stop(&self) -> bool {
         let now = BootClock.mono();
         let idle = self.answers.is_empty() && self.table.is_empty();
-        self.stopping.is_some_and(|stop| now >= stop.latest || (idle && now >= stop.earliest))
+        self.stopping
+            .is_some_and(|stop| now >= stop.latest || (idle && now >= stop.earliest))
     }
 }
--- a/crates/hornbeamlead_daemon/src/fleet/links.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/links.rs
@@ -152,7 +152,11 @@
             carry(link, stream, frames, &inbox).await;
             end(&inbox, link, false);
         }
-        Ok(Err(error)) => end(&inbox, link, error.kind() == io::ErrorKind::ConnectionRefused),
+        Ok(Err(error)) => end(
+            &inbox,
+            link,
+            error.kind() == io::ErrorKind::ConnectionRefused,
+        ),
         Err(_) => end(&inbox, link, false),
     }
 }
--- a/crates/hornbeamlead_daemon/src/fleet/local.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/local.rs
@@ -48,7 +48,9 @@
         if *Method::borrow_from(state) != Method::POST {
             return Err(StatusCode::METHOD_NOT_ALLOWED);
         }
-        let body = Limited::new(Body::take_from(state), MAX_BODY_BYTES).collect().await;
+        let body = Limited::new(Body::take_from(state), MAX_BODY_BYTES)
+            .collect()
+            .await;
         let event = match path {
             InstancePath::Deregister(id) => KeeperEvent::Left { id },
             InstancePath::Heartbeat(id) => {
--- a/crates/hornbeamlead_daemon/src/fleet/metrics.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/metrics.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 /// Bounds of the latency buckets, in seconds: from a call on the same host to a caller's deadline.
-const LATENCY_BUCKETS: [f64; 11] =
-    [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0];
+const LATENCY_BUCKETS: [f64; 11] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0,
+];
 
 /// Metrics of a process.
 #[derive(Clone)]
@@ -47,7 +48,10 @@
             Box::new(metrics.states.clone()),
         ];
         for collector in boxed {
-            metrics.registry.register(collector).expect("distinct names");
+            metrics
+                .registry
+                .register(collector)
+                .expect("distinct names");
         }
         metrics
     }
--- a/crates/hornbeamlead_daemon/src/fleet/outlets.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/outlets.rs
@@ -32,11 +32,7 @@
 
 impl FleetOutlets {
     /// Makes outlets.
-    pub(super) fn new(
-        store: mpsc::Sender<StoreCall>,
-        metrics: FleetMetrics,
-        log: Logger,
-    ) -> Self {
+    pub(super) fn new(store: mpsc::Sender<StoreCall>, metrics: FleetMetrics, log: Logger) -> Self {
         Self {
             store,
             metrics,
--- a/crates/hornbeamlead_daemon/src/fleet/worker.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/worker.rs
@@ -55,7 +55,11 @@
 ) -> KeeperEvent {
     let is_hold = matches!(call.ask, WorkerAsk::Hold { .. });
     // The semaphore is never closed, so a permit always comes.
-    let permit = if is_hold { None } else { orders.acquire().await.ok() };
+    let permit = if is_hold {
+        None
+    } else {
+        orders.acquire().await.ok()
+    };
     let sent = BootClock.mono();
     let reply = client.call(sent, &call).await;
     drop(permit);
--- a/crates/hornbeamlead_daemon/src/web/mod.rs
+++ b/crates/hornbeamlead_daemon/src/web/mod.rs
@@ -15,6 +15,6 @@
 pub(crate) use callers::{CallerDesk, call_handler};
 pub use connection::{ConnectionLimits, ConnectionState, ConnectionTable, ReadWait, RequestGuard};
 pub(crate) use local::{LocalDesk, local_handler};
-pub(crate) use reply::{end_connection, plain};
 pub(crate) use operators::{OperatorDesk, operator_handler};
+pub(crate) use reply::{end_connection, plain};
 pub use server::serve;
--- a/crates/hornbeamlead_jobs/src/config.rs
+++ b/crates/hornbeamlead_jobs/src/config.rs
@@ -41,7 +41,11 @@
     #[must_use]
     pub fn route<'p>(&self, host: &str, path: &'p str) -> Option<(&QueueRoute, &'p str)> {
         let fits = |route: &&QueueRoute| &*route.host == host && path.starts_with(&*route.prefix);
-        let route = self.routes.iter().filter(fits).max_by_key(|route| route.prefix.len())?;
+        let route = self
+            .routes
+            .iter()
+            .filter(fits)
+            .max_by_key(|route| route.prefix.len())?;
         Some((route, &path[route.prefix.len()..]))
     }
 }
@@ -80,7 +84,10 @@
     pub fn apply(&mut self, change: ConfigChange) -> bool {
         match change {
             ConfigChange::Config(config) => {
-                let newer = self.config.as_ref().is_none_or(|old| config.version > old.version);
+                let newer = self
+                    .config
+                    .as_ref()
+                    .is_none_or(|old| config.version > old.version);
                 if newer {
                     self.config = Some(config);
                 }
--- a/crates/hornbeamlead_jobs/src/entry.rs
+++ b/crates/hornbeamlead_jobs/src/entry.rs
@@ -186,7 +186,8 @@
             ReadStage::Newest(reader) => reader.poll(now),
             ReadStage::Follow => self.plan_follower.poll(now),
         };
-        self.effects.extend(operators.into_iter().chain(plan).map(Effect::Store));
+        self.effects
+            .extend(operators.into_iter().chain(plan).map(Effect::Store));
     }
 
     fn take_request(&mut self, now: ClockReading, request: CallerRequest) {
@@ -220,7 +221,11 @@
         let age = self.planner_seen.map(|seen| now.since(seen));
         match age {
             Some(age) if age <= MAX_COUNT_AGE => {
-                let own = self.accepted.values().filter(|known| &***known == queue).count();
+                let own = self
+                    .accepted
+                    .values()
+                    .filter(|known| &***known == queue)
+                    .count();
                 let waiting = self.index.waiting(queue) + own;
                 self.reply(ticket, CallerReply::Waiting(waiting));
             }
@@ -309,7 +314,10 @@
         }
     }
 
-    #[expect(clippy::too_many_arguments, reason = "each is a field of the pending append")]
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "each is a field of the pending append"
+    )]
     fn append(
         &mut self,
         now: MonoTime,
@@ -350,10 +358,15 @@
         };
         match away {
             Some(cause) if self.away_until.is_none() => {
-                self.effects.push(Effect::log("store_lost", "store", format!("cause={cause:?}")));
+                self.effects.push(Effect::log(
+                    "store_lost",
+                    "store",
+                    format!("cause={cause:?}"),
+                ));
             }
             None if self.away_until.is_some() => {
-                self.effects.push(Effect::log("store_regained", "store", ""));
+                self.effects
+                    .push(Effect::log("store_regained", "store", ""));
             }
             _ => {}
         }
@@ -451,13 +464,15 @@
                 self.plan_follower.seek(offset);
                 self.plan_stage = ReadStage::Follow;
                 let detail = format!("offset={offset} jobs={}", self.index.len());
-                self.effects.push(Effect::log("snapshot_read", "plan", detail));
+                self.effects
+                    .push(Effect::log("snapshot_read", "plan", detail));
             }
             Ok(None) if records.is_empty() => self.plan_stage = ReadStage::Follow,
             Ok(None) => self.plan_stage = newest(StreamName::Snapshots, StoreCaller::Plan),
             Err(error) => {
                 let detail = format!("cause={:?}", error.to_string());
-                self.effects.push(Effect::log("snapshot_unreadable", "plan", detail));
+                self.effects
+                    .push(Effect::log("snapshot_unreadable", "plan", detail));
                 self.plan_stage = newest(StreamName::Snapshots, StoreCaller::Plan);
             }
         }
@@ -478,7 +493,8 @@
                 }
                 Err(error) => {
                     let detail = format!("offset={} cause={:?}", read.offset, error.to_string());
-                    self.effects.push(Effect::log("record_unreadable", "plan", detail));
+                    self.effects
+                        .push(Effect::log("record_unreadable", "plan", detail));
                 }
             }
         }
--- a/crates/hornbeamlead_jobs/src/ids.rs
+++ b/crates/hornbeamlead_jobs/src/ids.rs
@@ -46,9 +46,7 @@
         if text.len() != JOB_DIGITS || !text.chars().all(digits) {
             return Err(error());
         }
-        u64::from_str_radix(text, 16)
-            .map(Self)
-            .map_err(|_| error())
+        u64::from_str_radix(text, 16).map(Self).map_err(|_| error())
     }
 }
 
--- a/crates/hornbeamlead_jobs/src/job.rs
+++ b/crates/hornbeamlead_jobs/src/job.rs
@@ -98,7 +98,9 @@
     #[must_use]
     pub fn fault(&self) -> Option<&'static str> {
         let orderly = |(index, step): (usize, &StepSpec)| {
-            step.after.iter().all(|&earlier| usize::from(earlier) < index)
+            step.after
+                .iter()
+                .all(|&earlier| usize::from(earlier) < index)
         };
         match self {
             _ if self.spec.len() > MAX_SPEC_BYTES => Some("spec is too long"),
@@ -120,7 +122,10 @@
     pub fn chain_ms(&self) -> u64 {
         let mut ends = Vec::<u64>::with_capacity(self.steps.len());
         for step in &self.steps {
-            let begin = step.after.iter().filter_map(|&earlier| ends.get(usize::from(earlier)));
+            let begin = step
+                .after
+                .iter()
+                .filter_map(|&earlier| ends.get(usize::from(earlier)));
             let begin = begin.copied().max().unwrap_or(0);
             ends.push(begin + u64::from(step.estimate_ms));
         }
--- a/crates/hornbeamlead_jobs/src/keeper.rs
+++ b/crates/hornbeamlead_jobs/src/keeper.rs
@@ -10,9 +10,7 @@
 
 use crate::effect::{Effect, LinkId};
 use crate::ids::{HostName, PlannerEpoch, RunName, WorkerLife};
-use crate::message::{
-    AgentMessage, AgentStamp, HostReport, PlannerMessage, RunTraits, StartOrder,
-};
+use crate::message::{AgentMessage, AgentStamp, HostReport, PlannerMessage, RunTraits, StartOrder};
 use crate::worker::{
     WorkerAnnouncement, WorkerFacts, WorkerLists, WorkerRefusal, WorkerReply, WorkerTag,
 };
@@ -62,10 +60,7 @@
 #[derive(Clone, Debug, PartialEq)]
 enum RunStage {
     /// A start is under way.
-    Starting {
-        order: StartOrder,
-        tries: u32,
-    },
+    Starting { order: StartOrder, tries: u32 },
     /// A stop is under way, or due at `again`.
     Stopping { again: Option<MonoTime> },
     /// An order was answered; lists of holds after number `after` tell what became of it.
@@ -211,7 +206,11 @@
                 if let Some(old) = self.worker.take() {
                     self.end_life(old.facts.life, "newer_life_announced");
                 }
-                self.log("worker_found", &life, format!("address={}", announcement.address));
+                self.log(
+                    "worker_found",
+                    &life,
+                    format!("address={}", announcement.address),
+                );
                 self.worker = Some(KeptWorker {
                     facts: announcement.facts,
                     address: announcement.address,
@@ -234,13 +233,19 @@
     /// Returns whether a life is known to have ended, or is older than the present one.
     fn is_past(&self, life: &WorkerLife) -> bool {
         let before = |known: &WorkerLife| life.born < known.born;
-        let dead = self.dead.as_ref().is_some_and(|dead| dead == life || before(dead));
+        let dead = self
+            .dead
+            .as_ref()
+            .is_some_and(|dead| dead == life || before(dead));
         let current = self.worker.as_ref().map(|worker| &worker.facts.life);
         dead || current.is_some_and(before)
     }
 
     fn take_leave(&mut self, id: &str) {
-        if self.worker.as_ref().is_some_and(|worker| &*worker.facts.life.id == id)
+        if self
+            .worker
+            .as_ref()
+            .is_some_and(|worker| &*worker.facts.life.id == id)
             && let Some(worker) = self.worker.as_mut()
         {
             worker.facts.draining = true;
@@ -249,7 +254,11 @@
     }
 
     fn end_life(&mut self, life: WorkerLife, cause: &str) {
-        self.log("worker_lost", &life, format!("cause={cause} runs={}", self.runs.len()));
+        self.log(
+            "worker_lost",
+            &life,
+            format!("cause={cause} runs={}", self.runs.len()),
+        );
         self.dead = Some(life);
         self.worker = None;
         self.runs.clear();
@@ -324,7 +333,8 @@
             }
             None => {
                 self.traits.insert(run, order.traits);
-                self.runs.insert(run, RunStage::Starting { order, tries: 0 });
+                self.runs
+                    .insert(run, RunStage::Starting { order, tries: 0 });
                 self.call_start(now, run);
             }
         }
@@ -340,12 +350,7 @@
         }
     }
 
-    fn not_started(
-        &mut self,
-        run: RunName,
-        life: WorkerLife,
-        refusal: Option<WorkerRefusal>,
-    ) {
+    fn not_started(&mut self, run: RunName, life: WorkerLife, refusal: Option<WorkerRefusal>) {
         self.traits.remove(&run);
         self.send(AgentMessage::NotStarted { run, life, refusal });
     }
@@ -362,11 +367,12 @@
     }
 
     fn report(&self, now: MonoTime) -> HostReport {
-        let unsettled = |(run, stage): (&RunName, &RunStage)| {
-            (*stage != RunStage::Listed).then_some(*run)
-        };
+        let unsettled =
+            |(run, stage): (&RunName, &RunStage)| (*stage != RunStage::Listed).then_some(*run);
         let worker = self.worker.as_ref();
-        let lists = worker.map(|worker| worker.lists.clone()).unwrap_or_default();
+        let lists = worker
+            .map(|worker| worker.lists.clone())
+            .unwrap_or_default();
         let facts = worker.map(|worker| WorkerFacts {
             leaves_in_ms: worker.leaves.map(|at| at.since(now).as_millis() as u32),
             ..worker.facts.clone()
--- a/crates/hornbeamlead_jobs/src/keeper/calls.rs
+++ b/crates/hornbeamlead_jobs/src/keeper/calls.rs
@@ -129,7 +129,11 @@
         life: &WorkerLife,
         reply: WorkerReply,
     ) {
-        let Some(worker) = self.worker.as_mut().filter(|worker| worker.facts.life == *life) else {
+        let Some(worker) = self
+            .worker
+            .as_mut()
+            .filter(|worker| worker.facts.life == *life)
+        else {
             return;
         };
         if let Some(ms) = reply.clock_ms {
@@ -212,7 +216,10 @@
             worker.hold_at = now.plus(HOLD_PAUSE);
             return;
         };
-        let unacknowledged = lists.ended.iter().any(|end| end.number > worker.acknowledged);
+        let unacknowledged = lists
+            .ended
+            .iter()
+            .any(|end| end.number > worker.acknowledged);
         worker.hold_at = match unacknowledged {
             true => now.plus(UNACKNOWLEDGED_PAUSE),
             false => now,
--- a/crates/hornbeamlead_jobs/src/keeper/pace.rs
+++ b/crates/hornbeamlead_jobs/src/keeper/pace.rs
@@ -21,10 +21,10 @@
 }
 
 /// Share of the target at which the controller aims.
-const AIM: f64 = 0.97;
+const AIM: f64 = 0.92;
 
 /// Share of the target below which fillers are sped up.
-const CALM: f64 = 0.9;
+const CALM: f64 = 0.85;
 
 /// Share of the target that a serving task takes without any filler, as a rule.
 const BASE: f64 = 0.45;
@@ -38,9 +38,15 @@
 /// Change of a share that is worth an order, in percent.
 const LEAST_CHANGE: u8 = 5;
 
-/// Time over target after which what is believed of fillers is doubted, well inside the 4 s that a
-/// serving task may be disturbed.
-const DISTRUST_SPAN: Duration = Duration::from_millis(1100);
+/// Time close to a target after which what is believed of fillers is doubted.
+const DISTRUST_SPAN: Duration = Duration::from_millis(900);
+
+/// Time close to a target after which all fillers stand still. Readings are rough and half a
+/// second old, and a serving task may be disturbed for no longer than 4 s.
+const HALT_SPAN: Duration = Duration::from_millis(2000);
+
+/// Doubt that fades at a step.
+const DOUBT_FADE: f64 = 0.1;
 
 /// Full share, in percent.
 const FULL_SHARE: u8 = 100;
@@ -53,7 +59,9 @@
     close_since: Option<MonoTime>,
     /// Since when a serving task has been over its target.
     over_since: Option<MonoTime>,
-    changed: MonoTime,
+    moved: MonoTime,
+    /// Least share of a change that applies to any filler, whatever is believed of it.
+    doubt: f64,
     /// Share of their use that pressing fillers may have.
     use_share: f64,
     /// Share that each filler was told, in percent.
@@ -70,7 +78,8 @@
             policy,
             close_since: None,
             over_since: None,
-            changed: MonoTime(0),
+            moved: MonoTime(0),
+            doubt: 0.0,
             use_share: 1.0,
             told: BTreeMap::new(),
             news: None,
@@ -107,10 +116,12 @@
         self.note(now, worst);
         let close = worst > AIM;
         self.close_since = close.then(|| self.close_since.unwrap_or(now));
-        if now.since(self.changed) >= self.policy.step {
+        if now.since(self.moved) >= self.policy.step {
+            self.moved = now;
+            self.move_doubt(now);
             self.move_share(now, worst);
         }
-        self.tell(now, rows, traits)
+        self.tell(rows, traits)
     }
 
     fn note(&mut self, now: MonoTime, worst: f64) {
@@ -122,19 +133,28 @@
         self.over_since = over.then(|| self.over_since.unwrap_or(now));
     }
 
-    /// Returns the share of a change that applies to all fillers, whatever is believed of them.
-    fn least_press(&self, now: MonoTime) -> f64 {
-        let over = self.over_since.map_or(Duration::ZERO, |since| now.since(since));
-        match over {
-            _ if over >= DISTRUST_SPAN * 2 => 1.0,
-            _ if over >= DISTRUST_SPAN => 0.5,
-            _ => 0.0,
-        }
+    /// Raises the doubt in what is believed of fillers while slowing those that press does not
+    /// help, and lets it fade afterwards.
+    fn move_doubt(&mut self, now: MonoTime) {
+        let close = self
+            .close_since
+            .map_or(Duration::ZERO, |since| now.since(since));
+        self.doubt = match close {
+            _ if close >= HALT_SPAN => 1.0,
+            _ if close >= DISTRUST_SPAN => self.doubt.max(0.5),
+            _ => (self.doubt - DOUBT_FADE).max(0.0),
+        };
     }
 
     fn move_share(&mut self, now: MonoTime, worst: f64) {
-        let patient = self.close_since.is_some_and(|since| now.since(since) < self.policy.patience);
+        let patient = self
+            .close_since
+            .is_some_and(|since| now.since(since) < self.policy.patience);
+        let halted = self
+            .close_since
+            .is_some_and(|since| now.since(since) >= HALT_SPAN);
         let share = match worst {
+            _ if halted => 0.0,
             _ if patient => self.use_share,
             _ if worst > AIM => {
                 let factor = (AIM - BASE) / (worst - BASE);
@@ -143,16 +163,11 @@
             _ if worst < CALM => self.use_share + RISE,
             _ => self.use_share,
         };
-        let share = share.clamp(0.0, 1.0);
-        if (share - self.use_share).abs() > f64::EPSILON {
-            self.use_share = share;
-            self.changed = now;
-        }
+        self.use_share = share.clamp(0.0, 1.0);
     }
 
     fn tell(
         &mut self,
-        now: MonoTime,
         rows: &[RunningRow],
         traits: &BTreeMap<RunName, RunTraits>,
     ) -> Vec<(RunName, u8)> {
@@ -162,11 +177,10 @@
         };
         let fillers: BTreeMap<RunName, u8> = rows.iter().filter_map(filler).collect();
         self.told.retain(|run, _| fillers.contains_key(run));
-        let least = self.least_press(now);
         let mut changes = Vec::new();
         for (run, press) in fillers {
             let press = f64::from(press.min(FULL_SHARE)) / f64::from(FULL_SHARE);
-            let press = press.max(least);
+            let press = press.max(self.doubt);
             let share = (1.0 - (1.0 - self.use_share) * press) * f64::from(FULL_SHARE);
             let share = share.round() as u8;
             let told = self.told.entry(run).or_insert(FULL_SHARE);
--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -1,6 +1,8 @@
 //! State that the records of the plan stream add up to.
 
-use crate::ids::{HostName, JobId, RunName, RunNumber, StepName, StreamOffset, TaskName, WorkerLife};
+use crate::ids::{
+    HostName, JobId, RunName, RunNumber, StepName, StreamOffset, TaskName, WorkerLife,
+};
 use crate::job::{JobPhase, JobRecord, RunEnd, StepSpec};
 use crate::record::PlanRecord;
 use std::collections::BTreeMap;
@@ -116,7 +118,10 @@
     fn task_mut(&mut self, name: TaskName) -> &mut TaskState {
         let record = self.record.as_deref();
         let make = || record.map(OccurrenceState::new).unwrap_or_default();
-        let occurrence = self.occurrences.entry(name.step.occurrence).or_insert_with(make);
+        let occurrence = self
+            .occurrences
+            .entry(name.step.occurrence)
+            .or_insert_with(make);
         let step = usize::from(name.step.step);
         if occurrence.steps.len() <= step {
             occurrence.steps.resize_with(step + 1, Vec::new);
@@ -156,7 +161,8 @@
             return false;
         };
         let expected = record.body.schedule.occurrences() as usize;
-        self.occurrences.len() == expected && self.occurrences.values().all(OccurrenceState::is_done)
+        self.occurrences.len() == expected
+            && self.occurrences.values().all(OccurrenceState::is_done)
     }
 
     /// Returns whether no attempt may be running.
@@ -168,27 +174,33 @@
     /// Returns all attempts that may be running, without their job.
     pub fn placements(&self) -> impl Iterator<Item = (u32, u16, u32, &TaskPlacement)> {
         self.occurrences.iter().flat_map(|(&occurrence, state)| {
-            state.steps.iter().enumerate().flat_map(move |(step, tasks)| {
-                tasks.iter().enumerate().flat_map(move |(index, task)| {
-                    let place = move |placement| (occurrence, step as u16, index as u32, placement);
-                    task.placements.iter().map(place)
+            state
+                .steps
+                .iter()
+                .enumerate()
+                .flat_map(move |(step, tasks)| {
+                    tasks.iter().enumerate().flat_map(move |(index, task)| {
+                        let place =
+                            move |placement| (occurrence, step as u16, index as u32, placement);
+                        task.placements.iter().map(place)
+                    })
                 })
-            })
         })
     }
 
     /// Returns the names of all attempts that may be running.
     pub fn runs(&self, job: JobId) -> impl Iterator<Item = (RunName, &TaskPlacement)> {
-        self.placements().map(move |(occurrence, step, index, placement)| {
-            let step = StepName {
-                job,
-                occurrence,
-                step,
-            };
-            let task = TaskName { step, index };
-            let run = placement.run;
-            (RunName { task, run }, placement)
-        })
+        self.placements()
+            .map(move |(occurrence, step, index, placement)| {
+                let step = StepName {
+                    job,
+                    occurrence,
+                    step,
+                };
+                let task = TaskName { step, index };
+                let run = placement.run;
+                (RunName { task, run }, placement)
+            })
     }
 
     fn end_run(&mut self, run: RunName, end: RunEnd, saved: Option<Box<str>>) {
@@ -315,7 +327,9 @@
     #[must_use]
     pub fn placement(&self, run: RunName) -> Option<&TaskPlacement> {
         let (_, task) = self.task(run.task)?;
-        task.placements.iter().find(|placement| placement.run == run.run)
+        task.placements
+            .iter()
+            .find(|placement| placement.run == run.run)
     }
 
     /// Notes a newer checkpoint of an attempt that runs; it is recorded with the attempt's end.
--- a/crates/hornbeamlead_jobs/src/locator.rs
+++ b/crates/hornbeamlead_jobs/src/locator.rs
@@ -101,10 +101,20 @@
 enum Suspicion {
     None,
     /// Reads the end of the plan; `seen` is the end that the window began with.
-    Reading { seen: Option<StreamOffset> },
-    Waiting { seen: StreamOffset, until: MonoTime },
-    Claiming { end: StreamOffset, tries: u32 },
-    Pausing { until: MonoTime },
+    Reading {
+        seen: Option<StreamOffset>,
+    },
+    Waiting {
+        seen: StreamOffset,
+        until: MonoTime,
+    },
+    Claiming {
+        end: StreamOffset,
+        tries: u32,
+    },
+    Pausing {
+        until: MonoTime,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -166,7 +176,10 @@
 
     /// Returns what there is to do, and what was found.
     pub fn drain(&mut self) -> (Vec<Effect>, Vec<LocatorNews>) {
-        (std::mem::take(&mut self.effects), std::mem::take(&mut self.news))
+        (
+            std::mem::take(&mut self.effects),
+            std::mem::take(&mut self.news),
+        )
     }
 
     /// Notes that a link which this process opened is open.
@@ -181,7 +194,11 @@
     pub fn link_closed(&mut self, now: MonoTime, link: LinkId, refused: bool) {
         match self.link {
             LinkStage::Dialing { link: own } if own == link => {
-                self.window = if refused { REFUSED_WINDOW } else { SILENT_WINDOW };
+                self.window = if refused {
+                    REFUSED_WINDOW
+                } else {
+                    SILENT_WINDOW
+                };
                 self.link_down(now, "dial_failed");
             }
             LinkStage::Up { link: own, .. } if own == link => {
@@ -198,8 +215,12 @@
             dial_at: now.plus(DIAL_PAUSE),
         };
         if self.suspicion == Suspicion::None {
-            let id = self.seat.as_ref().map_or_else(String::new, |seat| seat.address.to_string());
-            self.effects.push(Effect::log("planner_lost", id, format!("cause={cause}")));
+            let id = self
+                .seat
+                .as_ref()
+                .map_or_else(String::new, |seat| seat.address.to_string());
+            self.effects
+                .push(Effect::log("planner_lost", id, format!("cause={cause}")));
             self.suspicion = Suspicion::Reading { seen: None };
         }
     }
@@ -210,7 +231,11 @@
             *heard = now;
         }
         if self.troubled != troubled {
-            let event = if troubled { "planner_troubled" } else { "planner_sound" };
+            let event = if troubled {
+                "planner_troubled"
+            } else {
+                "planner_sound"
+            };
             self.effects.push(Effect::log(event, "planner", ""));
         }
         self.troubled = troubled;
@@ -237,11 +262,16 @@
 
     /// Takes in where the planner is.
     pub fn learn_seat(&mut self, now: MonoTime, seat: PlannerSeat) {
-        if self.seat.as_ref().is_some_and(|known| known.epoch >= seat.epoch) {
+        if self
+            .seat
+            .as_ref()
+            .is_some_and(|known| known.epoch >= seat.epoch)
+        {
             return;
         }
         let detail = format!("epoch={}", seat.epoch);
-        self.effects.push(Effect::log("planner_found", seat.address, detail));
+        self.effects
+            .push(Effect::log("planner_found", seat.address, detail));
         self.seat = Some(seat);
         self.suspicion = Suspicion::None;
         self.troubled = false;
@@ -310,7 +340,9 @@
             }
             // The read of a window that has just begun.
             Suspicion::Reading { seen: None } => {
-                self.suspicion = Suspicion::Reading { seen: Some(u64::MAX) };
+                self.suspicion = Suspicion::Reading {
+                    seen: Some(u64::MAX),
+                };
                 self.read_end(now);
             }
             _ => {}
@@ -370,7 +402,8 @@
                 Ok(seat) => self.learn_seat(now, seat),
                 Err(error) => {
                     let detail = format!("cause={:?}", error.to_string());
-                    self.effects.push(Effect::log("seat_unreadable", "planner", detail));
+                    self.effects
+                        .push(Effect::log("seat_unreadable", "planner", detail));
                 }
             }
         }
@@ -389,7 +422,8 @@
                 self.suspicion = Suspicion::None;
                 let epoch = self.epoch_at(end);
                 let detail = format!("epoch={epoch} offset={offset}");
-                self.effects.push(Effect::log("planner_claimed", &self.policy.host, detail));
+                self.effects
+                    .push(Effect::log("planner_claimed", &self.policy.host, detail));
                 self.news.push(LocatorNews::Elected {
                     epoch,
                     claim: offset,
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -27,8 +27,8 @@
 use crate::record::PlanRecord;
 use crate::store::{StoreCaller, StoreOutcome, StreamName};
 use batch::RecordBatch;
-use impact::ImpactModel;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
+use impact::ImpactModel;
 use recovery::RecoveryState;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -250,7 +250,10 @@
         if self.ledger.placement(run).is_none() {
             return;
         }
-        let host = self.ledger.placement(run).map(|placement| placement.host.clone());
+        let host = self
+            .ledger
+            .placement(run)
+            .map(|placement| placement.host.clone());
         let host = host.unwrap_or_default();
         self.log("task_ended", run, format!("end={end} host={host}"));
         self.effects.push(Effect::Count(end_counter(end)));
@@ -265,7 +268,8 @@
         self.deposed = true;
         let links: Vec<_> = self.links.keys().copied().collect();
         self.links.clear();
-        self.effects.extend(links.into_iter().map(|link| Effect::Hang { link }));
+        self.effects
+            .extend(links.into_iter().map(|link| Effect::Hang { link }));
     }
 
     fn log(&mut self, event: &'static str, id: impl ToString, detail: String) {
--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -2,11 +2,11 @@
 
 use super::{GRANT_SPAN, PlannerMachine, RunView};
 use crate::effect::Effect;
-use crate::operators::OperatorFormat;
 use crate::ids::{HostName, PlannerEpoch, RunName, StreamOffset, WorkerLife};
 use crate::job::RunEnd;
 use crate::ledger::JobLedger;
 use crate::message::{PlannerMessage, StartOrder};
+use crate::operators::OperatorFormat;
 use crate::record::{PlanRecord, encode};
 use crate::store::{
     AppendCondition, NewRecord, StoreAsk, StoreCall, StoreCaller, StoreOutcome, StreamName,
@@ -159,7 +159,11 @@
         let snapshot = (whole && self.upkeep.is_snapshot_due(now)).then(|| self.ledger.clone());
         self.batch.flying = Some(FlyingBatch {
             records: records.iter().map(record).collect(),
-            held: if whole { std::mem::take(&mut self.batch.held) } else { Vec::new() },
+            held: if whole {
+                std::mem::take(&mut self.batch.held)
+            } else {
+                Vec::new()
+            },
             sequence: self.batch.sequence,
             sent: now,
             repeat_at: None,
--- a/crates/hornbeamlead_jobs/src/planner/health.rs
+++ b/crates/hornbeamlead_jobs/src/planner/health.rs
@@ -24,7 +24,13 @@
 const MAX_FAILED_HOSTS: usize = 4;
 
 impl<F: OperatorFormat> PlannerMachine<F> {
-    pub(super) fn note_health(&mut self, now: MonoTime, run: RunName, host: &HostName, end: RunEnd) {
+    pub(super) fn note_health(
+        &mut self,
+        now: MonoTime,
+        run: RunName,
+        host: &HostName,
+        end: RunEnd,
+    ) {
         if let Some(view) = self.hosts.get_mut(host) {
             view.runs.remove(&run);
             match end {
--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -1,8 +1,8 @@
 //! What the planner knows of the hosts.
 
-use crate::effect::LinkId;
 use super::impact::ImpactReading;
 use super::placement::{ImageId, TaskDemand};
+use crate::effect::LinkId;
 use crate::ids::{HostName, RunName, WorkerLife};
 use crate::message::AgentStamp;
 use crate::worker::WorkerFacts;
@@ -41,6 +41,8 @@
     pub runs: BTreeMap<RunName, TaskDemand>,
     /// Logarithm of latency over target of the serving tasks, as last reported.
     pub latency: f64,
+    /// Share of what its fillers ask for that they get.
+    pub filler_rate: f64,
     /// When the impact of fillers was last learned from its reports, and from what.
     pub(super) learned: (MonoTime, ImpactReading),
     /// Whether only one task at a time is tried, after many failures.
@@ -62,6 +64,7 @@
             strikes: 0,
             runs: BTreeMap::new(),
             latency: NO_LATENCY,
+            filler_rate: 1.0,
             learned: (MonoTime(0), ImpactReading::default()),
             probation: false,
             orders: 0,
--- a/crates/hornbeamlead_jobs/src/planner/impact.rs
+++ b/crates/hornbeamlead_jobs/src/planner/impact.rs
@@ -76,7 +76,9 @@
 
     /// Returns how strongly a filler image presses on what a worker serves.
     pub(super) fn press_on(&self, serving: &BTreeMap<ImageId, u32>, filler: ImageId) -> f64 {
-        let rows = serving.iter().map(|(&image, &count)| (self.press(image, filler), count));
+        let rows = serving
+            .iter()
+            .map(|(&image, &count)| (self.press(image, filler), count));
         let (sum, count) = rows.fold((0.0, 0), |(sum, total), (press, count)| {
             (sum + press * f64::from(count), total + count)
         });
@@ -88,7 +90,11 @@
 
     /// Describes the weights, strongest first.
     pub(super) fn describe(&self) -> String {
-        let mut rows: Vec<_> = self.pairs.values().map(|press| (press * 10.0) as i64).collect();
+        let mut rows: Vec<_> = self
+            .pairs
+            .values()
+            .map(|press| (press * 10.0) as i64)
+            .collect();
         rows.sort_unstable_by(|left, right| right.cmp(left));
         format!("press_tenths={rows:?}")
     }
@@ -96,21 +102,24 @@
     /// Learns from two readings of a worker that follow one another.
     pub(super) fn learn(&mut self, before: &ImpactReading, after: &ImpactReading) {
         let images: BTreeSet<_> = before.fillers.keys().chain(after.fillers.keys()).collect();
-        let changes = images.into_iter().map(|&image| {
-            (image, after.use_of(image) - before.use_of(image))
-        });
+        let changes = images
+            .into_iter()
+            .map(|&image| (image, after.use_of(image) - before.use_of(image)));
         let changes: Vec<(ImageId, f64)> = changes.collect();
         let norm: f64 = changes.iter().map(|(_, change)| change * change).sum();
         if norm < LEAST_CHANGE * LEAST_CHANGE {
             return;
         }
         for (serving, rise) in rises(before, after) {
-            let expected = changes.iter().map(|&(filler, change)| self.press(serving, filler) * change);
+            let expected = changes
+                .iter()
+                .map(|&(filler, change)| self.press(serving, filler) * change);
             let error = rise - expected.sum::<f64>();
             let step = error / (norm + DAMPING);
             for &(filler, change) in &changes {
                 let press = self.press(serving, filler) + LEARNING_RATE * step * change;
-                self.pairs.insert((serving, filler), press.clamp(0.0, MAX_PRESS));
+                self.pairs
+                    .insert((serving, filler), press.clamp(0.0, MAX_PRESS));
                 let alone = self.press_alone(filler) + PRIOR_RATE * step * change;
                 self.alone.insert(filler, alone.clamp(0.0, MAX_PRESS));
             }
@@ -128,5 +137,7 @@
             sum.1 += 1.0;
         }
     }
-    sums.into_iter().map(|(image, (sum, count))| (image, sum / count)).collect()
+    sums.into_iter()
+        .map(|(image, (sum, count))| (image, sum / count))
+        .collect()
 }
--- a/crates/hornbeamlead_jobs/src/planner/intake.rs
+++ b/crates/hornbeamlead_jobs/src/planner/intake.rs
@@ -33,7 +33,10 @@
                 continue;
             };
             let job = record.key.strip_prefix(JOB_PREFIX).map(str::parse::<JobId>);
-            let cancel = record.key.strip_prefix(CANCEL_PREFIX).map(str::parse::<JobId>);
+            let cancel = record
+                .key
+                .strip_prefix(CANCEL_PREFIX)
+                .map(str::parse::<JobId>);
             match (job, cancel) {
                 (Some(Ok(job)), _) => self.take_job(now, job, value),
                 (_, Some(Ok(job))) => self.cancel_job(now, job),
@@ -77,7 +80,10 @@
     /// Makes the occurrence of a job that runs once; others open when they are due.
     fn open_occurrences(&mut self, job: JobId) {
         if let Some(state) = self.ledger.jobs.get_mut(&job) {
-            let once = state.record.as_ref().is_some_and(|record| record.body.schedule.times == 0);
+            let once = state
+                .record
+                .as_ref()
+                .is_some_and(|record| record.body.schedule.times == 0);
             if once {
                 state.open_occurrence(0);
             }
--- a/crates/hornbeamlead_jobs/src/planner/placement.rs
+++ b/crates/hornbeamlead_jobs/src/planner/placement.rs
@@ -14,6 +14,8 @@
     /// Cost to a filler of a worker that serves, for an image of which nothing is known; the more
     /// an image presses, the dearer.
     pub filler_beside_serving: f64,
+    /// Cost to a filler of a worker whose fillers get nothing.
+    pub filler_beside_starved: f64,
     /// Cost to a filler of taking the serving tasks of a worker over their targets.
     pub filler_harm: f64,
     /// Cost to a filler of a worker whose serving tasks are over their targets already.
@@ -37,6 +39,7 @@
     fn default() -> Self {
         Self {
             filler_beside_serving: 2.0,
+            filler_beside_starved: 0.5,
             filler_harm: 1.0,
             filler_beside_late: 0.5,
             lasting_together: 2.0,
@@ -178,7 +181,10 @@
 
     /// Returns whether a task may run there.
     pub(super) fn admits(&self, demand: &TaskDemand, spec: &StepSpec, service: &str) -> bool {
-        let labelled = spec.label.as_ref().is_none_or(|label| self.worker.labels.contains(label));
+        let labelled = spec
+            .label
+            .as_ref()
+            .is_none_or(|label| self.worker.labels.contains(label));
         let spread = spec.spread_limit;
         *self.worker.service == *service
             && labelled
@@ -198,7 +204,10 @@
         let whole = f64::from(self.worker.cpu.max(1));
         let share = |cpu: u32| f64::from(cpu) / whole;
         let lasting = share(self.load.lasting_cpu);
-        let remote = spec.data_rack.as_ref().is_some_and(|rack| !self.worker.labels.contains(rack));
+        let remote = spec
+            .data_rack
+            .as_ref()
+            .is_some_and(|rack| !self.worker.labels.contains(rack));
         let base = match (demand.filler, demand.lasting) {
             (true, _) => {
                 let busy = share(self.load.cpu + self.load.filler_cpu + demand.cpu);
@@ -208,12 +217,18 @@
                 let weight = serves / f64::from(FULL_HARM_TASKS);
                 let late = policy.filler_beside_late * lateness(self.latency);
                 let beside = policy.filler_beside_serving * press / UNKNOWN_PRESS;
-                busy + weight * (beside + policy.filler_harm * harm + late)
+                let starved =
+                    policy.filler_beside_starved * (1.0 - self.view.filler_rate).clamp(0.0, 1.0);
+                busy + starved + weight * (beside + policy.filler_harm * harm + late)
             }
             (false, true) => {
                 let crowd = self.step_count(demand.step);
                 let crowded = crowd >= policy.lasting_per_host.max(spec.may_miss.unwrap_or(0));
-                let full = if crowded { 10.0 + f64::from(crowd) } else { 0.0 };
+                let full = if crowded {
+                    10.0 + f64::from(crowd)
+                } else {
+                    0.0
+                };
                 let alike = self.serving.get(&demand.image).copied().unwrap_or(0);
                 let others = self.load.serving.saturating_sub(alike);
                 let mixed = policy.lasting_mixed * f64::from(others);
--- a/crates/hornbeamlead_jobs/src/planner/recovery.rs
+++ b/crates/hornbeamlead_jobs/src/planner/recovery.rs
@@ -2,10 +2,10 @@
 
 use super::PlannerMachine;
 use crate::effect::{Effect, LinkId};
-use crate::operators::OperatorFormat;
 use crate::follow::{FollowNews, NewestReader, NewestRecords, StreamFollower};
 use crate::ids::StreamOffset;
 use crate::message::AgentMessage;
+use crate::operators::OperatorFormat;
 use crate::record::{PlanRecord, decode};
 use crate::snapshot::read_snapshot;
 use crate::store::{ReadRecord, StoreCaller, StoreOutcome, StreamName};
@@ -68,7 +68,8 @@
             JobsStage::Reading(reader) => reader.poll(now),
             _ => None,
         };
-        self.effects.extend(plan.into_iter().chain(jobs).map(Effect::Store));
+        self.effects
+            .extend(plan.into_iter().chain(jobs).map(Effect::Store));
     }
 
     pub(super) fn take_recovery(
@@ -101,12 +102,7 @@
         }
     }
 
-    fn recover_plan(
-        &mut self,
-        now: MonoTime,
-        recovery: &mut RecoveryState,
-        outcome: StoreOutcome,
-    ) {
+    fn recover_plan(&mut self, now: MonoTime, recovery: &mut RecoveryState, outcome: StoreOutcome) {
         match &mut recovery.plan {
             PlanStage::Snapshot(reader) => {
                 if let Some(newest) = reader.take(now, outcome) {
@@ -175,8 +171,10 @@
 
     fn take_over(&mut self, now: MonoTime, newest: NewestRecords) {
         self.jobs_follower.seek(newest.end);
-        let (cancels, jobs): (Vec<_>, Vec<_>) =
-            newest.records.into_iter().partition(super::intake::is_cancel);
+        let (cancels, jobs): (Vec<_>, Vec<_>) = newest
+            .records
+            .into_iter()
+            .partition(super::intake::is_cancel);
         self.apply_jobs(now, &jobs);
         self.apply_jobs(now, &cancels);
         let bodiless = |(job, state): (&crate::ids::JobId, &crate::ledger::JobState)| {
@@ -201,7 +199,11 @@
     /// Calls up all agents that are known; the others find the planner's address at the store.
     fn summon(&mut self, now: MonoTime) {
         let (epoch, address) = (self.epoch, self.policy.address);
-        let agents = self.ledger.hosts.values().filter(|agent| **agent != address);
+        let agents = self
+            .ledger
+            .hosts
+            .values()
+            .filter(|agent| **agent != address);
         for (number, &agent) in agents.enumerate() {
             let link = LinkId(SUMMONS_LINKS + now.0 + number as u64);
             self.effects.push(Effect::Dial {
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -102,7 +102,11 @@
         let Some(host) = self.links.remove(&link) else {
             return;
         };
-        if let Some(view) = self.hosts.get_mut(&host).filter(|view| view.link == Some(link)) {
+        if let Some(view) = self
+            .hosts
+            .get_mut(&host)
+            .filter(|view| view.link == Some(link))
+        {
             view.link = None;
         }
         self.log("host_disconnected", &host, String::new());
@@ -161,6 +165,7 @@
         }
         let whole = report.worker.as_ref().map_or(1, |worker| worker.cpu.max(1));
         let mut reading = ImpactReading::default();
+        let (mut used, mut wanted) = (0.0, 0.0);
         for row in &report.running {
             let Some(demand) = view.runs.get(&row.run) else {
                 continue;
@@ -170,6 +175,8 @@
                 0 if demand.filler => {
                     let share = value / f64::from(whole);
                     *reading.fillers.entry(demand.image).or_default() += share;
+                    used += value;
+                    wanted += f64::from(demand.cpu);
                 }
                 // A reading of 0 stands for a task that has not served yet.
                 target if target > 0 && row.reading > 0 => {
@@ -179,6 +186,7 @@
                 _ => {}
             }
         }
+        view.filler_rate = if wanted > 0.0 { used / wanted } else { 1.0 };
         view.latency = reading.latency().unwrap_or(NO_LATENCY);
         let fresh = now.since(view.learned.0) < LEARN_SPAN * 3;
         let before = std::mem::replace(&mut view.learned, (now, reading));
@@ -206,7 +214,11 @@
 
     /// Returns what an agent has to know of the attempts of a step on its host.
     pub(super) fn traits_of(&self, spec: &StepSpec, host: &HostName) -> RunTraits {
-        let serving = self.hosts.get(host).map(HostView::serving).unwrap_or_default();
+        let serving = self
+            .hosts
+            .get(host)
+            .map(HostView::serving)
+            .unwrap_or_default();
         let press = self.impact.press_on(&serving, ImageId::from(&*spec.image));
         RunTraits {
             target_ms: if spec.lasting { spec.target_ms } else { 0 },
@@ -221,7 +233,10 @@
         let present = report.worker.as_ref().map(|worker| &worker.life);
         let is_over = |life: &WorkerLife| match present {
             Some(present) => life != present && life.born <= present.born,
-            None => report.dead.as_ref().is_some_and(|dead| life.born <= dead.born),
+            None => report
+                .dead
+                .as_ref()
+                .is_some_and(|dead| life.born <= dead.born),
         };
         for run in self.runs_on(host) {
             let placement = self.ledger.placement(run);
@@ -262,7 +277,10 @@
             if let Some(saved) = &row.saved {
                 self.ledger.note_saved(row.run, saved);
             }
-            let view = self.runs.entry(row.run).or_insert_with(|| RunView::new(now));
+            let view = self
+                .runs
+                .entry(row.run)
+                .or_insert_with(|| RunView::new(now));
             if !view.listed {
                 view.listed = true;
                 view.progressed = now;
@@ -313,7 +331,9 @@
             let Some(view) = self.runs.get(&run) else {
                 continue;
             };
-            let ordered = view.ordered.is_some_and(|number| number <= report.orders_seen);
+            let ordered = view
+                .ordered
+                .is_some_and(|number| number <= report.orders_seen);
             if ordered && !view.stop_sent && !told.contains(&run) {
                 self.log("attempt_missing", run, format!("host={host}"));
                 self.order_stop(run);
@@ -338,7 +358,11 @@
             return;
         }
         let host = placement.host.clone();
-        self.log("not_started", run, format!("host={host} refusal={refusal:?}"));
+        self.log(
+            "not_started",
+            run,
+            format!("host={host} refusal={refusal:?}"),
+        );
         self.end_run(now, run, RunEnd::NotStarted, None);
         let pause = match refusal {
             Some(WorkerRefusal::NoRoom) => NO_ROOM_PAUSE,
@@ -384,7 +408,12 @@
             };
             now.since(view.heard) > span
         };
-        let silent: Vec<_> = self.hosts.values().filter(lapsed).map(|view| view.host.clone()).collect();
+        let silent: Vec<_> = self
+            .hosts
+            .values()
+            .filter(lapsed)
+            .map(|view| view.host.clone())
+            .collect();
         for host in silent {
             for run in self.runs_on(&host) {
                 self.log("lease_lapsed", run, format!("host={host}"));
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -71,7 +71,11 @@
                 continue;
             };
             let schedule = record.body.schedule;
-            let next = state.occurrences.keys().next_back().map_or(0, |last| last + 1);
+            let next = state
+                .occurrences
+                .keys()
+                .next_back()
+                .map_or(0, |last| last + 1);
             for occurrence in next..schedule.occurrences() {
                 if now.wall.0 < schedule.due_ms(occurrence) {
                     break;
@@ -88,9 +92,19 @@
             heard.plus(left).since(now) < LEAVE_MARGIN
         };
         let mut stops = Vec::new();
-        for view in self.hosts.values().filter(|view| view.is_draining() && view.is_open(now)) {
-            let soon = view.worker.as_ref().is_some_and(|worker| leaving(worker, view.heard));
-            let runs = view.runs.iter().filter(|(_, demand)| soon || demand.lasting);
+        for view in self
+            .hosts
+            .values()
+            .filter(|view| view.is_draining() && view.is_open(now))
+        {
+            let soon = view
+                .worker
+                .as_ref()
+                .is_some_and(|worker| leaving(worker, view.heard));
+            let runs = view
+                .runs
+                .iter()
+                .filter(|(_, demand)| soon || demand.lasting);
             stops.extend(runs.map(|(run, _)| *run));
         }
         self.stop_runs(stops, "worker_leaves");
@@ -98,7 +112,10 @@
 
     pub(super) fn stop_runs(&mut self, runs: Vec<RunName>, cause: &str) {
         for run in runs {
-            let fresh = self.runs.get(&run).is_some_and(|view| !view.stop_sent && view.listed);
+            let fresh = self
+                .runs
+                .get(&run)
+                .is_some_and(|view| !view.stop_sent && view.listed);
             if fresh {
                 self.log("task_stopping", run, format!("cause={cause}"));
                 self.order_stop(run);
@@ -152,7 +169,11 @@
                     load: HostLoad::of(&view.runs),
                     placed: BTreeMap::new(),
                     risk: f64::from(view.strikes),
-                    limit: if view.probation { PROBATION_TASKS } else { u32::MAX },
+                    limit: if view.probation {
+                        PROBATION_TASKS
+                    } else {
+                        u32::MAX
+                    },
                     latency: view.latency,
                     serving: view.serving(),
                 })
@@ -167,7 +188,10 @@
         let demand = TaskDemand::new(step.name, spec);
         let service = &step.record.terms.service;
         let before: Vec<_> = match spec.gang {
-            true => candidates.iter().map(|it| (it.load, it.placed.clone())).collect(),
+            true => candidates
+                .iter()
+                .map(|it| (it.load, it.placed.clone()))
+                .collect(),
             false => Vec::new(),
         };
         let mut choices = Vec::new();
@@ -179,11 +203,17 @@
             let cost = |candidate: &Candidate<'_>| {
                 let failed = self.failed_hosts.get(&task);
                 let failed = failed.is_some_and(|hosts| hosts.contains(&candidate.view.host));
-                let again = if failed { self.policy.placement.failed_before } else { 0.0 };
+                let again = if failed {
+                    self.policy.placement.failed_before
+                } else {
+                    0.0
+                };
                 let press = self.press_at(candidate, &demand);
                 candidate.cost(&self.policy.placement, &demand, spec, press) + again
             };
-            let fitting = candidates.iter_mut().filter(|it| it.admits(&demand, spec, service));
+            let fitting = candidates
+                .iter_mut()
+                .filter(|it| it.admits(&demand, spec, service));
             let best = fitting.min_by(|left, right| cost(left).total_cmp(&cost(right)));
             match best {
                 Some(candidate) => {
@@ -278,7 +308,11 @@
     tasks: &OccurrenceState,
     into: &mut Vec<ReadyStep>,
 ) {
-    let due = record.body.schedule.due_ms(occurrence).max(record.accepted_ms);
+    let due = record
+        .body
+        .schedule
+        .due_ms(occurrence)
+        .max(record.accepted_ms);
     let objective = f64::from(record.terms.target_factor) * record.body.chain_ms() as f64;
     let deadline = due as i64 + objective as i64 + i64::from(record.terms.target_latency_ms);
     debug_assert!(!state.phase.is_final());
--- a/crates/hornbeamlead_jobs/src/planner/upkeep.rs
+++ b/crates/hornbeamlead_jobs/src/planner/upkeep.rs
@@ -132,7 +132,12 @@
             key: Some(key.into()),
             value: None,
         };
-        let keys = |job: JobId| [format!("{JOB_PREFIX}{job}"), format!("{CANCEL_PREFIX}{job}")];
+        let keys = |job: JobId| {
+            [
+                format!("{JOB_PREFIX}{job}"),
+                format!("{CANCEL_PREFIX}{job}"),
+            ]
+        };
         let records: Vec<_> = removed.flat_map(keys).map(record).collect();
         if !records.is_empty() {
             let removal = (UpkeepJob::Remove, StreamName::Jobs, records);
--- a/crates/hornbeamlead_jobs/src/snapshot.rs
+++ b/crates/hornbeamlead_jobs/src/snapshot.rs
@@ -95,7 +95,10 @@
     fn from(job: &JobState) -> Self {
         let tasks = |tasks: &Vec<TaskState>| tasks.iter().map(TaskForm::from).collect();
         let steps = |state: &OccurrenceState| state.steps.iter().map(tasks).collect();
-        let occurrences = job.occurrences.iter().map(|(&key, state)| (key, steps(state)));
+        let occurrences = job
+            .occurrences
+            .iter()
+            .map(|(&key, state)| (key, steps(state)));
         Self {
             queue: job.queue.clone(),
             phase: job.phase,
@@ -115,7 +118,9 @@
             record: None,
             queue: form.queue,
             phase: form.phase,
-            occurrences: occurrences.map(|(key, steps)| (key, state(steps))).collect(),
+            occurrences: occurrences
+                .map(|(key, steps)| (key, state(steps)))
+                .collect(),
         }
     }
 }
@@ -123,7 +128,11 @@
 impl From<&JobLedger> for LedgerForm {
     fn from(ledger: &JobLedger) -> Self {
         Self {
-            jobs: ledger.jobs.iter().map(|(&job, state)| (job, state.into())).collect(),
+            jobs: ledger
+                .jobs
+                .iter()
+                .map(|(&job, state)| (job, state.into()))
+                .collect(),
             ended: ledger.ended.clone(),
             hosts: ledger.hosts.clone(),
             jobs_read: ledger.jobs_read,
--- a/crates/hornbeamlead_settings/src/fleet.rs
+++ b/crates/hornbeamlead_settings/src/fleet.rs
@@ -200,7 +200,12 @@
 ) -> Option<FleetRole> {
     parent.forbid("stop_after", "only an entry lets callers finish", log);
     let section = parent.section("schedule", log);
-    let mut spans = [DEFAULT_LEASE, DEFAULT_HOLD_MAX, DEFAULT_PATIENCE, DEFAULT_PACE_STEP];
+    let mut spans = [
+        DEFAULT_LEASE,
+        DEFAULT_HOLD_MAX,
+        DEFAULT_PATIENCE,
+        DEFAULT_PACE_STEP,
+    ];
     if let Some(mut section) = section {
         let keys = ["lease", "hold_max", "pace_patience", "pace_step"];
         for (key, span) in keys.into_iter().zip(&mut spans) {
