[planner] Let fillers wait their turn instead of sharing what is left

Change: a worker takes a further filler only while it has room and its serving tasks stay below target; steps are ordered by what still can be on time, with the rest of the chain as the estimate.

--- a/crates/hornbeamlead_jobs/src/job.rs
+++ b/crates/hornbeamlead_jobs/src/job.rs
@@ -117,6 +117,22 @@
         }
     }
 
+    /// Returns the longest chain of estimates from a step to the end, in milliseconds.
+    #[must_use]
+    pub fn rest_ms(&self, first: usize) -> u64 {
+        let mut rests = vec![0_u64; self.steps.len()];
+        for (index, step) in self.steps.iter().enumerate().rev() {
+            let rest = rests[index] + u64::from(step.estimate_ms);
+            rests[index] = rest;
+            for &earlier in &step.after {
+                if let Some(before) = rests.get_mut(usize::from(earlier)) {
+                    *before = rest.max(*before);
+                }
+            }
+        }
+        rests.get(first).copied().unwrap_or(0)
+    }
+
     /// Returns the longest chain of estimates, in milliseconds.
     #[must_use]
     pub fn chain_ms(&self) -> u64 {
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -89,6 +89,8 @@
     ordered: Option<u64>,
     /// Whether a stop was sent on the present link.
     stop_sent: bool,
+    /// When the planner decided on it, or first heard of it.
+    since: MonoTime,
     /// Whether the worker listed it.
     listed: bool,
     /// Progress, and when it last rose.
@@ -101,6 +103,7 @@
         Self {
             ordered: None,
             stop_sent: false,
+            since: now,
             listed: false,
             percent: 0,
             progressed: now,
--- a/crates/hornbeamlead_jobs/src/planner/placement.rs
+++ b/crates/hornbeamlead_jobs/src/planner/placement.rs
@@ -193,6 +193,19 @@
             && spread.is_none_or(|limit| self.step_count(demand.step) < limit)
     }
 
+    /// Returns whether a filler would get something there and leave the serving tasks below their
+    /// targets. One that waits its turn runs at full speed later; many at once are all late.
+    pub(super) fn spares(&self, demand: &TaskDemand, press: f64) -> bool {
+        if !demand.filler || self.load.filler_cpu == 0 {
+            return true;
+        }
+        let share = f64::from(demand.cpu) / f64::from(self.worker.cpu.max(1));
+        let spared = self.load.serving == 0 || self.latency + press * share <= LATENCY_LIMIT;
+        let used = f64::from(self.load.cpu) * USED_SHARE;
+        let room = f64::from(self.worker.cpu) - used - f64::from(self.load.filler_cpu);
+        spared && room >= f64::from(demand.cpu)
+    }
+
     /// Returns the cost of running a task there; the least wins.
     pub(super) fn cost(
         &self,
@@ -241,6 +254,12 @@
     }
 }
 
+/// Logarithm of latency over target up to which fillers are added.
+const LATENCY_LIMIT: f64 = -0.1;
+
+/// Share of what serving tasks ask for that they use, as a rule.
+const USED_SHARE: f64 = 0.5;
+
 /// Serving tasks on a worker from which on their harm counts in full.
 const FULL_HARM_TASKS: u32 = 3;
 
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -1,6 +1,7 @@
 //! Passes of the schedule: which tasks are due, in which order, and where each starts.
 
 use super::batch::HeldStep;
+use super::hosts::HostView;
 use super::placement::{Candidate, HostLoad, TaskDemand};
 use super::{PlannerMachine, RunView};
 use crate::ids::{HostName, JobId, RunName, RunNumber, StepName, TaskName, WorkerLife};
@@ -23,13 +24,18 @@
 /// Time before a draining worker leaves at which its tasks are stopped, to save their work.
 const LEAVE_MARGIN: Duration = Duration::from_millis(1600);
 
+/// Time after which the readings of a worker show a filler that was started: half a second of
+/// averaging, a start and a report.
+const READING_LAG: Duration = Duration::from_millis(1000);
+
 /// Tasks that a worker on probation may run.
 const PROBATION_TASKS: u32 = 1;
 
 /// Step with tasks that wait.
 struct ReadyStep {
-    /// Lasting steps come first, then by priority and by the time that is left to be on time.
-    order: (bool, u8, i64),
+    /// Lasting steps come first, then those that can still be on time, then by priority and by the
+    /// time that is left to be on time.
+    order: (bool, bool, u8, i64),
     name: StepName,
     record: Arc<JobRecord>,
     tasks: Vec<u32>,
@@ -152,7 +158,7 @@
     }
 
     fn candidates(&self, now: MonoTime) -> Vec<Candidate<'_>> {
-        let candidate = |view: &'_ super::hosts::HostView| {
+        let candidate = |view: &'_ HostView| {
             let worker = view.worker.as_ref()?;
             let takes = view.is_open(now)
                 && !worker.draining
@@ -174,7 +180,7 @@
                     } else {
                         u32::MAX
                     },
-                    latency: view.latency,
+                    latency: view.latency + self.unread_press(now, view),
                     serving: view.serving(),
                 })
             })
@@ -211,9 +217,10 @@
                 let press = self.press_at(candidate, &demand);
                 candidate.cost(&self.policy.placement, &demand, spec, press) + again
             };
-            let fitting = candidates
-                .iter_mut()
-                .filter(|it| it.admits(&demand, spec, service));
+            let fitting = candidates.iter_mut().filter(|it| {
+                let press = self.press_at(it, &demand);
+                it.admits(&demand, spec, service) && it.spares(&demand, press)
+            });
             let best = fitting.min_by(|left, right| cost(left).total_cmp(&cost(right)));
             match best {
                 Some(candidate) => {
@@ -239,6 +246,25 @@
         choices
     }
 
+    /// Returns the rise in latency by fillers that the last reading does not show yet.
+    fn unread_press(&self, now: MonoTime, view: &HostView) -> f64 {
+        let serving = view.serving();
+        let whole = view.worker.as_ref().map_or(1, |worker| worker.cpu.max(1));
+        let unread = |run: &RunName| {
+            let known = self.runs.get(run);
+            known.is_some_and(|known| now.since(known.since) < READING_LAG)
+        };
+        let fillers = view
+            .runs
+            .iter()
+            .filter(|(run, demand)| demand.filler && unread(run));
+        let presses = fillers.map(|(_, demand)| {
+            let press = self.impact.press_on(&serving, demand.image);
+            press * f64::from(demand.cpu) / f64::from(whole)
+        });
+        presses.sum()
+    }
+
     /// Returns how strongly a filler would press on what a worker serves.
     fn press_at(&self, candidate: &Candidate<'_>, demand: &TaskDemand) -> f64 {
         match demand.filler {
@@ -269,7 +295,7 @@
                 saved: state.saved.clone(),
                 traits: self.traits_of(spec, &choice.host),
             };
-            let detail = format!("host={} slack_ms={}", choice.host, step.order.2);
+            let detail = format!("host={} slack_ms={}", choice.host, step.order.3);
             self.log("task_placed", run, detail);
             self.runs.insert(run, RunView::new(now));
             self.record(
@@ -326,9 +352,10 @@
         if waiting.is_empty() || broken || !tasks.is_step_ready(spec) {
             continue;
         }
-        let slack = deadline - now.wall.0 as i64 - i64::from(spec.estimate_ms);
+        let rest = record.body.rest_ms(index) as i64;
+        let slack = deadline - now.wall.0 as i64 - rest;
         into.push(ReadyStep {
-            order: (!spec.lasting, record.terms.priority, slack),
+            order: (!spec.lasting, slack < 0, record.terms.priority, slack),
             name: StepName {
                 job,
                 occurrence,
