[planner] Repeat stops that a restarted agent dropped; step down from a shared epoch

Ruled out: a lost link (the order arrived: stop_dropped cause=other_life in the log). Change: a stop counts as under way only until the agent has seen it and lists the attempt as not busy; a deposed planner forgets the seat it knew; epochs mix the seed of the host. Tests: an emulated platform in virtual time (store, workers, links, faults) drives entry, agents and planner; durable_order and random_faults. cancelled_in_restart and same_epoch_twice fail without the change.

--- a/crates/hornbeamlead_daemon/src/fleet/agent.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/agent.rs
@@ -99,7 +99,7 @@
         host: host.clone(),
         incarnation,
         address,
-        seed: settings.seed ^ incarnation,
+        seed: settings.seed,
     };
     let desk = AgentDesk {
         keeper: KeeperMachine::new(keeper),
@@ -222,6 +222,7 @@
             .is_some_and(PlannerMachine::is_deposed)
         {
             self.planner = None;
+            self.locator.step_down(BootClock.mono());
         }
         let metrics = &self.outlets.metrics;
         metrics.set("epoch", self.keeper.epoch().0);
--- a/crates/hornbeamlead_jobs/src/locator.rs
+++ b/crates/hornbeamlead_jobs/src/locator.rs
@@ -47,7 +47,7 @@
 const CLAIM_TRIES: u32 = 4;
 
 /// Bits of an epoch that tell candidates apart; the others hold the offset of the claim.
-const CANDIDATE_BITS: u32 = 20;
+const CANDIDATE_BITS: u32 = 24;
 
 /// Key of the planner's address.
 pub const SEAT_KEY: &str = "planner";
@@ -286,6 +286,19 @@
         self.link = LinkStage::Down { dial_at: now };
     }
 
+    /// Notes that this process is planner no more: the seat it knew may have been its own.
+    pub fn step_down(&mut self, now: MonoTime) {
+        self.seat = None;
+        self.seat_stage =
+            SeatStage::Newest(NewestReader::new(StreamName::Planner, StoreCaller::Locator));
+        self.suspicion = Suspicion::None;
+        if let LinkStage::Up { link, .. } | LinkStage::Dialing { link } = self.link {
+            self.effects.push(Effect::Hang { link });
+            self.news.push(LocatorNews::LinkDown);
+        }
+        self.link = LinkStage::Down { dial_at: now };
+    }
+
     /// Moves on with time.
     pub fn tick(&mut self, now: MonoTime) {
         self.poll_seat(now);
@@ -479,7 +492,8 @@
     }
 
     fn epoch_at(&self, end: StreamOffset) -> PlannerEpoch {
-        let mut random = SmallRng::seed_from_u64(self.policy.seed ^ self.policy.incarnation);
+        let life = self.policy.seed.rotate_left(32) ^ self.policy.incarnation;
+        let mut random = SmallRng::seed_from_u64(life);
         let candidate = random.random::<u64>() & ((1 << CANDIDATE_BITS) - 1);
         PlannerEpoch(((end + 1) << CANDIDATE_BITS) | candidate)
     }
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -87,8 +87,8 @@
 struct RunView {
     /// Number of the order on the host's present link; none before it was sent there.
     ordered: Option<u64>,
-    /// Whether a stop was sent on the present link.
-    stop_sent: bool,
+    /// Number of the stop that was sent on the present link.
+    stopped: Option<u64>,
     /// When the planner decided on it, or first heard of it.
     since: MonoTime,
     /// Whether the worker listed it.
@@ -102,7 +102,7 @@
     fn new(now: MonoTime) -> Self {
         Self {
             ordered: None,
-            stop_sent: false,
+            stopped: None,
             since: now,
             listed: false,
             percent: 0,
--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -281,7 +281,7 @@
         };
         let number = view.next_order();
         if let Some(known) = self.runs.get_mut(&run) {
-            known.stop_sent = true;
+            known.stopped = Some(number);
             known.ordered.get_or_insert(number);
         }
         let message = PlannerMessage::Stop { number, run, life };
--- a/crates/hornbeamlead_jobs/src/planner/health.rs
+++ b/crates/hornbeamlead_jobs/src/planner/health.rs
@@ -80,7 +80,7 @@
                     (false, true) => false,
                     (false, false) => still > STALL_SPAN,
                 };
-                if stands && !known.stop_sent {
+                if stands && known.stopped.is_none() {
                     stalled.push((*run, view.host.clone()));
                 }
             }
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -86,7 +86,7 @@
         for run in self.runs_on(host) {
             if let Some(view) = self.runs.get_mut(&run) {
                 view.ordered = view.ordered.map(|_| 0);
-                view.stop_sent = false;
+                view.stopped = None;
             }
         }
     }
@@ -285,19 +285,24 @@
                 view.listed = true;
                 view.progressed = now;
             }
+            let view_stopped = view.stopped.is_some();
             if row.percent > view.percent {
                 view.progressed = now;
                 view.percent = row.percent;
             }
             let ended = self.ledger.phase(row.run.task.step.job);
-            if ended.is_none_or(|phase| phase.is_final()) && !self.was_stopped(row.run) {
+            let unwanted = ended.is_none_or(|phase| phase.is_final()) || view_stopped;
+            if unwanted && self.may_stop_again(row.run, report) {
                 self.order_stop(row.run);
             }
         }
     }
 
-    fn was_stopped(&self, run: RunName) -> bool {
-        self.runs.get(&run).is_some_and(|view| view.stop_sent)
+    /// Returns whether no stop of an attempt is on its way or being carried out. An agent that has
+    /// just started drops orders until its worker has announced itself.
+    fn may_stop_again(&self, run: RunName, report: &HostReport) -> bool {
+        let stopped = self.runs.get(&run).and_then(|view| view.stopped);
+        stopped.is_none_or(|number| number <= report.orders_seen) && !report.busy.contains(&run)
     }
 
     /// Stops an attempt that no record places on the host.
@@ -334,7 +339,8 @@
             let ordered = view
                 .ordered
                 .is_some_and(|number| number <= report.orders_seen);
-            if ordered && !view.stop_sent && !told.contains(&run) {
+            let ordered = ordered && self.may_stop_again(run, report);
+            if ordered && !told.contains(&run) {
                 self.log("attempt_missing", run, format!("host={host}"));
                 self.order_stop(run);
             }
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -121,7 +121,7 @@
             let fresh = self
                 .runs
                 .get(&run)
-                .is_some_and(|view| !view.stop_sent && view.listed);
+                .is_some_and(|view| view.stopped.is_none() && view.listed);
             if fresh {
                 self.log("task_stopping", run, format!("cause={cause}"));
                 self.order_stop(run);
--- /dev/null
+++ b/crates/hornbeamlead_jobs/tests/durable_order.rs
@@ -0,0 +1,172 @@
+//! Whatever is killed at whichever moment, what was acknowledged lasts and nothing runs twice.
+
+mod world;
+
+use hornbeamlead_jobs::ids::JobId;
+use hornbeamlead_jobs::job::{JobBody, JobPhase, StepSpec};
+use rstest::rstest;
+use world::{World, WorldFaults};
+
+/// Time in which a job of two steps is done after all processes were killed, in milliseconds.
+const RECOVERY_MS: u64 = 12_000;
+
+fn two_steps() -> JobBody {
+    let step = |after: &[u16]| StepSpec {
+        tasks: 3,
+        cpu: 500,
+        memory: 100,
+        estimate_ms: 800,
+        after: after.to_vec(),
+        ..StepSpec::default()
+    };
+    JobBody {
+        spec: "work".into(),
+        steps: vec![step(&[]), step(&[0])],
+        ..JobBody::default()
+    }
+}
+
+/// Kills every process a while after a job is handed in; workers run on.
+fn kill_after(span_ms: u64) -> (Option<JobPhase>, Vec<String>) {
+    let mut world = World::new(span_ms, 4, WorldFaults::default(), 0);
+    world.run(3000);
+    let job = JobId(7);
+    world.submit(job, two_steps());
+    world.run(span_ms);
+    world.kill_all();
+    world.run(RECOVERY_MS);
+    let accepted = !world.accepted.is_empty();
+    let phase = world.phase(job);
+    let faults = std::mem::take(&mut world.judge.faults);
+    match accepted {
+        true => (phase, faults),
+        false => (Some(JobPhase::Completed), faults),
+    }
+}
+
+/// The first 200 ms hold acceptance, the record of the starts and the starts, 5 ms apart each.
+#[test]
+fn killed_around_start() {
+    for span_ms in (0..200).step_by(5) {
+        let outcome = kill_after(span_ms);
+        assert_eq!(
+            outcome,
+            (Some(JobPhase::Completed), Vec::new()),
+            "after {span_ms} ms"
+        );
+    }
+}
+
+/// Ends are listed, recorded and acknowledged between 150 ms and 3.5 s.
+#[test]
+fn killed_around_ends() {
+    for span_ms in (200..3500).step_by(55) {
+        let outcome = kill_after(span_ms);
+        assert_eq!(
+            outcome,
+            (Some(JobPhase::Completed), Vec::new()),
+            "after {span_ms} ms"
+        );
+    }
+}
+
+/// An agent that has just started drops orders until its worker has announced itself; a stop has
+/// to reach the worker all the same.
+#[rstest]
+#[case(0)]
+#[case(300)]
+#[case(600)]
+#[case(900)]
+fn cancelled_in_restart(#[case] after_ms: u64) {
+    let mut world = World::new(after_ms, 4, WorldFaults::default(), 0);
+    world.run(3000);
+    let job = JobId(9);
+    world.submit(job, World::lasting_job(4));
+    world.run(2000);
+    assert_eq!(world.running(job).len(), 4);
+    world.cancel(job);
+    world.kill_all();
+    world.run(after_ms + 5000);
+    assert_eq!(world.running(job), Vec::new());
+}
+
+/// A planner that dies is replaced, and running tasks are adopted, not started again.
+#[test]
+fn planner_killed() {
+    let mut world = World::new(3, 5, WorldFaults::default(), 0);
+    world.run(3000);
+    let job = JobId(11);
+    world.submit(job, World::lasting_job(5));
+    world.run(2000);
+    let before = world.running(job);
+    let planner = world.planner_host().expect("there is a planner");
+    world.kill(planner);
+    world.run(4000);
+    assert!(world.planner_host().is_some_and(|host| host != planner));
+    assert_eq!(world.running(job), before);
+}
+
+/// The store away for 6 s ends no task, and what comes later is served.
+#[test]
+fn store_away() {
+    let mut world = World::new(5, 4, WorldFaults::default(), 0);
+    world.run(3000);
+    let lasting = JobId(13);
+    world.submit(lasting, World::lasting_job(4));
+    world.run(2000);
+    let before = world.running(lasting);
+    world.lose_store(6000);
+    world.run(6000);
+    assert_eq!(world.running(lasting), before);
+    let job = JobId(14);
+    world.submit(job, two_steps());
+    world.run(8000);
+    assert_eq!(world.phase(job), Some(JobPhase::Completed));
+    assert_eq!(world.judge.faults, Vec::<String>::new());
+}
+
+/// A host that is cut off for 5 s keeps its tasks; they are adopted when it is back.
+#[test]
+fn host_cut() {
+    let mut world = World::new(6, 4, WorldFaults::default(), 0);
+    world.run(3000);
+    let job = JobId(15);
+    world.submit(job, World::lasting_job(8));
+    world.run(2000);
+    let before = world.running(job);
+    world.cut(3, 5000);
+    world.run(9000);
+    assert_eq!(world.running(job), before);
+}
+
+/// A worker that crashes loses its tasks; they run elsewhere within 3 s.
+#[test]
+fn worker_crashed() {
+    let mut world = World::new(8, 4, WorldFaults::default(), 0);
+    world.run(3000);
+    let job = JobId(17);
+    world.submit(job, World::lasting_job(8));
+    world.run(2000);
+    world.crash(2);
+    world.run(3000);
+    assert_eq!(world.running(job).len(), 8);
+}
+
+/// Two candidates of one epoch: the one whose claim is not in the stream steps down and finds the
+/// other. The store takes the second claim for a repeat of the first.
+#[test]
+fn same_epoch_twice() {
+    let mut world = World::new(9, 4, WorldFaults::default(), 0);
+    world.share_epochs();
+    world.run(3000);
+    let job = JobId(19);
+    world.submit(job, World::lasting_job(8));
+    world.run(2000);
+    assert_eq!(world.running(job).len(), 8);
+    for _ in 0..3 {
+        world.kill_all();
+        world.run(8000);
+        assert_eq!(world.running(job).len(), 8);
+        assert_eq!(world.connected_hosts(), 4);
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_jobs/tests/random_faults.rs
@@ -0,0 +1,97 @@
+//! Under random faults no task runs twice, and every accepted job is done in the end.
+
+mod world;
+
+use hornbeamlead_jobs::ids::JobId;
+use hornbeamlead_jobs::job::JobPhase;
+use proptest::prelude::*;
+use world::{World, WorldFaults};
+
+/// Hosts of a run.
+const HOSTS: usize = 5;
+
+/// Time in which faults come, in milliseconds.
+const FAULTS_MS: u64 = 12_000;
+
+/// Time after the last fault in which all jobs have to be done: a silent host's lease of 9 s, and
+/// some seconds of work.
+const SETTLE_MS: u64 = 30_000;
+
+/// Time in which the tasks of a cancelled job have to end: 3 s for orders, 0.9 s for a stop.
+const CANCEL_MS: u64 = 3900;
+
+fn all_faults() -> WorldFaults {
+    WorldFaults {
+        kill: 0.3,
+        kill_planner: 0.2,
+        freeze: 0.2,
+        cut: 0.2,
+        crash: 0.2,
+        store_away: 0.15,
+        lost: 0.05,
+        late: 0.08,
+        cancel: 0.15,
+        fail: 0.05,
+    }
+}
+
+/// Plays one run and returns what was done wrong.
+fn play(seed: u64, faults: WorldFaults) -> Vec<String> {
+    let mut world = World::new(seed, HOSTS, faults, FAULTS_MS);
+    world.run(2000);
+    let lasting = JobId(1);
+    world.submit(lasting, World::lasting_job(3));
+    for _ in 0..20 {
+        let (job, body) = world.draw_job();
+        world.submit(job, body);
+        world.run(500);
+    }
+    world.run(SETTLE_MS);
+    if world.accepted.contains(&lasting) && !world.judge.is_cancelled(lasting) {
+        let running = world.running(lasting).len();
+        if running != 3 {
+            world
+                .judge
+                .faults
+                .push(format!("{running} of 3 lasting tasks run"));
+        }
+        world.cancel(lasting);
+    }
+    world.run(CANCEL_MS);
+    let accepted = world.accepted.clone();
+    let mut faults = std::mem::take(&mut world.judge.faults);
+    for job in accepted {
+        let left = world.running(job);
+        if !left.is_empty() {
+            faults.push(format!("{left:?} run on"));
+        }
+        let phase = world.phase(job);
+        let expected = match world.judge.is_cancelled(job) {
+            true => matches!(phase, Some(JobPhase::Cancelled | JobPhase::Completed)),
+            false => phase == Some(JobPhase::Completed),
+        };
+        if !expected {
+            faults.push(format!("{job} is shown as {phase:?}"));
+        }
+        if phase == Some(JobPhase::Completed) && !world.judge.is_done(job) {
+            faults.push(format!("{job} is shown as completed and is not done"));
+        }
+    }
+    faults
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    #[test]
+    fn no_task_twice(seed in any::<u64>()) {
+        let faults = play(seed, all_faults());
+        prop_assert!(faults.is_empty(), "seed {seed}: {faults:#?}");
+    }
+}
+
+#[test]
+fn calm_run() {
+    let faults = play(1, WorldFaults::default());
+    assert!(faults.is_empty(), "{faults:#?}");
+}
--- /dev/null
+++ b/crates/hornbeamlead_jobs/tests/world/judge.rs
@@ -0,0 +1,124 @@
+//! Judge of what workers did: no task twice, no step too early, nothing after a cancellation.
+
+use super::worker::WorkerDeed;
+use hornbeamlead_jobs::ids::{JobId, RunName, TaskName};
+use hornbeamlead_jobs::job::{JobBody, RunEnd};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Time after the acknowledgement of a cancellation in which tasks may still start, in
+/// milliseconds; the platform's pages allow 3 s.
+const CANCEL_MS: u64 = 3000;
+
+/// What is known of all jobs.
+#[derive(Default)]
+pub(crate) struct WorldJudge {
+    bodies: BTreeMap<JobId, JobBody>,
+    running: BTreeMap<TaskName, (RunName, usize)>,
+    done: BTreeSet<TaskName>,
+    acknowledged: BTreeSet<TaskName>,
+    cancelled: BTreeMap<JobId, u64>,
+    failures: BTreeMap<TaskName, u16>,
+    /// Starts seen.
+    pub(crate) starts: usize,
+    /// What was done wrong.
+    pub(crate) faults: Vec<String>,
+}
+
+impl WorldJudge {
+    /// Notes a job that a client hands in.
+    pub(crate) fn submit(&mut self, job: JobId, body: JobBody) {
+        self.bodies.insert(job, body);
+    }
+
+    /// Notes that a cancellation was acknowledged.
+    pub(crate) fn cancel(&mut self, now: u64, job: JobId) {
+        self.cancelled.entry(job).or_insert(now);
+    }
+
+    /// Returns whether a job was cancelled.
+    pub(crate) fn is_cancelled(&self, job: JobId) -> bool {
+        self.cancelled.contains_key(&job)
+    }
+
+    /// Judges what a worker did; a late order is not held against anybody's timing.
+    pub(crate) fn judge(&mut self, now: u64, host: usize, deed: &WorkerDeed, late: bool) {
+        match deed {
+            WorkerDeed::Began(run) => self.began(now, host, *run, late),
+            WorkerDeed::Ended(run, end) => {
+                if self
+                    .running
+                    .get(&run.task)
+                    .is_some_and(|(known, _)| known == run)
+                {
+                    self.running.remove(&run.task);
+                }
+                match end {
+                    RunEnd::Done => {
+                        self.done.insert(run.task);
+                    }
+                    RunEnd::Failed => *self.failures.entry(run.task).or_default() += 1,
+                    _ => {}
+                }
+            }
+            WorkerDeed::Acknowledged(run, RunEnd::Done) => {
+                self.acknowledged.insert(run.task);
+            }
+            WorkerDeed::Acknowledged(..) => {}
+        }
+    }
+
+    fn began(&mut self, now: u64, host: usize, run: RunName, late: bool) {
+        self.starts += 1;
+        let job = run.task.step.job;
+        let Some(body) = self.bodies.get(&job) else {
+            self.faults.push(format!("{run} of an unknown job began"));
+            return;
+        };
+        if let Some((other, there)) = self.running.insert(run.task, (run, host)) {
+            self.faults.push(format!(
+                "{run} began on {host} beside {other} on {there} at {now}"
+            ));
+        }
+        if self.acknowledged.contains(&run.task) {
+            self.faults
+                .push(format!("{run} began after an acknowledged end"));
+        }
+        let cancelled = self.cancelled.get(&job);
+        if !late && cancelled.is_some_and(|at| now > at + CANCEL_MS) {
+            self.faults
+                .push(format!("{run} began after its cancellation"));
+        }
+        let step = usize::from(run.task.step.step);
+        for &earlier in &body.steps[step].after {
+            for index in 0..body.steps[usize::from(earlier)].tasks {
+                let mut task = run.task;
+                task.step.step = earlier;
+                task.index = index;
+                if !self.done.contains(&task) {
+                    self.faults
+                        .push(format!("{run} began before {task} was done"));
+                }
+            }
+        }
+    }
+
+    /// Returns whether an attempt belongs to a lasting step.
+    pub(crate) fn is_lasting(&self, run: RunName) -> bool {
+        let body = self.bodies.get(&run.task.step.job);
+        let step = body.and_then(|body| body.steps.get(usize::from(run.task.step.step)));
+        step.is_some_and(|step| step.lasting)
+    }
+
+    /// Returns whether all tasks of a job are done.
+    pub(crate) fn is_done(&self, job: JobId) -> bool {
+        let Some(body) = self.bodies.get(&job) else {
+            return false;
+        };
+        let done = self.done.iter().filter(|task| task.step.job == job).count();
+        done == body
+            .steps
+            .iter()
+            .map(|step| step.tasks as usize)
+            .sum::<usize>()
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_jobs/tests/world/worker.rs
@@ -0,0 +1,206 @@
+//! Worker of the emulated platform: attempts under one lease, tokens, ends.
+
+use hornbeamlead_jobs::ids::{RunName, RunNumber, TaskName, WorkerLife};
+use hornbeamlead_jobs::job::RunEnd;
+use hornbeamlead_jobs::worker::{
+    EndedRow, RunningRow, WorkerAnswer, WorkerAsk, WorkerCall, WorkerLists, WorkerRefusal,
+};
+use std::collections::BTreeMap;
+
+/// Time that a stop takes, in milliseconds.
+const STOP_MS: u64 = 300;
+
+/// Attempt that a worker runs.
+#[derive(Clone, Debug)]
+pub(crate) struct WorldRun {
+    /// When its work is done, on the worker's clock in milliseconds; never for a lasting task.
+    pub(crate) done_at: Option<u64>,
+    /// When its work began.
+    pub(crate) began: u64,
+    /// When a stop takes effect.
+    pub(crate) stop_at: Option<u64>,
+    /// How it ends when its work is done.
+    pub(crate) end: RunEnd,
+}
+
+/// What a worker did, for the judge.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum WorkerDeed {
+    /// An attempt began.
+    Began(RunName),
+    /// An attempt ended.
+    Ended(RunName, RunEnd),
+    /// An end was acknowledged.
+    Acknowledged(RunName, RunEnd),
+}
+
+/// Worker of one host.
+pub(crate) struct WorldWorker {
+    /// Present life.
+    pub(crate) life: WorkerLife,
+    /// Whether its process runs.
+    pub(crate) alive: bool,
+    /// Attempts that run.
+    pub(crate) running: BTreeMap<RunName, WorldRun>,
+    token: u64,
+    lease_until: u64,
+    ended: Vec<EndedRow>,
+    last_end: u64,
+    highest: BTreeMap<TaskName, RunNumber>,
+    /// What happened since it was last asked.
+    pub(crate) deeds: Vec<WorkerDeed>,
+}
+
+impl WorldWorker {
+    /// Starts a worker.
+    pub(crate) fn new(id: &str, born: u64) -> Self {
+        Self {
+            life: WorkerLife {
+                id: id.into(),
+                born,
+            },
+            alive: true,
+            running: BTreeMap::new(),
+            token: 0,
+            lease_until: 0,
+            ended: Vec::new(),
+            last_end: 0,
+            highest: BTreeMap::new(),
+            deeds: Vec::new(),
+        }
+    }
+
+    /// Ends the life and all that it runs.
+    pub(crate) fn crash(&mut self) {
+        self.alive = false;
+        for run in std::mem::take(&mut self.running).into_keys() {
+            self.deeds.push(WorkerDeed::Ended(run, RunEnd::Lost));
+        }
+    }
+
+    /// Lets time pass.
+    pub(crate) fn tick(&mut self, now: u64) {
+        let lapsed = now >= self.lease_until;
+        let due = |run: &WorldRun| match run {
+            run if run.stop_at.is_some_and(|at| now >= at) => Some(RunEnd::Stopped),
+            run if run.done_at.is_some_and(|at| now >= at) => Some(run.end),
+            _ if lapsed => Some(RunEnd::Lapsed),
+            _ => None,
+        };
+        let ends: Vec<_> = self
+            .running
+            .iter()
+            .filter_map(|(run, it)| Some((*run, due(it)?)))
+            .collect();
+        for (run, end) in ends {
+            self.running.remove(&run);
+            self.last_end += 1;
+            let highest = self.highest.entry(run.task).or_default();
+            *highest = (*highest).max(run.run);
+            self.ended.push(EndedRow {
+                number: self.last_end,
+                run,
+                end,
+                saved: None,
+            });
+            self.deeds.push(WorkerDeed::Ended(run, end));
+        }
+    }
+
+    /// Carries out a call; `plan` gives a new attempt's course.
+    pub(crate) fn call(
+        &mut self,
+        now: u64,
+        call: &WorkerCall,
+        plan: impl FnOnce(RunName) -> WorldRun,
+    ) -> WorkerAnswer {
+        if call.life != self.life {
+            return WorkerAnswer::Refused(WorkerRefusal::OtherLife);
+        }
+        if call.epoch.0 < self.token {
+            return WorkerAnswer::Refused(WorkerRefusal::Fenced);
+        }
+        self.token = call.epoch.0;
+        match &call.ask {
+            WorkerAsk::Start {
+                run,
+                lease_until_ms,
+                ..
+            } => self.start(now, *run, *lease_until_ms, plan),
+            WorkerAsk::Stop { run } => {
+                if let Some(running) = self.running.get_mut(run) {
+                    running.stop_at.get_or_insert(now + STOP_MS);
+                }
+                let highest = self.highest.entry(run.task).or_default();
+                *highest = (*highest).max(run.run);
+                WorkerAnswer::Done
+            }
+            WorkerAsk::Hold {
+                lease_until_ms,
+                acknowledged,
+                ..
+            } => {
+                self.lease_until = self.lease_until.max(lease_until_ms.unwrap_or(0));
+                let (gone, kept) = std::mem::take(&mut self.ended)
+                    .into_iter()
+                    .partition(|end: &EndedRow| end.number <= *acknowledged);
+                self.ended = kept;
+                let gone: Vec<EndedRow> = gone;
+                let deed = |end: EndedRow| WorkerDeed::Acknowledged(end.run, end.end);
+                self.deeds.extend(gone.into_iter().map(deed));
+                WorkerAnswer::Lists(self.lists(now))
+            }
+            WorkerAsk::Pace { .. } => WorkerAnswer::Done,
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: u64,
+        run: RunName,
+        lease_until: u64,
+        plan: impl FnOnce(RunName) -> WorldRun,
+    ) -> WorkerAnswer {
+        if self.running.contains_key(&run) {
+            return WorkerAnswer::Done;
+        }
+        if lease_until <= now {
+            return WorkerAnswer::Refused(WorkerRefusal::Late);
+        }
+        self.lease_until = self.lease_until.max(lease_until);
+        if self
+            .highest
+            .get(&run.task)
+            .is_some_and(|highest| run.run <= *highest)
+        {
+            return WorkerAnswer::Refused(WorkerRefusal::Superseded);
+        }
+        self.running.insert(run, plan(run));
+        self.deeds.push(WorkerDeed::Began(run));
+        WorkerAnswer::Done
+    }
+
+    fn lists(&self, now: u64) -> WorkerLists {
+        let percent = |run: &WorldRun| match run.done_at {
+            Some(done) => (now - run.began) * 100 / (done - run.began).max(1),
+            None => 100,
+        };
+        let row = |(run, state): (&RunName, &WorldRun)| RunningRow {
+            run: *run,
+            saved: None,
+            percent: percent(state).min(100) as u8,
+            reading: 0,
+        };
+        WorkerLists {
+            born: Some(self.life.born),
+            running: self.running.iter().map(row).collect(),
+            ended: self.ended.clone(),
+            unreadable: 0,
+        }
+    }
+
+    /// Returns whether ends wait to be acknowledged.
+    pub(crate) fn has_ends(&self) -> bool {
+        !self.ended.is_empty()
+    }
+}
