--- a/crates/hornbeamlead_jobs/src/keeper.rs
+++ b/crates/hornbeamlead_jobs/src/keeper.rs
@@ -25,7 +25,7 @@
 
 /// Age beyond which an order is not carried out any more. A cancellation has to be obeyed within
 /// 3 s, an evacuation within 5 s.
-const ORDER_AGE: Duration = Duration::from_millis(1800);
+const ORDER_AGE: Duration = Duration::from_millis(1500);
 
 /// What a keeper is told by its settings.
 #[derive(Clone, Debug)]
--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -5,6 +5,7 @@
 };
 use crate::job::{JobPhase, JobRecord, RunEnd, StepSpec};
 use crate::record::PlanRecord;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -245,6 +246,19 @@
     pub hosts: BTreeMap<HostName, SocketAddr>,
     /// Next offset of the jobs stream that the planner reads.
     pub jobs_read: StreamOffset,
+    /// What planners have learned of images, for the next one; no record holds it.
+    pub learned: Vec<LearnedPress>,
+}
+
+/// How strongly fillers of an image press on serving tasks of another.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LearnedPress {
+    /// Hash of the serving image.
+    pub serving: u64,
+    /// Hash of the filler image.
+    pub filler: u64,
+    /// Rise of the logarithm of the latency for a whole worker.
+    pub press: f32,
 }
 
 impl JobLedger {
--- a/crates/hornbeamlead_jobs/src/locator.rs
+++ b/crates/hornbeamlead_jobs/src/locator.rs
@@ -28,8 +28,8 @@
 const DIAL_PAUSE: Duration = Duration::from_millis(150);
 
 /// Time for which the plan has to stand still before a claim, where nobody listens at the
-/// planner's address. Two ticks of a live planner.
-const REFUSED_WINDOW: Duration = Duration::from_millis(500);
+/// planner's address, or it cannot reach the store. Longer than the tick of a live planner.
+const REFUSED_WINDOW: Duration = Duration::from_millis(320);
 
 /// The same where the planner's host does not answer at all.
 const SILENT_WINDOW: Duration = Duration::from_millis(750);
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -36,7 +36,7 @@
 use upkeep::UpkeepState;
 
 /// Wait of a long read; bounds how long a silent connection hides new jobs.
-const FOLLOW_WAIT: Duration = Duration::from_millis(700);
+const FOLLOW_WAIT: Duration = Duration::from_millis(400);
 
 /// Slack on spans that two clocks measure: workers' clocks may be 2 % slow.
 const CLOCK_SLACK: f64 = 1.03;
--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -26,6 +26,10 @@
 /// Pause before a failed append is repeated.
 const APPEND_PAUSE: Duration = Duration::from_millis(40);
 
+/// Time for which the store may refuse or not answer before another process is let try; it may
+/// refuse single hosts.
+const REFUSED_SPAN: Duration = Duration::from_millis(900);
+
 /// Most records of a batch; far below the store's limit of 2 MiB a call.
 const MAX_BATCH: usize = 4000;
 
@@ -76,6 +80,8 @@
     flying: Option<FlyingBatch>,
     /// When the last append was sent that succeeded.
     stored: MonoTime,
+    /// Since when the store has refused all appends.
+    refused_since: Option<MonoTime>,
     last_tick: MonoTime,
 }
 
@@ -90,6 +96,7 @@
             since: now,
             flying: None,
             stored: now,
+            refused_since: None,
             last_tick: MonoTime(0),
         }
     }
@@ -107,7 +114,10 @@
 
     /// Returns whether an append succeeded lately: the planner still holds its duty.
     pub(super) fn is_sound(&self, now: MonoTime) -> bool {
-        now.since(self.stored) <= GRANT_SPAN
+        let refused = self
+            .refused_since
+            .is_some_and(|since| now.since(since) >= REFUSED_SPAN);
+        now.since(self.stored) <= GRANT_SPAN && !refused
     }
 
     fn is_due(&self, now: MonoTime) -> bool {
@@ -156,7 +166,11 @@
             return;
         }
         self.batch.sequence += 1;
-        let snapshot = (whole && self.upkeep.is_snapshot_due(now)).then(|| self.ledger.clone());
+        let due = whole && self.upkeep.is_snapshot_due(now);
+        let snapshot = due.then(|| JobLedger {
+            learned: self.impact.learned(),
+            ..self.ledger.clone()
+        });
         self.batch.flying = Some(FlyingBatch {
             records: records.iter().map(record).collect(),
             held: if whole {
@@ -195,6 +209,7 @@
             StoreOutcome::Appended { offset } => self.land(now, offset),
             StoreOutcome::Fenced | StoreOutcome::Moved { .. } => self.depose("fenced"),
             StoreOutcome::Refused { cause } | StoreOutcome::Unanswered { cause } => {
+                self.batch.refused_since.get_or_insert(now);
                 self.log("append_failed", "plan", format!("cause={cause:?}"));
                 if let Some(flying) = &mut self.batch.flying {
                     flying.repeat_at = Some(now.plus(APPEND_PAUSE));
@@ -210,6 +225,7 @@
         };
         self.batch.end = offset + flying.records.len() as u64;
         self.batch.stored = flying.sent;
+        self.batch.refused_since = None;
         if let Some(ledger) = flying.snapshot {
             self.save_snapshot(now, &ledger, self.batch.end);
         }
@@ -242,6 +258,7 @@
         let run = order.run;
         let job = self.ledger.jobs.get(&run.task.step.job);
         let ended = job.is_none_or(|job| job.phase.is_final());
+        let current = self.is_current(now);
         let view = self.hosts.get_mut(host);
         let sound = view.as_ref().is_some_and(|view| {
             view.is_open(now) && view.life() == Some(&order.life) && !view.is_draining()
@@ -252,7 +269,7 @@
         });
         let link = view.as_ref().and_then(|view| view.link);
         match (view, link) {
-            (Some(view), Some(link)) if sound && !evacuated && !ended => {
+            (Some(view), Some(link)) if sound && current && !evacuated && !ended => {
                 let number = view.next_order();
                 let known = self.runs.entry(run).or_insert_with(|| RunView::new(now));
                 known.ordered = Some(number);
@@ -260,7 +277,8 @@
                 self.effects.push(Effect::ToAgent { link, message });
             }
             _ => {
-                let detail = format!("host={host} ended={ended} evacuated={evacuated}");
+                let detail =
+                    format!("host={host} ended={ended} evacuated={evacuated} current={current}");
                 self.log("start_withdrawn", run, detail);
                 self.end_run(now, run, RunEnd::NotStarted, None);
             }
--- a/crates/hornbeamlead_jobs/src/planner/impact.rs
+++ b/crates/hornbeamlead_jobs/src/planner/impact.rs
@@ -7,6 +7,7 @@
 
 use super::placement::ImageId;
 use crate::ids::RunName;
+use crate::ledger::LearnedPress;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Share of an error that is corrected by one reading.
@@ -88,6 +89,28 @@
         }
     }
 
+    /// Makes a model of what an earlier planner has learned.
+    pub(super) fn recall(rows: &[LearnedPress]) -> Self {
+        let mut model = Self::default();
+        for row in rows {
+            let (serving, filler) = (ImageId(row.serving), ImageId(row.filler));
+            let press = f64::from(row.press).clamp(0.0, MAX_PRESS);
+            model.pairs.insert((serving, filler), press);
+            model.alone.entry(filler).or_insert(press);
+        }
+        model
+    }
+
+    /// Returns what is known, for the next planner.
+    pub(super) fn learned(&self) -> Vec<LearnedPress> {
+        let row = |(&(serving, filler), &press): (&(ImageId, ImageId), &f64)| LearnedPress {
+            serving: serving.0,
+            filler: filler.0,
+            press: press as f32,
+        };
+        self.pairs.iter().map(row).collect()
+    }
+
     /// Describes the weights, strongest first.
     pub(super) fn describe(&self) -> String {
         let mut rows: Vec<_> = self
--- a/crates/hornbeamlead_jobs/src/planner/recovery.rs
+++ b/crates/hornbeamlead_jobs/src/planner/recovery.rs
@@ -1,6 +1,7 @@
 //! Recovers the state of all jobs from the store: newest snapshot, records after it, jobs.
 
 use super::PlannerMachine;
+use super::impact::ImpactModel;
 use crate::effect::{Effect, LinkId};
 use crate::follow::{FollowNews, NewestReader, NewestRecords, StreamFollower};
 use crate::ids::StreamOffset;
@@ -131,6 +132,7 @@
         );
         match read_snapshot(records) {
             Ok(Some((ledger, offset))) => {
+                self.impact = ImpactModel::recall(&ledger.learned);
                 self.ledger = ledger;
                 follower.seek(offset);
                 PlanStage::Records(follower)
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -21,6 +21,10 @@
 /// Age of the newest word of the operators beyond which nothing starts.
 const MAX_OPERATOR_AGE: Duration = Duration::from_millis(2500);
 
+/// Age of the newest word of the callers beyond which nothing starts. A cancelled task may start
+/// for 3 s; an order may wait 1.5 s of these at its agent.
+const MAX_JOBS_AGE: Duration = Duration::from_millis(1200);
+
 /// Time before a draining worker leaves at which its tasks are stopped, to save their work.
 const LEAVE_MARGIN: Duration = Duration::from_millis(1600);
 
@@ -59,9 +63,7 @@
         self.open_due(now);
         self.check_stalls(now.mono);
         self.clear_leaving(now.mono);
-        let heard = self.operators.known_at();
-        let current = heard.is_some_and(|at| now.mono.since(at) <= MAX_OPERATOR_AGE);
-        if !current || !self.batch.is_sound(now.mono) {
+        if !self.is_current(now.mono) || !self.batch.is_sound(now.mono) {
             return;
         }
         let mut steps = self.ready_steps(now);
@@ -71,6 +73,14 @@
         }
     }
 
+    /// Returns whether the planner knows of all cancellations and evacuations but the newest. One
+    /// that was frozen or cut off does not, and must not start anything before it has read on.
+    pub(super) fn is_current(&self, now: MonoTime) -> bool {
+        let within = |at: Option<MonoTime>, age| at.is_some_and(|at| now.since(at) <= age);
+        within(self.operators.known_at(), MAX_OPERATOR_AGE)
+            && within(self.jobs_follower.known_at(), MAX_JOBS_AGE)
+    }
+
     fn open_due(&mut self, now: ClockReading) {
         for state in self.ledger.jobs.values_mut() {
             let Some(record) = state.record.clone().filter(|_| !state.phase.is_final()) else {
--- a/crates/hornbeamlead_jobs/src/snapshot.rs
+++ b/crates/hornbeamlead_jobs/src/snapshot.rs
@@ -2,7 +2,7 @@
 
 use crate::ids::{HostName, JobId, RunNumber, StreamOffset, WorkerLife};
 use crate::job::JobPhase;
-use crate::ledger::{JobLedger, JobState, OccurrenceState, TaskPlacement, TaskState};
+use crate::ledger::{JobLedger, JobState, LearnedPress, OccurrenceState, TaskPlacement, TaskState};
 use crate::record::{DecodeError, decode, encode};
 use crate::store::{NewRecord, ReadRecord};
 use bytes::Bytes;
@@ -55,6 +55,7 @@
     ended: BTreeMap<JobId, JobPhase>,
     hosts: BTreeMap<HostName, SocketAddr>,
     jobs_read: StreamOffset,
+    learned: Vec<LearnedPress>,
 }
 
 impl From<&TaskState> for TaskForm {
@@ -136,6 +137,7 @@
             ended: ledger.ended.clone(),
             hosts: ledger.hosts.clone(),
             jobs_read: ledger.jobs_read,
+            learned: ledger.learned.clone(),
         }
     }
 }
@@ -148,6 +150,7 @@
             ended: form.ended,
             hosts: form.hosts,
             jobs_read: form.jobs_read,
+            learned: form.learned,
         }
     }
 }
