[planner] Take the late end of an attempt that was given up while its task waits

Cause (random_faults): a host was silent for 10.3 s; its tasks were done meanwhile, were given up when the lease had lapsed, and were done again though the ends had come before the next attempt was placed. Ruled out: a broken rule; an end may be done again whose worker's lease lapsed before the acknowledgement, and the trace shows just that. Change: such an end is recorded while its task waits.

--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -255,9 +255,13 @@
             return;
         };
         for row in &report.ended {
-            let placement = self.ledger.placement(row.run);
-            if placement.is_some_and(|placement| placement.life == life) {
-                self.end_run(now, row.run, row.end, row.saved.clone());
+            match self.ledger.placement(row.run) {
+                Some(placement) if placement.life == life => {
+                    self.end_run(now, row.run, row.end, row.saved.clone());
+                }
+                Some(_) => {}
+                None if row.end == RunEnd::Done => self.take_late_end(now, row.run),
+                None => {}
             }
         }
         if let Some(last) = report.ended.last() {
@@ -269,6 +273,23 @@
         }
     }
 
+    /// Takes the end of an attempt that had been given up for lost, unless the task is on its way
+    /// again: what is done need not be done twice.
+    fn take_late_end(&mut self, now: MonoTime, run: RunName) {
+        let Some((job, task)) = self.ledger.task(run.task) else {
+            return;
+        };
+        let spec = job.spec(run.task.step);
+        let single = spec.is_some_and(|spec| !spec.lasting && !spec.gang);
+        if job.phase.is_final() || !single || !task.is_waiting() {
+            return;
+        }
+        self.log("late_end_taken", run, String::new());
+        let (end, saved) = (RunEnd::Done, None);
+        self.record(now, PlanRecord::Ended { run, end, saved });
+        self.judge_job(now, run.task.step.job);
+    }
+
     fn take_running(&mut self, now: MonoTime, host: &HostName, report: &HostReport) {
         for row in &report.running {
             let placed = self.ledger.placement(row.run);
--- a/crates/hornbeamlead_jobs/tests/random_faults.rs
+++ b/crates/hornbeamlead_jobs/tests/random_faults.rs
@@ -103,6 +103,9 @@
 #[case(16853468276921558405)]
 // The emulated platform lost an order on a link that lived on; now a cut ends the link for good.
 #[case(8843093407520491677)]
+// Done while the host was silent for longer than its lease, and done again before the end came:
+// allowed, but a late end is taken now while the task waits.
+#[case(1660288532550364417)]
 fn failed_once(#[case] seed: u64) {
     let faults = play(seed, all_faults());
     assert!(faults.is_empty(), "{faults:#?}");
