[planner] Move pressing fillers to workers that suffer less from them

Cause: how an image presses is learned while it runs; fillers that began in the wrong place stayed there, paced down beside serving tasks over their target. Change: a filler that saves checkpoints moves, at most two a worker in 0.7 s, where its learned weight elsewhere is under two fifths.

--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -9,6 +9,7 @@
 mod impact;
 mod intake;
 mod placement;
+mod rebalance;
 mod recovery;
 mod reports;
 mod schedule;
@@ -132,6 +133,7 @@
     upkeep: UpkeepState,
     dirty: bool,
     scheduled: MonoTime,
+    rebalanced: MonoTime,
     effects: Vec<Effect>,
 }
 
@@ -164,6 +166,7 @@
             upkeep: UpkeepState::new(now),
             dirty: false,
             scheduled: now,
+            rebalanced: now,
             effects: Vec::new(),
         }
     }
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -63,6 +63,7 @@
         self.open_due(now);
         self.check_stalls(now.mono);
         self.clear_leaving(now.mono);
+        self.relieve_serving(now.mono);
         if !self.is_current(now.mono) || !self.batch.is_sound(now.mono) {
             return;
         }
@@ -167,7 +168,7 @@
         placed
     }
 
-    fn candidates(&self, now: MonoTime) -> Vec<Candidate<'_>> {
+    pub(super) fn candidates(&self, now: MonoTime) -> Vec<Candidate<'_>> {
         let candidate = |view: &'_ HostView| {
             let worker = view.worker.as_ref()?;
             let takes = view.is_open(now)
@@ -277,7 +278,7 @@
     }
 
     /// Returns how strongly a filler would press on what a worker serves.
-    fn press_at(&self, candidate: &Candidate<'_>, demand: &TaskDemand) -> f64 {
+    pub(super) fn press_at(&self, candidate: &Candidate<'_>, demand: &TaskDemand) -> f64 {
         match demand.filler {
             true => self.impact.press_on(&candidate.serving, demand.image),
             false => 0.0,
