[keeper] Check an order's age again before a start is repeated

Cause (random_faults): an agent was frozen for 7 s between a start without an answer and its repeat; the job had been cancelled meanwhile. Ruled out: the lease in the first start, which had run out and was refused as late. Change: an order keeps the moment after which it is not carried out; a start beyond it is called off instead of repeated.

--- a/crates/hornbeamlead_jobs/src/keeper.rs
+++ b/crates/hornbeamlead_jobs/src/keeper.rs
@@ -60,7 +60,12 @@
 #[derive(Clone, Debug, PartialEq)]
 enum RunStage {
     /// A start is under way.
-    Starting { order: StartOrder, tries: u32 },
+    Starting {
+        order: StartOrder,
+        tries: u32,
+        /// When the order is not carried out any more.
+        until: MonoTime,
+    },
     /// A stop is under way, or due at `again`.
     Stopping { again: Option<MonoTime> },
     /// An order was answered; lists of holds after number `after` tell what became of it.
--- a/crates/hornbeamlead_jobs/src/keeper/calls.rs
+++ b/crates/hornbeamlead_jobs/src/keeper/calls.rs
@@ -40,7 +40,7 @@
 impl KeeperMachine {
     pub(super) fn call_start(&mut self, now: MonoTime, run: RunName) {
         let lease_until_ms = self.lease_until(now, START_LEASE);
-        let Some(RunStage::Starting { order, tries }) = self.runs.get_mut(&run) else {
+        let Some(RunStage::Starting { order, tries, .. }) = self.runs.get_mut(&run) else {
             return;
         };
         *tries += 1;
@@ -158,10 +158,15 @@
     }
 
     fn started(&mut self, now: MonoTime, run: RunName, answer: WorkerAnswer) {
-        let Some(RunStage::Starting { order, tries }) = self.runs.get(&run) else {
+        let Some(RunStage::Starting {
+            order,
+            tries,
+            until,
+        }) = self.runs.get(&run)
+        else {
             return;
         };
-        let (life, tries) = (order.life.clone(), *tries);
+        let (life, tries, until) = (order.life.clone(), *tries, *until);
         let after = self.worker.as_ref().map_or(0, |worker| worker.hold);
         match answer {
             WorkerAnswer::Done => {
@@ -174,7 +179,10 @@
                 self.runs.remove(&run);
                 self.not_started(run, life, Some(refusal));
             }
-            WorkerAnswer::Unanswered if tries < START_TRIES => self.call_start(now, run),
+            // The process may have been frozen since it took the order.
+            WorkerAnswer::Unanswered if tries < START_TRIES && now <= until => {
+                self.call_start(now, run);
+            }
             _ => {
                 self.log("start_uncertain", run, format!("tries={tries}"));
                 let again = Some(now);
--- a/crates/hornbeamlead_jobs/tests/random_faults.rs
+++ b/crates/hornbeamlead_jobs/tests/random_faults.rs
@@ -106,6 +106,8 @@
 // Done while the host was silent for longer than its lease, and done again before the end came:
 // allowed, but a late end is taken now while the task waits.
 #[case(1660288532550364417)]
+// An agent that woke from a freeze repeated a start whose job had been cancelled meanwhile.
+#[case(3161392216867650429)]
 fn failed_once(#[case] seed: u64) {
     let faults = play(seed, all_faults());
     assert!(faults.is_empty(), "{faults:#?}");
