--- a/crates/hornbeamlead_jobs/src/keeper.rs
+++ b/crates/hornbeamlead_jobs/src/keeper.rs
@@ -338,8 +338,13 @@
             }
             None => {
                 self.traits.insert(run, order.traits);
-                self.runs
-                    .insert(run, RunStage::Starting { order, tries: 0 });
+                let until = self.seen.plus(ORDER_AGE);
+                let stage = RunStage::Starting {
+                    order,
+                    tries: 0,
+                    until,
+                };
+                self.runs.insert(run, stage);
                 self.call_start(now, run);
             }
         }
