--- a/crates/hornbeamlead_daemon/src/fleet/agent.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/agent.rs
@@ -261,10 +261,10 @@
                 self.locator.link_closed(now, link, refused);
                 self.tell_planner(PlannerEvent::Closed(link));
             }
-            LinkEvent::Frame(link, PeerFrame::Agent(message)) => self.take_agent(link, message),
-            LinkEvent::Frame(link, PeerFrame::Planner(message)) => {
-                self.take_planner(link, message);
-            }
+            LinkEvent::Frame(link, frame) => match *frame {
+                PeerFrame::Agent(message) => self.take_agent(link, message),
+                PeerFrame::Planner(message) => self.take_planner(link, message),
+            },
             LinkEvent::Unreadable { link, cause } => {
                 let line = Effect::log("frame_unreadable", link.0, format!("cause={cause:?}"));
                 self.obey(line);
--- a/crates/hornbeamlead_daemon/src/fleet/links.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/links.rs
@@ -58,7 +58,7 @@
     /// A link that this process dialed is open.
     Opened(LinkId),
     /// A frame came.
-    Frame(LinkId, PeerFrame),
+    Frame(LinkId, Box<PeerFrame>),
     /// A link has ended, or did not open; `refused` if nobody listens there.
     Closed { link: LinkId, refused: bool },
     /// A frame could not be read.
@@ -188,7 +188,7 @@
     let read = async {
         while let Some(Ok(bytes)) = source.next().await {
             let event = match decode::<PeerFrame>(&bytes) {
-                Ok(frame) => LinkEvent::Frame(link, frame),
+                Ok(frame) => LinkEvent::Frame(link, Box::new(frame)),
                 Err(error) => LinkEvent::Unreadable {
                     link,
                     cause: error.to_string().into(),
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -6,7 +6,7 @@
 mod batch;
 mod health;
 mod hosts;
-mod impact;
+pub mod impact;
 mod intake;
 mod placement;
 mod rebalance;
--- a/crates/hornbeamlead_jobs/src/planner/impact.rs
+++ b/crates/hornbeamlead_jobs/src/planner/impact.rs
@@ -18,7 +18,7 @@
 
 /// Weight of an image before anything is known of it: a task of a tenth of the worker lets the
 /// latency rise by a fifth.
-pub(super) const UNKNOWN_PRESS: f64 = 2.0;
+pub const UNKNOWN_PRESS: f64 = 2.0;
 
 /// Largest weight: beyond it one task takes any serving task over its target.
 const MAX_PRESS: f64 = 8.0;
@@ -34,16 +34,17 @@
 
 /// What runs on a worker, with the latencies that were read at the same time.
 #[derive(Clone, Debug, Default)]
-pub(super) struct ImpactReading {
+pub struct ImpactReading {
     /// Logarithm of latency over target and image, by serving attempt.
-    pub(super) serving: BTreeMap<RunName, (ImageId, f64)>,
+    pub serving: BTreeMap<RunName, (ImageId, f64)>,
     /// Share of the worker that fillers use, by image.
-    pub(super) fillers: BTreeMap<ImageId, f64>,
+    pub fillers: BTreeMap<ImageId, f64>,
 }
 
 impl ImpactReading {
     /// Returns the mean logarithm of latency over target.
-    pub(super) fn latency(&self) -> Option<f64> {
+    #[must_use]
+    pub fn latency(&self) -> Option<f64> {
         let count = self.serving.len();
         let sum: f64 = self.serving.values().map(|(_, latency)| latency).sum();
         (count > 0).then(|| sum / count as f64)
@@ -56,7 +57,7 @@
 
 /// Weights by image.
 #[derive(Clone, Debug, Default)]
-pub(super) struct ImpactModel {
+pub struct ImpactModel {
     /// By serving image and filler image.
     pairs: BTreeMap<(ImageId, ImageId), f64>,
     /// By filler image, beside any serving image.
@@ -66,7 +67,8 @@
 impl ImpactModel {
     /// Returns how strongly a filler image presses on a serving image: the rise of the logarithm
     /// for a whole worker.
-    pub(super) fn press(&self, serving: ImageId, filler: ImageId) -> f64 {
+    #[must_use]
+    pub fn press(&self, serving: ImageId, filler: ImageId) -> f64 {
         let pair = self.pairs.get(&(serving, filler)).copied();
         pair.unwrap_or_else(|| self.press_alone(filler))
     }
@@ -76,7 +78,8 @@
     }
 
     /// Returns how strongly a filler image presses on what a worker serves.
-    pub(super) fn press_on(&self, serving: &BTreeMap<ImageId, u32>, filler: ImageId) -> f64 {
+    #[must_use]
+    pub fn press_on(&self, serving: &BTreeMap<ImageId, u32>, filler: ImageId) -> f64 {
         let rows = serving
             .iter()
             .map(|(&image, &count)| (self.press(image, filler), count));
@@ -90,7 +93,8 @@
     }
 
     /// Makes a model of what an earlier planner has learned.
-    pub(super) fn recall(rows: &[LearnedPress]) -> Self {
+    #[must_use]
+    pub fn recall(rows: &[LearnedPress]) -> Self {
         let mut model = Self::default();
         for row in rows {
             let (serving, filler) = (ImageId(row.serving), ImageId(row.filler));
@@ -102,7 +106,8 @@
     }
 
     /// Returns what is known, for the next planner.
-    pub(super) fn learned(&self) -> Vec<LearnedPress> {
+    #[must_use]
+    pub fn learned(&self) -> Vec<LearnedPress> {
         let row = |(&(serving, filler), &press): (&(ImageId, ImageId), &f64)| LearnedPress {
             serving: serving.0,
             filler: filler.0,
@@ -112,7 +117,8 @@
     }
 
     /// Describes the weights, strongest first.
-    pub(super) fn describe(&self) -> String {
+    #[must_use]
+    pub fn describe(&self) -> String {
         let mut rows: Vec<_> = self
             .pairs
             .values()
@@ -123,7 +129,7 @@
     }
 
     /// Learns from two readings of a worker that follow one another.
-    pub(super) fn learn(&mut self, before: &ImpactReading, after: &ImpactReading) {
+    pub fn learn(&mut self, before: &ImpactReading, after: &ImpactReading) {
         let images: BTreeSet<_> = before.fillers.keys().chain(after.fillers.keys()).collect();
         let changes = images
             .into_iter()
--- /dev/null
+++ b/crates/hornbeamlead_settings/tests/fleet_settings.rs
@@ -0,0 +1,57 @@
+//! Settings of a process that runs jobs: templates are sound, faults are found together.
+
+use hornbeamlead_settings::{FleetRole, names_store, read_fleet_settings};
+use rstest::rstest;
+
+/// Fills a template of the deploy folder in as the platform does.
+fn filled(name: &str) -> String {
+    let path = format!("{}/../../deploy/{name}", env!("CARGO_MANIFEST_DIR"));
+    let template = std::fs::read_to_string(path).expect("the template can be read");
+    [
+        ("{{nodeName}}", "side-yard-1"),
+        ("{{zone}}", "yard"),
+        ("{{ip}}", "10.1.0.14"),
+        ("{{internalPorts.0}}", "7720"),
+        ("{{internalPorts.1}}", "7735"),
+        ("{{listenAddrs.frontend}}", "10.1.0.14:8161"),
+        ("{{listenAddrs.readinessAddr}}", "10.1.0.14:8167"),
+        ("{{listenAddrs.control}}", "10.1.0.14:8166"),
+        ("{{platform.address}}", "10.200.1.7:8169"),
+        ("{{bounds.holdMaxMs}}", "6000"),
+    ]
+    .iter()
+    .fold(template, |text, (name, value)| text.replace(name, value))
+}
+
+#[rstest]
+#[case("entry.json")]
+#[case("agent.json")]
+fn templates_sound(#[case] name: &str) {
+    let text = filled(name);
+    assert!(!text.contains("{{"), "a field is not filled in: {text}");
+    assert!(names_store(&text));
+    let settings = read_fleet_settings(name, &text).expect("sound settings");
+    assert_eq!(settings.host.as_str(), "side-yard-1");
+    if let FleetRole::Agent { hold_max, .. } = settings.role {
+        assert_eq!(hold_max.as_millis(), 6000);
+    }
+}
+
+#[test]
+fn faults_found_together() {
+    let text = r#"{"role": "agent", "host": "", "data_centre": "z", "stop_after": "1s",
+        "addresses": {"inner": "here", "metrics": "127.0.0.1:0", "local": "127.0.0.1:0"},
+        "store": {}, "schedule": {"lease": "1s", "hold_max": "6s", "lend": 3}}"#;
+    let findings = read_fleet_settings("agent.json", text).expect_err("faulty");
+    let report = findings.to_string();
+    for part in [
+        "host",
+        "inner",
+        "store.address",
+        "stop_after",
+        "lease",
+        "lend",
+    ] {
+        assert!(report.contains(part), "{part} is missing in: {report}");
+    }
+}
