--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -2,7 +2,7 @@
 
 use super::{GRANT_SPAN, PlannerMachine, RunView};
 use crate::effect::Effect;
-use crate::ids::{HostName, PlannerEpoch, RunName, StreamOffset, WorkerLife};
+use crate::ids::{HostName, JobId, PlannerEpoch, RunName, StreamOffset, WorkerLife};
 use crate::job::RunEnd;
 use crate::ledger::JobLedger;
 use crate::message::{PlannerMessage, StartOrder};
@@ -64,8 +64,8 @@
     sequence: u64,
     sent: MonoTime,
     repeat_at: Option<MonoTime>,
-    /// Ledger with this batch, where a snapshot is due.
-    snapshot: Option<JobLedger>,
+    /// Ledger with this batch, and the jobs that had ended by then, where a snapshot is due.
+    snapshot: Option<(JobLedger, Vec<JobId>)>,
 }
 
 /// Records on their way to the store.
@@ -167,9 +167,12 @@
         }
         self.batch.sequence += 1;
         let due = whole && self.upkeep.is_snapshot_due(now);
-        let snapshot = due.then(|| JobLedger {
-            learned: self.impact.learned(),
-            ..self.ledger.clone()
+        let snapshot = due.then(|| {
+            let ledger = JobLedger {
+                learned: self.impact.learned(),
+                ..self.ledger.clone()
+            };
+            (ledger, self.upkeep.take_ended())
         });
         self.batch.flying = Some(FlyingBatch {
             records: records.iter().map(record).collect(),
@@ -226,8 +229,8 @@
         self.batch.end = offset + flying.records.len() as u64;
         self.batch.stored = flying.sent;
         self.batch.refused_since = None;
-        if let Some(ledger) = flying.snapshot {
-            self.save_snapshot(now, &ledger, self.batch.end);
+        if let Some((ledger, ended)) = flying.snapshot {
+            self.save_snapshot(now, &ledger, ended, self.batch.end);
         }
         for step in flying.held {
             self.release(now, step);
--- a/crates/hornbeamlead_jobs/src/planner/upkeep.rs
+++ b/crates/hornbeamlead_jobs/src/planner/upkeep.rs
@@ -64,6 +64,12 @@
         now >= self.snapshot_at
     }
 
+    /// Takes the ended jobs whose bodies may go once all records so far are stored.
+    pub(super) fn take_ended(&mut self) -> Vec<JobId> {
+        let count = self.ended.len().min(MAX_REMOVED);
+        self.ended.drain(..count).collect()
+    }
+
     pub(super) fn remove_body(&mut self, job: JobId) {
         self.ended.push(job);
     }
@@ -113,21 +119,26 @@
         }
     }
 
-    /// Queues a snapshot, and the removal of bodies of jobs that had ended before it.
-    pub(super) fn save_snapshot(&mut self, now: MonoTime, ledger: &JobLedger, end: StreamOffset) {
+    /// Queues a snapshot, and the removal of bodies of jobs whose end is stored with it.
+    pub(super) fn save_snapshot(
+        &mut self,
+        now: MonoTime,
+        ledger: &JobLedger,
+        ended: Vec<JobId>,
+        end: StreamOffset,
+    ) {
         self.upkeep.snapshot_at = now.plus(SNAPSHOT_SPAN);
         let stale = |(job, ..): &(UpkeepJob, StreamName, Vec<NewRecord>)| {
             matches!(job, UpkeepJob::Snapshot)
         };
         if self.upkeep.waiting.iter().any(stale) {
+            self.upkeep.ended.extend(ended);
             return;
         }
         let records = snapshot_records(ledger, end);
         self.log("impact_learned", end, self.impact.describe());
         let snapshot = (UpkeepJob::Snapshot, StreamName::Snapshots, records);
         self.upkeep.waiting.push_back(snapshot);
-        let count = self.upkeep.ended.len().min(MAX_REMOVED);
-        let removed = self.upkeep.ended.drain(..count);
         let record = |key: String| NewRecord {
             key: Some(key.into()),
             value: None,
@@ -138,7 +149,7 @@
                 format!("{CANCEL_PREFIX}{job}"),
             ]
         };
-        let records: Vec<_> = removed.flat_map(keys).map(record).collect();
+        let records: Vec<_> = ended.into_iter().flat_map(keys).map(record).collect();
         if !records.is_empty() {
             let removal = (UpkeepJob::Remove, StreamName::Jobs, records);
             self.upkeep.waiting.push_back(removal);
--- a/crates/hornbeamlead_jobs/tests/random_faults.rs
+++ b/crates/hornbeamlead_jobs/tests/random_faults.rs
@@ -108,6 +108,8 @@
 #[case(1660288532550364417)]
 // An agent that woke from a freeze repeated a start whose job had been cancelled meanwhile.
 #[case(3161392216867650429)]
+// The body of a job was removed before the record of its end was stored; the planner died.
+#[case(11801616418277403771)]
 fn failed_once(#[case] seed: u64) {
     let faults = play(seed, all_faults());
     assert!(faults.is_empty(), "{faults:#?}");
