--- a/crates/hornbeamlead_jobs/src/planner/impact.rs
+++ b/crates/hornbeamlead_jobs/src/planner/impact.rs
@@ -17,8 +17,11 @@
 const PRIOR_RATE: f64 = 0.15;
 
 /// Weight of an image before anything is known of it: a task of a tenth of the worker lets the
-/// latency rise by a fifth.
-pub const UNKNOWN_PRESS: f64 = 2.0;
+/// latency rise by two fifths. Most images press; one that does not shows it soon.
+pub const UNKNOWN_PRESS: f64 = 4.0;
+
+/// Weight from which on a filler is slowed in full.
+pub const FULL_PRESS: f64 = 2.0;
 
 /// Largest weight: beyond it one task takes any serving task over its target.
 const MAX_PRESS: f64 = 8.0;
--- a/crates/hornbeamlead_jobs/src/planner/placement.rs
+++ b/crates/hornbeamlead_jobs/src/planner/placement.rs
@@ -1,7 +1,7 @@
 //! Chooses the host for a task.
 
 use super::hosts::HostView;
-use super::impact::UNKNOWN_PRESS;
+use super::impact::FULL_PRESS;
 use crate::ids::{RunName, StepName};
 use crate::job::StepSpec;
 use crate::worker::WorkerFacts;
@@ -229,7 +229,7 @@
                 let serves = f64::from(self.load.serving.min(FULL_HARM_TASKS));
                 let weight = serves / f64::from(FULL_HARM_TASKS);
                 let late = policy.filler_beside_late * lateness(self.latency);
-                let beside = policy.filler_beside_serving * press / UNKNOWN_PRESS;
+                let beside = policy.filler_beside_serving * press / FULL_PRESS;
                 let starved =
                     policy.filler_beside_starved * (1.0 - self.view.filler_rate).clamp(0.0, 1.0);
                 busy + starved + weight * (beside + policy.filler_harm * harm + late)
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -2,7 +2,7 @@
 
 use super::batch::HeldStep;
 use super::hosts::{HostView, NO_LATENCY};
-use super::impact::{ImpactReading, UNKNOWN_PRESS};
+use super::impact::{ImpactReading, FULL_PRESS};
 use super::placement::{ImageId, TaskDemand};
 use super::{CLOCK_SLACK, GRANT_SPAN, PlannerMachine, RunView};
 use crate::effect::{Effect, LinkId};
@@ -228,7 +228,7 @@
             target_ms: if spec.lasting { spec.target_ms } else { 0 },
             filler: spec.filler,
             lasting: spec.lasting,
-            press_percent: (press / UNKNOWN_PRESS * 100.0).clamp(0.0, 200.0) as u8,
+            press_percent: (press / FULL_PRESS * 100.0).clamp(0.0, 200.0) as u8,
         }
     }
 
