[planner] Leave more room below the target before fillers are added

Cause: the load of serving tasks swings by half in ten seconds; fillers added at nine tenths of a target were paced soon after. Change: fillers are added beside serving tasks up to a latency of 0.74 of the target.

--- a/crates/hornbeamlead_jobs/src/planner/placement.rs
+++ b/crates/hornbeamlead_jobs/src/planner/placement.rs
@@ -255,7 +255,7 @@
 }
 
 /// Logarithm of latency over target up to which fillers are added.
-const LATENCY_LIMIT: f64 = -0.1;
+const LATENCY_LIMIT: f64 = -0.3;
 
 /// Share of what serving tasks ask for that they use, as a rule.
 const USED_SHARE: f64 = 0.5;
