[jobs] Split entry, locator and the emulated platform by duty

Moves only: appends of an entry, claims of a locator, processes and callers of the emulated platform get files of their own.

--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -2,7 +2,7 @@
 
 use super::batch::HeldStep;
 use super::hosts::{HostView, NO_LATENCY};
-use super::impact::{ImpactReading, FULL_PRESS};
+use super::impact::{FULL_PRESS, ImpactReading};
 use super::placement::{ImageId, TaskDemand};
 use super::{CLOCK_SLACK, GRANT_SPAN, PlannerMachine, RunView};
 use crate::effect::{Effect, LinkId};
--- /dev/null
+++ b/crates/hornbeamlead_jobs/tests/world/processes.rs
@@ -0,0 +1,436 @@
+//! Processes of the emulated platform: what they are told, and what they ask for.
+
+use super::*;
+
+impl World {
+    pub(super) fn is_frozen(&self, host: usize) -> bool {
+        self.now < self.hosts[host].frozen_until
+    }
+
+    pub(super) fn happen(&mut self, event: WorldEvent) {
+        let host = match &event {
+            WorldEvent::Stored(host, ..)
+            | WorldEvent::WorkerReplied(host, ..)
+            | WorldEvent::LinkOpened(host, ..)
+            | WorldEvent::LinkClosed(host, ..)
+            | WorldEvent::ToPlanner(host, ..)
+            | WorldEvent::ToAgent(host, ..) => Some(*host),
+            _ => None,
+        };
+        if let Some(host) = host.filter(|host| self.is_frozen(*host)) {
+            // A frozen process finds everything when it wakes.
+            let span = self.hosts[host].frozen_until - self.now;
+            return self.after(span, event);
+        }
+        match event {
+            WorldEvent::EntryStored(caller, outcome) => {
+                self.tell_entry(EntryEvent::Stored { caller, outcome });
+            }
+            WorldEvent::Stored(host, incarnation, caller, outcome) => {
+                self.with_agent(host, incarnation, |agent, now| match caller {
+                    StoreCaller::Locator | StoreCaller::Claim => {
+                        agent.locator.stored(now.mono, caller, outcome);
+                        Vec::new()
+                    }
+                    _ => match &mut agent.planner {
+                        Some(planner) => {
+                            planner.handle(now, PlannerEvent::Stored { caller, outcome })
+                        }
+                        None => Vec::new(),
+                    },
+                });
+            }
+            WorldEvent::WorkerReplied(host, incarnation, call, answer) => {
+                let clock_ms = Some(self.now);
+                let reply = WorkerReply {
+                    answer,
+                    clock_ms,
+                    sent: self.clock().mono,
+                };
+                let event = KeeperEvent::Replied {
+                    tag: call.tag,
+                    life: call.life,
+                    reply,
+                };
+                self.with_agent(host, incarnation, |agent, now| {
+                    agent.keeper.handle(now.mono, event)
+                });
+            }
+            WorldEvent::LateOrder(host, call) => self.carry_out(host, &call, true),
+            WorldEvent::LateAppend(stream, records, condition) => {
+                self.store.append(stream, &records, condition);
+            }
+            WorldEvent::LinkOpened(host, incarnation, link) => {
+                self.with_agent(host, incarnation, |agent, now| {
+                    agent.locator.link_opened(now.mono, link);
+                    Vec::new()
+                });
+            }
+            WorldEvent::LinkClosed(host, incarnation, link, refused) => {
+                self.with_agent(host, incarnation, |agent, now| {
+                    agent.locator.link_closed(now.mono, link, refused);
+                    match &mut agent.planner {
+                        Some(planner) => planner.handle(now, PlannerEvent::Closed(link)),
+                        None => Vec::new(),
+                    }
+                });
+            }
+            WorldEvent::ToPlanner(host, link, message) => self.hear_agent(host, link, message),
+            WorldEvent::ToAgent(host, link, message) => self.hear_planner(host, link, message),
+        }
+    }
+
+    pub(super) fn hear_agent(&mut self, host: usize, link: LinkId, message: AgentMessage) {
+        let incarnation = self.incarnation(host);
+        self.with_agent(host, incarnation, |agent, now| match message {
+            AgentMessage::Summons { epoch, address } => {
+                agent
+                    .locator
+                    .learn_seat(now.mono, PlannerSeat { epoch, address });
+                Vec::new()
+            }
+            message => match &mut agent.planner {
+                Some(planner) => planner.handle(now, PlannerEvent::Agent { link, message }),
+                None => vec![Effect::ToAgent {
+                    link,
+                    message: PlannerMessage::NotPlanner,
+                }],
+            },
+        });
+    }
+
+    pub(super) fn hear_planner(&mut self, host: usize, link: LinkId, message: PlannerMessage) {
+        let incarnation = self.incarnation(host);
+        self.with_agent(host, incarnation, |agent, now| {
+            if agent.locator.link() != Some(link) {
+                return Vec::new();
+            }
+            match &message {
+                PlannerMessage::NotPlanner => {
+                    agent.locator.not_planner(now.mono, link);
+                    return Vec::new();
+                }
+                PlannerMessage::Grant { stamp, .. } => {
+                    agent.locator.heard(now.mono, stamp.is_none())
+                }
+                _ => {}
+            }
+            agent.keeper.handle(now.mono, KeeperEvent::Planner(message))
+        });
+    }
+
+    pub(super) fn incarnation(&self, host: usize) -> u64 {
+        self.hosts[host]
+            .agent
+            .as_ref()
+            .map_or(0, |agent| agent.incarnation)
+    }
+
+    pub(super) fn with_agent(
+        &mut self,
+        host: usize,
+        incarnation: u64,
+        act: impl FnOnce(&mut WorldAgent, ClockReading) -> Vec<Effect>,
+    ) {
+        let now = self.clock();
+        let Some(agent) = &mut self.hosts[host].agent else {
+            return;
+        };
+        if agent.incarnation != incarnation {
+            return;
+        }
+        let mut effects = act(agent, now);
+        let (more, news) = agent.locator.drain();
+        effects.extend(more);
+        for news in news {
+            match news {
+                LocatorNews::LinkUp(link) => {
+                    effects.extend(agent.keeper.handle(now.mono, KeeperEvent::LinkUp(link)));
+                }
+                LocatorNews::LinkDown => {
+                    effects.extend(agent.keeper.handle(now.mono, KeeperEvent::LinkDown));
+                }
+                LocatorNews::Elected { epoch, claim } => {
+                    let policy = planner_policy(host, incarnation);
+                    let planner = PlannerMachine::new(policy, WorldFormat, epoch, claim, now.mono);
+                    agent.planner = Some(planner);
+                }
+            }
+        }
+        if agent
+            .planner
+            .as_ref()
+            .is_some_and(PlannerMachine::is_deposed)
+        {
+            agent.planner = None;
+            agent.locator.step_down(now.mono);
+        }
+        for effect in effects {
+            self.obey(host, incarnation, effect);
+        }
+    }
+
+    pub(super) fn step_hosts(&mut self) {
+        for host in 0..self.hosts.len() {
+            if self.is_frozen(host) {
+                continue;
+            }
+            if self.hosts[host].agent.is_none() && self.now >= self.hosts[host].restart_at {
+                self.start_agent(host);
+            }
+            let incarnation = self.incarnation(host);
+            if self.now >= self.hosts[host].announce_at && self.hosts[host].worker.alive {
+                self.hosts[host].announce_at = self.now + 1000;
+                self.hosts[host].sequence += 1;
+                let event = KeeperEvent::Announced(self.announcement(host));
+                self.with_agent(host, incarnation, |agent, now| {
+                    agent.keeper.handle(now.mono, event)
+                });
+            }
+            self.with_agent(host, incarnation, |agent, now| {
+                let mut effects = match &mut agent.planner {
+                    Some(planner) => planner.handle(now, PlannerEvent::Tick),
+                    None => Vec::new(),
+                };
+                effects.extend(agent.keeper.handle(now.mono, KeeperEvent::Tick));
+                agent.locator.tick(now.mono);
+                effects
+            });
+        }
+    }
+
+    pub(super) fn announcement(&self, host: usize) -> WorkerAnnouncement {
+        let known = &self.hosts[host];
+        WorkerAnnouncement {
+            facts: WorkerFacts {
+                life: known.worker.life.clone(),
+                machine: None,
+                service: "s".into(),
+                data_centre: format!("z{}", host % 3).into(),
+                cpu: 8000,
+                memory: 16_000,
+                accelerators: 0,
+                labels: vec![format!("r{}", host % 2).into()],
+                draining: false,
+                leaves_in_ms: None,
+            },
+            address: address(host),
+            sequence: known.sequence,
+        }
+    }
+
+    pub(super) fn start_agent(&mut self, host: usize) {
+        let incarnation = self.now * 100 + host as u64;
+        let keeper = KeeperPolicy {
+            host: format!("h{host}").into(),
+            address: address(host),
+            lease_span: Duration::from_secs(9),
+            hold_max: Duration::from_secs(6),
+            pace: PacePolicy {
+                patience: Duration::ZERO,
+                step: Duration::from_millis(500),
+            },
+        };
+        let locator = LocatorPolicy {
+            host: format!("h{host}").into(),
+            incarnation,
+            address: address(host),
+            // Candidates of equal seed and life choose equal epochs.
+            seed: if self.shared_epochs {
+                incarnation.rotate_right(32)
+            } else {
+                host as u64
+            },
+        };
+        self.hosts[host].agent = Some(WorldAgent {
+            keeper: KeeperMachine::new(keeper),
+            locator: PlannerLocator::new(locator),
+            planner: None,
+            incarnation,
+        });
+    }
+
+    pub(super) fn obey(&mut self, host: usize, incarnation: u64, effect: Effect) {
+        match effect {
+            Effect::Store(call) => self.call_store(host, incarnation, call),
+            Effect::Worker(call) => self.call_worker(host, incarnation, call),
+            Effect::Dial { link, address, .. } => self.dial(host, incarnation, link, address),
+            Effect::ToPlanner { link, message } => {
+                if let Some((other, there)) = self.other_end(host, link) {
+                    self.after(1, WorldEvent::ToPlanner(other, there, message));
+                }
+            }
+            Effect::ToAgent { link, message } => {
+                if let Some((other, there)) = self.other_end(host, link) {
+                    self.after(1, WorldEvent::ToAgent(other, there, message));
+                }
+            }
+            Effect::Hang { link } => {
+                let ends = |it: &&(usize, LinkId, usize, LinkId)| {
+                    (it.0, it.1) == (host, link) || (it.2, it.3) == (host, link)
+                };
+                if let Some(&(opener, link, other, there)) = self.links.iter().find(ends) {
+                    self.end_link(opener, link, other, there);
+                }
+            }
+            // Shown with a failed test.
+            Effect::Log(line) => {
+                println!(
+                    "{} h{host} {} {} {}",
+                    self.now, line.event, line.id, line.detail
+                );
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns the other end of a link. One that a cut swallows bytes of stays silent for good.
+    pub(super) fn other_end(&mut self, host: usize, link: LinkId) -> Option<(usize, LinkId)> {
+        let position = self.links.iter().position(|&(opener, own, other, there)| {
+            (opener, own) == (host, link) || (other, there) == (host, link)
+        })?;
+        let (opener, own, other, there) = self.links[position];
+        if opener != other && (self.is_cut(opener) || self.is_cut(other)) {
+            self.links.remove(position);
+            return None;
+        }
+        match (opener, own) == (host, link) {
+            true => Some((other, there)),
+            false => Some((opener, own)),
+        }
+    }
+
+    pub(super) fn is_cut(&self, host: usize) -> bool {
+        self.now < self.hosts[host].cut_until
+    }
+
+    pub(super) fn end_link(&mut self, opener: usize, link: LinkId, other: usize, there: LinkId) {
+        self.links
+            .retain(|known| (known.0, known.1) != (opener, link));
+        for (host, link) in [(opener, link), (other, there)] {
+            let incarnation = self.incarnation(host);
+            self.after(1, WorldEvent::LinkClosed(host, incarnation, link, false));
+        }
+    }
+
+    pub(super) fn dial(&mut self, host: usize, incarnation: u64, link: LinkId, target: SocketAddr) {
+        let other = (0..self.hosts.len()).find(|index| address(*index) == target);
+        let Some(other) = other else {
+            return;
+        };
+        let dark = other != host && (self.is_cut(host) || self.is_cut(other));
+        match (&self.hosts[other].agent, dark) {
+            (_, true) => self.after(500, WorldEvent::LinkClosed(host, incarnation, link, false)),
+            (None, false) => self.after(1, WorldEvent::LinkClosed(host, incarnation, link, true)),
+            (Some(_), false) => {
+                self.last_incoming += 1;
+                self.links
+                    .push((host, link, other, LinkId(self.last_incoming)));
+                self.after(1, WorldEvent::LinkOpened(host, incarnation, link));
+            }
+        }
+    }
+
+    pub(super) fn call_store(&mut self, host: usize, incarnation: u64, call: StoreCall) {
+        let caller = call.caller;
+        let answer = |outcome| WorldEvent::Stored(host, incarnation, caller, outcome);
+        if self.is_cut(host) || self.now < self.hosts[host].store_away_until {
+            let cause = "away".into();
+            let outcome = match self.random.random::<bool>() {
+                true => StoreOutcome::Refused { cause },
+                false => StoreOutcome::Unanswered { cause },
+            };
+            let span = if matches!(outcome, StoreOutcome::Refused { .. }) {
+                10
+            } else {
+                700
+            };
+            return self.after(span, answer(outcome));
+        }
+        match &call.ask {
+            StoreAsk::Append {
+                stream,
+                records,
+                condition,
+            } => {
+                let lost =
+                    self.now < self.faults_until && self.random.random::<f64>() < self.faults.lost;
+                if lost {
+                    let span = self.random.random_range(0..4000);
+                    let late = WorldEvent::LateAppend(*stream, records.clone(), *condition);
+                    self.after(span, late);
+                    let cause = "lost".into();
+                    return self.after(700, answer(StoreOutcome::Unanswered { cause }));
+                }
+                let outcome = self.store.append(*stream, records, *condition);
+                self.after(STORE_MS, answer(outcome));
+            }
+            _ => self.reads.push(PendingRead {
+                host: Some((host, incarnation)),
+                call,
+            }),
+        }
+    }
+
+    pub(super) fn call_worker(&mut self, host: usize, incarnation: u64, call: WorkerCall) {
+        match &call.ask {
+            WorkerAsk::Hold { .. } => self.holds.push(PendingHold {
+                host,
+                incarnation,
+                call,
+            }),
+            _ => {
+                let late =
+                    self.now < self.faults_until && self.random.random::<f64>() < self.faults.late;
+                if late {
+                    let span = self.random.random_range(2000..6000);
+                    self.after(span, WorldEvent::LateOrder(host, call.clone()));
+                    let answer = WorkerAnswer::Unanswered;
+                    return self.after(
+                        500,
+                        WorldEvent::WorkerReplied(host, incarnation, call, answer),
+                    );
+                }
+                self.call_now(host, incarnation, call);
+            }
+        }
+    }
+
+    pub(super) fn call_now(&mut self, host: usize, incarnation: u64, call: WorkerCall) {
+        let answer = match self.hosts[host].worker.alive {
+            true => self.carry_out_with_answer(host, &call, false),
+            false => WorkerAnswer::Gone,
+        };
+        self.after(
+            2,
+            WorldEvent::WorkerReplied(host, incarnation, call, answer),
+        );
+    }
+
+    pub(super) fn carry_out(&mut self, host: usize, call: &WorkerCall, late: bool) {
+        if self.hosts[host].worker.alive {
+            self.carry_out_with_answer(host, call, late);
+        }
+    }
+
+    pub(super) fn carry_out_with_answer(
+        &mut self,
+        host: usize,
+        call: &WorkerCall,
+        late: bool,
+    ) -> WorkerAnswer {
+        let fails = self.random.random::<f64>() < self.faults.fail;
+        let span = self.random.random_range(150..1500);
+        let now = self.now;
+        let judge = &self.judge;
+        let plan = |run: RunName| WorldRun {
+            done_at: (!judge.is_lasting(run)).then_some(now + span),
+            began: now,
+            stop_at: None,
+            end: if fails { RunEnd::Failed } else { RunEnd::Done },
+        };
+        let answer = self.hosts[host].worker.call(now, call, plan);
+        self.judge_deeds(host, late);
+        answer
+    }
+}
