[platform] Keep one HTTP client

Cause: the adapter had copied the client of hornbeamlead_platform and gone on from there. Change: hornbeamlead_platform uses the adapter's; its copy is gone.

--- a/crates/hornbeamlead_platform/src/lib.rs
+++ b/crates/hornbeamlead_platform/src/lib.rs
@@ -6,7 +6,6 @@
 
 #![warn(clippy::unwrap_used)]
 
-mod http;
 mod worker_clock;
 
 pub mod announce_wire;
--- a/crates/hornbeamlead_platform/src/log.rs
+++ b/crates/hornbeamlead_platform/src/log.rs
@@ -1,8 +1,8 @@
 //! Client of the platform's append-only log.
 
-use crate::http::{HttpAnswer, HttpClient, HttpFault, build_request};
 use crate::log_wire::{AppendAnswer, GoneAnswer, ReadAnswer};
 use bytes::Bytes;
+use hornbeamlead_adapter::{HttpAnswer, HttpClient, HttpFault, build_request};
 use hornbeamlead_core::event::PLATFORM_TIMEOUT;
 use hornbeamlead_core::ids::LogOffset;
 use hornbeamlead_core::record::{LogBatch, LogFault, StreamName};
--- a/crates/hornbeamlead_platform/src/worker.rs
+++ b/crates/hornbeamlead_platform/src/worker.rs
@@ -1,12 +1,12 @@
 //! Client of the worker of a host.
 
-use crate::http::{HttpAnswer, HttpClient, build_request};
 use crate::worker_clock::WorkerClocks;
 use crate::worker_wire::{
     AttemptCall, AttemptWire, COUNTED_FROM_HEADER, REFUSED_SEEN, RefusedAnswer, RenewCall,
     ReportAnswer, StartCall, StopCall, ThrottleCall, WORKER_CLOCK_HEADER,
 };
 use bytes::Bytes;
+use hornbeamlead_adapter::{HttpAnswer, HttpClient, build_request};
 use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_core::counter::RefusalReason;
 use hornbeamlead_core::event::PLATFORM_TIMEOUT;
