[jobs] Place fillers by each serving image, serve jobs by prospect

How an image presses differs by the image that it presses on (learned weights of one filler image: 0 to 8), so a mean hides the sensitive one. Jobs that could be worth nothing any more went before those merely late, and a second step waited behind fresh jobs with less slack.

Change: a filler is placed, and slowed, by its press on each serving image; the tightest image decides which fillers are slowed. Order: on time and begun, on time, late, hopeless. No fillers where those there get less than half of what they ask for.

--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -1,6 +1,6 @@
 //! What the planner knows of the hosts.
 
-use super::impact::ImpactReading;
+use super::impact::{ImpactReading, ServingLevel};
 use super::placement::{ImageId, TaskDemand};
 use crate::effect::LinkId;
 use crate::ids::{HostName, RunName, WorkerLife};
@@ -13,7 +13,7 @@
 /// Silence after which nothing is ordered from a host; it reports every 300 ms.
 const REACH_SPAN: Duration = Duration::from_millis(1000);
 
-/// Latency of a worker that serves nothing: far below any target.
+/// Latency of serving tasks that were not read yet: far below any target.
 pub(super) const NO_LATENCY: f64 = -3.0;
 
 /// Host as the planner sees it.
@@ -41,8 +41,8 @@
     pub strikes: u32,
     /// Attempts that may be running there, with what they take.
     pub runs: BTreeMap<RunName, TaskDemand>,
-    /// Logarithm of latency over target of the serving tasks, as last reported.
-    pub latency: f64,
+    /// Mean logarithm of latency over target by serving image, as last reported.
+    pub levels: BTreeMap<ImageId, f64>,
     /// Share of what its fillers ask for that they get.
     pub filler_rate: f64,
     /// When the impact of fillers was last learned from its reports, and from what.
@@ -66,7 +66,7 @@
             not_before: MonoTime(0),
             strikes: 0,
             runs: BTreeMap::new(),
-            latency: NO_LATENCY,
+            levels: BTreeMap::new(),
             filler_rate: 1.0,
             learned: (MonoTime(0), ImpactReading::default()),
             probation: false,
@@ -86,15 +86,32 @@
         self.worker.as_ref().is_some_and(|worker| worker.draining)
     }
 
-    /// Returns how many serving tasks of each image it runs.
-    pub(super) fn serving(&self) -> BTreeMap<ImageId, u32> {
+    /// Returns the serving tasks that it runs, by image.
+    pub(super) fn serving(&self) -> BTreeMap<ImageId, ServingLevel> {
         let mut images = BTreeMap::new();
         for demand in self.runs.values().filter(|demand| demand.target_ms > 0) {
-            *images.entry(demand.image).or_default() += 1;
+            let level = images.entry(demand.image).or_insert(ServingLevel {
+                tasks: 0,
+                latency: self
+                    .levels
+                    .get(&demand.image)
+                    .copied()
+                    .unwrap_or(NO_LATENCY),
+            });
+            level.tasks += 1;
         }
         images
     }
 
+    /// Returns the serving image that is closest to its target, or farthest over it.
+    pub(super) fn tightest(&self) -> Option<(ImageId, f64)> {
+        let levels = self
+            .levels
+            .iter()
+            .map(|(&image, &latency)| (image, latency));
+        levels.max_by(|left, right| left.1.total_cmp(&right.1))
+    }
+
     /// Returns whether orders reach the host.
     #[must_use]
     pub fn is_open(&self, now: MonoTime) -> bool {
--- a/crates/hornbeamlead_jobs/src/planner/impact.rs
+++ b/crates/hornbeamlead_jobs/src/planner/impact.rs
@@ -45,12 +45,18 @@
 }
 
 impl ImpactReading {
-    /// Returns the mean logarithm of latency over target.
+    /// Returns the mean logarithm of latency over target, by serving image.
     #[must_use]
-    pub fn latency(&self) -> Option<f64> {
-        let count = self.serving.len();
-        let sum: f64 = self.serving.values().map(|(_, latency)| latency).sum();
-        (count > 0).then(|| sum / count as f64)
+    pub fn levels(&self) -> BTreeMap<ImageId, f64> {
+        let mut sums = BTreeMap::<ImageId, (f64, f64)>::new();
+        for &(image, latency) in self.serving.values() {
+            let sum = sums.entry(image).or_default();
+            *sum = (sum.0 + latency, sum.1 + 1.0);
+        }
+        let means = sums
+            .into_iter()
+            .map(|(image, (sum, count))| (image, sum / count));
+        means.collect()
     }
 
     fn use_of(&self, image: ImageId) -> f64 {
@@ -58,6 +64,15 @@
     }
 }
 
+/// Serving tasks of one image on a worker.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServingLevel {
+    /// How many.
+    pub tasks: u32,
+    /// Mean logarithm of latency over target, as last reported.
+    pub latency: f64,
+}
+
 /// Weights by image.
 #[derive(Clone, Debug, Default)]
 pub struct ImpactModel {
@@ -80,19 +95,14 @@
         self.alone.get(&filler).copied().unwrap_or(UNKNOWN_PRESS)
     }
 
-    /// Returns how strongly a filler image presses on what a worker serves.
+    /// Returns how strongly a filler image presses on the most sensitive of what a worker serves,
+    /// which decides how far the worker's fillers are slowed.
     #[must_use]
-    pub fn press_on(&self, serving: &BTreeMap<ImageId, u32>, filler: ImageId) -> f64 {
-        let rows = serving
-            .iter()
-            .map(|(&image, &count)| (self.press(image, filler), count));
-        let (sum, count) = rows.fold((0.0, 0), |(sum, total), (press, count)| {
-            (sum + press * f64::from(count), total + count)
-        });
-        match count {
-            0 => self.press_alone(filler),
-            _ => sum / f64::from(count),
-        }
+    pub fn worst_press(&self, serving: &BTreeMap<ImageId, ServingLevel>, filler: ImageId) -> f64 {
+        let presses = serving.keys().map(|&image| self.press(image, filler));
+        presses
+            .max_by(f64::total_cmp)
+            .unwrap_or_else(|| self.press_alone(filler))
     }
 
     /// Makes a model of what an earlier planner has learned.
--- a/crates/hornbeamlead_jobs/src/planner/placement.rs
+++ b/crates/hornbeamlead_jobs/src/planner/placement.rs
@@ -1,7 +1,8 @@
 //! Chooses the host for a task.
 
 use super::hosts::HostView;
-use super::impact::FULL_PRESS;
+use super::hosts::NO_LATENCY;
+use super::impact::{FULL_PRESS, ImpactModel, ServingLevel};
 use crate::ids::{RunName, StepName};
 use crate::job::StepSpec;
 use crate::worker::WorkerFacts;
@@ -155,10 +156,38 @@
     pub(super) risk: f64,
     /// Most tasks that may run there.
     pub(super) limit: u32,
-    /// Logarithm of latency over target, with what was placed in this pass.
-    pub(super) latency: f64,
     /// Serving tasks by image, with what was placed in this pass.
-    pub(super) serving: BTreeMap<ImageId, u32>,
+    pub(super) serving: BTreeMap<ImageId, ServingLevel>,
+}
+
+/// How strongly a filler presses on each serving image of a worker.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FillerPressure {
+    presses: BTreeMap<ImageId, f64>,
+    worst: f64,
+}
+
+impl FillerPressure {
+    pub(super) fn new(
+        model: &ImpactModel,
+        serving: &BTreeMap<ImageId, ServingLevel>,
+        filler: ImageId,
+    ) -> Self {
+        let press = |&image: &ImageId| (image, model.press(image, filler));
+        Self {
+            presses: serving.keys().map(press).collect(),
+            worst: model.worst_press(serving, filler),
+        }
+    }
+
+    /// Returns the press on the most sensitive image.
+    pub(super) fn worst(&self) -> f64 {
+        self.worst
+    }
+
+    fn on(&self, image: ImageId) -> f64 {
+        self.presses.get(&image).copied().unwrap_or(self.worst)
+    }
 }
 
 impl Candidate<'_> {
@@ -168,12 +197,19 @@
         running.count() as u32 + self.placed.get(&step).copied().unwrap_or(0)
     }
 
-    pub(super) fn take(&mut self, demand: &TaskDemand, press: f64) {
+    pub(super) fn take(&mut self, demand: &TaskDemand, pressure: &FillerPressure) {
         if demand.filler {
-            self.latency += press * f64::from(demand.cpu) / f64::from(self.worker.cpu.max(1));
+            let share = f64::from(demand.cpu) / f64::from(self.worker.cpu.max(1));
+            for (&image, level) in &mut self.serving {
+                level.latency += pressure.on(image) * share;
+            }
         }
         if demand.target_ms > 0 {
-            *self.serving.entry(demand.image).or_default() += 1;
+            let level = self.serving.entry(demand.image).or_insert(ServingLevel {
+                tasks: 0,
+                latency: NO_LATENCY,
+            });
+            level.tasks += 1;
         }
         self.load.add(demand);
         *self.placed.entry(demand.step).or_default() += 1;
@@ -195,15 +231,19 @@
 
     /// Returns whether a filler would get something there and leave the serving tasks below their
     /// targets. One that waits its turn runs at full speed later; many at once are all late.
-    pub(super) fn spares(&self, demand: &TaskDemand, press: f64) -> bool {
+    pub(super) fn spares(&self, demand: &TaskDemand, pressure: &FillerPressure) -> bool {
         if !demand.filler || self.load.filler_cpu == 0 {
             return true;
         }
         let share = f64::from(demand.cpu) / f64::from(self.worker.cpu.max(1));
-        let spared = self.load.serving == 0 || self.latency + press * share <= LATENCY_LIMIT;
+        let spared = self
+            .serving
+            .iter()
+            .all(|(&image, level)| level.latency + pressure.on(image) * share <= LATENCY_LIMIT);
         let used = f64::from(self.load.cpu) * USED_SHARE;
         let room = f64::from(self.worker.cpu) - used - f64::from(self.load.filler_cpu);
-        spared && room >= f64::from(demand.cpu)
+        let paced = self.view.filler_rate < LEAST_FILLER_RATE;
+        spared && !paced && room >= f64::from(demand.cpu)
     }
 
     /// Returns the cost of running a task there; the least wins.
@@ -212,7 +252,7 @@
         policy: &PlacementPolicy,
         demand: &TaskDemand,
         spec: &StepSpec,
-        press: f64,
+        pressure: &FillerPressure,
     ) -> f64 {
         let whole = f64::from(self.worker.cpu.max(1));
         let share = |cpu: u32| f64::from(cpu) / whole;
@@ -224,12 +264,11 @@
         let base = match (demand.filler, demand.lasting) {
             (true, _) => {
                 let busy = share(self.load.cpu + self.load.filler_cpu + demand.cpu);
-                let after = self.latency + press * share(demand.cpu);
-                let harm = lateness(after) - lateness(self.latency);
+                let (harm, late) = self.harm_of(pressure, share(demand.cpu));
                 let serves = f64::from(self.load.serving.min(FULL_HARM_TASKS));
                 let weight = serves / f64::from(FULL_HARM_TASKS);
-                let late = policy.filler_beside_late * lateness(self.latency);
-                let beside = policy.filler_beside_serving * press / FULL_PRESS;
+                let late = policy.filler_beside_late * late;
+                let beside = policy.filler_beside_serving * pressure.worst() / FULL_PRESS;
                 let starved =
                     policy.filler_beside_starved * (1.0 - self.view.filler_rate).clamp(0.0, 1.0);
                 busy + starved + weight * (beside + policy.filler_harm * harm + late)
@@ -242,7 +281,8 @@
                 } else {
                     0.0
                 };
-                let alike = self.serving.get(&demand.image).copied().unwrap_or(0);
+                let alike = self.serving.get(&demand.image);
+                let alike = alike.map_or(0, |level| level.tasks);
                 let others = self.load.serving.saturating_sub(alike);
                 let mixed = policy.lasting_mixed * f64::from(others);
                 full + mixed + policy.lasting_beside_filler * share(self.load.filler_cpu)
@@ -252,11 +292,28 @@
         };
         base + self.risk + if remote { policy.remote_data } else { 0.0 }
     }
+
+    /// Returns by how much a filler would raise the mean lateness of the serving tasks, and what
+    /// it is now.
+    fn harm_of(&self, pressure: &FillerPressure, share: f64) -> (f64, f64) {
+        let whole = f64::from(self.load.serving.max(1));
+        let rows = self.serving.iter().map(|(&image, level)| {
+            let weight = f64::from(level.tasks) / whole;
+            let before = lateness(level.latency);
+            let after = lateness(level.latency + pressure.on(image) * share);
+            (weight * (after - before), weight * before)
+        });
+        rows.fold((0.0, 0.0), |sum, row| (sum.0 + row.0, sum.1 + row.1))
+    }
 }
 
 /// Logarithm of latency over target up to which fillers are added.
 const LATENCY_LIMIT: f64 = -0.3;
 
+/// Share of what they ask for that the fillers of a worker get, below which no more are added: more
+/// of them would only make all of them late.
+const LEAST_FILLER_RATE: f64 = 0.5;
+
 /// Share of what serving tasks ask for that they use, as a rule.
 const USED_SHARE: f64 = 0.5;
 
--- a/crates/hornbeamlead_jobs/src/planner/rebalance.rs
+++ b/crates/hornbeamlead_jobs/src/planner/rebalance.rs
@@ -38,7 +38,10 @@
             return;
         }
         self.rebalanced = now;
-        let late = |view: &&HostView| view.is_open(now) && view.latency > RELIEF_LATENCY;
+        let late = |view: &&HostView| {
+            let tightest = view.tightest();
+            view.is_open(now) && tightest.is_some_and(|(_, latency)| latency > RELIEF_LATENCY)
+        };
         let mut moves = Vec::new();
         for view in self.hosts.values().filter(late) {
             let mut heavy = self.heavy_fillers(now, view);
@@ -56,7 +59,7 @@
         let serving = view.serving();
         let fillers = view.runs.iter().filter(|(_, demand)| demand.filler);
         let heavy = fillers.filter_map(|(&run, demand)| {
-            let press = self.impact.press_on(&serving, demand.image);
+            let press = self.impact.worst_press(&serving, demand.image);
             let known = self.runs.get(&run)?;
             let settled = now.since(known.since) >= SETTLE_SPAN && known.percent < NEARLY_DONE;
             let (job, _) = self.ledger.task(run.task)?;
@@ -72,11 +75,11 @@
         let others = candidates.iter().filter(|it| it.view.host != from.host);
         let service = from.worker.as_ref().map(|worker| &worker.service);
         others.into_iter().any(|it| {
-            let there = self.press_at(it, demand);
+            let pressure = self.pressure_at(it, demand);
             Some(&it.worker.service) == service
-                && (it.load.serving == 0 || there <= press * WORTHWHILE)
+                && (it.load.serving == 0 || pressure.worst() <= press * WORTHWHILE)
                 && it.load.memory + demand.memory <= it.worker.memory
-                && it.spares(demand, there)
+                && it.spares(demand, &pressure)
         })
     }
 }
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -1,7 +1,7 @@
 //! Learns from agents' reports what runs, what has ended and what never began.
 
 use super::batch::HeldStep;
-use super::hosts::{HostView, NO_LATENCY};
+use super::hosts::HostView;
 use super::impact::{FULL_PRESS, ImpactReading};
 use super::placement::{ImageId, TaskDemand};
 use super::{CLOCK_SLACK, GRANT_SPAN, PlannerMachine, RunView};
@@ -191,13 +191,14 @@
             }
         }
         view.filler_rate = if wanted > 0.0 { used / wanted } else { 1.0 };
-        view.latency = reading.latency().unwrap_or(NO_LATENCY);
+        view.levels = reading.levels();
         let fresh = now.since(view.learned.0) < LEARN_SPAN * 3;
         let before = std::mem::replace(&mut view.learned, (now, reading));
         if fresh {
             self.impact.learn(&before.1, &view.learned.1);
         }
-        let (link, late) = (view.link, view.latency > LATE);
+        let late = view.tightest().is_some_and(|(_, latency)| latency > LATE);
+        let link = view.link;
         if let Some(link) = link.filter(|_| late) {
             self.send_traits(link, host);
         }
@@ -218,12 +219,16 @@
 
     /// Returns what an agent has to know of the attempts of a step on its host.
     pub(super) fn traits_of(&self, spec: &StepSpec, host: &HostName) -> RunTraits {
-        let serving = self
-            .hosts
-            .get(host)
-            .map(HostView::serving)
-            .unwrap_or_default();
-        let press = self.impact.press_on(&serving, ImageId::from(&*spec.image));
+        let view = self.hosts.get(host);
+        let image = ImageId::from(&*spec.image);
+        // Slowing a filler that leaves the tightest image alone gains nothing.
+        let press = match view.and_then(HostView::tightest) {
+            Some((tightest, _)) => self.impact.press(tightest, image),
+            None => {
+                let serving = view.map(HostView::serving).unwrap_or_default();
+                self.impact.worst_press(&serving, image)
+            }
+        };
         RunTraits {
             target_ms: if spec.lasting { spec.target_ms } else { 0 },
             filler: spec.filler,
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -2,7 +2,8 @@
 
 use super::batch::HeldStep;
 use super::hosts::HostView;
-use super::placement::{Candidate, HostLoad, TaskDemand};
+use super::impact::ServingLevel;
+use super::placement::{Candidate, FillerPressure, HostLoad, ImageId, TaskDemand};
 use super::{PlannerMachine, RunView};
 use crate::ids::{HostName, JobId, RunName, RunNumber, StepName, TaskName, WorkerLife};
 use crate::job::JobRecord;
@@ -32,19 +33,47 @@
 /// averaging, a start and a report.
 const READING_LAG: Duration = Duration::from_millis(1000);
 
+/// Objectives after which a finished job is worth nothing any more, as the platform counts.
+const LATE_OBJECTIVES: i64 = 3;
+
 /// Tasks that a worker on probation may run.
 const PROBATION_TASKS: u32 = 1;
 
 /// Step with tasks that wait.
 struct ReadyStep {
-    /// Lasting steps come first, then those that can still be on time, then by priority and by the
-    /// time that is left to be on time.
-    order: (bool, bool, u8, i64),
+    /// Lasting steps come first, then by prospect, by priority and by the time that is left to be
+    /// on time.
+    order: (bool, StepProspect, u8, i64),
     name: StepName,
     record: Arc<JobRecord>,
     tasks: Vec<u32>,
 }
 
+/// What a start now can still gain for a job, best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum StepProspect {
+    /// On time, and work has gone into it that would be late in vain.
+    OnTimeBegun,
+    /// On time.
+    OnTime,
+    /// Late, but worth something.
+    Late,
+    /// Too late to be worth anything; it is done all the same once nothing else waits.
+    Hopeless,
+}
+
+impl StepProspect {
+    /// Judges by the times in milliseconds that are left to be on time and to be worth anything.
+    fn new(slack: i64, late_slack: i64, begun: bool) -> Self {
+        match slack {
+            _ if slack < 0 && late_slack < 0 => Self::Hopeless,
+            _ if slack < 0 => Self::Late,
+            _ if begun => Self::OnTimeBegun,
+            _ => Self::OnTime,
+        }
+    }
+}
+
 /// Task with the host that was chosen for it.
 struct Choice {
     index: u32,
@@ -192,8 +221,7 @@
                     } else {
                         u32::MAX
                     },
-                    latency: view.latency + self.unread_press(now, view),
-                    serving: view.serving(),
+                    serving: self.expected_levels(now, view),
                 })
             })
             .collect()
@@ -212,13 +240,18 @@
                 .collect(),
             false => Vec::new(),
         };
+        // Fillers do not change what a worker serves, so one look is enough for the whole step.
+        let pressures: Vec<_> = candidates
+            .iter()
+            .map(|it| self.pressure_at(it, &demand))
+            .collect();
         let mut choices = Vec::new();
         for &index in &step.tasks {
             let task = TaskName {
                 step: step.name,
                 index,
             };
-            let cost = |candidate: &Candidate<'_>| {
+            let cost = |(candidate, pressure): &(&mut Candidate<'_>, &FillerPressure)| {
                 let failed = self.failed_hosts.get(&task);
                 let failed = failed.is_some_and(|hosts| hosts.contains(&candidate.view.host));
                 let again = if failed {
@@ -226,18 +259,18 @@
                 } else {
                     0.0
                 };
-                let press = self.press_at(candidate, &demand);
-                candidate.cost(&self.policy.placement, &demand, spec, press) + again
+                candidate.cost(&self.policy.placement, &demand, spec, pressure) + again
             };
-            let fitting = candidates.iter_mut().filter(|it| {
-                let press = self.press_at(it, &demand);
-                it.admits(&demand, spec, service) && it.spares(&demand, press)
-            });
+            let fitting = candidates
+                .iter_mut()
+                .zip(&pressures)
+                .filter(|(it, pressure)| {
+                    it.admits(&demand, spec, service) && it.spares(&demand, pressure)
+                });
             let best = fitting.min_by(|left, right| cost(left).total_cmp(&cost(right)));
             match best {
-                Some(candidate) => {
-                    let press = self.press_at(candidate, &demand);
-                    candidate.take(&demand, press);
+                Some((candidate, pressure)) => {
+                    candidate.take(&demand, pressure);
                     choices.push(Choice {
                         index,
                         host: candidate.view.host.clone(),
@@ -258,9 +291,10 @@
         choices
     }
 
-    /// Returns the rise in latency by fillers that the last reading does not show yet.
-    fn unread_press(&self, now: MonoTime, view: &HostView) -> f64 {
-        let serving = view.serving();
+    /// Returns the serving tasks of a worker with the rise in latency by fillers that the last
+    /// reading does not show yet.
+    fn expected_levels(&self, now: MonoTime, view: &HostView) -> BTreeMap<ImageId, ServingLevel> {
+        let mut serving = view.serving();
         let whole = view.worker.as_ref().map_or(1, |worker| worker.cpu.max(1));
         let unread = |run: &RunName| {
             let known = self.runs.get(run);
@@ -270,18 +304,24 @@
             .runs
             .iter()
             .filter(|(run, demand)| demand.filler && unread(run));
-        let presses = fillers.map(|(_, demand)| {
-            let press = self.impact.press_on(&serving, demand.image);
-            press * f64::from(demand.cpu) / f64::from(whole)
-        });
-        presses.sum()
+        for (_, demand) in fillers {
+            let share = f64::from(demand.cpu) / f64::from(whole);
+            for (&image, level) in &mut serving {
+                level.latency += self.impact.press(image, demand.image) * share;
+            }
+        }
+        serving
     }
 
     /// Returns how strongly a filler would press on what a worker serves.
-    pub(super) fn press_at(&self, candidate: &Candidate<'_>, demand: &TaskDemand) -> f64 {
+    pub(super) fn pressure_at(
+        &self,
+        candidate: &Candidate<'_>,
+        demand: &TaskDemand,
+    ) -> FillerPressure {
         match demand.filler {
-            true => self.impact.press_on(&candidate.serving, demand.image),
-            false => 0.0,
+            true => FillerPressure::new(&self.impact, &candidate.serving, demand.image),
+            false => FillerPressure::default(),
         }
     }
 
@@ -351,8 +391,10 @@
         .schedule
         .due_ms(occurrence)
         .max(record.accepted_ms);
-    let objective = f64::from(record.terms.target_factor) * record.body.chain_ms() as f64;
-    let deadline = due as i64 + objective as i64 + i64::from(record.terms.target_latency_ms);
+    let chain = f64::from(record.terms.target_factor) * record.body.chain_ms() as f64;
+    let objective = chain as i64 + i64::from(record.terms.target_latency_ms);
+    let deadline = due as i64 + objective;
+    let begun = tasks.steps.iter().flatten().any(|task| !task.is_waiting());
     debug_assert!(!state.phase.is_final());
     for (index, (spec, step)) in record.body.steps.iter().zip(&tasks.steps).enumerate() {
         let waits = |(index, task): (usize, &crate::ledger::TaskState)| {
@@ -366,8 +408,10 @@
         }
         let rest = record.body.rest_ms(index) as i64;
         let slack = deadline - now.wall.0 as i64 - rest;
+        let late_slack = slack + (LATE_OBJECTIVES - 1) * objective;
+        let prospect = StepProspect::new(slack, late_slack, begun);
         into.push(ReadyStep {
-            order: (!spec.lasting, slack < 0, record.terms.priority, slack),
+            order: (!spec.lasting, prospect, record.terms.priority, slack),
             name: StepName {
                 job,
                 occurrence,
--- a/crates/hornbeamlead_jobs/tests/press_learned.rs
+++ b/crates/hornbeamlead_jobs/tests/press_learned.rs
@@ -1,8 +1,9 @@
 //! Pattern: fillers of many images come and go beside serving tasks whose own load swings.
 
 use hornbeamlead_jobs::ids::{RunName, RunNumber};
+use hornbeamlead_jobs::ledger::LearnedPress;
 use hornbeamlead_jobs::planner::ImageId;
-use hornbeamlead_jobs::planner::impact::{ImpactModel, ImpactReading};
+use hornbeamlead_jobs::planner::impact::{ImpactModel, ImpactReading, ServingLevel};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -61,3 +62,24 @@
     let difference = recalled.press(SERVING, HEAVY) - model.press(SERVING, HEAVY);
     assert!(difference.abs() < 0.001);
 }
+
+/// A worker that serves several images is judged by the one on which a filler presses most: its
+/// latency decides how far the fillers are slowed.
+#[test]
+fn most_sensitive_image_decides() {
+    let press = |serving: ImageId, press| LearnedPress {
+        serving: serving.0,
+        filler: HEAVY.0,
+        press,
+    };
+    let (sensitive, calm) = (ImageId(4), ImageId(5));
+    let model = ImpactModel::recall(&[press(sensitive, 6.0), press(calm, 0.0)]);
+    let level = |tasks| ServingLevel {
+        tasks,
+        latency: -1.0,
+    };
+    let mixed = BTreeMap::from([(sensitive, level(1)), (calm, level(5))]);
+    assert_eq!(model.worst_press(&mixed, HEAVY), 6.0);
+    let alone = BTreeMap::from([(calm, level(6))]);
+    assert_eq!(model.worst_press(&alone, HEAVY), 0.0);
+}
--- a/crates/hornbeamlead_jobs/tests/world/judge.rs
+++ b/crates/hornbeamlead_jobs/tests/world/judge.rs
@@ -2,7 +2,7 @@
 
 use super::worker::WorkerDeed;
 use hornbeamlead_jobs::ids::{JobId, RunName, TaskName};
-use hornbeamlead_jobs::job::{JobBody, RunEnd};
+use hornbeamlead_jobs::job::{JobBody, RunEnd, StepSpec};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Time after the acknowledgement of a cancellation in which tasks may still start, in
@@ -18,8 +18,8 @@
     acknowledged: BTreeSet<TaskName>,
     cancelled: BTreeMap<JobId, u64>,
     failures: BTreeMap<TaskName, u16>,
-    /// Starts seen.
-    pub(crate) starts: usize,
+    /// Starts seen, in their order.
+    pub(crate) starts: Vec<RunName>,
     /// What was done wrong.
     pub(crate) faults: Vec<String>,
 }
@@ -68,7 +68,7 @@
     }
 
     fn began(&mut self, now: u64, host: usize, run: RunName, late: bool) {
-        self.starts += 1;
+        self.starts.push(run);
         let job = run.task.step.job;
         let Some(body) = self.bodies.get(&job) else {
             self.faults.push(format!("{run} of an unknown job began"));
@@ -102,11 +102,10 @@
         }
     }
 
-    /// Returns whether an attempt belongs to a lasting step.
-    pub(crate) fn is_lasting(&self, run: RunName) -> bool {
-        let body = self.bodies.get(&run.task.step.job);
-        let step = body.and_then(|body| body.steps.get(usize::from(run.task.step.step)));
-        step.is_some_and(|step| step.lasting)
+    /// Returns the step that an attempt belongs to.
+    pub(crate) fn step(&self, run: RunName) -> Option<&StepSpec> {
+        let body = self.bodies.get(&run.task.step.job)?;
+        body.steps.get(usize::from(run.task.step.step))
     }
 
     /// Returns whether all tasks of a job are done.
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -41,6 +41,9 @@
 /// Time from process to store and back, in milliseconds.
 const STORE_MS: u64 = 10;
 
+/// Latency of serving tasks as a share of their target.
+const SERVING_LEVEL: f64 = 0.4;
+
 /// First reading of the virtual clock, so that no reading is zero.
 const START_MS: u64 = 10_000;
 
@@ -170,6 +173,8 @@
     cancels: VecDeque<(u64, JobId)>,
     cancel_tickets: BTreeMap<u64, JobId>,
     submit_tickets: BTreeMap<u64, JobId>,
+    /// Share of what they ask for that fillers get.
+    pub(crate) filler_rate: f64,
     /// Jobs that were accepted.
     pub(crate) accepted: Vec<JobId>,
     /// Judge.
@@ -220,6 +225,7 @@
             cancels: VecDeque::new(),
             cancel_tickets: BTreeMap::new(),
             submit_tickets: BTreeMap::new(),
+            filler_rate: 1.0,
             accepted: Vec::new(),
             judge: WorldJudge::default(),
         }
--- a/crates/hornbeamlead_jobs/tests/world/processes.rs
+++ b/crates/hornbeamlead_jobs/tests/world/processes.rs
@@ -422,9 +422,12 @@
         let fails = self.random.random::<f64>() < self.faults.fail;
         let span = self.random.random_range(150..1500);
         let now = self.now;
-        let judge = &self.judge;
+        let (judge, filler_rate) = (&self.judge, self.filler_rate);
         let plan = |run: RunName| WorldRun {
-            done_at: (!judge.is_lasting(run)).then_some(now + span),
+            done_at: (!judge.step(run).is_some_and(|step| step.lasting)).then_some(now + span),
+            reading: judge
+                .step(run)
+                .map_or(0, |step| steady_reading(step, filler_rate)),
             began: now,
             stop_at: None,
             end: if fails { RunEnd::Failed } else { RunEnd::Done },
@@ -434,3 +437,13 @@
         answer
     }
 }
+
+/// Returns what a worker reads of an attempt whose load does not change: latency for a serving
+/// task, use of the processor for any other.
+fn steady_reading(step: &StepSpec, filler_rate: f64) -> u32 {
+    match step {
+        step if step.lasting => (f64::from(step.target_ms) * SERVING_LEVEL) as u32,
+        step if step.filler => (f64::from(step.cpu) * filler_rate) as u32,
+        step => step.cpu,
+    }
+}
--- a/crates/hornbeamlead_jobs/tests/world/worker.rs
+++ b/crates/hornbeamlead_jobs/tests/world/worker.rs
@@ -21,6 +21,8 @@
     pub(crate) stop_at: Option<u64>,
     /// How it ends when its work is done.
     pub(crate) end: RunEnd,
+    /// Latency in milliseconds of a serving task, else processor use in thousandths of a core.
+    pub(crate) reading: u32,
 }
 
 /// What a worker did, for the judge.
@@ -199,7 +201,7 @@
             run: *run,
             saved: None,
             percent: percent(state).min(100) as u8,
-            reading: 0,
+            reading: state.reading,
         };
         WorkerLists {
             born: Some(self.life.born),
