[emulator] Soak the real processes in faults on an emulated platform

Nothing of the project's own ran the real programs under signals, harmed connections and a store that fails.

Change: hornbeamlead_emulator holds the emulated store, worker and judge that the tests in virtual time use (moved from there; records now expire after 20 s), serves them over HTTP, and plays a seeded series of overlapping faults on real processes: kills of one or many, stops and continuations, terminations, hang-ups, store outages of three kinds for some or all, harmed paths to store, workers and callers (delay, cut, one way), crashes and drains of workers, evacuations, configurations, lost answers and late orders. Checked all the while: no task twice, none after a cancellation, a drain, an evacuation or an acknowledged end, none of a refused job, no order of steps broken, no state shown that is false, no process that ends by itself; at the end every accepted job is done and every entry shows so.

Handlers were installed after the listeners, so that a signal in between broke off callers' connections, and a SIGHUP ended the process. They now come before anything else.

--- a/crates/hornbeamlead_daemon/src/fleet/agent.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/agent.rs
@@ -5,7 +5,7 @@
 use super::local::{LocalDesk, handle_local};
 use super::metrics::FleetMetrics;
 use super::outlets::FleetOutlets;
-use super::signals::{SignalAsk, on_signal};
+use super::signals::{SignalAsk, TakenSignals, on_signal};
 use super::store::StoreResult;
 use super::worker::{WORKER_RING, WorkerDuty};
 use super::{EndedSnafu, FleetError, StartSnafu, listen};
@@ -59,6 +59,7 @@
 pub(super) fn run_agent(
     settings: &FleetSettings,
     path: &Path,
+    signals: TakenSignals,
     log: &Logger,
 ) -> Result<(), FleetError> {
     let FleetRole::Agent {
@@ -79,9 +80,9 @@
     let links = start_links(settings, &inbox)?;
     let worker = start_worker(&inbox, &metrics)?;
     let store = start_store(settings, &inbox, &metrics)?;
-    let signals = inbox.clone();
-    let tell = move |ask| drop(signals.deliver(AgentInput::Signal(ask)));
-    on_signal(tell).context(StartSnafu { duty: "signals" })?;
+    let told = inbox.clone();
+    let tell = move |ask| drop(told.deliver(AgentInput::Signal(ask)));
+    on_signal(signals, tell).context(StartSnafu { duty: "signals" })?;
     let host: Box<str> = settings.host.as_str().into();
     let incarnation = new_incarnation().0;
     let address = settings.inner;
--- a/crates/hornbeamlead_daemon/src/fleet/entry.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/entry.rs
@@ -4,7 +4,7 @@
 use super::metrics::FleetMetrics;
 use super::outlets::FleetOutlets;
 use super::probes::{ProbeDesk, handle_probe};
-use super::signals::{SignalAsk, on_signal};
+use super::signals::{SignalAsk, TakenSignals, on_signal};
 use super::store::{STORE_RING, StoreDuty, StoreResult};
 use super::{EndedSnafu, FleetError, StartSnafu, listen};
 use crate::clock::BootClock;
@@ -63,6 +63,7 @@
 pub(super) fn run_entry(
     settings: &FleetSettings,
     path: &Path,
+    signals: TakenSignals,
     log: &Logger,
 ) -> Result<(), FleetError> {
     let FleetRole::Entry {
@@ -84,9 +85,9 @@
         start_probe(name, address, &ready, &metrics, log)?;
     }
     let store = start_store(settings, &inbox, &metrics)?;
-    let signals = inbox.clone();
-    let tell = move |ask| drop(signals.deliver(EntryInput::Signal(ask)));
-    on_signal(tell).context(StartSnafu { duty: "signals" })?;
+    let told = inbox.clone();
+    let tell = move |ask| drop(told.deliver(EntryInput::Signal(ask)));
+    on_signal(signals, tell).context(StartSnafu { duty: "signals" })?;
     let desk = EntryDesk {
         machine: EntryMachine::new(OperatorRecords),
         outlets: FleetOutlets::new(store, metrics, log.clone()),
--- a/crates/hornbeamlead_daemon/src/fleet/mod.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 use crate::launch::ExitStatus;
 use crate::logs::open_log;
 use hornbeamlead_settings::{FleetRole, FleetSettings};
+use signals::take_signals;
 use slog::{error, info};
 use snafu::{ResultExt, Snafu};
 use std::io;
@@ -48,15 +49,19 @@
         FleetRole::Entry { .. } => "entry",
         FleetRole::Agent { .. } => "agent",
     };
+    let signals = take_signals();
     let (log, guard) = open_log(io::stdout(), settings.host.as_str(), role);
     info!(log, ""; "event" => "started", "pid" => std::process::id(),
         "data_centre" => settings.data_centre.as_str(),
         "inner" => settings.inner.to_string(), "metrics" => settings.metrics.to_string(),
         "store" => settings.store.to_string());
-    let outcome = match &settings.role {
-        FleetRole::Entry { .. } => entry::run_entry(settings, path, &log),
-        FleetRole::Agent { .. } => agent::run_agent(settings, path, &log),
-    };
+    let duty = "signals";
+    let outcome = signals
+        .context(StartSnafu { duty })
+        .and_then(|signals| match &settings.role {
+            FleetRole::Entry { .. } => entry::run_entry(settings, path, signals, &log),
+            FleetRole::Agent { .. } => agent::run_agent(settings, path, signals, &log),
+        });
     let status = match outcome {
         Ok(()) => {
             info!(log, ""; "event" => "stopped");
--- a/crates/hornbeamlead_daemon/src/fleet/signals.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/signals.rs
@@ -14,14 +14,27 @@
     Reload,
 }
 
-/// Calls `tell` at each signal.
+/// Signals that the process takes from now on, and keeps until somebody is told of them.
+pub(super) struct TakenSignals(Signals);
+
+/// Installs the handlers. Until then a signal ends the process, so this comes before any listener.
+///
+/// # Errors
+/// Returns the error of installing them.
+pub(super) fn take_signals() -> io::Result<TakenSignals> {
+    Signals::new([SIGTERM, SIGINT, SIGHUP]).map(TakenSignals)
+}
+
+/// Calls `tell` at each signal, also at those that came before.
 ///
 /// # Errors
-/// Returns the error of installing the handlers or of starting the thread.
-pub(super) fn on_signal(tell: impl Fn(SignalAsk) + Send + 'static) -> io::Result<()> {
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+/// Returns the error of starting the thread.
+pub(super) fn on_signal(
+    mut signals: TakenSignals,
+    tell: impl Fn(SignalAsk) + Send + 'static,
+) -> io::Result<()> {
     let wait = move || {
-        for signal in signals.forever() {
+        for signal in signals.0.forever() {
             tell(match signal {
                 SIGHUP => SignalAsk::Reload,
                 _ => SignalAsk::Stop,
--- /dev/null
+++ b/crates/hornbeamlead_daemon/tests/fleet_soak.rs
@@ -0,0 +1,25 @@
+//! Real entries and agents on an emulated platform, under faults from outside them.
+
+use hornbeamlead_emulator::soak::{SoakPlan, play_soak};
+use rstest::rstest;
+use std::time::Duration;
+
+/// Short soaks of fixed seeds; each seed that ever failed stays, with its cause beside it.
+#[rstest]
+fn promises_kept(#[values(1, 2)] seed: u64) {
+    let directory = tempfile::tempdir().expect("a directory");
+    let plan = SoakPlan {
+        seed,
+        hosts: 4,
+        entries: 2,
+        span: Duration::from_secs(8),
+        daemon: env!("CARGO_BIN_EXE_hornbeamd").into(),
+        directory: directory.path().into(),
+    };
+    let report = play_soak(&plan).expect("played");
+    if !report.faults.is_empty() {
+        let kept = directory.keep();
+        panic!("{:#?}\nlogs in {}", report.faults, kept.display());
+    }
+    assert!(report.accepted > 0 && report.starts > 0, "{report:?}");
+}
--- a/crates/hornbeamlead_jobs/tests/world/judge.rs
+++ b/crates/hornbeamlead_emulator/src/judge.rs
@@ -1,6 +1,6 @@
 //! Judge of what workers did: no task twice, no step too early, nothing after a cancellation.
 
-use super::worker::WorkerDeed;
+use crate::worker::WorkerDeed;
 use hornbeamlead_jobs::ids::{JobId, RunName, TaskName};
 use hornbeamlead_jobs::job::{JobBody, RunEnd, StepSpec};
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,38 +10,48 @@
 const CANCEL_MS: u64 = 3000;
 
 /// What is known of all jobs.
-#[derive(Default)]
-pub(crate) struct WorldJudge {
+#[derive(Debug, Default)]
+pub struct JobJudge {
     bodies: BTreeMap<JobId, JobBody>,
     running: BTreeMap<TaskName, (RunName, usize)>,
     done: BTreeSet<TaskName>,
     acknowledged: BTreeSet<TaskName>,
     cancelled: BTreeMap<JobId, u64>,
+    refused: BTreeSet<JobId>,
     failures: BTreeMap<TaskName, u16>,
     /// Starts seen, in their order.
-    pub(crate) starts: Vec<RunName>,
+    pub starts: Vec<RunName>,
     /// What was done wrong.
-    pub(crate) faults: Vec<String>,
+    pub faults: Vec<String>,
 }
 
-impl WorldJudge {
+impl JobJudge {
     /// Notes a job that a client hands in.
-    pub(crate) fn submit(&mut self, job: JobId, body: JobBody) {
+    pub fn submit(&mut self, job: JobId, body: JobBody) {
         self.bodies.insert(job, body);
     }
 
     /// Notes that a cancellation was acknowledged.
-    pub(crate) fn cancel(&mut self, now: u64, job: JobId) {
+    pub fn cancel(&mut self, now: u64, job: JobId) {
         self.cancelled.entry(job).or_insert(now);
     }
 
+    /// Notes that all tries to hand a job in were refused: it must never run.
+    pub fn refuse(&mut self, job: JobId) {
+        self.refused.insert(job);
+        if self.starts.iter().any(|run| run.task.step.job == job) {
+            let fault = format!("{job} was refused although it had run");
+            self.faults.push(fault);
+        }
+    }
+
     /// Returns whether a job was cancelled.
-    pub(crate) fn is_cancelled(&self, job: JobId) -> bool {
+    pub fn is_cancelled(&self, job: JobId) -> bool {
         self.cancelled.contains_key(&job)
     }
 
     /// Judges what a worker did; a late order is not held against anybody's timing.
-    pub(crate) fn judge(&mut self, now: u64, host: usize, deed: &WorkerDeed, late: bool) {
+    pub fn judge(&mut self, now: u64, host: usize, deed: &WorkerDeed, late: bool) {
         match deed {
             WorkerDeed::Began(run) => self.began(now, host, *run, late),
             WorkerDeed::Ended(run, end) => {
@@ -74,6 +84,9 @@
             self.faults.push(format!("{run} of an unknown job began"));
             return;
         };
+        if self.refused.contains(&job) {
+            self.faults.push(format!("{run} of a refused job began"));
+        }
         if let Some((other, there)) = self.running.insert(run.task, (run, host)) {
             self.faults.push(format!(
                 "{run} began on {host} beside {other} on {there} at {now}"
@@ -103,13 +116,13 @@
     }
 
     /// Returns the step that an attempt belongs to.
-    pub(crate) fn step(&self, run: RunName) -> Option<&StepSpec> {
+    pub fn step(&self, run: RunName) -> Option<&StepSpec> {
         let body = self.bodies.get(&run.task.step.job)?;
         body.steps.get(usize::from(run.task.step.step))
     }
 
     /// Returns whether all tasks of a job are done.
-    pub(crate) fn is_done(&self, job: JobId) -> bool {
+    pub fn is_done(&self, job: JobId) -> bool {
         let Some(body) = self.bodies.get(&job) else {
             return false;
         };
--- /dev/null
+++ b/crates/hornbeamlead_emulator/src/main.rs
@@ -0,0 +1,88 @@
+//! Plays soaks by seed and reports broken promises.
+
+use bpaf::Bpaf;
+use hornbeamlead_emulator::soak::{SoakPlan, SoakReport, play_soak};
+use std::io;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Runs real processes on an emulated platform under random faults, one soak for each seed.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct SoakArgs {
+    /// First seed
+    #[bpaf(argument("SEED"), fallback(1))]
+    seed: u64,
+    /// Number of seeds
+    #[bpaf(argument("COUNT"), fallback(1))]
+    count: u64,
+    /// Hosts with a worker and an agent
+    #[bpaf(argument("COUNT"), fallback(5))]
+    hosts: usize,
+    /// Entries
+    #[bpaf(argument("COUNT"), fallback(2))]
+    entries: usize,
+    /// Seconds in which faults begin
+    #[bpaf(argument("SECONDS"), fallback(12))]
+    seconds: u64,
+    /// Daemon to run
+    #[bpaf(argument("FILE"), fallback("target/release/hornbeamd".into()))]
+    daemon: PathBuf,
+    /// Directory in which settings and logs of failed seeds are kept
+    #[bpaf(argument("DIRECTORY"), fallback("target/soak".into()))]
+    logs: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let args = soak_args().run();
+    let mut broken = 0;
+    for seed in args.seed..args.seed + args.count {
+        match play(&args, seed) {
+            Ok(report) => {
+                print_report(seed, &report);
+                broken += u64::from(!report.faults.is_empty());
+            }
+            Err(error) => {
+                eprintln!("seed {seed} was not played: {error}");
+                return ExitCode::from(2);
+            }
+        }
+    }
+    println!("{broken} of {} seeds broke a promise", args.count);
+    ExitCode::from(u8::from(broken > 0))
+}
+
+fn play(args: &SoakArgs, seed: u64) -> io::Result<SoakReport> {
+    let directory = args.logs.join(format!("seed-{seed}"));
+    std::fs::create_dir_all(&directory)?;
+    let plan = SoakPlan {
+        seed,
+        hosts: args.hosts,
+        entries: args.entries,
+        span: Duration::from_secs(args.seconds),
+        daemon: args.daemon.clone(),
+        directory: directory.clone(),
+    };
+    let report = play_soak(&plan)?;
+    if report.faults.is_empty() {
+        std::fs::remove_dir_all(&directory)?;
+    }
+    Ok(report)
+}
+
+fn print_report(seed: u64, report: &SoakReport) {
+    let settled = report.settled.map_or("not settled".into(), |span| {
+        format!("settled in {:.1} s", span.as_secs_f64())
+    });
+    println!(
+        "seed {seed}: {} jobs accepted, {} starts, {} actions, {settled}, {} faults",
+        report.accepted,
+        report.starts,
+        report.actions,
+        report.faults.len()
+    );
+    for fault in &report.faults {
+        println!("  {fault}");
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_emulator/src/store.rs
@@ -0,0 +1,154 @@
+//! Store: streams with conditions, expiry and the newest record of each key.
+
+use hornbeamlead_jobs::store::{
+    AppendCondition, NewRecord, ReadRecord, StoreAsk, StoreOutcome, StreamName,
+};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// Time for which records are kept, in milliseconds.
+const KEEP_MS: u64 = 20_000;
+
+/// Appends whose repeat receives the first answer again.
+const REMEMBERED_APPENDS: usize = 5;
+
+#[derive(Debug, Default)]
+struct StoredStream {
+    /// Records with the time at which they were appended.
+    records: VecDeque<(u64, ReadRecord)>,
+    /// Offset of the first record that is kept.
+    first: u64,
+    /// Newest record of each key, which is kept for good.
+    newest: BTreeMap<Box<str>, ReadRecord>,
+    epoch: u64,
+    sequence: u64,
+    answers: Vec<(u64, u64, u64)>,
+}
+
+/// Contents of the store.
+#[derive(Debug, Default)]
+pub struct EmulatedStore {
+    streams: HashMap<StreamName, StoredStream>,
+}
+
+impl EmulatedStore {
+    /// Appends at a time in milliseconds, or says why not.
+    pub fn append(
+        &mut self,
+        now: u64,
+        stream: StreamName,
+        records: &[NewRecord],
+        condition: AppendCondition,
+    ) -> StoreOutcome {
+        let stored = self.streams.entry(stream).or_default();
+        let end = stored.end();
+        let (epoch, sequence) = match condition {
+            AppendCondition::Always => return stored.add(now, records),
+            AppendCondition::Claim { epoch, .. } => (epoch, 0),
+            AppendCondition::Epoch { epoch, sequence } => (epoch, sequence),
+        };
+        let remembered = stored
+            .answers
+            .iter()
+            .find(|answer| (answer.0, answer.1) == (epoch, sequence));
+        if let Some((_, _, offset)) = remembered {
+            return StoreOutcome::Appended { offset: *offset };
+        }
+        match condition {
+            AppendCondition::Claim { end: at, .. } if at != end => StoreOutcome::Moved { end },
+            _ if epoch < stored.epoch => StoreOutcome::Fenced,
+            _ if epoch == stored.epoch && sequence != stored.sequence + 1 => StoreOutcome::Fenced,
+            _ => {
+                stored.epoch = epoch;
+                stored.sequence = sequence;
+                stored.answers.push((epoch, sequence, end));
+                if stored.answers.len() > REMEMBERED_APPENDS {
+                    stored.answers.remove(0);
+                }
+                stored.add(now, records)
+            }
+        }
+    }
+
+    /// Drops records that are older than the store keeps them.
+    pub fn expire(&mut self, now: u64) {
+        for stored in self.streams.values_mut() {
+            let old = |record: &(u64, ReadRecord)| record.0 + KEEP_MS < now;
+            while stored.records.front().is_some_and(old) {
+                stored.records.pop_front();
+                stored.first += 1;
+            }
+        }
+    }
+
+    /// Answers a read if a record is available, or if it asks for what has expired.
+    #[must_use]
+    pub fn read(&self, ask: &StoreAsk) -> Option<StoreOutcome> {
+        match ask {
+            StoreAsk::Read { stream, from, .. } => self.streams.get(stream)?.read(*from),
+            StoreAsk::Newest { stream, .. } => Some(self.newest(*stream)),
+            StoreAsk::Append { .. } => None,
+        }
+    }
+
+    /// Answers a read whose wait is over.
+    #[must_use]
+    pub fn read_empty(&self, ask: &StoreAsk) -> StoreOutcome {
+        let end = match ask {
+            StoreAsk::Read { stream, .. } => self.streams.get(stream).map_or(0, StoredStream::end),
+            _ => 0,
+        };
+        StoreOutcome::Records {
+            end,
+            records: Vec::new(),
+        }
+    }
+
+    fn newest(&self, stream: StreamName) -> StoreOutcome {
+        let stored = self.streams.get(&stream);
+        let newest = stored.map(|stored| stored.newest.values().cloned().collect());
+        StoreOutcome::Page {
+            records: newest.unwrap_or_default(),
+            more: false,
+            end: stored.map_or(0, StoredStream::end),
+        }
+    }
+}
+
+impl StoredStream {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    fn read(&self, from: u64) -> Option<StoreOutcome> {
+        let Some(index) = from.checked_sub(self.first) else {
+            let first = self.first;
+            return Some(StoreOutcome::Expired { first });
+        };
+        let rest = self.records.iter().skip(index as usize);
+        let records: Vec<_> = rest.map(|(_, record)| record.clone()).collect();
+        let end = self.end();
+        (!records.is_empty()).then_some(StoreOutcome::Records { end, records })
+    }
+
+    fn add(&mut self, now: u64, records: &[NewRecord]) -> StoreOutcome {
+        let offset = self.end();
+        for record in records {
+            let stored = ReadRecord {
+                offset: self.end(),
+                key: record.key.clone().unwrap_or_default(),
+                value: record.value.clone(),
+            };
+            match (&record.key, &record.value) {
+                (Some(key), Some(_)) => {
+                    self.newest.insert(key.clone(), stored.clone());
+                }
+                (Some(key), None) => {
+                    self.newest.remove(key);
+                }
+                (None, _) => {}
+            }
+            self.records.push_back((now, stored));
+        }
+        StoreOutcome::Appended { offset }
+    }
+}
--- /dev/null
+++ b/crates/hornbeamlead_emulator/src/store_wire.rs
@@ -0,0 +1,208 @@
+//! Store over HTTP: the platform's own side of the calls that the adapter makes.
+
+use crate::platform::{PlatformShared, StoreMode};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use hornbeamlead_adapter::topic;
+use hornbeamlead_core::clock::MonoTime;
+use hornbeamlead_jobs::store::{
+    AppendCondition, NewRecord, ReadRecord, StoreAsk, StoreOutcome, StreamName,
+};
+use hornbeamlead_standin::http::{HttpAsk, HttpReply, empty_reply, error_reply, json_reply};
+use hyper::{Response, StatusCode};
+use serde_json::json;
+use std::time::Duration;
+
+/// Time that the store takes for a call.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+
+/// Span between two looks at a read that waits for a record.
+const WAIT_STEP: Duration = Duration::from_millis(5);
+
+/// Longest silence of a store that answers nothing.
+const SILENCE: Duration = Duration::from_secs(30);
+
+/// Streams of the system.
+const STREAMS: [StreamName; 5] = [
+    StreamName::Plan,
+    StreamName::Jobs,
+    StreamName::Snapshots,
+    StreamName::Planner,
+    StreamName::Operators,
+];
+
+/// Answers a call of a process.
+pub(crate) async fn answer_store(
+    shared: PlatformShared,
+    process: usize,
+    ask: HttpAsk,
+) -> Option<HttpReply> {
+    let mode = shared.lock().store_modes[process];
+    match mode {
+        StoreMode::Up => {}
+        StoreMode::Refusing => return Some(empty_reply(StatusCode::SERVICE_UNAVAILABLE)),
+        StoreMode::Resetting => return None,
+        StoreMode::Silent => {
+            tokio::time::sleep(SILENCE).await;
+            return None;
+        }
+    }
+    tokio::time::sleep(ANSWER_TIME).await;
+    let Some(stream) = stream_of(&ask) else {
+        return Some(error_reply(StatusCode::BAD_REQUEST, "no such topic"));
+    };
+    match &*ask.path {
+        "/-/log-append" => append(&shared, stream, &ask).await,
+        "/-/log-read" => Some(read(&shared, stream, &ask).await),
+        "/-/log-newest" => {
+            let call = StoreAsk::Newest {
+                stream,
+                after: None,
+            };
+            let outcome = shared.lock().store.read(&call);
+            outcome.map(|outcome| word_outcome(stream, &outcome))
+        }
+        _ => Some(empty_reply(StatusCode::NOT_FOUND)),
+    }
+}
+
+fn stream_of(ask: &HttpAsk) -> Option<StreamName> {
+    let name = query_text(ask, "topic")?;
+    STREAMS.into_iter().find(|stream| topic(*stream) == name)
+}
+
+fn query_text<'a>(ask: &'a HttpAsk, name: &str) -> Option<&'a str> {
+    let pairs = ask.query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .into_iter()
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
+}
+
+/// Appends now, or later and without an answer.
+async fn append(shared: &PlatformShared, stream: StreamName, ask: &HttpAsk) -> Option<HttpReply> {
+    let Some(records) = decode_records(stream, ask.body.clone()) else {
+        return Some(error_reply(StatusCode::BAD_REQUEST, "records are cut off"));
+    };
+    let condition = condition_of(ask);
+    let delay = shared.lock().draw_lost_append();
+    if let Some(delay) = delay {
+        tokio::time::sleep(delay).await;
+    }
+    let mut state = shared.lock();
+    let now = state.now();
+    let outcome = state.store.append(now, stream, &records, condition);
+    delay.is_none().then(|| word_outcome(stream, &outcome))
+}
+
+fn condition_of(ask: &HttpAsk) -> AppendCondition {
+    let number = |name| ask.query_number(name);
+    match (number("at"), number("epoch"), number("sequence")) {
+        (Some(end), Some(epoch), _) => AppendCondition::Claim { end, epoch },
+        (None, Some(epoch), Some(sequence)) => AppendCondition::Epoch { epoch, sequence },
+        _ => AppendCondition::Always,
+    }
+}
+
+async fn read(shared: &PlatformShared, stream: StreamName, ask: &HttpAsk) -> HttpReply {
+    let call = StoreAsk::Read {
+        stream,
+        from: ask.query_number("from").unwrap_or(0),
+        wait_until: MonoTime(0),
+        end_only: false,
+    };
+    let wait = Duration::from_millis(ask.query_number("waitMs").unwrap_or(0));
+    let deadline = tokio::time::Instant::now() + wait;
+    loop {
+        let outcome = {
+            let state = shared.lock();
+            let over = tokio::time::Instant::now() >= deadline;
+            let empty = || over.then(|| state.store.read_empty(&call));
+            state.store.read(&call).or_else(empty)
+        };
+        if let Some(outcome) = outcome {
+            return word_outcome(stream, &outcome);
+        }
+        tokio::time::sleep(WAIT_STEP).await;
+    }
+}
+
+fn is_keyed(stream: StreamName) -> bool {
+    topic(stream).starts_with("keyed.")
+}
+
+fn decode_records(stream: StreamName, mut body: Bytes) -> Option<Vec<NewRecord>> {
+    let mut records = Vec::new();
+    while body.has_remaining() {
+        let length = body.try_get_u32().ok()? as usize;
+        if body.len() < length {
+            return None;
+        }
+        let mut content = body.split_to(length);
+        let key = match is_keyed(stream) {
+            true => {
+                let length = usize::from(content.try_get_u8().ok()?);
+                if content.len() < length {
+                    return None;
+                }
+                let key = content.split_to(length);
+                Some(std::str::from_utf8(&key).ok()?.into())
+            }
+            false => None,
+        };
+        let value = (!content.is_empty() || key.is_none()).then_some(content);
+        records.push(NewRecord { key, value });
+    }
+    Some(records)
+}
+
+fn word_outcome(stream: StreamName, outcome: &StoreOutcome) -> HttpReply {
+    match outcome {
+        StoreOutcome::Appended { offset } => json_reply(
+            StatusCode::OK,
+            &json!({ "offset": offset, "end": offset + 1 }),
+        ),
+        StoreOutcome::Moved { end } => {
+            json_reply(StatusCode::PRECONDITION_FAILED, &json!({ "end": end }))
+        }
+        StoreOutcome::Fenced => json_reply(StatusCode::CONFLICT, &json!({ "reason": "fenced" })),
+        StoreOutcome::Records { end, records } => {
+            let mut reply = Response::default();
+            *reply.body_mut() = encode_read(stream, *end, records).into();
+            reply
+        }
+        StoreOutcome::Expired { first } => json_reply(StatusCode::GONE, &json!({ "first": first })),
+        StoreOutcome::Page { records, more, end } => {
+            let item = |record: &ReadRecord| {
+                let value = STANDARD.encode(record.value.as_deref().unwrap_or_default());
+                json!({ "key": record.key, "value": value, "offset": record.offset })
+            };
+            let items: Vec<_> = records.iter().map(item).collect();
+            let page = json!({ "items": items, "hasMore": more, "end": end });
+            json_reply(StatusCode::OK, &page)
+        }
+        StoreOutcome::Refused { .. } | StoreOutcome::Unanswered { .. } => {
+            empty_reply(StatusCode::SERVICE_UNAVAILABLE)
+        }
+    }
+}
+
+fn encode_read(stream: StreamName, end: u64, records: &[ReadRecord]) -> Bytes {
+    let mut bytes = BytesMut::new();
+    bytes.put_u64(end);
+    bytes.put_u64(records.first().map_or(end, |record| record.offset));
+    for record in records {
+        let value = record.value.as_deref().unwrap_or_default();
+        match is_keyed(stream) {
+            true => {
+                bytes.put_u32((1 + record.key.len() + value.len()) as u32);
+                bytes.put_u8(record.key.len() as u8);
+                bytes.put_slice(record.key.as_bytes());
+            }
+            false => bytes.put_u32(value.len() as u32),
+        }
+        bytes.put_slice(value);
+    }
+    bytes.freeze()
+}
--- a/crates/hornbeamlead_jobs/tests/world/worker.rs
+++ b/crates/hornbeamlead_emulator/src/worker.rs
@@ -1,4 +1,4 @@
-//! Worker of the emulated platform: attempts under one lease, tokens, ends.
+//! Worker: attempts under one lease, fencing tokens, ends that are listed until acknowledged.
 
 use hornbeamlead_jobs::ids::{RunName, RunNumber, TaskName, WorkerLife};
 use hornbeamlead_jobs::job::RunEnd;
@@ -12,22 +12,22 @@
 
 /// Attempt that a worker runs.
 #[derive(Clone, Debug)]
-pub(crate) struct WorldRun {
+pub struct EmulatedRun {
     /// When its work is done, on the worker's clock in milliseconds; never for a lasting task.
-    pub(crate) done_at: Option<u64>,
+    pub done_at: Option<u64>,
     /// When its work began.
-    pub(crate) began: u64,
+    pub began: u64,
     /// When a stop takes effect.
-    pub(crate) stop_at: Option<u64>,
+    pub stop_at: Option<u64>,
     /// How it ends when its work is done.
-    pub(crate) end: RunEnd,
+    pub end: RunEnd,
     /// Latency in milliseconds of a serving task, else processor use in thousandths of a core.
-    pub(crate) reading: u32,
+    pub reading: u32,
 }
 
 /// What a worker did, for the judge.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum WorkerDeed {
+pub enum WorkerDeed {
     /// An attempt began.
     Began(RunName),
     /// An attempt ended.
@@ -37,13 +37,14 @@
 }
 
 /// Worker of one host.
-pub(crate) struct WorldWorker {
+#[derive(Debug)]
+pub struct EmulatedWorker {
     /// Present life.
-    pub(crate) life: WorkerLife,
+    pub life: WorkerLife,
     /// Whether its process runs.
-    pub(crate) alive: bool,
+    pub alive: bool,
     /// Attempts that run.
-    pub(crate) running: BTreeMap<RunName, WorldRun>,
+    pub running: BTreeMap<RunName, EmulatedRun>,
     token: u64,
     lease_until: u64,
     ended: Vec<EndedRow>,
@@ -51,12 +52,12 @@
     lapsed_ends: BTreeSet<u64>,
     highest: BTreeMap<TaskName, RunNumber>,
     /// What happened since it was last asked.
-    pub(crate) deeds: Vec<WorkerDeed>,
+    pub deeds: Vec<WorkerDeed>,
 }
 
-impl WorldWorker {
+impl EmulatedWorker {
     /// Starts a worker.
-    pub(crate) fn new(id: &str, born: u64) -> Self {
+    pub fn new(id: &str, born: u64) -> Self {
         Self {
             life: WorkerLife {
                 id: id.into(),
@@ -75,7 +76,7 @@
     }
 
     /// Ends the life and all that it runs.
-    pub(crate) fn crash(&mut self) {
+    pub fn crash(&mut self) {
         self.alive = false;
         for run in std::mem::take(&mut self.running).into_keys() {
             self.deeds.push(WorkerDeed::Ended(run, RunEnd::Lost));
@@ -83,9 +84,9 @@
     }
 
     /// Lets time pass.
-    pub(crate) fn tick(&mut self, now: u64) {
+    pub fn tick(&mut self, now: u64) {
         let lapsed = now >= self.lease_until;
-        let due = |run: &WorldRun| match run {
+        let due = |run: &EmulatedRun| match run {
             run if run.stop_at.is_some_and(|at| now >= at) => Some(RunEnd::Stopped),
             run if run.done_at.is_some_and(|at| now >= at) => Some(run.end),
             _ if lapsed => Some(RunEnd::Lapsed),
@@ -117,11 +118,11 @@
     }
 
     /// Carries out a call; `plan` gives a new attempt's course.
-    pub(crate) fn call(
+    pub fn call(
         &mut self,
         now: u64,
         call: &WorkerCall,
-        plan: impl FnOnce(RunName) -> WorldRun,
+        plan: impl FnOnce(RunName) -> EmulatedRun,
     ) -> WorkerAnswer {
         if call.life != self.life {
             return WorkerAnswer::Refused(WorkerRefusal::OtherLife);
@@ -171,7 +172,7 @@
         now: u64,
         run: RunName,
         lease_until: u64,
-        plan: impl FnOnce(RunName) -> WorldRun,
+        plan: impl FnOnce(RunName) -> EmulatedRun,
     ) -> WorkerAnswer {
         if self.running.contains_key(&run) {
             return WorkerAnswer::Done;
@@ -193,11 +194,11 @@
     }
 
     fn lists(&self, now: u64) -> WorkerLists {
-        let percent = |run: &WorldRun| match run.done_at {
+        let percent = |run: &EmulatedRun| match run.done_at {
             Some(done) => (now - run.began) * 100 / (done - run.began).max(1),
             None => 100,
         };
-        let row = |(run, state): (&RunName, &WorldRun)| RunningRow {
+        let row = |(run, state): (&RunName, &EmulatedRun)| RunningRow {
             run: *run,
             saved: None,
             percent: percent(state).min(100) as u8,
@@ -212,7 +213,7 @@
     }
 
     /// Returns whether ends wait to be acknowledged.
-    pub(crate) fn has_ends(&self) -> bool {
+    pub fn has_ends(&self) -> bool {
         !self.ended.is_empty()
     }
 }
--- /dev/null
+++ b/crates/hornbeamlead_emulator/src/worker_wire.rs
@@ -0,0 +1,195 @@
+//! Worker over HTTP: the platform's own side of the calls that agents make.
+
+use crate::platform::PlatformShared;
+use hornbeamlead_core::clock::MonoTime;
+use hornbeamlead_jobs::ids::{PlannerEpoch, RunName, RunNumber, WorkerLife};
+use hornbeamlead_jobs::job::RunEnd;
+use hornbeamlead_jobs::worker::{
+    WorkerAnswer, WorkerAsk, WorkerCall, WorkerLists, WorkerRefusal, WorkerTag,
+};
+use hornbeamlead_standin::http::{HttpAsk, HttpReply, empty_reply, json_reply};
+use hyper::StatusCode;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Span between two looks at a hold that waits for an end.
+const WAIT_STEP: Duration = Duration::from_millis(5);
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct CallWire {
+    task: Option<Box<str>>,
+    #[serde(default)]
+    run_id: u32,
+    #[serde(default)]
+    spec: Box<str>,
+    checkpoint: Option<Box<str>>,
+    until_ms: Option<u64>,
+    #[serde(default)]
+    acked_through: u64,
+    #[serde(default)]
+    wait_ms: u64,
+    #[serde(default)]
+    percent: u8,
+    #[serde(default)]
+    fencing_token: u64,
+}
+
+impl CallWire {
+    fn run(&self) -> Option<RunName> {
+        Some(RunName {
+            task: self.task.as_ref()?.parse().ok()?,
+            run: RunNumber(self.run_id),
+        })
+    }
+
+    fn ask(&self, path: &str) -> Option<WorkerAsk> {
+        match path {
+            "/-/run-start" => Some(WorkerAsk::Start {
+                run: self.run()?,
+                spec: self.spec.clone(),
+                saved: self.checkpoint.clone(),
+                lease_until_ms: self.until_ms?,
+            }),
+            "/-/run-stop" => Some(WorkerAsk::Stop { run: self.run()? }),
+            "/-/pace" => Some(WorkerAsk::Pace {
+                run: self.run()?,
+                percent: self.percent,
+            }),
+            "/-/hold" => Some(WorkerAsk::Hold {
+                lease_until_ms: self.until_ms,
+                acknowledged: self.acked_through,
+                wait_until: MonoTime(0),
+            }),
+            _ => None,
+        }
+    }
+}
+
+/// Answers a call to the worker of a host.
+pub(crate) async fn answer_worker(
+    shared: PlatformShared,
+    host: usize,
+    ask: HttpAsk,
+) -> Option<HttpReply> {
+    let wire = serde_json::from_slice::<CallWire>(&ask.body).ok();
+    let call = wire.as_ref().and_then(|wire| {
+        let expected = ask.headers.get("expect-instance")?.to_str().ok()?;
+        let life = shared.lock().life_of(host, expected);
+        Some(worker_call(wire, life, wire.ask(&ask.path)?))
+    });
+    let (Some(wire), Some(call)) = (wire, call) else {
+        return Some(empty_reply(StatusCode::BAD_REQUEST));
+    };
+    let delay = match call.ask {
+        WorkerAsk::Start { .. } | WorkerAsk::Stop { .. } => shared.lock().draw_late_order(),
+        _ => None,
+    };
+    if let Some(delay) = delay {
+        tokio::time::sleep(delay).await;
+        shared.lock().carry_out(host, &call, true)?;
+        return None;
+    }
+    if matches!(call.ask, WorkerAsk::Hold { .. }) {
+        // The lease is renewed and ends are acknowledged before the wait.
+        shared.lock().carry_out(host, &call, false)?;
+        wait_for_end(&shared, host, Duration::from_millis(wire.wait_ms)).await;
+    }
+    let (answer, clock_ms, born) = shared.lock().carry_out(host, &call, false)?;
+    Some(word_answer(&answer, clock_ms, born))
+}
+
+fn worker_call(wire: &CallWire, life: WorkerLife, ask: WorkerAsk) -> WorkerCall {
+    WorkerCall {
+        tag: WorkerTag::Hold(0),
+        address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        life,
+        epoch: PlannerEpoch(wire.fencing_token),
+        ask,
+        deadline: MonoTime(0),
+    }
+}
+
+async fn wait_for_end(shared: &PlatformShared, host: usize, wait: Duration) {
+    let deadline = tokio::time::Instant::now() + wait;
+    while tokio::time::Instant::now() < deadline && !shared.lock().has_news(host) {
+        tokio::time::sleep(WAIT_STEP).await;
+    }
+}
+
+fn word_answer(answer: &WorkerAnswer, clock_ms: u64, born: u64) -> HttpReply {
+    match answer {
+        WorkerAnswer::Done => json_reply(
+            StatusCode::OK,
+            &json!({ "clockMs": clock_ms, "born": born }),
+        ),
+        WorkerAnswer::Lists(lists) => {
+            json_reply(StatusCode::OK, &word_lists(lists, clock_ms, born))
+        }
+        WorkerAnswer::Refused(refusal) => match refusal_reason(*refusal) {
+            Some(reason) => {
+                let body = json!({ "clockMs": clock_ms, "reason": reason });
+                json_reply(StatusCode::CONFLICT, &body)
+            }
+            None => empty_reply(StatusCode::MISDIRECTED_REQUEST),
+        },
+        WorkerAnswer::Gone | WorkerAnswer::Unanswered => {
+            empty_reply(StatusCode::SERVICE_UNAVAILABLE)
+        }
+    }
+}
+
+fn refusal_reason(refusal: WorkerRefusal) -> Option<&'static str> {
+    match refusal {
+        WorkerRefusal::Fenced => Some("fence"),
+        WorkerRefusal::Superseded => Some("old"),
+        WorkerRefusal::Late => Some("late"),
+        WorkerRefusal::NoRoom => Some("room"),
+        WorkerRefusal::NoTicket => Some("ticket"),
+        WorkerRefusal::OtherLife | WorkerRefusal::Unhealthy | WorkerRefusal::Invalid => None,
+    }
+}
+
+fn word_lists(lists: &WorkerLists, clock_ms: u64, born: u64) -> Value {
+    let running = lists.running.iter().map(|row| {
+        let saved = row.saved.as_deref().unwrap_or_default();
+        let run = row.run;
+        json!([
+            run.task.to_string(),
+            run.run.0,
+            saved,
+            row.percent,
+            row.reading
+        ])
+    });
+    let ended = lists.ended.iter().map(|row| {
+        let saved = row.saved.as_deref().unwrap_or_default();
+        let run = row.run;
+        json!([
+            row.number,
+            run.task.to_string(),
+            run.run.0,
+            end_name(row.end),
+            saved
+        ])
+    });
+    json!({
+        "clockMs": clock_ms,
+        "born": born,
+        "running": running.collect::<Vec<_>>(),
+        "finished": ended.collect::<Vec<_>>(),
+    })
+}
+
+fn end_name(end: RunEnd) -> &'static str {
+    match end {
+        RunEnd::Done => "done",
+        RunEnd::Failed => "failed",
+        RunEnd::Stopped => "stopped",
+        RunEnd::Broken => "broken",
+        RunEnd::Alone => "alone",
+        RunEnd::Lapsed | RunEnd::Lost | RunEnd::NotStarted => "lapsed",
+    }
+}
--- a/crates/hornbeamlead_jobs/tests/world/callers.rs
+++ b/crates/hornbeamlead_jobs/tests/world/callers.rs
@@ -16,7 +16,7 @@
                             records,
                             condition,
                         } => {
-                            let outcome = self.store.append(*stream, records, *condition);
+                            let outcome = self.store.append(self.now, *stream, records, *condition);
                             self.after(STORE_MS, WorldEvent::EntryStored(caller, outcome));
                         }
                         _ => self.reads.push(PendingRead { host: None, call }),
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -3,13 +3,13 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 mod callers;
-pub(crate) mod judge;
 mod processes;
-pub(crate) mod store;
-pub(crate) mod worker;
 
 use bytes::Bytes;
 use hornbeamlead_core::clock::{ClockReading, MonoTime, WallTime};
+use hornbeamlead_emulator::judge::JobJudge;
+use hornbeamlead_emulator::store::EmulatedStore;
+use hornbeamlead_emulator::worker::{EmulatedRun, EmulatedWorker};
 use hornbeamlead_jobs::config::{ConfigChange, FleetConfig, QueueRoute};
 use hornbeamlead_jobs::effect::{CallerReply, Effect, LinkId};
 use hornbeamlead_jobs::entry::{CallerAsk, CallerRequest, EntryEvent, EntryMachine};
@@ -26,14 +26,11 @@
 use hornbeamlead_jobs::worker::{
     WorkerAnnouncement, WorkerAnswer, WorkerAsk, WorkerCall, WorkerFacts, WorkerReply,
 };
-use judge::WorldJudge;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
-use store::WorldStore;
-use worker::{WorldRun, WorldWorker};
 
 /// Step of the virtual clock, in milliseconds.
 const STEP_MS: u64 = 5;
@@ -96,7 +93,7 @@
     frozen_until: u64,
     cut_until: u64,
     store_away_until: u64,
-    worker: WorldWorker,
+    worker: EmulatedWorker,
     worker_back_at: u64,
     announce_at: u64,
     sequence: u64,
@@ -157,7 +154,7 @@
     random: SmallRng,
     faults: WorldFaults,
     faults_until: u64,
-    store: WorldStore,
+    store: EmulatedStore,
     reads: Vec<PendingRead>,
     holds: Vec<PendingHold>,
     hosts: Vec<WorldHost>,
@@ -178,7 +175,7 @@
     /// Jobs that were accepted.
     pub(crate) accepted: Vec<JobId>,
     /// Judge.
-    pub(crate) judge: WorldJudge,
+    pub(crate) judge: JobJudge,
 }
 
 fn address(host: usize) -> SocketAddr {
@@ -194,17 +191,22 @@
             frozen_until: 0,
             cut_until: 0,
             store_away_until: 0,
-            worker: WorldWorker::new(&format!("w-{index}"), START_MS),
+            worker: EmulatedWorker::new(&format!("w-{index}"), START_MS),
             worker_back_at: 0,
             announce_at: START_MS,
             sequence: 0,
         };
-        let mut store = WorldStore::default();
+        let mut store = EmulatedStore::default();
         let config = NewRecord {
             key: Some("config".into()),
             value: Some(Bytes::from_static(b"1")),
         };
-        store.append(StreamName::Operators, &[config], AppendCondition::Always);
+        store.append(
+            START_MS,
+            StreamName::Operators,
+            &[config],
+            AppendCondition::Always,
+        );
         Self {
             now: START_MS,
             random: SmallRng::seed_from_u64(seed),
@@ -227,7 +229,7 @@
             submit_tickets: BTreeMap::new(),
             filler_rate: 1.0,
             accepted: Vec::new(),
-            judge: WorldJudge::default(),
+            judge: JobJudge::default(),
         }
     }
 
@@ -248,6 +250,7 @@
         let end = self.now + span_ms;
         while self.now < end {
             self.now += STEP_MS;
+            self.store.expire(self.now);
             if self.now < self.faults_until {
                 self.draw_faults();
             }
@@ -359,7 +362,7 @@
                 host.worker.tick(now);
             } else if now >= host.worker_back_at {
                 let deeds = std::mem::take(&mut host.worker.deeds);
-                host.worker = WorldWorker::new(&format!("w-{index}-{now}"), now);
+                host.worker = EmulatedWorker::new(&format!("w-{index}-{now}"), now);
                 host.worker.deeds = deeds;
                 host.announce_at = now;
                 host.sequence = 0;
--- a/crates/hornbeamlead_jobs/tests/world/processes.rs
+++ b/crates/hornbeamlead_jobs/tests/world/processes.rs
@@ -58,7 +58,7 @@
             }
             WorldEvent::LateOrder(host, call) => self.carry_out(host, &call, true),
             WorldEvent::LateAppend(stream, records, condition) => {
-                self.store.append(stream, &records, condition);
+                self.store.append(self.now, stream, &records, condition);
             }
             WorldEvent::LinkOpened(host, incarnation, link) => {
                 self.with_agent(host, incarnation, |agent, now| {
@@ -362,7 +362,7 @@
                     let cause = "lost".into();
                     return self.after(700, answer(StoreOutcome::Unanswered { cause }));
                 }
-                let outcome = self.store.append(*stream, records, *condition);
+                let outcome = self.store.append(self.now, *stream, records, *condition);
                 self.after(STORE_MS, answer(outcome));
             }
             _ => self.reads.push(PendingRead {
@@ -423,7 +423,7 @@
         let span = self.random.random_range(150..1500);
         let now = self.now;
         let (judge, filler_rate) = (&self.judge, self.filler_rate);
-        let plan = |run: RunName| WorldRun {
+        let plan = |run: RunName| EmulatedRun {
             done_at: (!judge.step(run).is_some_and(|step| step.lasting)).then_some(now + span),
             reading: judge
                 .step(run)
--- a/crates/hornbeamlead_standin/src/body.rs
+++ b/crates/hornbeamlead_standin/src/body.rs
@@ -17,19 +17,19 @@
 
 /// Body of an answer.
 #[derive(Debug, Default)]
-pub(crate) struct ReplyBody {
+pub struct ReplyBody {
     data: Bytes,
     broken: Option<Pin<Box<Sleep>>>,
 }
 
 impl ReplyBody {
     /// Makes a body that is sent whole.
-    pub(crate) fn whole(data: Bytes) -> Self {
+    pub fn whole(data: Bytes) -> Self {
         Self { data, broken: None }
     }
 
     /// Makes this body promise more than it sends.
-    pub(crate) fn break_off(&mut self) {
+    pub fn break_off(&mut self) {
         self.broken = Some(Box::pin(tokio::time::sleep(BREAK_DELAY)));
     }
 }
@@ -64,3 +64,9 @@
         SizeHint::with_exact(self.data.len() as u64 + missing)
     }
 }
+
+impl From<Bytes> for ReplyBody {
+    fn from(data: Bytes) -> Self {
+        Self::whole(data)
+    }
+}
--- a/crates/hornbeamlead_standin/src/http.rs
+++ b/crates/hornbeamlead_standin/src/http.rs
@@ -17,26 +17,26 @@
 use tokio::net::{TcpListener, TcpStream};
 
 /// Answer of a stand-in.
-pub(crate) type HttpReply = Response<ReplyBody>;
+pub type HttpReply = Response<ReplyBody>;
 
 /// Request with its whole body.
 #[derive(Debug)]
-pub(crate) struct HttpAsk {
+pub struct HttpAsk {
     /// Method.
-    pub(crate) method: Method,
+    pub method: Method,
     /// Path without the query.
-    pub(crate) path: Box<str>,
+    pub path: Box<str>,
     /// Query, empty if there is none.
-    pub(crate) query: Box<str>,
+    pub query: Box<str>,
     /// Headers.
-    pub(crate) headers: HeaderMap,
+    pub headers: HeaderMap,
     /// Whole body.
-    pub(crate) body: Bytes,
+    pub body: Bytes,
 }
 
 impl HttpAsk {
     /// Returns a number out of the query.
-    pub(crate) fn query_number(&self, name: &str) -> Option<u64> {
+    pub fn query_number(&self, name: &str) -> Option<u64> {
         self.query
             .split('&')
             .filter_map(|pair| pair.split_once('='))
@@ -47,18 +47,18 @@
 
 /// Connections of a listener that are open, and the most that may be.
 #[derive(Clone, Debug)]
-pub(crate) struct ConnectionCap {
+pub struct ConnectionCap {
     /// Most connections at a time.
-    pub(crate) most: usize,
+    pub most: usize,
     /// Open connections.
-    pub(crate) open: Arc<AtomicUsize>,
+    pub open: Arc<AtomicUsize>,
     /// Connections closed at once for being too many.
-    pub(crate) refused: Arc<AtomicUsize>,
+    pub refused: Arc<AtomicUsize>,
 }
 
 impl ConnectionCap {
     /// Makes a cap.
-    pub(crate) fn new(most: usize) -> Self {
+    pub fn new(most: usize) -> Self {
         Self {
             most,
             open: Arc::default(),
@@ -87,14 +87,20 @@
 }
 
 /// Binds a listener whose connections the runtime can drive.
-pub(crate) fn bind(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+///
+/// # Errors
+/// Returns the error of binding.
+pub fn bind(address: SocketAddr) -> io::Result<std::net::TcpListener> {
     let listener = std::net::TcpListener::bind(address)?;
     listener.set_nonblocking(true)?;
     Ok(listener)
 }
 
 /// Serves connections without an end; `None` from `answer` closes the connection unanswered.
-pub(crate) async fn serve<A, F>(
+///
+/// # Errors
+/// Returns the error of handing the listener to the runtime.
+pub async fn serve<A, F>(
     listener: std::net::TcpListener,
     cap: ConnectionCap,
     answer: A,
@@ -152,14 +158,14 @@
 }
 
 /// Makes an answer without a body.
-pub(crate) fn empty_reply(status: StatusCode) -> HttpReply {
+pub fn empty_reply(status: StatusCode) -> HttpReply {
     let mut reply = Response::new(ReplyBody::default());
     *reply.status_mut() = status;
     reply
 }
 
 /// Makes an answer with a JSON body.
-pub(crate) fn json_reply<T: Serialize>(status: StatusCode, body: &T) -> HttpReply {
+pub fn json_reply<T: Serialize>(status: StatusCode, body: &T) -> HttpReply {
     let Ok(text) = serde_json::to_vec(body) else {
         return empty_reply(StatusCode::INTERNAL_SERVER_ERROR);
     };
@@ -171,7 +177,7 @@
 }
 
 /// Makes an answer with a text that tells what was wrong.
-pub(crate) fn error_reply(status: StatusCode, text: &str) -> HttpReply {
+pub fn error_reply(status: StatusCode, text: &str) -> HttpReply {
     let mut reply = Response::new(ReplyBody::whole(Bytes::copy_from_slice(text.as_bytes())));
     *reply.status_mut() = status;
     reply
--- a/crates/hornbeamlead_standin/src/lib.rs
+++ b/crates/hornbeamlead_standin/src/lib.rs
@@ -7,11 +7,11 @@
 
 mod body;
 mod control;
-mod http;
 mod runner;
 
 pub mod client;
 pub mod fleet;
+pub mod http;
 pub mod log;
 pub mod proxy;
 pub mod worker;
