[daemon] Stamp each log line with its wall time; soak with long tasks

Change: time= in each line, taken when the line is handed in, as the writing thread may come to it late.

--- a/crates/hornbeamlead_daemon/src/logs.rs
+++ b/crates/hornbeamlead_daemon/src/logs.rs
@@ -2,9 +2,10 @@
 //!
 //! A thread of its own writes; a reader that has stopped costs lines, never a decision.
 
-use slog::{Drain, Level, LevelFilter, Logger, o};
+use slog::{Drain, Level, LevelFilter, Logger, OwnedKV, OwnedKVList, Record, SingleKV, o};
 use slog_async::OverflowStrategy;
 use slog_logfmt::Logfmt;
+use std::time::SystemTime;
 
 /// Lines that may wait for the writing thread; more are dropped and counted by slog.
 const LOG_QUEUE: usize = 4096;
@@ -27,11 +28,25 @@
         .overflow_strategy(OverflowStrategy::DropAndReport)
         .build_with_guard();
     // The level is checked before a line is worded for the queue.
-    let filtered = LevelFilter::new(queued, level()).fuse();
+    let filtered = LevelFilter::new(StampDrain(queued), level()).fuse();
     let context = o!("role" => role, "host" => host.to_owned());
     (Logger::root(filtered, context), guard)
 }
 
+/// Adds the wall time at which a line was handed in; the writing thread may come to it much later.
+struct StampDrain<D>(D);
+
+impl<D: Drain> Drain for StampDrain<D> {
+    type Ok = D::Ok;
+    type Err = D::Err;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<Self::Ok, Self::Err> {
+        let time = humantime::format_rfc3339_millis(SystemTime::now()).to_string();
+        let stamped = OwnedKV((SingleKV::from(("time", time)), values.clone()));
+        self.0.log(record, &stamped.into())
+    }
+}
+
 fn level() -> Level {
     match std::env::var_os(DEBUG_VARIABLE) {
         Some(_) => Level::Debug,
--- a/crates/hornbeamlead_emulator/src/main.rs
+++ b/crates/hornbeamlead_emulator/src/main.rs
@@ -32,6 +32,8 @@
     /// Directory in which settings and logs of failed seeds are kept
     #[bpaf(argument("DIRECTORY"), fallback("target/soak".into()))]
     logs: PathBuf,
+    /// Keep settings and logs of all seeds
+    keep: bool,
 }
 
 fn main() -> ExitCode {
@@ -65,7 +67,7 @@
         directory: directory.clone(),
     };
     let report = play_soak(&plan)?;
-    if report.faults.is_empty() {
+    if report.faults.is_empty() && !args.keep {
         std::fs::remove_dir_all(&directory)?;
     }
     Ok(report)
--- a/crates/hornbeamlead_emulator/src/platform.rs
+++ b/crates/hornbeamlead_emulator/src/platform.rs
@@ -23,6 +23,9 @@
 /// Share of attempts that fail by their own fault.
 const FAILED_SHARE: f64 = 0.05;
 
+/// Share of attempts that work for longer than most faults last.
+const LONG_SHARE: f64 = 0.2;
+
 /// Time after the acknowledgement of a drain after which nothing may start, in milliseconds.
 const DRAIN_MS: u64 = 3000;
 
@@ -235,7 +238,10 @@
         }
         let clock = self.worker_clock(host);
         let fails = self.random.random_bool(FAILED_SHARE);
-        let span = self.random.random_range(150..1500);
+        let span = match self.random.random_bool(LONG_SHARE) {
+            true => self.random.random_range(2000..8000),
+            false => self.random.random_range(150..1500),
+        };
         let judge = &self.judge;
         let plan = |run: RunName| EmulatedRun {
             done_at: (!judge.step(run).is_some_and(|step| step.lasting)).then_some(clock + span),
