--- a/crates/hornbeamlead_ctl/src/args.rs
+++ b/crates/hornbeamlead_ctl/src/args.rs
@@ -140,12 +140,16 @@
         /// Options that every command takes
         common: CommonOptions,
     },
-    /// Shows recent decisions about a task, job, request, note, host or data centre, newest first
+    /// Shows recent decisions about a task, job, request, note, host or data centre, newest first;
+    /// with --log, tells from logs alone what became of a job and why
     #[bpaf(command)]
     Explain {
         #[bpaf(external(common_options))]
         /// Options that every command takes
         common: CommonOptions,
+        /// Reads logs of any processes in place of asking them; - for standard input
+        #[bpaf(long, argument("FILE"))]
+        log: Vec<PathBuf>,
         /// Part of the subject's name
         #[bpaf(positional("SUBJECT"))]
         subject: String,
--- a/crates/hornbeamlead_ctl/src/files.rs
+++ b/crates/hornbeamlead_ctl/src/files.rs
@@ -2,11 +2,12 @@
 
 use crate::args::CommonOptions;
 use crate::failure::{ToolFailure, UnreadableFileSnafu};
+use crate::log_lines::EventLine;
 use hornbeamlead_core::note::ReleaseNote;
 use hornbeamlead_settings::note::read_note;
 use hornbeamlead_settings::{ToolSettings, read_tool_settings};
 use snafu::ResultExt;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Loads the settings of the tool.
 pub(crate) fn load_settings(common: &CommonOptions) -> Result<ToolSettings, ToolFailure> {
@@ -21,6 +22,21 @@
     Ok(read_note(&file.display().to_string(), &text)?)
 }
 
+/// Reads the lines of logs; lines of other writers are left out.
+pub(crate) fn load_lines(files: &[PathBuf]) -> Result<Vec<EventLine>, ToolFailure> {
+    let mut lines = Vec::new();
+    for path in files {
+        let text = match path.as_os_str() == "-" {
+            true => {
+                std::io::read_to_string(std::io::stdin()).context(UnreadableFileSnafu { path })?
+            }
+            false => load_text(path)?,
+        };
+        lines.extend(text.lines().filter_map(EventLine::parse));
+    }
+    Ok(lines)
+}
+
 fn load_text(path: &Path) -> Result<String, ToolFailure> {
     std::fs::read_to_string(path).context(UnreadableFileSnafu { path })
 }
--- a/crates/hornbeamlead_ctl/src/lib.rs
+++ b/crates/hornbeamlead_ctl/src/lib.rs
@@ -13,6 +13,7 @@
 mod files;
 mod fleet_view;
 mod jobs;
+mod log_lines;
 mod made_note;
 mod note_commands;
 mod notes_reader;
@@ -23,5 +24,6 @@
 mod run;
 mod status;
 mod status_wire;
+mod story;
 
 pub use run::run;
--- a/crates/hornbeamlead_ctl/src/run.rs
+++ b/crates/hornbeamlead_ctl/src/run.rs
@@ -3,7 +3,7 @@
 use crate::args::{CommonOptions, NoteCommand, PublishOptions, ToolCommand};
 use crate::explain::explain;
 use crate::failure::{BadNameSnafu, SetupSnafu, ToolFailure};
-use crate::files::{load_note, load_settings};
+use crate::files::{load_lines, load_note, load_settings};
 use crate::made_note::{cancel_note, move_note};
 use crate::note_commands::{ask_note, check_note};
 use crate::operators::OperatorsClient;
@@ -11,6 +11,7 @@
 use crate::report::{ExitStatus, ToolReport, print};
 use crate::rollout::wait_for;
 use crate::status::ask_status;
+use crate::story::JobStory;
 use hornbeamlead_core::ids::{NameError, Revision};
 use hornbeamlead_core::note::ReleaseNote;
 use hornbeamlead_platform::log::LogClient;
@@ -81,7 +82,13 @@
             }
             Err(failure) => print(&failure, json),
         },
-        ToolCommand::Explain { common, subject } => match load_settings(common) {
+        ToolCommand::Explain { log, subject, .. } if !log.is_empty() => {
+            let lines = load_lines(log);
+            show(lines.map(|lines| JobStory::new(subject, lines)), json)
+        }
+        ToolCommand::Explain {
+            common, subject, ..
+        } => match load_settings(common) {
             Ok(settings) => {
                 let client = OperatorsClient::new();
                 print(&explain(&client, &settings.entries, subject).await, json)
--- /dev/null
+++ b/crates/hornbeamlead_ctl/tests/job_story.rs
@@ -0,0 +1,87 @@
+//! Story of a job, told from logs alone.
+
+mod common;
+
+use common::{ToolRun, run_bare};
+use rstest::rstest;
+
+/// Lines of several processes, out of order, with a line of another writer between them.
+const LOGS: &str = r#"
+  5.4073 entry-1 level=INFO host=entry-1 role=entry detail="reason=store_away" id=89b3e0af55833e10 event=submit_refused
+  4.2000 entry-1 level=INFO host=entry-1 role=entry detail="cause=\"status 503\"" id=store event=store_lost
+  not a line of ours, event=store_lost
+  1.0001 entry-2 level=INFO host=entry-2 role=entry detail="offset=150 config=14 queue=q" id=636bb749d2cb1b7f event=job_accepted
+  1.0021 side-1 level=INFO host=side-1 role=agent detail="queue=q steps=2" id=636bb749d2cb1b7f event=job_taken
+  1.0022 side-1 level=INFO host=side-1 role=agent detail="host=side-3 slack_ms=1444" id="636bb749d2cb1b7f.0.0.0#1" event=task_placed
+  1.8000 side-1 level=INFO host=side-1 role=agent detail="end=failed host=side-3" id="636bb749d2cb1b7f.0.0.0#1" event=task_ended
+  1.8001 side-1 level=INFO host=side-1 role=agent detail="host=side-2 slack_ms=646" id="636bb749d2cb1b7f.0.0.0#2" event=task_placed
+  2.1130 side-1 level=INFO host=side-1 role=agent detail="end=failed host=side-2" id="636bb749d2cb1b7f.0.0.0#2" event=task_ended
+  2.1131 side-1 level=INFO host=side-1 role=agent detail="phase=failed" id=636bb749d2cb1b7f event=job_ended
+  3.0000 entry-2 level=INFO host=entry-2 role=entry detail="offset=151" id=282abd318d00899e event=job_accepted
+  3.0020 side-1 level=INFO host=side-1 role=agent detail="queue=q steps=1" id=282abd318d00899e event=job_taken
+  5.5000 side-1 level=INFO host=side-1 role=agent detail="host=side-3 slack_ms=-20" id="282abd318d00899e.0.0.0#1" event=task_placed
+  6.0000 side-3 level=INFO host=side-3 role=agent detail="percent=30" id="282abd318d00899e.0.0.0#1" event=task_paced
+  6.0000 side-3 level=INFO host=side-3 role=agent detail="over=true of_target=3.22 share=1.00" id=side-3 event=serving_latency
+  9.5000 side-1 level=INFO host=side-1 role=agent detail="end=done host=side-3" id="282abd318d00899e.0.0.0#1" event=task_ended
+  9.5000 side-1 level=INFO host=side-1 role=agent detail="phase=completed" id=282abd318d00899e event=job_ended
+"#;
+
+fn explain(args: &[&str], logs: &str) -> ToolRun {
+    let directory = tempfile::tempdir().expect("a directory");
+    let file = directory.path().join("fleet.log");
+    std::fs::write(&file, logs).expect("written");
+    let file = file.to_str().expect("a plain path");
+    run_bare(&[&["explain", "--log", file], args].concat())
+}
+
+#[rstest]
+#[case::refused(
+    "89b3e0af55833e10",
+    "refused",
+    "reason=store_away; it had lost the store 1.2 s before"
+)]
+#[case::failed(
+    "636bb749d2cb1b7f",
+    "failed",
+    "failed 2 times (side-3, side-2), on different hosts"
+)]
+#[case::late(
+    "282abd318d00899e",
+    "completed",
+    "placed 2.5 to 2.5 s after acceptance"
+)]
+#[case::paced(
+    "282abd318d00899e",
+    "completed",
+    "paced down to 30 % for a serving task at 3.2"
+)]
+fn cause_named(#[case] job: &str, #[case] outcome: &str, #[case] cause: &str) {
+    let run = explain(&[job], LOGS);
+    assert_eq!(run.status, 0, "{run:?}");
+    assert!(run.out.contains(&format!("{job} {outcome}")), "{run:?}");
+    assert!(run.out.contains(cause), "{run:?}");
+}
+
+#[test]
+fn unseen_job() {
+    let run = explain(&["0000000000000000"], LOGS);
+    assert_eq!(run.status, 1, "{run:?}");
+    assert!(
+        run.out.contains("no line of these logs names it"),
+        "{run:?}"
+    );
+}
+
+/// Without a collector's clock, the wall time in the lines puts them in order.
+#[test]
+fn ordered_by_own_clock() {
+    let logs = r#"
+level=INFO time="2026-12-04T02:19:17.466Z" host=entry-0 role=entry detail="offset=2" id=636bb749d2cb1b7f event=job_accepted
+level=INFO time="2026-12-04T02:19:17.500Z" host=side-1 role=agent detail="queue=q" id=636bb749d2cb1b7f event=job_taken
+"#;
+    let run = explain(&["--json", "636bb749d2cb1b7f"], logs);
+    let story = run.json();
+    assert_eq!(story["outcome"], "unfinished");
+    let after = story["lines"][1]["after_s"].as_f64().expect("a number");
+    assert!((after - 0.034).abs() < 0.001, "{story}");
+}
