[jobs] Reach the store through another host where it refuses this one

Ruled out: readiness that follows the store; with the store away for all it would keep callers off for up to a second after its return.

Change: an entry whose calls fail has an agent make them; agents' addresses come with the plan. A refused call goes on through another host at once; an unanswered one is repeated that way, as appends are bound to their key. Reads probe each half second whether the store serves the entry again. Two relays that fail one after the other mean that the store is away for all, and callers are refused at once as before.

--- a/crates/hornbeamlead_daemon/src/fleet/agent.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/agent.rs
@@ -79,7 +79,7 @@
     start_probe("metrics", settings.metrics, &ready, &metrics, log)?;
     let links = start_links(settings, &inbox)?;
     let worker = start_worker(&inbox, &metrics)?;
-    let store = start_store(settings, &inbox, &metrics)?;
+    let store = start_store(settings, &inbox, &metrics, log)?;
     let told = inbox.clone();
     let tell = move |ask| drop(told.deliver(AgentInput::Signal(ask)));
     on_signal(signals, tell).context(StartSnafu { duty: "signals" })?;
@@ -147,13 +147,14 @@
 ) -> Result<mpsc::Sender<LinkCommand>, FleetError> {
     let listener = listen("inner", settings.inner)?;
     let (sender, commands) = mpsc::channel(LINK_RING);
-    let inbox = inbox.clone();
+    let (inbox, store) = (inbox.clone(), settings.store);
     let run = move || async move {
         if let Ok(listener) = tokio::net::TcpListener::from_std(listener) {
             let duty = LinksDuty {
                 listener,
                 commands,
                 inbox,
+                store,
             };
             duty.run().await;
         }
@@ -265,6 +266,8 @@
             LinkEvent::Frame(link, frame) => match *frame {
                 PeerFrame::Agent(message) => self.take_agent(link, message),
                 PeerFrame::Planner(message) => self.take_planner(link, message),
+                // The links thread carries relayed calls out itself.
+                PeerFrame::Relay(_) | PeerFrame::Relayed(_) => {}
             },
             LinkEvent::Unreadable { link, cause } => {
                 let line = Effect::log("frame_unreadable", link.0, format!("cause={cause:?}"));
@@ -340,6 +343,8 @@
 
     fn obey(&mut self, effect: Effect) {
         match effect {
+            // Agents call the store themselves or not at all: the planner's duty passes on instead.
+            Effect::AddRelay(_) => {}
             Effect::Store(call) => {
                 if let Some(result) = self.outlets.call_store(call) {
                     self.take_stored(result);
--- a/crates/hornbeamlead_daemon/src/fleet/entry.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/entry.rs
@@ -5,7 +5,7 @@
 use super::outlets::FleetOutlets;
 use super::probes::{ProbeDesk, handle_probe};
 use super::signals::{SignalAsk, TakenSignals, on_signal};
-use super::store::{STORE_RING, StoreDuty, StoreResult};
+use super::store::{STORE_RING, StoreCommand, StoreDuty, StoreResult};
 use super::{EndedSnafu, FleetError, StartSnafu, listen};
 use crate::clock::BootClock;
 use crate::counters::ProcessCounters;
@@ -84,7 +84,7 @@
     for (name, address) in [("readiness", readiness), ("metrics", settings.metrics)] {
         start_probe(name, address, &ready, &metrics, log)?;
     }
-    let store = start_store(settings, &inbox, &metrics)?;
+    let store = start_store(settings, &inbox, &metrics, log)?;
     let told = inbox.clone();
     let tell = move |ask| drop(told.deliver(EntryInput::Signal(ask)));
     on_signal(signals, tell).context(StartSnafu { duty: "signals" })?;
@@ -177,16 +177,18 @@
     settings: &FleetSettings,
     inbox: &RingSender<T>,
     metrics: &FleetMetrics,
-) -> Result<mpsc::Sender<hornbeamlead_jobs::store::StoreCall>, FleetError>
+    log: &Logger,
+) -> Result<mpsc::Sender<StoreCommand>, FleetError>
 where
     T: From<StoreResult> + Send + 'static,
 {
-    let (sender, calls) = mpsc::channel(STORE_RING);
+    let (sender, commands) = mpsc::channel(STORE_RING);
     let duty = StoreDuty {
         address: settings.store,
-        calls,
+        commands,
         inbox: inbox.clone(),
         metrics: metrics.clone(),
+        log: log.clone(),
     };
     let thread = start_duty("store", move || duty.run());
     thread.context(StartSnafu { duty: "store" })?;
@@ -286,6 +288,7 @@
                         let _ = answer.send(reply);
                     }
                 }
+                Effect::AddRelay(address) => self.outlets.add_relay(address),
                 Effect::Log(line) => self.outlets.write_line(&line),
                 Effect::Count(event) => self.outlets.metrics.count(event),
                 // An entry has no links and no worker.
--- a/crates/hornbeamlead_daemon/src/fleet/links.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/links.rs
@@ -1,16 +1,22 @@
 //! Links thread: connections between agents and the planner.
 
 use super::agent::AgentInput;
+use crate::clock::BootClock;
 use crate::ring::RingSender;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
+use hornbeamlead_adapter::StoreClient;
+use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_jobs::effect::LinkId;
 use hornbeamlead_jobs::message::{AgentMessage, PlannerMessage};
 use hornbeamlead_jobs::record::{decode, encode};
+use hornbeamlead_jobs::relay::RelayedCall;
+use hornbeamlead_jobs::store::{StoreCall, StoreOutcome};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -35,6 +41,10 @@
     Agent(AgentMessage),
     /// From the planner.
     Planner(PlannerMessage),
+    /// Call to the store that the receiver is to make; the only frame on its connection.
+    Relay(RelayedCall),
+    /// What became of it.
+    Relayed(StoreOutcome),
 }
 
 /// Command to the links thread.
@@ -70,6 +80,8 @@
     pub(super) listener: TcpListener,
     pub(super) commands: mpsc::Receiver<LinkCommand>,
     pub(super) inbox: RingSender<AgentInput>,
+    /// Store, for calls of hosts that it refuses.
+    pub(super) store: SocketAddr,
 }
 
 impl LinksDuty {
@@ -82,6 +94,7 @@
     async fn serve(&mut self) {
         let mut links = HashMap::<LinkId, mpsc::Sender<Bytes>>::new();
         let mut incoming = INCOMING_LINKS;
+        let store = Rc::new(StoreClient::new(self.store));
         loop {
             tokio::select! {
                 accepted = self.listener.accept() => {
@@ -91,9 +104,10 @@
                         links.retain(|_, sender| !sender.is_closed());
                         let (link, inbox) = (LinkId(incoming), self.inbox.clone());
                         let (sender, frames) = mpsc::channel(LINK_FRAMES);
-                        links.insert(link, sender);
+                        links.insert(link, sender.clone());
+                        let relay = StoreRelay { store: Rc::clone(&store), answers: sender };
                         tokio::task::spawn_local(async move {
-                            carry(link, stream, frames, &inbox).await;
+                            carry(link, stream, frames, &inbox, Some(&relay)).await;
                             end(&inbox, link, false);
                         });
                     }
@@ -149,7 +163,7 @@
         Ok(Ok(stream)) => {
             // Fails only once the decisions have ended; so below.
             let _ = inbox.deliver(AgentInput::Link(LinkEvent::Opened(link)));
-            carry(link, stream, frames, &inbox).await;
+            carry(link, stream, frames, &inbox, None).await;
             end(&inbox, link, false);
         }
         Ok(Err(error)) => end(
@@ -171,13 +185,11 @@
     stream: TcpStream,
     mut frames: mpsc::Receiver<Bytes>,
     inbox: &RingSender<AgentInput>,
+    relay: Option<&StoreRelay>,
 ) {
     // A connection that cannot be tuned works all the same.
     let _ = stream.set_nodelay(true);
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
-        .new_codec();
-    let (mut sink, mut source) = Framed::new(stream, codec).split();
+    let (mut sink, mut source) = Framed::new(stream, frame_codec()).split();
     let write = async {
         while let Some(frame) = frames.recv().await {
             if sink.send(frame).await.is_err() {
@@ -187,9 +199,13 @@
     };
     let read = async {
         while let Some(Ok(bytes)) = source.next().await {
-            let event = match decode::<PeerFrame>(&bytes) {
-                Ok(frame) => LinkEvent::Frame(link, Box::new(frame)),
-                Err(error) => LinkEvent::Unreadable {
+            let event = match (decode::<PeerFrame>(&bytes), relay) {
+                (Ok(PeerFrame::Relay(call)), Some(relay)) => {
+                    relay.carry_out(call).await;
+                    continue;
+                }
+                (Ok(frame), _) => LinkEvent::Frame(link, Box::new(frame)),
+                (Err(error), _) => LinkEvent::Unreadable {
                     link,
                     cause: error.to_string().into(),
                 },
@@ -202,3 +218,67 @@
         () = read => {}
     }
 }
+
+/// Makes calls to the store for hosts that it refuses.
+struct StoreRelay {
+    store: Rc<StoreClient>,
+    answers: mpsc::Sender<Bytes>,
+}
+
+impl StoreRelay {
+    async fn carry_out(&self, call: RelayedCall) {
+        let now = BootClock.mono();
+        let outcome = self.store.call(now, &call.into_call(now)).await;
+        // Fails only if the connection has ended, with the host that asked.
+        let _ = self
+            .answers
+            .send(encode(&PeerFrame::Relayed(outcome)))
+            .await;
+    }
+}
+
+/// Has another host make a call and waits for its outcome, until the call's deadline.
+pub(super) async fn relay_call(
+    address: SocketAddr,
+    now: MonoTime,
+    call: &StoreCall,
+) -> StoreOutcome {
+    let frame = encode(&PeerFrame::Relay(RelayedCall::new(now, call)));
+    let until = tokio::time::Instant::now() + call.deadline.since(now);
+    let stream = match tokio::time::timeout_at(until, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        // Nothing was sent, so nothing was done.
+        Ok(Err(error)) => {
+            let cause = format!("relay {address}: {error}").into();
+            return StoreOutcome::Refused { cause };
+        }
+        Err(_) => {
+            let cause = format!("relay {address} does not accept").into();
+            return StoreOutcome::Refused { cause };
+        }
+    };
+    let cause = match tokio::time::timeout_at(until, exchange(stream, frame)).await {
+        Ok(Ok(PeerFrame::Relayed(outcome))) => return outcome,
+        Ok(Ok(_)) => "relay sent another frame".into(),
+        Ok(Err(error)) => format!("relay {address}: {error}"),
+        Err(_) => format!("no answer from relay {address}"),
+    };
+    StoreOutcome::Unanswered {
+        cause: cause.into(),
+    }
+}
+
+async fn exchange(stream: TcpStream, frame: Bytes) -> io::Result<PeerFrame> {
+    stream.set_nodelay(true)?;
+    let mut framed = Framed::new(stream, frame_codec());
+    framed.send(frame).await?;
+    let bytes = framed.next().await;
+    let bytes = bytes.ok_or(io::ErrorKind::UnexpectedEof)??;
+    decode(&bytes).map_err(io::Error::other)
+}
+
+fn frame_codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_codec()
+}
--- a/crates/hornbeamlead_daemon/src/fleet/outlets.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/outlets.rs
@@ -1,11 +1,12 @@
 //! Where effects go that both roles have: store, log, counters.
 
 use super::metrics::FleetMetrics;
-use super::store::StoreResult;
+use super::store::{StoreCommand, StoreResult};
 use hornbeamlead_jobs::effect::LogLine;
 use hornbeamlead_jobs::store::{StoreCall, StoreOutcome};
 use slog::{Logger, info};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
@@ -24,7 +25,7 @@
 
 /// Outlets of a process.
 pub(super) struct FleetOutlets {
-    pub(super) store: mpsc::Sender<StoreCall>,
+    pub(super) store: mpsc::Sender<StoreCommand>,
     pub(super) metrics: FleetMetrics,
     pub(super) log: Logger,
     lines: HashMap<&'static str, LineCount>,
@@ -32,7 +33,11 @@
 
 impl FleetOutlets {
     /// Makes outlets.
-    pub(super) fn new(store: mpsc::Sender<StoreCall>, metrics: FleetMetrics, log: Logger) -> Self {
+    pub(super) fn new(
+        store: mpsc::Sender<StoreCommand>,
+        metrics: FleetMetrics,
+        log: Logger,
+    ) -> Self {
         Self {
             store,
             metrics,
@@ -44,14 +49,28 @@
     /// Hands a call to the store thread; one that finds no room has an outcome at once.
     pub(super) fn call_store(&self, call: StoreCall) -> Option<StoreResult> {
         let caller = call.caller;
-        self.store.try_send(call).err().map(|_| {
+        self.store
+            .try_send(StoreCommand::Call(call))
+            .err()
+            .map(|_| {
+                self.metrics.count("store_ring_full");
+                let cause = "store ring is full".into();
+                StoreResult {
+                    caller,
+                    outcome: StoreOutcome::Refused { cause },
+                }
+            })
+    }
+
+    /// Has the store thread remember a host through which calls can go.
+    pub(super) fn add_relay(&self, address: SocketAddr) {
+        if self
+            .store
+            .try_send(StoreCommand::AddRelay(address))
+            .is_err()
+        {
             self.metrics.count("store_ring_full");
-            let cause = "store ring is full".into();
-            StoreResult {
-                caller,
-                outcome: StoreOutcome::Refused { cause },
-            }
-        })
+        }
     }
 
     /// Writes a line, unless too many of its kind were written a moment ago.
--- a/crates/hornbeamlead_jobs/src/effect.rs
+++ b/crates/hornbeamlead_jobs/src/effect.rs
@@ -93,6 +93,8 @@
         /// Answer.
         reply: CallerReply,
     },
+    /// Remember a host through which the store can be reached.
+    AddRelay(SocketAddr),
     /// Write a line to the log.
     Log(LogLine),
     /// Count an event.
--- a/crates/hornbeamlead_jobs/src/entry.rs
+++ b/crates/hornbeamlead_jobs/src/entry.rs
@@ -290,6 +290,8 @@
         match read_snapshot(records) {
             Ok(Some((ledger, offset))) => {
                 self.index = PhaseIndex::from(&ledger);
+                let relays = ledger.hosts.values().copied();
+                self.effects.extend(relays.map(Effect::AddRelay));
                 self.plan_follower.seek(offset);
                 self.plan_stage = ReadStage::Follow;
                 let detail = format!("offset={offset} jobs={}", self.index.len());
@@ -315,6 +317,9 @@
                     if let PlanRecord::Tick { .. } = record {
                         self.planner_seen = Some(now);
                     }
+                    if let PlanRecord::Host { address, .. } = &record {
+                        self.effects.push(Effect::AddRelay(*address));
+                    }
                     self.index.apply(&record);
                     if let PlanRecord::Accepted { job, .. } = &record {
                         self.accepted.remove(job);
--- a/crates/hornbeamlead_jobs/src/lib.rs
+++ b/crates/hornbeamlead_jobs/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod operators;
 pub mod planner;
 pub mod record;
+pub mod relay;
 pub mod snapshot;
 pub mod store;
 pub mod worker;
--- a/crates/hornbeamlead_jobs/src/store.rs
+++ b/crates/hornbeamlead_jobs/src/store.rs
@@ -3,9 +3,10 @@
 use crate::ids::StreamOffset;
 use bytes::Bytes;
 use hornbeamlead_core::clock::MonoTime;
+use serde::{Deserialize, Serialize};
 
 /// Streams that the system uses.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum StreamName {
     /// Attempts and ends, written by the planner alone.
     Plan,
@@ -20,7 +21,7 @@
 }
 
 /// Condition under which an append takes effect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AppendCondition {
     /// None: repeating the append does no harm.
     Always,
@@ -41,7 +42,7 @@
 }
 
 /// Record to be appended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NewRecord {
     /// Key, for a stream by key.
     pub key: Option<Box<str>>,
@@ -50,7 +51,7 @@
 }
 
 /// Record as it was read.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReadRecord {
     /// Position.
     pub offset: StreamOffset,
@@ -113,6 +114,8 @@
     Upkeep,
     /// A caller's request, by ticket.
     Ticket(u64),
+    /// Another host, in whose name the call is made.
+    Relay,
 }
 
 /// Call to the store.
@@ -127,7 +130,7 @@
 }
 
 /// What became of a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreOutcome {
     /// Appended.
     Appended {
