--- a/crates/hornbeamlead_daemon/src/fleet/agent.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/agent.rs
@@ -343,8 +343,7 @@
 
     fn obey(&mut self, effect: Effect) {
         match effect {
-            // Agents call the store themselves or not at all: the planner's duty passes on instead.
-            Effect::AddRelay(_) => {}
+            Effect::AddRelay(address) => self.outlets.add_relay(address),
             Effect::Store(call) => {
                 if let Some(result) = self.outlets.call_store(call) {
                     self.take_stored(result);
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -78,12 +78,20 @@
     }
 
     fn note_address(&mut self, now: MonoTime, host: &HostName, address: SocketAddr) {
+        self.add_relay(address);
         if self.ledger.hosts.get(host) != Some(&address) {
             let host = host.clone();
             self.record(now, PlanRecord::Host { host, address });
         }
     }
 
+    /// Remembers another host through which the store can be reached.
+    pub(super) fn add_relay(&mut self, address: SocketAddr) {
+        if address != self.policy.address {
+            self.effects.push(Effect::AddRelay(address));
+        }
+    }
+
     /// Orders of an earlier link may not have arrived; reports tell.
     fn forget_orders(&mut self, host: &HostName) {
         for run in self.runs_on(host) {
--- a/crates/hornbeamlead_jobs/tests/durable_order.rs
+++ b/crates/hornbeamlead_jobs/tests/durable_order.rs
@@ -127,6 +127,24 @@
     assert_eq!(world.judge.faults, Vec::<String>::new());
 }
 
+/// A planner that the store refuses calls it through another host: starts go on, and no other
+/// planner takes over.
+#[test]
+fn planner_refused() {
+    let mut world = World::new(5, 4, WorldFaults::default(), 0);
+    world.relays = true;
+    world.run(3000);
+    let planner = world.planner_host().expect("there is a planner");
+    world.refuse_host(planner, 7000);
+    world.run(1000);
+    let job = JobId(14);
+    world.submit(job, two_steps());
+    world.run(4500);
+    assert_eq!(world.phase(job), Some(JobPhase::Completed));
+    assert_eq!(world.planner_host(), Some(planner));
+    assert_eq!(world.judge.faults, Vec::<String>::new());
+}
+
 /// A host that is cut off for 5 s keeps its tasks; they are adopted when it is back.
 #[test]
 fn host_cut() {
--- a/crates/hornbeamlead_jobs/tests/random_faults.rs
+++ b/crates/hornbeamlead_jobs/tests/random_faults.rs
@@ -21,6 +21,16 @@
 /// Time in which the tasks of a cancelled job have to end: 3 s for orders, 0.9 s for a stop.
 const CANCEL_MS: u64 = 3900;
 
+/// Schedules of a property in CI, where `PROPTEST_CASES` names no other number.
+const SCHEDULES: u32 = 24;
+
+fn schedules() -> u32 {
+    let named = std::env::var("PROPTEST_CASES").ok();
+    named
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(SCHEDULES)
+}
+
 fn all_faults() -> WorldFaults {
     WorldFaults {
         kill: 0.3,
@@ -37,8 +47,9 @@
 }
 
 /// Plays one run and returns what was done wrong.
-fn play(seed: u64, faults: WorldFaults) -> Vec<String> {
+fn play(seed: u64, faults: WorldFaults, relays: bool) -> Vec<String> {
     let mut world = World::new(seed, HOSTS, faults, FAULTS_MS);
+    world.relays = relays;
     world.run(2000);
     let lasting = JobId(1);
     world.submit(lasting, World::lasting_job(3));
@@ -82,18 +93,25 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(24))]
+    #![proptest_config(ProptestConfig::with_cases(schedules()))]
 
     #[test]
     fn no_task_twice(seed in any::<u64>()) {
-        let faults = play(seed, all_faults());
+        let faults = play(seed, all_faults(), false);
+        prop_assert!(faults.is_empty(), "seed {seed}: {faults:#?}");
+    }
+
+    /// Processes that call the store through one another keep the same promises.
+    #[test]
+    fn no_task_twice_by_relay(seed in any::<u64>()) {
+        let faults = play(seed, all_faults(), true);
         prop_assert!(faults.is_empty(), "seed {seed}: {faults:#?}");
     }
 }
 
 #[test]
 fn calm_run() {
-    let faults = play(1, WorldFaults::default());
+    let faults = play(1, WorldFaults::default(), false);
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
@@ -111,6 +129,6 @@
 // The body of a job was removed before the record of its end was stored; the planner died.
 #[case(11801616418277403771)]
 fn failed_once(#[case] seed: u64) {
-    let faults = play(seed, all_faults());
+    let faults = play(seed, all_faults(), false);
     assert!(faults.is_empty(), "{faults:#?}");
 }
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -20,6 +20,7 @@
 use hornbeamlead_jobs::message::{AgentMessage, PlannerMessage};
 use hornbeamlead_jobs::operators::OperatorFormat;
 use hornbeamlead_jobs::planner::{PlacementPolicy, PlannerEvent, PlannerMachine, PlannerPolicy};
+use hornbeamlead_jobs::relay::{RelayRoute, StoreWay};
 use hornbeamlead_jobs::store::{
     AppendCondition, NewRecord, StoreAsk, StoreCall, StoreCaller, StoreOutcome, StreamName,
 };
@@ -93,6 +94,7 @@
     frozen_until: u64,
     cut_until: u64,
     store_away_until: u64,
+    route: RelayRoute,
     worker: EmulatedWorker,
     worker_back_at: u64,
     announce_at: u64,
@@ -170,6 +172,8 @@
     cancels: VecDeque<(u64, JobId)>,
     cancel_tickets: BTreeMap<u64, JobId>,
     submit_tickets: BTreeMap<u64, JobId>,
+    /// Whether processes call the store through one another.
+    pub(crate) relays: bool,
     /// Share of what they ask for that fillers get.
     pub(crate) filler_rate: f64,
     /// Jobs that were accepted.
@@ -191,6 +195,7 @@
             frozen_until: 0,
             cut_until: 0,
             store_away_until: 0,
+            route: RelayRoute::default(),
             worker: EmulatedWorker::new(&format!("w-{index}"), START_MS),
             worker_back_at: 0,
             announce_at: START_MS,
@@ -227,6 +232,7 @@
             cancels: VecDeque::new(),
             cancel_tickets: BTreeMap::new(),
             submit_tickets: BTreeMap::new(),
+            relays: false,
             filler_rate: 1.0,
             accepted: Vec::new(),
             judge: JobJudge::default(),
@@ -354,6 +360,11 @@
         }
     }
 
+    /// Has the store refuse one host while it serves all others.
+    pub(crate) fn refuse_host(&mut self, host: usize, span_ms: u64) {
+        self.hosts[host].store_away_until = self.now + span_ms;
+    }
+
     fn step_workers(&mut self) {
         for index in 0..self.hosts.len() {
             let now = self.now;
--- a/crates/hornbeamlead_jobs/tests/world/processes.rs
+++ b/crates/hornbeamlead_jobs/tests/world/processes.rs
@@ -273,6 +273,9 @@
                     self.end_link(opener, link, other, there);
                 }
             }
+            Effect::AddRelay(address) if self.relays => {
+                self.hosts[host].route.add_relay(address);
+            }
             // Shown with a failed test.
             Effect::Log(line) => {
                 println!(
@@ -334,12 +337,7 @@
     pub(super) fn call_store(&mut self, host: usize, incarnation: u64, call: StoreCall) {
         let caller = call.caller;
         let answer = |outcome| WorldEvent::Stored(host, incarnation, caller, outcome);
-        if self.is_cut(host) || self.now < self.hosts[host].store_away_until {
-            let cause = "away".into();
-            let outcome = match self.random.random::<bool>() {
-                true => StoreOutcome::Refused { cause },
-                false => StoreOutcome::Unanswered { cause },
-            };
+        if let Err(outcome) = self.reach_store(host, &call.ask) {
             let span = if matches!(outcome, StoreOutcome::Refused { .. }) {
                 10
             } else {
@@ -372,6 +370,44 @@
         }
     }
 
+    /// Finds a way to the store, as the store thread of a process does.
+    fn reach_store(&mut self, host: usize, ask: &StoreAsk) -> Result<(), StoreOutcome> {
+        let now = self.clock().mono;
+        let mut way = self.hosts[host].route.choose(now, ask);
+        loop {
+            let outcome = self.try_way(host, way);
+            let made = outcome.as_ref().err().cloned();
+            let made = made.unwrap_or(StoreOutcome::Appended { offset: 0 });
+            self.hosts[host].route.note(now, way, &made);
+            let relay = self.hosts[host].route.relay(now);
+            way = match (way, &made, relay) {
+                (StoreWay::Direct, StoreOutcome::Refused { .. }, Some(relay)) => {
+                    StoreWay::Relay(relay)
+                }
+                _ => return outcome,
+            };
+        }
+    }
+
+    fn try_way(&mut self, host: usize, way: StoreWay) -> Result<(), StoreOutcome> {
+        let via = match way {
+            StoreWay::Direct => host,
+            StoreWay::Relay(relay) => (0..self.hosts.len())
+                .find(|&other| address(other) == relay)
+                .unwrap_or(host),
+        };
+        let dead = self.hosts[via].agent.is_none() || self.now < self.hosts[via].frozen_until;
+        let harmed = self.is_cut(host) || self.is_cut(via) || (via != host && dead);
+        if !harmed && self.now >= self.hosts[via].store_away_until {
+            return Ok(());
+        }
+        let cause = "away".into();
+        Err(match self.random.random::<bool>() {
+            true => StoreOutcome::Refused { cause },
+            false => StoreOutcome::Unanswered { cause },
+        })
+    }
+
     pub(super) fn call_worker(&mut self, host: usize, incarnation: u64, call: WorkerCall) {
         match &call.ask {
             WorkerAsk::Hold { .. } => self.holds.push(PendingHold {
