--- a/crates/hornbeamlead_daemon/tests/fleet_soak.rs
+++ b/crates/hornbeamlead_daemon/tests/fleet_soak.rs
@@ -2,6 +2,7 @@
 
 use hornbeamlead_emulator::soak::{SoakPlan, play_soak};
 use rstest::rstest;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Short soaks of fixed seeds; each seed that ever failed stays, with its cause beside it.
@@ -15,6 +16,7 @@
         span: Duration::from_secs(8),
         daemon: env!("CARGO_BIN_EXE_hornbeamd").into(),
         directory: directory.path().into(),
+        stop: Arc::default(),
     };
     let report = play_soak(&plan).expect("played");
     if !report.faults.is_empty() {
--- a/crates/hornbeamlead_emulator/src/main.rs
+++ b/crates/hornbeamlead_emulator/src/main.rs
@@ -2,9 +2,12 @@
 
 use bpaf::Bpaf;
 use hornbeamlead_emulator::soak::{SoakPlan, SoakReport, play_soak};
+use signal_hook::consts::{SIGINT, SIGTERM};
 use std::io;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 /// Runs real processes on an emulated platform under random faults, one soak for each seed.
@@ -38,9 +41,16 @@
 
 fn main() -> ExitCode {
     let args = soak_args().run();
+    let stop = Arc::new(AtomicBool::new(false));
+    for signal in [SIGTERM, SIGINT] {
+        if let Err(error) = signal_hook::flag::register(signal, Arc::clone(&stop)) {
+            eprintln!("signals are not handled: {error}");
+            return ExitCode::from(2);
+        }
+    }
     let mut broken = 0;
     for seed in args.seed..args.seed + args.count {
-        match play(&args, seed) {
+        match play(&args, seed, &stop) {
             Ok(report) => {
                 print_report(seed, &report);
                 broken += u64::from(!report.faults.is_empty());
@@ -55,7 +65,7 @@
     ExitCode::from(u8::from(broken > 0))
 }
 
-fn play(args: &SoakArgs, seed: u64) -> io::Result<SoakReport> {
+fn play(args: &SoakArgs, seed: u64, stop: &Arc<AtomicBool>) -> io::Result<SoakReport> {
     let directory = args.logs.join(format!("seed-{seed}"));
     std::fs::create_dir_all(&directory)?;
     let plan = SoakPlan {
@@ -65,6 +75,7 @@
         span: Duration::from_secs(args.seconds),
         daemon: args.daemon.clone(),
         directory: directory.clone(),
+        stop: Arc::clone(stop),
     };
     let report = play_soak(&plan)?;
     if report.faults.is_empty() && !args.keep {
--- a/crates/hornbeamlead_emulator/src/soak.rs
+++ b/crates/hornbeamlead_emulator/src/soak.rs
@@ -18,6 +18,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 /// Time before the faults in which everything finds together.
@@ -63,6 +65,8 @@
     pub daemon: PathBuf,
     /// Directory for settings and logs.
     pub directory: PathBuf,
+    /// Set by who wants the soak to end early; its processes end with it.
+    pub stop: Arc<AtomicBool>,
 }
 
 /// What a soak has seen.
@@ -103,6 +107,7 @@
     due: BTreeMap<(u64, usize), SoakAction>,
     last_due: usize,
     began: Instant,
+    stop: Arc<AtomicBool>,
     report: SoakReport,
 }
 
@@ -114,7 +119,7 @@
         let mut processes = Vec::new();
         for number in 0..count {
             let shared = platform.clone();
-            let store = listen(move |ask| answer_store(shared.clone(), number, ask))?;
+            let store = serve_store(&shared, number)?;
             let (role, near) = match number.checked_sub(plan.entries) {
                 None => (ProcessRole::Entry, None),
                 Some(host) => {
@@ -138,6 +143,7 @@
             due: BTreeMap::new(),
             last_due: 0,
             began: Instant::now(),
+            stop: Arc::clone(&plan.stop),
             report: SoakReport::default(),
         })
     }
@@ -206,6 +212,9 @@
         let end = Instant::now() + span;
         while Instant::now() < end {
             tokio::time::sleep(LOOK_STEP).await;
+            if self.stop.load(Ordering::Relaxed) {
+                return Err(io::Error::new(io::ErrorKind::Interrupted, "asked to stop"));
+            }
             self.platform.lock().tick();
             while let Some(entry) = self.due.first_entry() {
                 if entry.key().0 > self.began.elapsed().as_millis() as u64 {
@@ -399,6 +408,15 @@
     }
 }
 
+/// Serves the store to a process on the present runtime and returns its address.
+///
+/// # Errors
+/// Returns the error of binding.
+pub fn serve_store(platform: &PlatformShared, process: usize) -> io::Result<SocketAddr> {
+    let shared = platform.clone();
+    listen(move |ask| answer_store(shared.clone(), process, ask))
+}
+
 /// Serves a listener on a free port and returns its address.
 fn listen<A, F>(answer: A) -> io::Result<SocketAddr>
 where
