--- a/crates/hornbeamlead_emulator/src/soak.rs
+++ b/crates/hornbeamlead_emulator/src/soak.rs
@@ -1,6 +1,8 @@
 //! One soak: starts the processes, harms them by a schedule, then waits until all is well again.
 
-use crate::callers::{CallerBook, KnownJob, SoakCaller};
+mod settle;
+
+use crate::callers::{CallerBook, SoakCaller};
 use crate::faults::{SoakAction, draw_schedule};
 use crate::platform::{CallFaults, PlatformShared, StoreMode};
 use crate::process::{ProcessRole, SoakNetwork, SoakProcess};
@@ -25,10 +27,6 @@
 /// Time before the faults in which everything finds together.
 const WARM_UP: Duration = Duration::from_secs(3);
 
-/// Time after the last fault in which all jobs have to be done: a silent host's lease of 9 s, some
-/// seconds of work, and a slow machine.
-const SETTLE: Duration = Duration::from_secs(45);
-
 /// Span between two looks at the processes.
 const LOOK_STEP: Duration = Duration::from_millis(10);
 
@@ -341,71 +339,6 @@
         }
         Ok(())
     }
-
-    /// Waits until every entry shows every accepted job as it has to be.
-    async fn settle(&mut self, plan: &SoakPlan) -> io::Result<()> {
-        let caller = self.caller(plan, CALLERS);
-        let began = Instant::now();
-        let mut jobs = self.book.lock().clone();
-        self.report.accepted = jobs.len();
-        while !jobs.is_empty() && began.elapsed() < SETTLE {
-            self.watch(Duration::from_millis(500)).await?;
-            let mut left = Vec::new();
-            for job in jobs {
-                if !self.is_settled(&caller, &job).await {
-                    left.push(job);
-                }
-            }
-            jobs = left;
-        }
-        self.report.settled = jobs.is_empty().then(|| began.elapsed());
-        for job in jobs {
-            let state = caller.state(self.entries[0], job.id).await;
-            let running = self.platform.lock().running(job.id);
-            let fault = format!(
-                "{} was accepted and is {state:?} {} s after the last fault, {running} tasks run",
-                job.id,
-                SETTLE.as_secs()
-            );
-            self.report.faults.push(fault);
-        }
-        Ok(())
-    }
-
-    async fn is_settled(&self, caller: &SoakCaller, job: &KnownJob) -> bool {
-        let acknowledged = self.platform.lock().judge.is_cancelled(job.id);
-        if job.lasting > 0 && !job.cancel_sent {
-            return self.platform.lock().running(job.id) == job.lasting;
-        }
-        for &entry in &self.entries {
-            let state = caller.state(entry, job.id).await;
-            let right = match state.as_deref() {
-                Some("completed") => true,
-                Some("cancelled") => job.cancel_sent,
-                // A cancellation without an answer may have had no effect on a lasting job.
-                Some("running") => job.cancel_sent && !acknowledged && job.lasting > 0,
-                _ => false,
-            };
-            if !right {
-                return false;
-            }
-        }
-        true
-    }
-
-    fn finish(&mut self) -> io::Result<()> {
-        for process in &mut self.processes {
-            process.kill();
-            let log = process.read_log()?;
-            let panics = log.lines().filter(|line| line.contains("panicked"));
-            let fault = |line: &str| format!("{}: {line}", process.name);
-            self.report.faults.extend(panics.map(fault));
-        }
-        let mut platform = self.platform.lock();
-        self.report.starts = platform.judge.starts.len();
-        self.report.faults.append(&mut platform.judge.faults);
-        Ok(())
-    }
 }
 
 /// Serves the store to a process on the present runtime and returns its address.
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -9,6 +9,8 @@
 pub mod impact;
 mod intake;
 mod placement;
+mod readings;
+mod ready;
 mod rebalance;
 mod recovery;
 mod reports;
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -2,13 +2,12 @@
 
 use super::batch::HeldStep;
 use super::hosts::HostView;
-use super::impact::{FULL_PRESS, ImpactReading};
-use super::placement::{ImageId, TaskDemand};
+use super::placement::TaskDemand;
 use super::{CLOCK_SLACK, GRANT_SPAN, PlannerMachine, RunView};
 use crate::effect::{Effect, LinkId};
 use crate::ids::{HostName, PlannerEpoch, RunName, WorkerLife};
-use crate::job::{RunEnd, StepSpec};
-use crate::message::{AgentMessage, HostReport, PlannerMessage, RunTraits};
+use crate::job::RunEnd;
+use crate::message::{AgentMessage, HostReport, PlannerMessage};
 use crate::operators::OperatorFormat;
 use crate::record::PlanRecord;
 use crate::worker::WorkerRefusal;
@@ -17,12 +16,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Span between two readings of a host that are learned from; each covers half a second.
-const LEARN_SPAN: Duration = Duration::from_millis(500);
-
-/// Logarithm of latency over target from which on an agent is told anew which fillers press.
-const LATE: f64 = -0.25;
-
 /// Slack on the end of a lease: a worker kills what it runs within this time.
 const LAPSE_SLACK: Duration = Duration::from_millis(500);
 
@@ -167,84 +160,6 @@
         self.learn_impact(now, &host, &report);
     }
 
-    /// Learns from the readings of a host how its fillers press on its serving tasks.
-    fn learn_impact(&mut self, now: MonoTime, host: &HostName, report: &HostReport) {
-        let Some(view) = self.hosts.get_mut(host) else {
-            return;
-        };
-        if now.since(view.learned.0) < LEARN_SPAN {
-            return;
-        }
-        let whole = report.worker.as_ref().map_or(1, |worker| worker.cpu.max(1));
-        let mut reading = ImpactReading::default();
-        let (mut used, mut wanted) = (0.0, 0.0);
-        for row in &report.running {
-            let Some(demand) = view.runs.get(&row.run) else {
-                continue;
-            };
-            let value = f64::from(row.reading);
-            match demand.target_ms {
-                0 if demand.filler => {
-                    let share = value / f64::from(whole);
-                    *reading.fillers.entry(demand.image).or_default() += share;
-                    used += value;
-                    wanted += f64::from(demand.cpu);
-                }
-                // A reading of 0 stands for a task that has not served yet.
-                target if target > 0 && row.reading > 0 => {
-                    let latency = (value / f64::from(target)).ln();
-                    reading.serving.insert(row.run, (demand.image, latency));
-                }
-                _ => {}
-            }
-        }
-        view.filler_rate = if wanted > 0.0 { used / wanted } else { 1.0 };
-        view.levels = reading.levels();
-        let fresh = now.since(view.learned.0) < LEARN_SPAN * 3;
-        let before = std::mem::replace(&mut view.learned, (now, reading));
-        if fresh {
-            self.impact.learn(&before.1, &view.learned.1);
-        }
-        let late = view.tightest().is_some_and(|(_, latency)| latency > LATE);
-        let link = view.link;
-        if let Some(link) = link.filter(|_| late) {
-            self.send_traits(link, host);
-        }
-    }
-
-    fn send_traits(&mut self, link: LinkId, host: &HostName) {
-        let traits = |run: RunName| {
-            let (job, _) = self.ledger.task(run.task)?;
-            let spec = job.spec(run.task.step)?;
-            Some((run, self.traits_of(spec, host)))
-        };
-        let rows: Vec<_> = self.runs_on(host).into_iter().filter_map(traits).collect();
-        if !rows.is_empty() {
-            let message = PlannerMessage::Traits(rows);
-            self.effects.push(Effect::ToAgent { link, message });
-        }
-    }
-
-    /// Returns what an agent has to know of the attempts of a step on its host.
-    pub(super) fn traits_of(&self, spec: &StepSpec, host: &HostName) -> RunTraits {
-        let view = self.hosts.get(host);
-        let image = ImageId::from(&*spec.image);
-        // Slowing a filler that leaves the tightest image alone gains nothing.
-        let press = match view.and_then(HostView::tightest) {
-            Some((tightest, _)) => self.impact.press(tightest, image),
-            None => {
-                let serving = view.map(HostView::serving).unwrap_or_default();
-                self.impact.worst_press(&serving, image)
-            }
-        };
-        RunTraits {
-            target_ms: if spec.lasting { spec.target_ms } else { 0 },
-            filler: spec.filler,
-            lasting: spec.lasting,
-            press_percent: (press / FULL_PRESS * 100.0).clamp(0.0, 200.0) as u8,
-        }
-    }
-
     /// Ends attempts of lives that are over for certain.
     fn end_past_lives(&mut self, now: MonoTime, host: &HostName, report: &HostReport) {
         let present = report.worker.as_ref().map(|worker| &worker.life);
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -2,18 +2,15 @@
 
 use super::batch::HeldStep;
 use super::hosts::HostView;
-use super::impact::ServingLevel;
-use super::placement::{Candidate, FillerPressure, HostLoad, ImageId, TaskDemand};
+use super::placement::{Candidate, FillerPressure, HostLoad, TaskDemand};
+use super::ready::ReadyStep;
 use super::{PlannerMachine, RunView};
-use crate::ids::{HostName, JobId, RunName, RunNumber, StepName, TaskName, WorkerLife};
-use crate::job::JobRecord;
-use crate::ledger::{JobState, OccurrenceState};
+use crate::ids::{HostName, RunName, RunNumber, StepName, TaskName, WorkerLife};
 use crate::message::StartOrder;
 use crate::operators::OperatorFormat;
 use crate::record::PlanRecord;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// Longest time between two passes; due times and silent hosts need no event.
@@ -29,51 +26,9 @@
 /// Time before a draining worker leaves at which its tasks are stopped, to save their work.
 const LEAVE_MARGIN: Duration = Duration::from_millis(1600);
 
-/// Time after which the readings of a worker show a filler that was started: half a second of
-/// averaging, a start and a report.
-const READING_LAG: Duration = Duration::from_millis(1000);
-
-/// Objectives after which a finished job is worth nothing any more, as the platform counts.
-const LATE_OBJECTIVES: i64 = 3;
-
 /// Tasks that a worker on probation may run.
 const PROBATION_TASKS: u32 = 1;
 
-/// Step with tasks that wait.
-struct ReadyStep {
-    /// Lasting steps come first, then by prospect, by priority and by the time that is left to be
-    /// on time.
-    order: (bool, StepProspect, u8, i64),
-    name: StepName,
-    record: Arc<JobRecord>,
-    tasks: Vec<u32>,
-}
-
-/// What a start now can still gain for a job, best first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum StepProspect {
-    /// On time, and work has gone into it that would be late in vain.
-    OnTimeBegun,
-    /// On time.
-    OnTime,
-    /// Late, but worth something.
-    Late,
-    /// Too late to be worth anything; it is done all the same once nothing else waits.
-    Hopeless,
-}
-
-impl StepProspect {
-    /// Judges by the times in milliseconds that are left to be on time and to be worth anything.
-    fn new(slack: i64, late_slack: i64, begun: bool) -> Self {
-        match slack {
-            _ if slack < 0 && late_slack < 0 => Self::Hopeless,
-            _ if slack < 0 => Self::Late,
-            _ if begun => Self::OnTimeBegun,
-            _ => Self::OnTime,
-        }
-    }
-}
-
 /// Task with the host that was chosen for it.
 struct Choice {
     index: u32,
@@ -169,19 +124,6 @@
         }
     }
 
-    fn ready_steps(&self, now: ClockReading) -> Vec<ReadyStep> {
-        let mut steps = Vec::new();
-        for (&job, state) in &self.ledger.jobs {
-            let Some(record) = state.record.as_ref().filter(|_| !state.phase.is_final()) else {
-                continue;
-            };
-            for (&number, occurrence) in &state.occurrences {
-                collect_ready(now, job, number, state, record, occurrence, &mut steps);
-            }
-        }
-        steps
-    }
-
     fn place(&self, now: MonoTime, steps: Vec<ReadyStep>) -> Vec<(ReadyStep, Vec<Choice>)> {
         if steps.is_empty() {
             return Vec::new();
@@ -291,40 +233,6 @@
         choices
     }
 
-    /// Returns the serving tasks of a worker with the rise in latency by fillers that the last
-    /// reading does not show yet.
-    fn expected_levels(&self, now: MonoTime, view: &HostView) -> BTreeMap<ImageId, ServingLevel> {
-        let mut serving = view.serving();
-        let whole = view.worker.as_ref().map_or(1, |worker| worker.cpu.max(1));
-        let unread = |run: &RunName| {
-            let known = self.runs.get(run);
-            known.is_some_and(|known| now.since(known.since) < READING_LAG)
-        };
-        let fillers = view
-            .runs
-            .iter()
-            .filter(|(run, demand)| demand.filler && unread(run));
-        for (_, demand) in fillers {
-            let share = f64::from(demand.cpu) / f64::from(whole);
-            for (&image, level) in &mut serving {
-                level.latency += self.impact.press(image, demand.image) * share;
-            }
-        }
-        serving
-    }
-
-    /// Returns how strongly a filler would press on what a worker serves.
-    pub(super) fn pressure_at(
-        &self,
-        candidate: &Candidate<'_>,
-        demand: &TaskDemand,
-    ) -> FillerPressure {
-        match demand.filler {
-            true => FillerPressure::new(&self.impact, &candidate.serving, demand.image),
-            false => FillerPressure::default(),
-        }
-    }
-
     fn start(&mut self, now: MonoTime, step: &ReadyStep, choices: Vec<Choice>) {
         let Some(spec) = step.record.step(step.name) else {
             return;
@@ -376,49 +284,3 @@
         last.unwrap_or_default().next()
     }
 }
-
-fn collect_ready(
-    now: ClockReading,
-    job: JobId,
-    occurrence: u32,
-    state: &JobState,
-    record: &Arc<JobRecord>,
-    tasks: &OccurrenceState,
-    into: &mut Vec<ReadyStep>,
-) {
-    let due = record
-        .body
-        .schedule
-        .due_ms(occurrence)
-        .max(record.accepted_ms);
-    let chain = f64::from(record.terms.target_factor) * record.body.chain_ms() as f64;
-    let objective = chain as i64 + i64::from(record.terms.target_latency_ms);
-    let deadline = due as i64 + objective;
-    let begun = tasks.steps.iter().flatten().any(|task| !task.is_waiting());
-    debug_assert!(!state.phase.is_final());
-    for (index, (spec, step)) in record.body.steps.iter().zip(&tasks.steps).enumerate() {
-        let waits = |(index, task): (usize, &crate::ledger::TaskState)| {
-            task.is_waiting().then_some(index as u32)
-        };
-        let waiting: Vec<_> = step.iter().enumerate().filter_map(waits).collect();
-        // A gang runs whole: it waits until all its members are free.
-        let broken = spec.gang && waiting.len() < step.len();
-        if waiting.is_empty() || broken || !tasks.is_step_ready(spec) {
-            continue;
-        }
-        let rest = record.body.rest_ms(index) as i64;
-        let slack = deadline - now.wall.0 as i64 - rest;
-        let late_slack = slack + (LATE_OBJECTIVES - 1) * objective;
-        let prospect = StepProspect::new(slack, late_slack, begun);
-        into.push(ReadyStep {
-            order: (!spec.lasting, prospect, record.terms.priority, slack),
-            name: StepName {
-                job,
-                occurrence,
-                step: index as u16,
-            },
-            record: Arc::clone(record),
-            tasks: waiting,
-        });
-    }
-}
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 mod callers;
+mod calls;
 mod processes;
 
 use bytes::Bytes;
