--- a/crates/hornbeamlead_emulator/src/judge.rs
+++ b/crates/hornbeamlead_emulator/src/judge.rs
@@ -9,6 +9,17 @@
 /// milliseconds; the platform's pages allow 3 s.
 const CANCEL_MS: u64 = 3000;
 
+/// Start of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunStart {
+    /// When, in milliseconds of the platform's clock.
+    pub at: u64,
+    /// Host.
+    pub host: usize,
+    /// Attempt.
+    pub run: RunName,
+}
+
 /// What is known of all jobs.
 #[derive(Debug, Default)]
 pub struct JobJudge {
@@ -20,7 +31,7 @@
     refused: BTreeSet<JobId>,
     failures: BTreeMap<TaskName, u16>,
     /// Starts seen, in their order.
-    pub starts: Vec<RunName>,
+    pub starts: Vec<RunStart>,
     /// What was done wrong.
     pub faults: Vec<String>,
 }
@@ -39,7 +50,11 @@
     /// Notes that all tries to hand a job in were refused: it must never run.
     pub fn refuse(&mut self, job: JobId) {
         self.refused.insert(job);
-        if self.starts.iter().any(|run| run.task.step.job == job) {
+        if self
+            .starts
+            .iter()
+            .any(|start| start.run.task.step.job == job)
+        {
             let fault = format!("{job} was refused although it had run");
             self.faults.push(fault);
         }
@@ -78,7 +93,7 @@
     }
 
     fn began(&mut self, now: u64, host: usize, run: RunName, late: bool) {
-        self.starts.push(run);
+        self.starts.push(RunStart { at: now, host, run });
         let job = run.task.step.job;
         let Some(body) = self.bodies.get(&job) else {
             self.faults.push(format!("{run} of an unknown job began"));
--- a/crates/hornbeamlead_jobs/tests/service_order.rs
+++ b/crates/hornbeamlead_jobs/tests/service_order.rs
@@ -30,8 +30,8 @@
 
 /// Returns the jobs whose tasks were started, in order.
 fn started(world: &World) -> Vec<JobId> {
-    let runs = world.judge.starts.iter();
-    runs.map(|run| run.task.step.job).collect()
+    let starts = world.judge.starts.iter();
+    starts.map(|start| start.run.task.step.job).collect()
 }
 
 /// Work that has gone into a job is not left to be late while fresh jobs with less time begin.
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -245,10 +245,15 @@
         self.now
     }
 
+    /// Returns the wall time of a reading of the virtual clock, both in milliseconds.
+    pub(crate) fn wall_ms(now: u64) -> u64 {
+        1_000_000_000 + now
+    }
+
     fn clock(&self) -> ClockReading {
         ClockReading {
             mono: MonoTime(self.now * 1000),
-            wall: WallTime(1_000_000_000 + self.now),
+            wall: WallTime(Self::wall_ms(self.now)),
         }
     }
 
