[emulator] Judge the end of a process by its listener, not by its log

The log is written by a thread of its own, and the test of SIGHUP showed a process with an open listener and no such line, so the line proves nothing.

Ruled out: dropping the case. A process can be told to end before its first instruction.

Change: before the signal the soak tries to connect to the process; only one to which nobody can connect may end by it. Stricter than the line was.

--- a/crates/hornbeamlead_daemon/tests/early_signals.rs
+++ b/crates/hornbeamlead_daemon/tests/early_signals.rs
@@ -52,8 +52,7 @@
     for _ in 0..STARTS {
         let mut entry = start_entry(directory.path());
         await_listener(&entry);
-        entry.signal(Signal::TERM);
-        entry.stopping = true;
+        entry.terminate();
         entries.push(entry);
     }
     for mut entry in entries {
