[jobs] Start a task of every job that has been idle for a second

Cause: best-effort tasks wait for headroom: serving tasks well below their targets, half of the requested CPU for the tasks already there. Change: a step of a job that has had a ready step but no running task for 1 s may place one task on any worker that has room for it, the one with headroom and the lowest cost first.

--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -23,7 +23,7 @@
 
 use crate::effect::{Effect, LinkId};
 use crate::follow::StreamFollower;
-use crate::ids::{HostName, PlannerEpoch, RunName, StreamOffset, TaskName};
+use crate::ids::{HostName, JobId, PlannerEpoch, RunName, StreamOffset, TaskName};
 use crate::job::RunEnd;
 use crate::ledger::JobLedger;
 use crate::message::AgentMessage;
@@ -133,6 +133,8 @@
     runs: BTreeMap<RunName, RunView>,
     /// Hosts on which a task has failed or stalled.
     failed_hosts: BTreeMap<TaskName, Vec<HostName>>,
+    /// Jobs with a ready step but no running task, and since when.
+    idle_since: BTreeMap<JobId, MonoTime>,
     interference: InterferenceModel,
     batch: RecordBatch,
     upkeep: UpkeepState,
@@ -168,6 +170,7 @@
             links: BTreeMap::new(),
             runs: BTreeMap::new(),
             failed_hosts: BTreeMap::new(),
+            idle_since: BTreeMap::new(),
             interference: InterferenceModel::default(),
             batch: RecordBatch::new(epoch, claim, now),
             upkeep: UpkeepState::new(now),
--- a/crates/hornbeamlead_jobs/src/planner/ready.rs
+++ b/crates/hornbeamlead_jobs/src/planner/ready.rs
@@ -5,8 +5,14 @@
 use crate::job::JobRecord;
 use crate::ledger::{JobState, OccurrenceState};
 use crate::operators::OperatorFormat;
-use hornbeamlead_core::clock::ClockReading;
+use hornbeamlead_core::clock::{ClockReading, MonoTime};
+use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Time for which a job with a ready step may have no running task. After it, one task starts on
+/// any worker with room, even if it gets little CPU there.
+const MAX_IDLE_TIME: Duration = Duration::from_millis(1000);
 
 /// Multiple of a job's latency objective after which its completion has no value, by the platform's
 /// rules.
@@ -20,6 +26,8 @@
     pub(super) record: Arc<JobRecord>,
     /// Indexes of the waiting tasks.
     pub(super) tasks: Vec<u32>,
+    /// Whether no task of the job has been running for [`MAX_IDLE_TIME`].
+    pub(super) starved: bool,
 }
 
 /// Whether a job can still meet its deadline if the step starts now, most urgent first.
@@ -61,6 +69,24 @@
         }
         steps
     }
+
+    /// Marks the steps of jobs that have had a ready step but no running task for too long.
+    pub(super) fn mark_starved(&mut self, now: MonoTime, steps: &mut [ReadyStep]) {
+        let is_idle = |job: &JobId| self.ledger.jobs.get(job).is_some_and(JobState::is_idle);
+        let idle: BTreeSet<JobId> = steps
+            .iter()
+            .map(|step| step.name.job)
+            .filter(is_idle)
+            .collect();
+        self.idle_since.retain(|job, _| idle.contains(job));
+        for job in idle {
+            self.idle_since.entry(job).or_insert(now);
+        }
+        for step in steps {
+            let since = self.idle_since.get(&step.name.job);
+            step.starved = since.is_some_and(|&since| now.since(since) >= MAX_IDLE_TIME);
+        }
+    }
 }
 
 fn collect_ready(
@@ -105,6 +131,7 @@
             },
             record: Arc::clone(record),
             tasks: waiting,
+            starved: false,
         });
     }
 }
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -54,6 +54,7 @@
             return;
         }
         let mut steps = self.ready_steps(now);
+        self.mark_starved(now.mono, &mut steps);
         steps.sort_by_key(|step| step.sort_key);
         for (step, choices) in self.place(now.mono, steps) {
             self.start(now.mono, &step, choices);
@@ -217,13 +218,21 @@
                     candidate.cost(&self.policy.placement, &demand, spec, host_interference)
                         + repeat_cost
                 };
-            let fitting = candidates.iter_mut().zip(&interferences).filter(
-                |(candidate, host_interference)| {
-                    candidate.admits(&demand, spec, service)
-                        && candidate.has_best_effort_headroom(&demand, host_interference)
-                },
-            );
-            let best = fitting.min_by(|left, right| cost(left).total_cmp(&cost(right)));
+            let any_room = step.starved && choices.is_empty();
+            let best = candidates
+                .iter_mut()
+                .zip(&interferences)
+                .filter(|(candidate, _)| candidate.admits(&demand, spec, service))
+                .map(|row| {
+                    let headroom = row.0.has_best_effort_headroom(&demand, row.1);
+                    (!headroom, row)
+                })
+                .filter(|(crowded, _)| any_room || !crowded)
+                .min_by(|left, right| {
+                    let by_cost = cost(&left.1).total_cmp(&cost(&right.1));
+                    left.0.cmp(&right.0).then(by_cost)
+                })
+                .map(|(_, row)| row);
             match best {
                 Some((candidate, host_interference)) => {
                     candidate.assign(&demand, host_interference);
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -179,6 +179,8 @@
     pub(crate) relays: bool,
     /// Fraction of their processor demand that best-effort tasks get.
     pub(crate) best_effort_rate: f64,
+    /// Run time of best-effort tasks in milliseconds; random if absent.
+    pub(crate) best_effort_ms: Option<u64>,
     /// Jobs that were accepted.
     pub(crate) accepted: Vec<JobId>,
     /// Judge that checks the starts and ends of attempts and collects violations.
@@ -237,6 +239,7 @@
             submit_tickets: BTreeMap::new(),
             relays: false,
             best_effort_rate: 1.0,
+            best_effort_ms: None,
             accepted: Vec::new(),
             judge: JobJudge::default(),
         }
--- a/crates/hornbeamlead_jobs/tests/world/processes.rs
+++ b/crates/hornbeamlead_jobs/tests/world/processes.rs
@@ -370,8 +370,14 @@
         let span = self.random.random_range(150..1500);
         let now = self.now;
         let (judge, best_effort_rate) = (&self.judge, self.best_effort_rate);
+        let best_effort_ms = self.best_effort_ms;
+        let done_at = |run: RunName| match judge.step(run) {
+            Some(step) if step.long_running => None,
+            Some(step) if step.best_effort => Some(now + best_effort_ms.unwrap_or(span)),
+            _ => Some(now + span),
+        };
         let plan = |run: RunName| EmulatedRun {
-            done_at: (!judge.step(run).is_some_and(|step| step.long_running)).then_some(now + span),
+            done_at: done_at(run),
             reading: judge
                 .step(run)
                 .map_or(0, |step| steady_reading(step, best_effort_rate)),
