[jobs] Place, throttle and move tasks by which images interfere

Hosts mixed two to five images, the first best-effort task of a host was admitted whatever it did there, agents reacted half a second after the latency had risen, and a step waited for its most throttled task (16 s where the others took 4). Change: serving tasks of one image fill hosts (image_mix 2.0, 8 a host); the model is a ridge regression by serving image, and infers unknown pairs from serving images that the same best-effort images slow down; every best-effort task needs headroom against the level that its host's steps will have, with the tasks there at full speed; agents get coefficients by image and limit best-effort tasks before the latency rises; throttled best-effort tasks move to hosts with headroom, serving tasks to hosts of their kind, while appends succeed; passes are at least 10 ms apart. Tests: serving_grouped, slow_moved, similar_images_inferred, cause_separated, known_interference_limited_at_start. no_move_without_store fails without the check of appends. starved_best_effort got a spread limit, since its premise, four best-effort tasks on each worker, no longer came about; its checks are unchanged.

--- a/crates/hornbeamlead_jobs/src/message.rs
+++ b/crates/hornbeamlead_jobs/src/message.rs
@@ -63,7 +63,7 @@
 }
 
 /// Properties of an attempt that its agent needs while the attempt runs.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunTraits {
     /// Upper limit for the tail latency of a serving task, in milliseconds; 0 for none.
     pub target_ms: u32,
@@ -74,6 +74,12 @@
     /// Interference of a best-effort task with serving tasks. A task with 100 or more is throttled
     /// in full, one with 0 only if throttling the others does not suffice.
     pub interference_percent: u8,
+    /// CPU that the task requests, in thousandths of a core.
+    pub cpu: u32,
+    /// Short hash of the image of a serving task.
+    pub image: u32,
+    /// Interference coefficients of a best-effort task in tenths, by serving image on the host.
+    pub coefficients: Box<[(u32, u8)]>,
 }
 
 /// Order to start an attempt.
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -5,6 +5,7 @@
 //! was not stored is never dispatched.
 
 mod batch;
+mod consolidate;
 mod health;
 mod hosts;
 mod intake;
@@ -16,6 +17,7 @@
 mod recovery;
 mod reports;
 mod schedule;
+mod serving_level;
 mod upkeep;
 
 pub use hosts::HostView;
@@ -34,6 +36,7 @@
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
 use interference::InterferenceModel;
 use recovery::RecoveryState;
+use serving_level::ServingLevels;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -102,6 +105,10 @@
     percent: u8,
     /// When the progress last increased.
     progressed_at: MonoTime,
+    /// Best-effort tasks: CPU in use as a share of what the task requests, as last reported.
+    cpu_rate: f64,
+    /// Best-effort tasks: since when the task has been slow.
+    slow_since: Option<MonoTime>,
 }
 
 impl RunView {
@@ -113,6 +120,8 @@
             listed: false,
             percent: 0,
             progressed_at: now,
+            cpu_rate: 1.0,
+            slow_since: None,
         }
     }
 }
@@ -131,16 +140,19 @@
     hosts: BTreeMap<HostName, HostView>,
     links: BTreeMap<LinkId, HostName>,
     runs: BTreeMap<RunName, RunView>,
-    /// Hosts on which a task has failed or stalled.
+    /// Hosts on which a task has failed, stalled or was slow.
     failed_hosts: BTreeMap<TaskName, Vec<HostName>>,
     /// Jobs with a ready step but no running task, and since when.
     idle_since: BTreeMap<JobId, MonoTime>,
     interference: InterferenceModel,
+    serving_levels: ServingLevels,
     batch: RecordBatch,
     upkeep: UpkeepState,
     pass_needed: bool,
     last_pass: MonoTime,
+    last_check: MonoTime,
     last_rebalance: MonoTime,
+    last_consolidation: MonoTime,
     effects: Vec<Effect>,
 }
 
@@ -172,11 +184,14 @@
             failed_hosts: BTreeMap::new(),
             idle_since: BTreeMap::new(),
             interference: InterferenceModel::default(),
+            serving_levels: ServingLevels::default(),
             batch: RecordBatch::new(epoch, claim, now),
             upkeep: UpkeepState::new(now),
             pass_needed: false,
             last_pass: now,
+            last_check: now,
             last_rebalance: now,
+            last_consolidation: now,
             effects: Vec::new(),
         }
     }
--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -31,6 +31,10 @@
 /// process can take over. The store may reject a single host while it serves the others.
 const STORE_FAILURE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Age of the last successful append up to which the store counts as prompt. Appends follow one
+/// another at least every [`HEARTBEAT_INTERVAL`].
+const MAX_PROMPT_AGE: Duration = Duration::from_millis(600);
+
 /// Most records in a batch; far below the store's limit of 2 MiB per call.
 const MAX_BATCH_RECORDS: usize = 4000;
 
@@ -117,6 +121,11 @@
         now.since(self.last_append_sent) <= GRANT_WINDOW && !failing
     }
 
+    /// Returns whether appends succeed without delay, so that a stopped task can start again soon.
+    pub(super) fn is_prompt(&self, now: MonoTime) -> bool {
+        self.failing_since.is_none() && now.since(self.last_append_sent) <= MAX_PROMPT_AGE
+    }
+
     fn is_due(&self, now: MonoTime) -> bool {
         let lingered = !self.records.is_empty() && now.since(self.oldest) >= BATCH_LINGER;
         let deferred = !self.deferred.is_empty();
--- a/crates/hornbeamlead_jobs/src/planner/health.rs
+++ b/crates/hornbeamlead_jobs/src/planner/health.rs
@@ -52,11 +52,7 @@
         }
         match end {
             RunEnd::Failed => {
-                let hosts = self.failed_hosts.entry(run.task).or_default();
-                hosts.push(host.clone());
-                if hosts.len() > MAX_FAILED_HOSTS {
-                    hosts.remove(0);
-                }
+                self.remember_failure(run, host.clone());
             }
             RunEnd::Done => {
                 self.failed_hosts.remove(&run.task);
@@ -65,6 +61,23 @@
         }
     }
 
+    /// Has the next attempt of a task start on another host than the present one, if possible.
+    pub(super) fn avoid_host(&mut self, run: RunName) {
+        let Some(placement) = self.ledger.placement(run) else {
+            return;
+        };
+        let host = placement.host.clone();
+        self.remember_failure(run, host);
+    }
+
+    fn remember_failure(&mut self, run: RunName, host: HostName) {
+        let hosts = self.failed_hosts.entry(run.task).or_default();
+        hosts.push(host);
+        if hosts.len() > MAX_FAILED_HOSTS {
+            hosts.remove(0);
+        }
+    }
+
     /// Stops attempts that make no progress, so that they resume on another host.
     pub(super) fn check_stalls(&mut self, now: MonoTime) {
         let mut stalled = Vec::new();
@@ -88,8 +101,7 @@
         for (run, host) in &stalled {
             let detail = format!("host={host}");
             self.log("task_stalled", run, detail);
-            let hosts = self.failed_hosts.entry(run.task).or_default();
-            hosts.push(host.clone());
+            self.remember_failure(*run, host.clone());
             if let Some(view) = self.hosts.get_mut(host) {
                 view.consecutive_failures += 1;
                 view.probation |= view.consecutive_failures >= PROBATION_FAILURES;
--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -1,6 +1,6 @@
 //! The planner's view of each host.
 
-use super::interference::{InterferenceSample, ServingGroup};
+use super::interference::{InterferenceModel, InterferenceSample, ServingGroup};
 use super::placement::{ImageId, TaskDemand};
 use crate::effect::LinkId;
 use crate::ids::{HostName, RunName, WorkerIncarnation};
@@ -45,6 +45,11 @@
     pub runs: BTreeMap<RunName, TaskDemand>,
     /// Mean logarithm of latency over target by serving image, as last reported.
     pub log_latencies: BTreeMap<ImageId, f64>,
+    /// Logarithm of latency over target to expect by serving image, if the best-effort tasks placed
+    /// on the host used all the CPU that they request.
+    pub(super) expected_latencies: BTreeMap<ImageId, f64>,
+    /// Digest of the interference coefficients that the agent has.
+    pub(super) sent_coefficients: u64,
     /// CPU that best-effort tasks use, as a share of what they request; 1.0 without such tasks.
     pub best_effort_rate: f64,
     /// Latest interference sample, and when it was taken.
@@ -70,6 +75,8 @@
             consecutive_failures: 0,
             runs: BTreeMap::new(),
             log_latencies: BTreeMap::new(),
+            expected_latencies: BTreeMap::new(),
+            sent_coefficients: 0,
             best_effort_rate: 1.0,
             last_sample: (MonoTime(0), InterferenceSample::default()),
             probation: false,
@@ -95,17 +102,35 @@
         for demand in self.runs.values().filter(|demand| demand.target_ms > 0) {
             let group = images.entry(demand.image).or_insert(ServingGroup {
                 tasks: 0,
-                log_latency: self
-                    .log_latencies
-                    .get(&demand.image)
-                    .copied()
-                    .unwrap_or(UNMEASURED_LOG_LATENCY),
+                log_latency: self.log_latency(demand.image),
             });
             group.tasks += 1;
         }
         images
     }
 
+    /// Adds a best-effort task that is about to start to the expected latencies.
+    pub(super) fn expect_interference(&mut self, model: &InterferenceModel, demand: &TaskDemand) {
+        let capacity = self.worker.as_ref().map_or(1, |worker| worker.cpu.max(1));
+        let share = f64::from(demand.cpu) / f64::from(capacity);
+        if demand.best_effort {
+            for (&image, log_latency) in &mut self.expected_latencies {
+                *log_latency += model.coefficient(image, demand.image) * share;
+            }
+        }
+    }
+
+    /// Returns the logarithm of latency over target of an image, as measured or as expected,
+    /// whichever is higher.
+    fn log_latency(&self, image: ImageId) -> f64 {
+        let measured = self.log_latencies.get(&image).copied();
+        let expected = self.expected_latencies.get(&image).copied();
+        let known = measured.into_iter().chain(expected);
+        known
+            .max_by(f64::total_cmp)
+            .unwrap_or(UNMEASURED_LOG_LATENCY)
+    }
+
     /// Returns the serving image with the highest latency relative to its target.
     pub(super) fn slowest_serving(&self) -> Option<(ImageId, f64)> {
         let log_latencies = self
@@ -130,6 +155,7 @@
     /// Sets a new link, on which orders are numbered from 1, and returns the link it replaces.
     pub(super) fn replace_link(&mut self, link: LinkId) -> Option<LinkId> {
         self.orders_sent = 0;
+        self.sent_coefficients = 0;
         self.link.replace(link).filter(|old| *old != link)
     }
 }
--- a/crates/hornbeamlead_jobs/src/planner/placement.rs
+++ b/crates/hornbeamlead_jobs/src/planner/placement.rs
@@ -26,9 +26,11 @@
     /// Long-running tasks: cost of a worker fully used by best-effort tasks.
     pub long_running_contention: f64,
     /// Long-running tasks: cost of each serving task of another image. A best-effort image slows
-    /// down some serving images and not others, so hosts with a single serving image suit more of
+    /// down some serving images and not others, so workers with a single serving image suit more of
     /// them.
     pub long_running_image_mix: f64,
+    /// Long-running tasks: cost of another image that the same best-effort images slow down.
+    pub long_running_similar_image: f64,
     /// Most tasks of a long-running step on one worker before the worker counts as crowded. A job
     /// that tolerates more missing tasks raises it to that number.
     pub long_running_per_host: u32,
@@ -47,8 +49,9 @@
             best_effort_present_lateness: 0.5,
             long_running_affinity: 2.0,
             long_running_contention: 2.0,
-            long_running_image_mix: 0.5,
-            long_running_per_host: 3,
+            long_running_image_mix: 2.0,
+            long_running_similar_image: 0.1,
+            long_running_per_host: 8,
             remote_data: 1.0,
             previous_failure: 2.0,
         }
@@ -59,6 +62,14 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ImageId(pub u64);
 
+impl ImageId {
+    /// Returns the short form used in messages to agents.
+    #[must_use]
+    pub fn short(self) -> u32 {
+        (self.0 >> 32) as u32
+    }
+}
+
 impl From<&str> for ImageId {
     fn from(name: &str) -> Self {
         let mut hasher = DefaultHasher::new();
@@ -162,11 +173,14 @@
     pub(super) serving: BTreeMap<ImageId, ServingGroup>,
 }
 
-/// Interference coefficients of a best-effort image on the serving images of a worker.
+/// Interference between a task's image and the serving images of a worker.
 #[derive(Clone, Debug, Default)]
 pub(super) struct HostInterference {
+    /// Coefficients of a best-effort image by serving image.
     coefficients: BTreeMap<ImageId, f64>,
     max_coefficient: f64,
+    /// Cost of the images that a serving task would share the worker with.
+    sharing_cost: f64,
 }
 
 impl HostInterference {
@@ -179,6 +193,26 @@
         Self {
             coefficients: serving.keys().map(coefficient).collect(),
             max_coefficient: model.max_coefficient(serving, best_effort),
+            sharing_cost: 0.0,
+        }
+    }
+
+    /// Returns the interference that a serving task's image makes the worker sensitive to, beyond
+    /// that to which its present images do.
+    pub(super) fn of_serving(
+        model: &InterferenceModel,
+        policy: &PlacementPolicy,
+        serving: &BTreeMap<ImageId, ServingGroup>,
+        image: ImageId,
+    ) -> Self {
+        let others = serving.iter().map(|(&other, group)| match other {
+            _ if other == image => 0.0,
+            _ if model.is_similar(other, image) => policy.long_running_similar_image,
+            _ => policy.long_running_image_mix * f64::from(group.tasks),
+        });
+        Self {
+            sharing_cost: others.sum(),
+            ..Self::default()
         }
     }
 
@@ -242,7 +276,7 @@
         demand: &TaskDemand,
         interference: &HostInterference,
     ) -> bool {
-        if !demand.best_effort || self.load.best_effort_cpu == 0 {
+        if !demand.best_effort {
             return true;
         }
         let share = f64::from(demand.cpu) / f64::from(self.worker.cpu.max(1));
@@ -252,7 +286,8 @@
         let used = f64::from(self.load.cpu) * USED_CPU_SHARE;
         let free = f64::from(self.worker.cpu) - used - f64::from(self.load.best_effort_cpu);
         let throttled = self.view.best_effort_rate < MIN_BEST_EFFORT_RATE;
-        within_targets && !throttled && free >= f64::from(demand.cpu)
+        let alone = self.load.best_effort_cpu == 0;
+        within_targets && (alone || !throttled && free >= f64::from(demand.cpu))
     }
 
     /// Returns the cost of running a task on the host; the lowest cost wins.
@@ -293,14 +328,18 @@
                 } else {
                     0.0
                 };
-                let same_image = self.serving.get(&demand.image);
-                let same_image = same_image.map_or(0, |group| group.tasks);
-                let others = self.load.serving.saturating_sub(same_image);
-                let mixed = policy.long_running_image_mix * f64::from(others);
-                crowding + mixed + policy.long_running_contention * share(self.load.best_effort_cpu)
+                crowding
+                    + interference.sharing_cost
+                    + policy.long_running_contention * share(self.load.best_effort_cpu)
+                    - policy.long_running_affinity * long_running_share
+            }
+            (false, false) => {
+                // Serving tasks use about half of what they reserve, so short tasks lose nothing
+                // beside them and leave the processors of other workers to best-effort tasks.
+                let others = self.load.cpu.saturating_sub(self.load.long_running_cpu);
+                share(others + self.load.best_effort_cpu + demand.cpu)
                     - policy.long_running_affinity * long_running_share
             }
-            (false, false) => share(self.load.cpu + self.load.best_effort_cpu + demand.cpu),
         };
         base + self.failure_cost + if remote { policy.remote_data } else { 0.0 }
     }
@@ -320,7 +359,7 @@
 }
 
 /// Logarithm of latency over target up to which best-effort tasks are added.
-const MAX_LOG_LATENCY: f64 = -0.3;
+pub(super) const MAX_LOG_LATENCY: f64 = -0.15;
 
 /// Share of their requested CPU that best-effort tasks must get for more of them to be added. Below
 /// it, more tasks would only delay all of them.
--- a/crates/hornbeamlead_jobs/src/planner/readings.rs
+++ b/crates/hornbeamlead_jobs/src/planner/readings.rs
@@ -3,15 +3,17 @@
 
 use super::PlannerMachine;
 use super::hosts::HostView;
-use super::interference::{FULL_THROTTLE_COEFFICIENT, InterferenceSample, ServingGroup};
+use super::interference::{FULL_THROTTLE_COEFFICIENT, InterferenceSample};
 use super::placement::{Candidate, HostInterference, ImageId, TaskDemand};
+use super::rebalance::SLOW_RATE;
 use crate::effect::{Effect, LinkId};
 use crate::ids::{HostName, RunName};
 use crate::job::StepSpec;
 use crate::message::{HostReport, PlannerMessage, RunTraits};
 use crate::operators::OperatorFormat;
 use hornbeamlead_core::clock::MonoTime;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 /// Least time between two samples of a host. Each reading covers half a second.
@@ -21,9 +23,8 @@
 /// interfering tasks.
 const THROTTLE_LOG_LATENCY: f64 = -0.25;
 
-/// Delay until readings include a best-effort task that was just placed: its start, half a second
-/// of averaging and a report.
-const READING_LAG: Duration = Duration::from_millis(1000);
+/// Change of an interference coefficient from which an agent gets updated traits.
+const SENT_COEFFICIENT_STEP: f64 = 0.5;
 
 impl<F: OperatorFormat> PlannerMachine<F> {
     /// Takes an interference sample from a host's report and learns from it.
@@ -53,6 +54,11 @@
                     *sample.usage.entry(demand.image).or_default() += share;
                     used += value;
                     requested += f64::from(demand.cpu);
+                    if let Some(run_view) = self.runs.get_mut(&row.run) {
+                        run_view.cpu_rate = value / f64::from(demand.cpu.max(1));
+                        let slow = run_view.cpu_rate < SLOW_RATE;
+                        run_view.slow_since = slow.then(|| run_view.slow_since.unwrap_or(now));
+                    }
                 }
                 // A reading of 0 means that the task has not served a request yet.
                 target if target > 0 && row.reading > 0 => {
@@ -77,11 +83,64 @@
             .slowest_serving()
             .is_some_and(|(_, log_latency)| log_latency > THROTTLE_LOG_LATENCY);
         let link = view.link;
-        if let Some(link) = link.filter(|_| near_target) {
+        self.learn_levels(now, host);
+        let changed = self.update_expectations(host);
+        if let Some(link) = link.filter(|_| near_target || changed) {
             self.send_traits(link, host);
         }
     }
 
+    /// Updates the levels of a host's serving steps from its latest sample.
+    fn learn_levels(&mut self, now: MonoTime, host: &HostName) {
+        let Some(view) = self.hosts.get(host) else {
+            return;
+        };
+        let sample = &view.last_sample.1;
+        for (run, &(image, log_latency)) in &sample.serving {
+            let rise = self.interference.rise(image, &sample.usage);
+            let step = run.task.step;
+            self.serving_levels
+                .observe(now, step, host, log_latency - rise);
+        }
+    }
+
+    /// Recalculates the latencies to expect on a host. Returns whether the interference
+    /// coefficients there have changed since the agent got them.
+    fn update_expectations(&mut self, host: &HostName) -> bool {
+        let Some(view) = self.hosts.get_mut(host) else {
+            return false;
+        };
+        let capacity = view.worker.as_ref().map_or(1, |worker| worker.cpu.max(1));
+        let mut requested = BTreeMap::<ImageId, f64>::new();
+        for demand in view.runs.values().filter(|demand| demand.best_effort) {
+            let share = f64::from(demand.cpu) / f64::from(capacity);
+            *requested.entry(demand.image).or_default() += share;
+        }
+        let mut expected = BTreeMap::<ImageId, f64>::new();
+        for (run, demand) in view.runs.iter().filter(|(_, demand)| demand.target_ms > 0) {
+            if let Some(level) = self.serving_levels.expected(run.task.step) {
+                let highest = expected.entry(demand.image).or_insert(level);
+                *highest = highest.max(level);
+            }
+        }
+        let mut hasher = DefaultHasher::new();
+        for (&image, log_latency) in &mut expected {
+            *log_latency += self.interference.rise(image, &requested);
+            for &best_effort in requested.keys() {
+                let coefficient = self.interference.coefficient(image, best_effort);
+                let rounded = (coefficient / SENT_COEFFICIENT_STEP).round() as u64;
+                (image, best_effort, rounded).hash(&mut hasher);
+            }
+        }
+        view.expected_latencies = expected;
+        let digest = hasher.finish();
+        let changed = digest != view.sent_coefficients && !requested.is_empty();
+        if changed {
+            view.sent_coefficients = digest;
+        }
+        changed
+    }
+
     pub(super) fn send_traits(&mut self, link: LinkId, host: &HostName) {
         let traits = |run: RunName| {
             let (job, _) = self.ledger.task(run.task)?;
@@ -113,33 +172,23 @@
             long_running: spec.long_running,
             interference_percent: (coefficient / FULL_THROTTLE_COEFFICIENT * 100.0)
                 .clamp(0.0, 200.0) as u8,
+            cpu: spec.cpu,
+            image: image.short(),
+            coefficients: match (spec.best_effort, view) {
+                (true, Some(view)) => self.coefficients_on(view, image),
+                _ => Box::default(),
+            },
         }
     }
 
-    /// Returns the serving tasks of a worker, with the expected latency rise from best-effort tasks
-    /// that are too new to show in its readings.
-    pub(super) fn expected_serving(
-        &self,
-        now: MonoTime,
-        view: &HostView,
-    ) -> BTreeMap<ImageId, ServingGroup> {
-        let mut serving = view.serving();
-        let capacity = view.worker.as_ref().map_or(1, |worker| worker.cpu.max(1));
-        let unmeasured = |run: &RunName| {
-            let run_view = self.runs.get(run);
-            run_view.is_some_and(|run_view| now.since(run_view.created_at) < READING_LAG)
+    fn coefficients_on(&self, view: &HostView, best_effort: ImageId) -> Box<[(u32, u8)]> {
+        let serving = view.runs.values().filter(|demand| demand.target_ms > 0);
+        let images: BTreeSet<ImageId> = serving.map(|demand| demand.image).collect();
+        let row = |image: ImageId| {
+            let tenths = self.interference.coefficient(image, best_effort) * 10.0;
+            (image.short(), tenths.round() as u8)
         };
-        let recent = view
-            .runs
-            .iter()
-            .filter(|(run, demand)| demand.best_effort && unmeasured(run));
-        for (_, demand) in recent {
-            let share = f64::from(demand.cpu) / f64::from(capacity);
-            for (&image, group) in &mut serving {
-                group.log_latency += self.interference.coefficient(image, demand.image) * share;
-            }
-        }
-        serving
+        images.into_iter().map(row).collect()
     }
 
     /// Returns how much a task would slow down the serving tasks of a worker.
@@ -148,9 +197,13 @@
         candidate: &Candidate<'_>,
         demand: &TaskDemand,
     ) -> HostInterference {
-        match demand.best_effort {
-            true => HostInterference::new(&self.interference, &candidate.serving, demand.image),
-            false => HostInterference::default(),
+        let (model, serving) = (&self.interference, &candidate.serving);
+        match demand {
+            _ if demand.best_effort => HostInterference::new(model, serving, demand.image),
+            _ if demand.target_ms > 0 => {
+                HostInterference::of_serving(model, &self.policy.placement, serving, demand.image)
+            }
+            _ => HostInterference::default(),
         }
     }
 }
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -13,6 +13,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Least time between two passes. A pass looks at all jobs and hosts, and with hundreds of hosts
+/// reports arrive each millisecond.
+const MIN_PASS_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Longest time between two passes, because due times and silent hosts cause no event.
 const MAX_PASS_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -41,15 +45,26 @@
 impl<F: OperatorFormat> PlannerMachine<F> {
     /// Runs a pass if something has changed or the last pass is too long ago.
     pub(super) fn schedule(&mut self, now: ClockReading) {
-        if !self.pass_needed && now.mono.since(self.last_pass) < MAX_PASS_INTERVAL {
+        let interval = match self.pass_needed {
+            true => MIN_PASS_INTERVAL,
+            false => MAX_PASS_INTERVAL,
+        };
+        if now.mono.since(self.last_pass) < interval {
             return;
         }
         self.pass_needed = false;
         self.last_pass = now.mono;
         self.open_due(now);
-        self.check_stalls(now.mono);
-        self.evict_from_draining(now.mono);
-        self.move_interfering_tasks(now.mono);
+        if now.mono.since(self.last_check) >= MAX_PASS_INTERVAL {
+            self.last_check = now.mono;
+            self.check_stalls(now.mono);
+            self.evict_from_draining(now.mono);
+            // A task that is stopped while nothing can be recorded waits until the store is back.
+            if self.has_current_inputs(now.mono) && self.batch.is_prompt(now.mono) {
+                self.move_best_effort(now.mono);
+                self.consolidate_serving(now.mono);
+            }
+        }
         if !self.has_current_inputs(now.mono) || !self.batch.has_recent_append(now.mono) {
             return;
         }
@@ -171,7 +186,7 @@
                     } else {
                         u32::MAX
                     },
-                    serving: self.expected_serving(now, view),
+                    serving: view.serving(),
                 })
             })
             .collect()
@@ -228,11 +243,12 @@
                     (!headroom, row)
                 })
                 .filter(|(crowded, _)| any_room || !crowded)
+                .map(|(crowded, row)| (crowded, cost(&row), row))
                 .min_by(|left, right| {
-                    let by_cost = cost(&left.1).total_cmp(&cost(&right.1));
+                    let by_cost = left.1.total_cmp(&right.1);
                     left.0.cmp(&right.0).then(by_cost)
                 })
-                .map(|(_, row)| row);
+                .map(|(.., row)| row);
             match best {
                 Some((candidate, host_interference)) => {
                     candidate.assign(&demand, host_interference);
@@ -290,7 +306,9 @@
                 },
             );
             if let Some(view) = self.hosts.get_mut(&choice.host) {
-                view.runs.insert(run, TaskDemand::new(step.name, spec));
+                let demand = TaskDemand::new(step.name, spec);
+                view.expect_interference(&self.interference, &demand);
+                view.runs.insert(run, demand);
             }
             let host = choice.host;
             self.batch.defer(DeferredAction::Start { host, order });
--- a/crates/hornbeamlead_jobs/src/supervisor.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor.rs
@@ -354,7 +354,7 @@
                 self.report_not_started(run, order.incarnation, refusal);
             }
             None => {
-                self.traits.insert(run, order.traits);
+                self.traits.insert(run, order.traits.clone());
                 let expires_at = self.newest_seen.plus(MAX_ORDER_AGE);
                 let stage = RunStage::Starting {
                     order,
--- a/crates/hornbeamlead_jobs/src/supervisor/calls.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/calls.rs
@@ -300,6 +300,7 @@
             return;
         };
         let traits = &self.traits;
+        self.throttle.set_capacity(worker.facts.cpu);
         let changes = self.throttle.adjust(now, &worker.lists.running, traits);
         if let Some(detail) = self.throttle.take_log_detail() {
             self.log("serving_latency", self.policy.host.clone(), detail);
--- a/crates/hornbeamlead_jobs/src/supervisor/throttle.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/throttle.rs
@@ -31,6 +31,20 @@
 /// Typical latency of a serving task without best-effort tasks, as a fraction of the target.
 const BASELINE_LATENCY: f64 = 0.45;
 
+/// Logarithm of latency over target up to which best-effort tasks may take a serving task by the
+/// learned interference.
+const PREDICTED_LIMIT: f64 = -0.12;
+
+/// Lowest logarithm of latency over target that is assumed of a serving task without best-effort
+/// tasks. Lower estimates come from coefficients that are too high.
+const MIN_BASELINE: f64 = -1.4;
+
+/// Weight of the newest estimate of the baseline while it decreases; increases count at once.
+const BASELINE_DECREASE_WEIGHT: f64 = 0.3;
+
+/// Interference coefficient from which a task takes part in a predicted reduction in full.
+const FULL_COEFFICIENT: f64 = 2.0;
+
 /// Increase of the share in one step.
 const SHARE_STEP: f64 = 0.25;
 
@@ -66,6 +80,10 @@
     interference_floor: f64,
     /// Share of their processor use that fully interfering tasks may have, 0 to 1.
     use_share: f64,
+    /// CPU of the worker, in thousandths of a core.
+    capacity: u32,
+    /// Logarithm of latency over target without best-effort tasks, by short image hash.
+    baselines: BTreeMap<u32, f64>,
     /// Share that was last sent for each best-effort task, in percent.
     sent: BTreeMap<RunName, u8>,
     /// Detail text of a change that has not been logged yet.
@@ -83,11 +101,18 @@
             last_step: MonoTime(0),
             interference_floor: 0.0,
             use_share: 1.0,
+            capacity: 0,
+            baselines: BTreeMap::new(),
             sent: BTreeMap::new(),
             log_detail: None,
         }
     }
 
+    /// Sets the worker's CPU in thousandths of a core. Without it, nothing is predicted.
+    pub fn set_capacity(&mut self, cpu: u32) {
+        self.capacity = cpu;
+    }
+
     /// Resets the controller for a new incarnation of the worker.
     pub fn clear(&mut self) {
         *self = Self::new(self.policy.clone());
@@ -125,7 +150,70 @@
             self.update_floor(now);
             self.update_share(now, worst);
         }
-        self.share_changes(rows, traits)
+        let limits = self.predicted_limits(rows, traits);
+        self.share_changes(rows, traits, &limits)
+    }
+
+    /// Returns the shares at which best-effort tasks keep each serving image below its target by
+    /// the learned coefficients, for tasks that have to be limited. Readings cover the last half
+    /// second, in which a task that has just started shows in neither the latency nor its use.
+    fn predicted_limits(
+        &mut self,
+        rows: &[RunningRow],
+        traits: &BTreeMap<RunName, RunTraits>,
+    ) -> BTreeMap<RunName, f64> {
+        let mut latencies = BTreeMap::<u32, f64>::new();
+        let mut best_effort = Vec::new();
+        let capacity = f64::from(self.capacity);
+        for row in rows {
+            match traits.get(&row.run) {
+                Some(traits) if traits.target_ms > 0 && row.reading > 0 => {
+                    let ratio = (f64::from(row.reading) / f64::from(traits.target_ms)).ln();
+                    let latency = latencies.entry(traits.image).or_insert(ratio);
+                    *latency = latency.max(ratio);
+                }
+                Some(traits) if traits.best_effort && self.capacity > 0 => {
+                    let usage = f64::from(row.reading) / capacity;
+                    let full = f64::from(traits.cpu) / capacity;
+                    best_effort.push((row.run, traits, usage, full));
+                }
+                _ => {}
+            }
+        }
+        self.baselines
+            .retain(|image, _| latencies.contains_key(image));
+        let mut limits = BTreeMap::new();
+        for (image, latency) in latencies {
+            let rows = best_effort.iter().map(|(run, traits, usage, full)| {
+                let coefficient = coefficient_on(traits, image);
+                (*run, coefficient, coefficient * usage, coefficient * full)
+            });
+            let rows: Vec<_> = rows.collect();
+            let present: f64 = rows.iter().map(|row| row.2).sum();
+            let wanted: f64 = rows.iter().map(|row| row.3).sum();
+            let room = PREDICTED_LIMIT - self.update_baseline(image, latency - present);
+            if wanted <= room {
+                continue;
+            }
+            let factor = (room / wanted).max(0.0);
+            for (run, coefficient, ..) in rows {
+                let weight = (coefficient / FULL_COEFFICIENT).min(1.0);
+                let limit = limits.entry(run).or_insert(1.0_f64);
+                *limit = limit.min(1.0 - (1.0 - factor) * weight);
+            }
+        }
+        limits
+    }
+
+    fn update_baseline(&mut self, image: u32, estimate: f64) -> f64 {
+        let estimate = estimate.max(MIN_BASELINE);
+        let baseline = self.baselines.entry(image).or_insert(estimate);
+        let weight = match estimate {
+            _ if estimate > *baseline => 1.0,
+            _ => BASELINE_DECREASE_WEIGHT,
+        };
+        *baseline += weight * (estimate - *baseline);
+        *baseline
     }
 
     fn track_overrun(&mut self, now: MonoTime, worst: f64) {
@@ -174,6 +262,7 @@
         &mut self,
         rows: &[RunningRow],
         traits: &BTreeMap<RunName, RunTraits>,
+        limits: &BTreeMap<RunName, f64>,
     ) -> Vec<(RunName, u8)> {
         let best_effort = |row: &RunningRow| {
             let traits = traits.get(&row.run).filter(|traits| traits.best_effort)?;
@@ -185,8 +274,9 @@
         for (run, interference) in tasks {
             let interference = f64::from(interference.min(FULL_SHARE)) / f64::from(FULL_SHARE);
             let interference = interference.max(self.interference_floor);
-            let share = (1.0 - (1.0 - self.use_share) * interference) * f64::from(FULL_SHARE);
-            let share = share.round() as u8;
+            let share = 1.0 - (1.0 - self.use_share) * interference;
+            let share = share.min(limits.get(&run).copied().unwrap_or(1.0));
+            let share = (share * f64::from(FULL_SHARE)).round() as u8;
             let sent = self.sent.entry(run).or_insert(FULL_SHARE);
             let full = share == FULL_SHARE && *sent != FULL_SHARE;
             if sent.abs_diff(share) >= MIN_CHANGE_PERCENT || full {
@@ -197,3 +287,10 @@
         changes
     }
 }
+
+/// Returns the interference coefficient of a best-effort task on a serving image.
+fn coefficient_on(traits: &RunTraits, image: u32) -> f64 {
+    let rows = traits.coefficients.iter();
+    let mut tenths = rows.filter(|row| row.0 == image).map(|row| row.1);
+    tenths.next().map_or(0.0, |tenths| f64::from(tenths) / 10.0)
+}
--- a/crates/hornbeamlead_jobs/tests/pace_fillers.rs
+++ b/crates/hornbeamlead_jobs/tests/pace_fillers.rs
@@ -97,3 +97,43 @@
     let (_, other) = shares[14];
     assert!((1..100).contains(&other), "{shares:?}");
 }
+
+/// Serving task 0 at 8 of 18 ms and two best-effort tasks that have just started, each of which
+/// requests an eighth of the worker. Returns the shares that the first adjustment sends.
+fn first_shares(coefficient_tenths: u8) -> BTreeMap<RunName, u8> {
+    let mut throttle = BestEffortThrottle::new(ThrottlePolicy {
+        grace_period: Duration::ZERO,
+        step: Duration::from_millis(500),
+    });
+    throttle.set_capacity(16_000);
+    let mut traits = traits();
+    for index in [1, 2] {
+        if let Some(traits) = traits.get_mut(&run(index)) {
+            traits.cpu = 2000;
+            traits.coefficients = Box::new([(0, coefficient_tenths)]);
+        }
+    }
+    let rows = [row(0, 8), row(1, 0), row(2, 0)];
+    let changes = throttle.adjust(MonoTime(1_000_000), &rows, &traits);
+    changes.into_iter().collect()
+}
+
+/// Tasks that are known to interfere start at a share that keeps the serving task below its target;
+/// without it, both together would take it to 8 ms * exp(6 * 0.25) = 36 ms.
+#[test]
+fn known_interference_limited_at_start() {
+    let shares = first_shares(60);
+    let used: f64 = [1, 2]
+        .iter()
+        .map(|index| f64::from(shares[&run(*index)]))
+        .sum();
+    let predicted = 8.0 * (6.0 * 0.125 * used / 100.0).exp();
+    assert!(predicted < f64::from(TARGET_MS), "{shares:?}");
+    assert!(used > 0.0, "{shares:?}");
+}
+
+/// Tasks that are known to be harmless run at full speed from their start.
+#[test]
+fn harmless_unlimited_at_start() {
+    assert_eq!(first_shares(2), BTreeMap::new());
+}
--- a/crates/hornbeamlead_jobs/tests/press_learned.rs
+++ b/crates/hornbeamlead_jobs/tests/press_learned.rs
@@ -91,3 +91,77 @@
     let single = BTreeMap::from([(insensitive, group(6))]);
     assert_eq!(model.max_coefficient(&single, HEAVY), 0.0);
 }
+
+/// Trains a model on one best-effort image at a time beside one serving image.
+fn train_pairs(pairs: &[(u64, u64, f64)]) -> InterferenceModel {
+    let mut model = InterferenceModel::default();
+    let run = RunName {
+        run: RunNumber(1),
+        ..RunName::default()
+    };
+    let sample = |serving: u64, best_effort: u64, share: f64, coefficient: f64| {
+        let log_latency = -0.8 + coefficient * share;
+        InterferenceSample {
+            serving: BTreeMap::from([(run, (ImageId(serving), log_latency))]),
+            usage: BTreeMap::from([(ImageId(best_effort), share)]),
+        }
+    };
+    for &(serving, best_effort, coefficient) in pairs {
+        let (idle, busy) = (
+            sample(serving, best_effort, 0.0, coefficient),
+            sample(serving, best_effort, 0.15, coefficient),
+        );
+        for _ in 0..3 {
+            model.learn(&idle, &busy);
+            model.learn(&busy, &idle);
+        }
+    }
+    model.refresh();
+    model
+}
+
+/// Two serving images that one best-effort image slows down depend on the same resource: what is
+/// known of a second best-effort image beside one of them is assumed beside the other.
+#[test]
+fn similar_images_inferred() {
+    let (first, second, other) = (1, 2, 3);
+    let (reports, backups) = (11, 12);
+    let model = train_pairs(&[
+        (first, reports, 4.0),
+        (second, reports, 4.0),
+        (other, reports, 0.0),
+        (first, backups, 5.0),
+        (other, backups, 0.0),
+    ]);
+    assert!(model.is_similar(ImageId(first), ImageId(second)));
+    assert!(!model.is_similar(ImageId(first), ImageId(other)));
+    let inferred = model.coefficient(ImageId(second), ImageId(backups));
+    assert!(inferred > 3.0, "{inferred}");
+}
+
+/// With several best-effort images at once, the rise is attributed to the one that causes it.
+#[test]
+fn cause_separated() {
+    let mut model = InterferenceModel::default();
+    let run = RunName {
+        run: RunNumber(1),
+        ..RunName::default()
+    };
+    let mut random = SmallRng::seed_from_u64(9);
+    let mut before = InterferenceSample::default();
+    for _ in 0..60 {
+        let shares: Vec<f64> = (0..4).map(|_| random.random_range(0.0..0.15)).collect();
+        let after = InterferenceSample {
+            serving: BTreeMap::from([(run, (SERVING, -0.8 + 6.0 * shares[2]))]),
+            usage: (10..).map(ImageId).zip(shares).collect(),
+        };
+        model.learn(&before, &after);
+        before = after;
+    }
+    let learned: Vec<f64> = (10..14)
+        .map(|image| model.coefficient(SERVING, ImageId(image)))
+        .collect();
+    assert!((learned[2] - 6.0).abs() < 1.0, "{learned:?}");
+    let harmless = [learned[0], learned[1], learned[3]];
+    assert!(harmless.iter().all(|&value| value < 1.0), "{learned:?}");
+}
--- a/crates/hornbeamlead_jobs/tests/service_order.rs
+++ b/crates/hornbeamlead_jobs/tests/service_order.rs
@@ -69,6 +69,7 @@
     world.run(3000);
     let mut serving = World::long_running_job(4);
     serving.steps[0].target_ms = 100;
+    serving.steps[0].spread_limit = Some(2);
     world.submit(JobId(1), serving);
     world.run(2000);
     let best_effort_step = |tasks| StepSpec {
--- a/crates/hornbeamlead_jobs/tests/world/callers.rs
+++ b/crates/hornbeamlead_jobs/tests/world/callers.rs
@@ -106,6 +106,23 @@
             .collect()
     }
 
+    /// Returns the images of the long-running tasks on each host.
+    pub(crate) fn serving_images(&self) -> Vec<BTreeSet<Box<str>>> {
+        let images = |host: &WorldHost| {
+            let steps = host.worker.running.keys();
+            let steps = steps.filter_map(|run| self.judge.step(*run));
+            let serving = steps.filter(|step| step.long_running);
+            serving.map(|step| step.image.clone()).collect()
+        };
+        self.hosts.iter().map(images).collect()
+    }
+
+    /// Returns the running attempts of a job on one host.
+    pub(crate) fn running_on(&self, host: usize, job: JobId) -> usize {
+        let runs = self.hosts[host].worker.running.keys();
+        runs.filter(|run| run.task.step.job == job).count()
+    }
+
     /// Cancels a job now.
     pub(crate) fn cancel(&mut self, job: JobId) {
         let ticket = self.send_request(job, CallerOperation::Cancel);
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -32,7 +32,7 @@
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -179,6 +179,8 @@
     pub(crate) relays: bool,
     /// Fraction of their processor demand that best-effort tasks get.
     pub(crate) best_effort_rate: f64,
+    /// Host whose best-effort tasks get a fifth of their processor demand.
+    pub(crate) slow_host: Option<usize>,
     /// Run time of best-effort tasks in milliseconds; random if absent.
     pub(crate) best_effort_ms: Option<u64>,
     /// Jobs that were accepted.
@@ -239,6 +241,7 @@
             submit_tickets: BTreeMap::new(),
             relays: false,
             best_effort_rate: 1.0,
+            slow_host: None,
             best_effort_ms: None,
             accepted: Vec::new(),
             judge: JobJudge::default(),
--- a/crates/hornbeamlead_jobs/tests/world/processes.rs
+++ b/crates/hornbeamlead_jobs/tests/world/processes.rs
@@ -369,7 +369,11 @@
         let fails = self.random.random::<f64>() < self.faults.fail;
         let span = self.random.random_range(150..1500);
         let now = self.now;
-        let (judge, best_effort_rate) = (&self.judge, self.best_effort_rate);
+        let best_effort_rate = match self.slow_host {
+            Some(slow) if slow == host => 0.2,
+            _ => self.best_effort_rate,
+        };
+        let judge = &self.judge;
         let best_effort_ms = self.best_effort_ms;
         let done_at = |run: RunName| match judge.step(run) {
             Some(step) if step.long_running => None,
