[jobs, daemon] Keep two tasks of every started job running, and let the planner work in rounds

Change: a started job keeps two tasks running; a new one waits 1 s for headroom, as before. Cause 2: the planner's host was at its limit.

--- a/crates/hornbeamlead_daemon/src/fleet/agent.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/agent.rs
@@ -37,6 +37,10 @@
 /// time.
 const PLANNER_TICK: Duration = Duration::from_millis(8);
 
+/// Pause after each round of a planner, in which events collect. With hundreds of hosts, a round
+/// for each event would cost more than the events.
+const PLANNER_PAUSE: Duration = Duration::from_millis(3);
+
 /// Maximum wait for an event while this process is not the planner.
 const AGENT_TICK: Duration = Duration::from_millis(25);
 
@@ -212,6 +216,9 @@
                 self.handle_input(input);
             }
             self.tick();
+            if self.planner.is_some() {
+                std::thread::sleep(PLANNER_PAUSE);
+            }
         }
         Ok(())
     }
--- a/crates/hornbeamlead_daemon/src/fleet/links.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/links.rs
@@ -4,6 +4,7 @@
 use crate::clock::BootClock;
 use crate::ring::RingSender;
 use bytes::Bytes;
+use futures_util::stream::SplitSink;
 use futures_util::{SinkExt, StreamExt};
 use hornbeamlead_adapter::StoreClient;
 use hornbeamlead_core::clock::MonoTime;
@@ -204,7 +205,7 @@
     let (mut sink, mut source) = Framed::new(stream, frame_codec()).split();
     let write = async {
         while let Some(frame) = frames.recv().await {
-            if sink.send(frame).await.is_err() {
+            if send_queued(&mut sink, frame, &mut frames).await.is_err() {
                 return;
             }
         }
@@ -232,6 +233,21 @@
 }
 
 /// Makes store calls on behalf of hosts that the store refuses.
+type FrameSink = SplitSink<Framed<TcpStream, LengthDelimitedCodec>, Bytes>;
+
+/// Sends a frame together with those that are queued behind it, in as few writes as possible.
+async fn send_queued(
+    sink: &mut FrameSink,
+    first: Bytes,
+    frames: &mut mpsc::Receiver<Bytes>,
+) -> io::Result<()> {
+    sink.feed(first).await?;
+    while let Ok(next) = frames.try_recv() {
+        sink.feed(next).await?;
+    }
+    sink.flush().await
+}
+
 struct StoreRelay {
     store: Rc<StoreClient>,
     replies: mpsc::Sender<Bytes>,
--- a/crates/hornbeamlead_jobs/src/entry.rs
+++ b/crates/hornbeamlead_jobs/src/entry.rs
@@ -26,7 +26,7 @@
 
 /// Pause between two reads of the plan, so that one read returns several records. Well below the
 /// interval at which callers poll.
-const PLAN_READ_PAUSE: Duration = Duration::from_millis(60);
+const PLAN_READ_PAUSE: Duration = Duration::from_millis(100);
 
 /// Age of the planner's last heartbeat beyond which a job is not reported as absent. Callers may
 /// rely on an accepted job being known after 3 s.
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -25,7 +25,7 @@
 
 use crate::effect::{Effect, LinkId};
 use crate::follow::StreamFollower;
-use crate::ids::{HostName, JobId, PlannerEpoch, RunName, StreamOffset, TaskName};
+use crate::ids::{HostName, PlannerEpoch, RunName, StreamOffset, TaskName};
 use crate::job::RunEnd;
 use crate::ledger::JobLedger;
 use crate::message::AgentMessage;
@@ -142,8 +142,6 @@
     runs: BTreeMap<RunName, RunView>,
     /// Hosts on which a task has failed, stalled or was slow.
     failed_hosts: BTreeMap<TaskName, Vec<HostName>>,
-    /// Jobs with a ready step but no running task, and since when.
-    idle_since: BTreeMap<JobId, MonoTime>,
     interference: InterferenceModel,
     serving_levels: ServingLevels,
     batch: RecordBatch,
@@ -182,7 +180,6 @@
             links: BTreeMap::new(),
             runs: BTreeMap::new(),
             failed_hosts: BTreeMap::new(),
-            idle_since: BTreeMap::new(),
             interference: InterferenceModel::default(),
             serving_levels: ServingLevels::default(),
             batch: RecordBatch::new(epoch, claim, now),
--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 /// Time for which records are collected before they are appended.
-const BATCH_LINGER: Duration = Duration::from_millis(4);
+const BATCH_LINGER: Duration = Duration::from_millis(10);
 
 /// Interval between heartbeat records, by which other processes see that the planner is alive.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -56,6 +56,8 @@
     pub(super) last_sample: (MonoTime, InterferenceSample),
     /// Whether the host is limited to one task at a time because of failures.
     pub probation: bool,
+    /// When the latest report on the current link was answered with a permission to renew leases.
+    pub(super) granted_at: Option<MonoTime>,
     /// Orders sent on the current link.
     orders_sent: u64,
 }
@@ -80,6 +82,7 @@
             best_effort_rate: 1.0,
             last_sample: (MonoTime(0), InterferenceSample::default()),
             probation: false,
+            granted_at: None,
             orders_sent: 0,
         }
     }
@@ -156,6 +159,7 @@
     pub(super) fn replace_link(&mut self, link: LinkId) -> Option<LinkId> {
         self.orders_sent = 0;
         self.sent_coefficients = 0;
+        self.granted_at = None;
         self.link.replace(link).filter(|old| *old != link)
     }
 }
--- a/crates/hornbeamlead_jobs/src/planner/ready.rs
+++ b/crates/hornbeamlead_jobs/src/planner/ready.rs
@@ -5,14 +5,16 @@
 use crate::job::JobRecord;
 use crate::ledger::{JobState, OccurrenceState};
 use crate::operators::OperatorFormat;
-use hornbeamlead_core::clock::{ClockReading, MonoTime};
-use std::collections::BTreeSet;
+use hornbeamlead_core::clock::ClockReading;
 use std::sync::Arc;
-use std::time::Duration;
 
-/// Time for which a job with a ready step may have no running task. After it, one task starts on
-/// any worker with room, even if it gets little CPU there.
-const MAX_IDLE_TIME: Duration = Duration::from_millis(1000);
+/// Number of running tasks below which a job's tasks start on any worker with room, even if they get
+/// little CPU there. With one, the job would have none for a moment whenever that task ends.
+const MIN_RUNNING_TASKS: usize = 2;
+
+/// Time in milliseconds for which a job's first tasks wait for a worker on which they get the CPU
+/// that they request.
+const MAX_START_WAIT_MS: u64 = 1000;
 
 /// Multiple of a job's latency objective after which its completion has no value, by the platform's
 /// rules.
@@ -26,8 +28,8 @@
     pub(super) record: Arc<JobRecord>,
     /// Indexes of the waiting tasks.
     pub(super) tasks: Vec<u32>,
-    /// Whether no task of the job has been running for [`MAX_IDLE_TIME`].
-    pub(super) starved: bool,
+    /// Number of tasks that start on any worker with room.
+    pub(super) unconditional: usize,
 }
 
 /// Whether a job can still meet its deadline if the step starts now, most urgent first.
@@ -69,24 +71,6 @@
         }
         steps
     }
-
-    /// Marks the steps of jobs that have had a ready step but no running task for too long.
-    pub(super) fn mark_starved(&mut self, now: MonoTime, steps: &mut [ReadyStep]) {
-        let is_idle = |job: &JobId| self.ledger.jobs.get(job).is_some_and(JobState::is_idle);
-        let idle: BTreeSet<JobId> = steps
-            .iter()
-            .map(|step| step.name.job)
-            .filter(is_idle)
-            .collect();
-        self.idle_since.retain(|job, _| idle.contains(job));
-        for job in idle {
-            self.idle_since.entry(job).or_insert(now);
-        }
-        for step in steps {
-            let since = self.idle_since.get(&step.name.job);
-            step.starved = since.is_some_and(|&since| now.since(since) >= MAX_IDLE_TIME);
-        }
-    }
 }
 
 fn collect_ready(
@@ -108,6 +92,13 @@
     let deadline = due as i64 + objective;
     let started = tasks.steps.iter().flatten().any(|task| !task.is_waiting());
     debug_assert!(!state.phase.is_final());
+    let running = state.placements().take(MIN_RUNNING_TASKS).count();
+    let waited = now.wall.0.saturating_sub(due) >= MAX_START_WAIT_MS;
+    let unconditional = if started || waited {
+        MIN_RUNNING_TASKS - running
+    } else {
+        0
+    };
     for (index, (spec, step)) in record.body.steps.iter().zip(&tasks.steps).enumerate() {
         let waiting_index = |(index, task): (usize, &crate::ledger::TaskState)| {
             task.is_waiting().then_some(index as u32)
@@ -131,7 +122,7 @@
             },
             record: Arc::clone(record),
             tasks: waiting,
-            starved: false,
+            unconditional,
         });
     }
 }
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -19,6 +19,10 @@
 /// Slack on the end of a lease: a worker kills its tasks within this time after the lease expires.
 const LEASE_EXPIRY_SLACK: Duration = Duration::from_millis(500);
 
+/// Least time between two answers to reports of one host. Reports about ended attempts follow one
+/// another within milliseconds.
+const GRANT_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Pause before the next task for a worker that refused one for lack of resources.
 const NO_ROOM_BACKOFF: Duration = Duration::from_millis(300);
 
@@ -129,15 +133,7 @@
         let Some(host) = self.links.get(&link).cloned() else {
             return;
         };
-        let may_grant = self.recovery.is_none() && self.batch.has_recent_append(now);
-        self.effects.push(Effect::ToAgent {
-            link,
-            message: PlannerMessage::Grant {
-                epoch: self.epoch,
-                stamp: may_grant.then_some(report.stamp),
-                seen: report.stamp,
-            },
-        });
+        self.grant(now, link, &host, &report);
         if self.recovery.is_some() {
             return;
         }
@@ -170,6 +166,27 @@
         self.learn_interference(now, &host, &report);
     }
 
+    /// Answers a report, unless the host got an answer moments ago.
+    fn grant(&mut self, now: MonoTime, link: LinkId, host: &HostName, report: &HostReport) {
+        let may_grant = self.recovery.is_none() && self.batch.has_recent_append(now);
+        let Some(view) = self.hosts.get_mut(host) else {
+            return;
+        };
+        let answered = view.granted_at.filter(|_| may_grant);
+        if answered.is_some_and(|at| now.since(at) < GRANT_INTERVAL) {
+            return;
+        }
+        view.granted_at = may_grant.then_some(now);
+        self.effects.push(Effect::ToAgent {
+            link,
+            message: PlannerMessage::Grant {
+                epoch: self.epoch,
+                stamp: may_grant.then_some(report.stamp),
+                seen: report.stamp,
+            },
+        });
+    }
+
     /// Ends attempts of worker incarnations that are known to have ended.
     fn end_past_incarnations(&mut self, now: MonoTime, host: &HostName, report: &HostReport) {
         let current = report.worker.as_ref().map(|worker| &worker.incarnation);
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -69,7 +69,6 @@
             return;
         }
         let mut steps = self.ready_steps(now);
-        self.mark_starved(now.mono, &mut steps);
         steps.sort_by_key(|step| step.sort_key);
         for (step, choices) in self.place(now.mono, steps) {
             self.start(now.mono, &step, choices);
@@ -233,7 +232,7 @@
                     candidate.cost(&self.policy.placement, &demand, spec, host_interference)
                         + repeat_cost
                 };
-            let any_room = step.starved && choices.is_empty();
+            let any_room = choices.len() < step.unconditional;
             let best = candidates
                 .iter_mut()
                 .zip(&interferences)
--- a/crates/hornbeamlead_jobs/src/supervisor/calls.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/calls.rs
@@ -246,7 +246,8 @@
             true => now.plus(UNACKNOWLEDGED_PAUSE),
             false => now,
         };
-        let changed = runs_of(&lists) != runs_of(&worker.lists)
+        // That an attempt has started can wait for the next regular report.
+        let changed = !runs_of(&worker.lists).is_subset(&runs_of(&lists))
             || lists.ended.last().map(|end| end.number)
                 != worker.lists.ended.last().map(|end| end.number);
         let first = worker.listed != Some(worker.hold_epoch);
