--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -10,6 +10,7 @@
 mod hosts;
 mod intake;
 pub mod interference;
+mod leases;
 mod placement;
 mod readings;
 mod ready;
