[jobs] Report the length of a queue only with a recent heartbeat

The planner appends heartbeats while its newest read of the jobs is up to 2 s old, and entries reported lengths up to 4 s after the newest heartbeat, so that the jobs of 6 s could be missing. Ruled out by reading: jobs that the entry itself accepted are counted apart. Change: lengths are reported for 2 s after a heartbeat, so at most 4 s old; after that the answer is 503, as before. queue_needs_heartbeat fails before in the cases of 2.5 and 3.9 s and passes after.

--- a/crates/hornbeamlead_jobs/src/entry.rs
+++ b/crates/hornbeamlead_jobs/src/entry.rs
@@ -33,8 +33,8 @@
 const MAX_PLAN_AGE: Duration = Duration::from_millis(1500);
 
 /// Age of the planner's last heartbeat beyond which the length of a queue is not reported. The
-/// length may be 2 s old.
-const MAX_QUEUE_LENGTH_AGE: Duration = Duration::from_secs(4);
+/// planner's newest read of the jobs may be 2 s older than its heartbeat.
+const MAX_QUEUE_LENGTH_AGE: Duration = Duration::from_secs(2);
 
 /// Seconds after which a refused caller may retry; another entry may be able to reach the store.
 const RETRY_AFTER_S: u32 = 1;
--- a/crates/hornbeamlead_jobs/tests/entry_replies.rs
+++ b/crates/hornbeamlead_jobs/tests/entry_replies.rs
@@ -220,6 +220,20 @@
     assert_eq!(absent, expected);
 }
 
+/// The planner appends heartbeats while its newest read of the jobs is up to 2 s old. A queue whose
+/// heartbeat is older still could hide jobs that were accepted 5 s before.
+#[rstest]
+#[case(1900, true)]
+#[case(2500, false)]
+#[case(3900, false)]
+fn queue_needs_heartbeat(#[case] age_ms: u64, #[case] expected: bool) {
+    let mut entry = TestEntry::ready();
+    entry.now_ms += age_ms;
+    let ticket = entry.send_request("/q/", CallerOperation::Read);
+    let is_length = matches!(entry.reply(ticket), Some(CallerReply::Waiting(_)));
+    assert_eq!(is_length, expected);
+}
+
 #[rstest]
 #[case("/q/00000000000000AA")]
 #[case("/q/short")]
