[jobs] Probe a silent store seldom, and with one read at a time

Appends go on through relays, but no job is taken from 18.4 s until after 25 s, and nothing starts from 19.6 s on. While direct calls fail, each half second one read is sent directly to see whether the store is back. It waits for its deadline, 1.4 s for jobs and operators, so that the planner's few readers are nearly always blocked, and the planner starts nothing on stale reads. Refusals, as 503, answer at once and never showed this. Ruled out: the relays (appends and heartbeats went through them); a lost planner (none was claimed). Change: no second probe before the outcome of the first, and the interval doubles with each failed one, up to 4 s. silent_store_seldom_probed fails before (second probe at 1000 ms) and passes after.

--- a/crates/hornbeamlead_jobs/src/relay.rs
+++ b/crates/hornbeamlead_jobs/src/relay.rs
@@ -15,6 +15,16 @@
 /// Interval between two probes whether the store serves this host again.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Longest interval between two probes. A probe that is not answered delays its reader until the
+/// call's deadline.
+const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(4);
+
+/// Bound on the exponent of the interval between probes.
+const MAX_DOUBLINGS: u32 = 4;
+
+/// Time after which a probe without an outcome no longer keeps others from being sent.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// Number of consecutive relay failures after which the store counts as unavailable to all hosts.
 const MAX_FAILED_RELAYS: u32 = 2;
 
@@ -41,6 +51,8 @@
     /// Whether the last direct call failed.
     direct_failed: bool,
     probe_at: MonoTime,
+    /// Probes that failed since the last direct call that succeeded.
+    failed_probes: u32,
     failed_relays: u32,
     relays_paused_until: MonoTime,
 }
@@ -64,7 +76,7 @@
         match self.relay(now) {
             _ if !self.direct_failed => StoreRoute::Direct,
             Some(_) if probes => {
-                self.probe_at = now.plus(PROBE_INTERVAL);
+                self.probe_at = now.plus(PROBE_TIMEOUT);
                 StoreRoute::Direct
             }
             Some(relay) => StoreRoute::Relay(relay),
@@ -97,9 +109,12 @@
         match (route, failed) {
             (StoreRoute::Direct, _) => {
                 let changed = self.direct_failed != failed;
-                if changed {
-                    self.probe_at = now.plus(PROBE_INTERVAL);
-                }
+                self.failed_probes = match (changed, failed) {
+                    (false, true) => self.failed_probes.saturating_add(1),
+                    _ => 0,
+                };
+                let interval = PROBE_INTERVAL * 2_u32.pow(self.failed_probes.min(MAX_DOUBLINGS));
+                self.probe_at = now.plus(interval.min(MAX_PROBE_INTERVAL));
                 self.direct_failed = failed;
                 return changed.then_some(failed);
             }
--- a/crates/hornbeamlead_jobs/tests/relay_route.rs
+++ b/crates/hornbeamlead_jobs/tests/relay_route.rs
@@ -89,6 +89,32 @@
 }
 
 /// While the store is unavailable to all hosts, calls go to it directly and are refused at once.
+/// While the store is silent for this host, each probe blocks a reader until its deadline. Over 7 s,
+/// few reads are sent as probes, and never a second one before the first has ended.
+#[test]
+fn silent_store_seldom_probed() {
+    let mut route = refused_route(2);
+    let mut probes = Vec::new();
+    let mut ends_at = None;
+    for ms in (0..7000).step_by(20) {
+        if ends_at.is_some_and(|end| ms >= end) {
+            let cause = "NoAnswer".into();
+            route.record_outcome(
+                at(ms),
+                StoreRoute::Direct,
+                &StoreOutcome::Unanswered { cause },
+            );
+            ends_at = None;
+        }
+        if route.choose(at(ms), &read(at(ms + 400))) == StoreRoute::Direct {
+            assert_eq!(ends_at, None, "second probe at {ms}");
+            probes.push(ms);
+            ends_at = Some(ms + 1400);
+        }
+    }
+    assert!((1..=3).contains(&probes.len()), "{probes:?}");
+}
+
 #[test]
 fn store_down() {
     let mut route = refused_route(3);
