[jobs] Log what a planner knows of the leases of a silent host

The logs could not show why: no line told that a planner waits for the leases of a lost host, until when, or from when it counts; the wait of 11.81 s had to be worked out from the constants.

Hosts now store the end of their leases, and the planner logs 'lease_awaited' for each attempt on a host whose report is overdue, with the time left and whether it counts from a report or from its takeover; 'lease_lapsed' tells for how long the host was silent. With these lines the three hypotheses differ: a wait that starts anew (since=takeover with the full time in each planner), a lapse long before a placement, or a host whose reports go on. No decision changes.

--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -33,6 +33,10 @@
     pub last_contact: MonoTime,
     /// Whether a report has arrived in this epoch.
     pub has_reported: bool,
+    /// When the last lease that any planner has granted to the host has expired.
+    pub leases_end: MonoTime,
+    /// Whether the wait for these leases has been logged since the latest report.
+    pub(super) lease_awaited: bool,
     /// Whether the lists in the latest report were read from the worker in this epoch.
     pub listed: bool,
     /// Stamp of the latest report.
@@ -63,7 +67,7 @@
 }
 
 impl HostView {
-    pub(super) fn new(host: HostName, last_contact: MonoTime) -> Self {
+    pub(super) fn new(host: HostName, last_contact: MonoTime, leases_end: MonoTime) -> Self {
         Self {
             host,
             link: None,
@@ -71,6 +75,8 @@
             dead: None,
             last_contact,
             has_reported: false,
+            leases_end,
+            lease_awaited: false,
             listed: false,
             stamp: AgentStamp(0),
             not_before: MonoTime(0),
@@ -146,7 +152,12 @@
     /// Returns whether orders can be sent to the host.
     #[must_use]
     pub fn is_reachable(&self, now: MonoTime) -> bool {
-        self.link.is_some() && self.has_reported && now.since(self.last_contact) <= REPORT_TIMEOUT
+        self.link.is_some() && self.has_reported && !self.is_silent(now)
+    }
+
+    /// Returns whether a report is overdue.
+    pub(super) fn is_silent(&self, now: MonoTime) -> bool {
+        now.since(self.last_contact) > REPORT_TIMEOUT
     }
 
     /// Returns the number of the next order on the link, and counts it as sent.
--- a/crates/hornbeamlead_jobs/src/planner/leases.rs
+++ b/crates/hornbeamlead_jobs/src/planner/leases.rs
@@ -45,28 +45,50 @@
         });
     }
 
+    /// Returns how long a lease can last on the planner's clock after the report that it answers.
+    pub(super) fn lease_timeout(&self) -> Duration {
+        self.policy.lease_span.mul_f64(CLOCK_SKEW_FACTOR) + LEASE_EXPIRY_SLACK
+    }
+
+    /// Returns when all leases that earlier planners granted have expired. The previous planner may
+    /// have granted some for a while after it was deposed.
+    pub(super) fn inherited_leases_end(&self, taken_over_at: MonoTime) -> MonoTime {
+        taken_over_at.plus(GRANT_WINDOW + self.lease_timeout())
+    }
+
     /// Ends attempts on hosts that have been silent for longer than any of their leases can last.
     pub(super) fn expire_silent_hosts(&mut self, now: MonoTime) {
-        let lease = self.policy.lease_span.mul_f64(CLOCK_SKEW_FACTOR) + LEASE_EXPIRY_SLACK;
-        let expired = |view: &&HostView| {
-            let timeout = match view.has_reported {
-                true => lease,
-                // The previous planner may have granted leases for a while after it was deposed.
-                false => lease + GRANT_WINDOW,
-            };
-            now.since(view.last_contact) > timeout
-        };
+        self.log_awaited_leases(now);
         let silent: Vec<_> = self
             .hosts
             .values()
-            .filter(expired)
-            .map(|view| view.host.clone())
+            .filter(|view| now > view.leases_end)
+            .map(|view| (view.host.clone(), now.since(view.last_contact)))
             .collect();
-        for host in silent {
+        for (host, silence) in silent {
             for run in self.runs_on(&host) {
-                self.log("lease_lapsed", run, format!("host={host}"));
+                let detail = format!("host={host} silent_ms={}", silence.as_millis());
+                self.log("lease_lapsed", run, detail);
                 self.end_run(now, run, RunEnd::Lost, None);
             }
         }
     }
+
+    /// Logs attempts that have to wait for the leases of a host that has become silent.
+    fn log_awaited_leases(&mut self, now: MonoTime) {
+        let newly_silent = |view: &&mut HostView| !view.lease_awaited && view.is_silent(now);
+        let mut awaited = Vec::new();
+        for view in self.hosts.values_mut().filter(newly_silent) {
+            view.lease_awaited = true;
+            awaited.push((view.host.clone(), view.has_reported, view.leases_end));
+        }
+        for (host, has_reported, leases_end) in awaited {
+            let basis = if has_reported { "report" } else { "takeover" };
+            let lapses_in_ms = leases_end.since(now).as_millis();
+            for run in self.runs_on(&host) {
+                let detail = format!("host={host} since={basis} lapses_in_ms={lapses_in_ms}");
+                self.log("lease_awaited", run, detail);
+            }
+        }
+    }
 }
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -61,8 +61,9 @@
         if epoch > self.epoch {
             return self.depose("later_epoch_seen");
         }
-        let last_contact = self.started_at;
-        let make = || HostView::new(host.clone(), last_contact);
+        let started_at = self.started_at;
+        let leases_end = self.inherited_leases_end(started_at);
+        let make = || HostView::new(host.clone(), started_at, leases_end);
         let view = self.hosts.entry(host.clone()).or_insert_with(make);
         if let Some(old) = view.replace_link(link) {
             self.links.remove(&old);
@@ -130,6 +131,7 @@
         if self.recovery.is_some() {
             return;
         }
+        let leases_end = now.plus(self.lease_timeout());
         let Some(view) = self.hosts.get_mut(&host) else {
             return;
         };
@@ -139,6 +141,8 @@
             view.incarnation() != report.worker.as_ref().map(|worker| &worker.incarnation);
         view.last_contact = now;
         view.has_reported = true;
+        view.leases_end = leases_end;
+        view.lease_awaited = false;
         view.listed = report.listed;
         view.stamp = report.stamp;
         view.worker = report.worker.clone();
@@ -358,6 +362,7 @@
                 adopted.push((run, placement.host.clone(), demand.unwrap_or_default()));
             }
         }
+        let leases_end = self.inherited_leases_end(now);
         for (run, host, demand) in adopted {
             // The attempt may have been ordered on an earlier link. Every report covers order
             // number 0.
@@ -366,7 +371,7 @@
                 ..RunView::new(now)
             };
             self.runs.insert(run, run_view);
-            let make = || HostView::new(host.clone(), now);
+            let make = || HostView::new(host.clone(), now, leases_end);
             let view = self.hosts.entry(host.clone()).or_insert_with(make);
             view.runs.insert(run, demand);
         }
