--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -362,6 +362,15 @@
         }
     }
 
+    /// Removes a host with its worker and its agent for good. Connections to it are not refused.
+    pub(crate) fn remove(&mut self, host: usize) {
+        self.crash(host);
+        self.hosts[host].worker_back_at = u64::MAX;
+        self.partition(host, u64::MAX / 2);
+        self.hosts[host].agent = None;
+        self.hosts[host].restart_at = u64::MAX;
+    }
+
     /// Partitions a host from all others and from the store.
     pub(crate) fn partition(&mut self, host: usize, span_ms: u64) {
         self.hosts[host].partitioned_until = self.now + span_ms;
