[jobs] Keep the wait for a silent host's leases under the next planner

Cause: how long a host has been silent was known to one planner process. The plan holds placements, not leases, so a successor had to assume that its predecessor had renewed them to the end, and waited 11.77 s from its own takeover. Class: a deadline that lives in one process and starts anew in its successor, though callers see the total.

Ruled out: a placement that waited (lease_lapsed and task_placed within 1 ms), a report of the lost host (no line after 4.0 s).

Change: while a host with attempts is silent, the planner stores each half second how long leases there still last (LeaseBound). From the first of these records on, no planner grants leases to the host until a withdrawal is stored, so the bound holds for every successor, counted from its own takeover. No clocks are compared: the time between record and takeover is waited twice. Claims are stored as Takeover; a Claim is that of an earlier version, which does not know bounds, and ends them.

no_task_twice_after_silence: partitions of 5 to 20 s while planners are killed; 3,000 schedules pass. With grants to a bounded host permitted (trial) it finds a task that runs twice; that seed stays as bound_host_granted.

--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Attempt that may be running.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -246,6 +247,8 @@
     pub hosts: BTreeMap<HostName, SocketAddr>,
     /// Next offset of the jobs stream that the planner reads.
     pub jobs_read: StreamOffset,
+    /// Longest time that leases of silent hosts last after the latest record about them.
+    pub lease_bounds: BTreeMap<HostName, Duration>,
     /// Interference between images as learned by planners, for the next planner. Only snapshots
     /// contain it, no record.
     pub learned: Vec<LearnedInterference>,
@@ -266,7 +269,8 @@
     /// Applies a record of the plan stream.
     pub fn apply(&mut self, record: &PlanRecord) {
         match record {
-            PlanRecord::Claim(_) => {}
+            PlanRecord::Claim(_) => self.lease_bounds.clear(),
+            PlanRecord::Takeover(_) => {}
             PlanRecord::Tick { jobs_read } => self.jobs_read = self.jobs_read.max(*jobs_read),
             PlanRecord::Accepted { job, .. } if self.ended.contains_key(job) => {}
             PlanRecord::Accepted { job, queue } => {
@@ -294,6 +298,15 @@
             PlanRecord::Host { host, address } => {
                 self.hosts.insert(host.clone(), *address);
             }
+            PlanRecord::LeaseBound { host, remaining_ms } => match remaining_ms {
+                Some(remaining_ms) => {
+                    let remaining = Duration::from_millis((*remaining_ms).into());
+                    self.lease_bounds.insert(host.clone(), remaining);
+                }
+                None => {
+                    self.lease_bounds.remove(host);
+                }
+            },
         }
     }
 
--- a/crates/hornbeamlead_jobs/src/locator/claim.rs
+++ b/crates/hornbeamlead_jobs/src/locator/claim.rs
@@ -102,7 +102,7 @@
     }
 
     fn claim(&mut self, now: MonoTime, end: StreamOffset) {
-        let record = PlanRecord::Claim(PlannerClaim {
+        let record = PlanRecord::Takeover(PlannerClaim {
             host: self.policy.host.clone(),
             incarnation: self.policy.incarnation,
             address: self.policy.address,
--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -45,6 +45,8 @@
     Start { host: HostName, order: StartOrder },
     /// Send a stop order.
     Stop(RunName),
+    /// Grant leases to a host whose bound has been withdrawn.
+    Grant(HostName),
     /// Acknowledge ended attempts, which lets the worker drop them.
     Acknowledge {
         host: HostName,
@@ -248,6 +250,7 @@
         match action {
             DeferredAction::Start { host, order } => self.run_deferred_start(now, &host, order),
             DeferredAction::Stop(run) => self.order_stop(run),
+            DeferredAction::Grant(host) => self.end_withdrawal(now, &host),
             DeferredAction::Acknowledge {
                 host,
                 incarnation,
--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -17,6 +17,19 @@
 /// any target.
 pub(super) const UNMEASURED_LOG_LATENCY: f64 = -3.0;
 
+/// Whether leases may be granted to a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum GrantState {
+    /// Leases may be granted.
+    Open,
+    /// The plan bounds the host's leases. The planner recorded this at the given time, or an earlier
+    /// planner did.
+    Bounded { recorded_at: Option<MonoTime> },
+    /// The host has reported or its leases have expired, but the plan still bounds them: the
+    /// withdrawal of the bound is not stored yet.
+    Withdrawing,
+}
+
 /// State of a host as last reported by its agent, with the attempts placed on it.
 #[derive(Clone, Debug)]
 pub struct HostView {
@@ -60,6 +73,8 @@
     pub(super) last_sample: (MonoTime, InterferenceSample),
     /// Whether the host is limited to one task at a time because of failures.
     pub probation: bool,
+    /// Whether leases may be granted to the host.
+    pub(super) grant_state: GrantState,
     /// When the latest report on the current link was answered with a permission to renew leases.
     pub(super) granted_at: Option<MonoTime>,
     /// Orders sent on the current link.
@@ -88,6 +103,7 @@
             best_effort_rate: 1.0,
             last_sample: (MonoTime(0), InterferenceSample::default()),
             probation: false,
+            grant_state: GrantState::Open,
             granted_at: None,
             orders_sent: 0,
         }
--- a/crates/hornbeamlead_jobs/src/planner/leases.rs
+++ b/crates/hornbeamlead_jobs/src/planner/leases.rs
@@ -1,12 +1,17 @@
 //! Leases of hosts: permissions to renew them, and attempts whose leases have lapsed.
+//!
+//! How long the leases of a silent host last is part of the plan, so that the wait for them goes on
+//! under the next planner. While the plan bounds them, no planner grants any.
 
-use super::hosts::HostView;
+use super::batch::DeferredAction;
+use super::hosts::{GrantState, HostView};
 use super::{CLOCK_SKEW_FACTOR, GRANT_WINDOW, PlannerMachine};
 use crate::effect::{Effect, LinkId};
 use crate::ids::HostName;
 use crate::job::RunEnd;
 use crate::message::{HostReport, PlannerMessage};
 use crate::operators::OperatorFormat;
+use crate::record::PlanRecord;
 use hornbeamlead_core::clock::MonoTime;
 use std::time::Duration;
 
@@ -17,9 +22,13 @@
 /// another within milliseconds.
 const GRANT_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval between two records of how long the leases of a silent host last.
+const LEASE_BOUND_INTERVAL: Duration = Duration::from_millis(500);
+
 impl<F: OperatorFormat> PlannerMachine<F> {
-    /// Answers a report, unless the host got an answer moments ago.
-    pub(super) fn grant(
+    /// Answers a report, unless the host got an answer moments ago or will get one when the
+    /// withdrawal of its lease bound is stored.
+    pub(super) fn answer_report(
         &mut self,
         now: MonoTime,
         link: LinkId,
@@ -30,6 +39,10 @@
         let Some(view) = self.hosts.get_mut(host) else {
             return;
         };
+        if may_grant && matches!(view.grant_state, GrantState::Bounded { .. }) {
+            return;
+        }
+        let may_grant = may_grant && view.grant_state == GrantState::Open;
         let answered = view.granted_at.filter(|_| may_grant);
         if answered.is_some_and(|at| now.since(at) < GRANT_INTERVAL) {
             return;
@@ -59,6 +72,7 @@
     /// Ends attempts on hosts that have been silent for longer than any of their leases can last.
     pub(super) fn expire_silent_hosts(&mut self, now: MonoTime) {
         self.log_awaited_leases(now);
+        self.record_lease_bounds(now);
         let silent: Vec<_> = self
             .hosts
             .values()
@@ -71,6 +85,81 @@
                 self.log("lease_lapsed", run, detail);
                 self.end_run(now, run, RunEnd::Lost, None);
             }
+            self.withdraw_bound(now, &host);
+        }
+    }
+
+    /// Records how long the leases of silent hosts still last, so that a successor does not have to
+    /// assume that they were renewed until it took over.
+    fn record_lease_bounds(&mut self, now: MonoTime) {
+        if !self.batch.is_prompt(now) {
+            return;
+        }
+        let is_due = |view: &HostView| match view.grant_state {
+            GrantState::Open => true,
+            GrantState::Bounded { recorded_at } => {
+                recorded_at.is_none_or(|at| now.since(at) >= LEASE_BOUND_INTERVAL)
+            }
+            GrantState::Withdrawing => false,
+        };
+        let mut bounds = Vec::new();
+        for view in self.hosts.values_mut() {
+            let waits = !view.runs.is_empty() && now <= view.leases_end;
+            if waits && view.is_silent(now) && is_due(view) {
+                let recorded_at = Some(now);
+                view.grant_state = GrantState::Bounded { recorded_at };
+                let remaining = view.leases_end.since(now) + Duration::from_millis(1);
+                bounds.push((view.host.clone(), remaining.as_millis() as u32));
+            }
+        }
+        for (host, remaining_ms) in bounds {
+            let remaining_ms = Some(remaining_ms);
+            self.record(now, PlanRecord::LeaseBound { host, remaining_ms });
+        }
+    }
+
+    /// Withdraws the bound of a host's leases. Grants follow when the withdrawal is stored.
+    pub(super) fn withdraw_bound(&mut self, now: MonoTime, host: &HostName) {
+        let Some(view) = self.hosts.get_mut(host) else {
+            return;
+        };
+        if matches!(view.grant_state, GrantState::Bounded { .. }) {
+            view.grant_state = GrantState::Withdrawing;
+            let (host, remaining_ms) = (host.clone(), None);
+            self.batch.defer(DeferredAction::Grant(host.clone()));
+            self.record(now, PlanRecord::LeaseBound { host, remaining_ms });
+        }
+    }
+
+    /// Permits grants to a host whose bound is no longer in the plan, and answers its latest report.
+    pub(super) fn end_withdrawal(&mut self, now: MonoTime, host: &HostName) {
+        let Some(view) = self.hosts.get_mut(host) else {
+            return;
+        };
+        view.grant_state = GrantState::Open;
+        let stamp = view.stamp;
+        if let Some(link) = view.link.filter(|_| view.has_reported) {
+            view.granted_at = Some(now);
+            self.effects.push(Effect::ToAgent {
+                link,
+                message: PlannerMessage::Grant {
+                    epoch: self.epoch,
+                    stamp: Some(stamp),
+                    seen: stamp,
+                },
+            });
+        }
+    }
+
+    /// Takes over the bounds that earlier planners recorded. No lease was granted since.
+    pub(super) fn adopt_lease_bounds(&mut self) {
+        let started_at = self.started_at;
+        for (host, &remaining) in &self.ledger.lease_bounds {
+            let leases_end = started_at.plus(remaining);
+            let make = || HostView::new(host.clone(), started_at, leases_end);
+            let view = self.hosts.entry(host.clone()).or_insert_with(make);
+            view.leases_end = leases_end;
+            view.grant_state = GrantState::Bounded { recorded_at: None };
         }
     }
 
--- a/crates/hornbeamlead_jobs/src/planner/recovery.rs
+++ b/crates/hornbeamlead_jobs/src/planner/recovery.rs
@@ -156,7 +156,9 @@
         for read in records.iter().take_while(|read| read.offset <= claim) {
             let record = decode::<PlanRecord>(read.value.as_deref().unwrap_or_default());
             match record {
-                Ok(PlanRecord::Claim(other)) if read.offset == claim => {
+                Ok(PlanRecord::Claim(other) | PlanRecord::Takeover(other))
+                    if read.offset == claim =>
+                {
                     if other.incarnation != self.policy.incarnation {
                         self.depose("claim_of_another");
                     }
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -127,7 +127,7 @@
         let Some(host) = self.links.get(&link).cloned() else {
             return;
         };
-        self.grant(now, link, &host, &report);
+        self.answer_report(now, link, &host, &report);
         if self.recovery.is_some() {
             return;
         }
@@ -152,6 +152,7 @@
             view.probation = false;
             view.not_before = now;
         }
+        self.withdraw_bound(now, &host);
         self.pass_needed |= first || changed;
         if first {
             self.send_traits(link, &host);
@@ -375,5 +376,6 @@
             let view = self.hosts.entry(host.clone()).or_insert_with(make);
             view.runs.insert(run, demand);
         }
+        self.adopt_lease_bounds();
     }
 }
--- a/crates/hornbeamlead_jobs/src/record.rs
+++ b/crates/hornbeamlead_jobs/src/record.rs
@@ -36,14 +36,22 @@
     bytes.unwrap_or_default().into()
 }
 
-/// Decodes a record or message.
+/// Decodes a record or message; bytes that follow it are ignored.
 ///
 /// # Errors
 /// Returns [`DecodeError`] for another version of the encoding or malformed content.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
+    decode_first(bytes).map(|(value, _)| value)
+}
+
+/// Decodes a value that others may follow, and returns it with the remaining bytes.
+///
+/// # Errors
+/// Returns [`DecodeError`] for another version of the encoding or malformed content.
+pub fn decode_first<T: DeserializeOwned>(bytes: &[u8]) -> Result<(T, &[u8]), DecodeError> {
     match bytes.split_first() {
         Some((&ENCODING_VERSION, body)) => {
-            postcard::from_bytes(body).map_err(|error| DecodeError::Malformed {
+            postcard::take_from_bytes(body).map_err(|error| DecodeError::Malformed {
                 cause: error.to_string().into(),
             })
         }
@@ -64,10 +72,10 @@
     pub address: SocketAddr,
 }
 
-/// Record of the plan stream.
+/// Record of the plan stream. Variants are encoded by position, so new ones go to the end.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PlanRecord {
-    /// A planner takes over.
+    /// A planner of an earlier version takes over, which does not keep to lease bounds.
     Claim(PlannerClaim),
     /// Heartbeat of the planner, with its position in the jobs stream.
     Tick {
@@ -113,6 +121,17 @@
         /// Address at which the agent listens.
         address: SocketAddr,
     },
+    /// A planner takes over.
+    Takeover(PlannerClaim),
+    /// Bound of the leases of a host that is silent, or its withdrawal. While a bound is stored, no
+    /// planner grants leases to the host.
+    LeaseBound {
+        /// Host of the leases.
+        host: HostName,
+        /// Longest time in milliseconds that a lease still lasts after this record was stored;
+        /// `None` withdraws the bound.
+        remaining_ms: Option<u32>,
+    },
 }
 
 impl PlanRecord {
--- a/crates/hornbeamlead_jobs/src/snapshot.rs
+++ b/crates/hornbeamlead_jobs/src/snapshot.rs
@@ -5,12 +5,13 @@
 use crate::ledger::{
     JobLedger, JobState, LearnedInterference, OccurrenceState, TaskPlacement, TaskState,
 };
-use crate::record::{DecodeError, decode, encode};
+use crate::record::{DecodeError, decode, decode_first, encode};
 use crate::store::{NewRecord, ReadRecord};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Maximum size of a part, in bytes; the store limits a record to 256 KiB.
 const PART_BYTES: usize = 200 * 1024;
@@ -24,7 +25,7 @@
     number: u32,
     /// Number of parts of the snapshot.
     parts: u32,
-    /// Slice of the encoded ledger.
+    /// Slice of the encoded ledger, which is followed by the encoded lease bounds.
     content: Vec<u8>,
 }
 
@@ -60,6 +61,23 @@
     learned: Vec<LearnedInterference>,
 }
 
+/// Lease bounds in milliseconds. Follows the ledger, since earlier versions ignore what does.
+#[derive(Default, Serialize, Deserialize)]
+struct StoredBounds {
+    lease_bounds: BTreeMap<HostName, u32>,
+}
+
+impl From<&JobLedger> for StoredBounds {
+    fn from(ledger: &JobLedger) -> Self {
+        let bounds = ledger.lease_bounds.iter();
+        Self {
+            lease_bounds: bounds
+                .map(|(host, remaining)| (host.clone(), remaining.as_millis() as u32))
+                .collect(),
+        }
+    }
+}
+
 impl From<&TaskState> for StoredTask {
     fn from(task: &TaskState) -> Self {
         let placement = |placement: &TaskPlacement| StoredPlacement {
@@ -152,6 +170,7 @@
             ended: stored.ended,
             hosts: stored.hosts,
             jobs_read: stored.jobs_read,
+            lease_bounds: BTreeMap::new(),
             learned: stored.learned,
         }
     }
@@ -160,7 +179,8 @@
 /// Encodes a snapshot as records that have to be appended atomically.
 #[must_use]
 pub fn snapshot_records(ledger: &JobLedger, plan_offset: StreamOffset) -> Vec<NewRecord> {
-    let content = encode(&StoredLedger::from(ledger));
+    let mut content = encode(&StoredLedger::from(ledger)).to_vec();
+    content.extend(encode(&StoredBounds::from(ledger)));
     let parts = content.chunks(PART_BYTES);
     let count = parts.len() as u32;
     let record = |(number, content): (usize, &[u8])| NewRecord {
@@ -196,6 +216,17 @@
         return Ok(None);
     }
     let content: Vec<u8> = parts.into_iter().flat_map(|part| part.content).collect();
-    let stored: StoredLedger = decode(&content)?;
-    Ok(Some((stored.into(), newest)))
+    let (stored, rest) = decode_first::<StoredLedger>(&content)?;
+    let bounds = match rest {
+        [] => StoredBounds::default(),
+        rest => decode(rest)?,
+    };
+    let bounds = bounds.lease_bounds.into_iter();
+    let ledger = JobLedger {
+        lease_bounds: bounds
+            .map(|(host, ms)| (host, Duration::from_millis(ms.into())))
+            .collect(),
+        ..stored.into()
+    };
+    Ok(Some((ledger, newest)))
 }
--- a/crates/hornbeamlead_jobs/tests/random_faults.rs
+++ b/crates/hornbeamlead_jobs/tests/random_faults.rs
@@ -38,6 +38,7 @@
         kill_planner: 0.2,
         freeze: 0.2,
         partition: 0.2,
+        long_partition: 0.0,
         crash: 0.2,
         store_outage: 0.15,
         lost_answers: 0.05,
@@ -112,6 +113,39 @@
     }
 }
 
+/// Faults that silence hosts for longer than their leases while planners replace one another.
+fn long_silences() -> WorldFaults {
+    WorldFaults {
+        kill: 0.1,
+        kill_planner: 0.4,
+        freeze: 0.2,
+        partition: 0.2,
+        long_partition: 0.4,
+        store_outage: 0.1,
+        lost_answers: 0.05,
+        ..WorldFaults::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(schedules()))]
+
+    /// Hosts that return after their leases, to planners that replace one another meanwhile.
+    #[test]
+    fn no_task_twice_after_silence(seed in any::<u64>()) {
+        let violations = simulate(seed, long_silences(), false);
+        prop_assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
+
+/// Guards against leases that are granted to a host while the plan still bounds them.
+#[rstest]
+#[case(5266173778090216917)]
+fn bound_host_granted(#[case] seed: u64) {
+    let violations = simulate(seed, long_silences(), false);
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 #[test]
 fn no_faults() {
     let violations = simulate(1, WorldFaults::default(), false);
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -139,6 +139,9 @@
     pub(crate) freeze: f64,
     /// Rate per second at which a host is partitioned from all others for up to 5 s.
     pub(crate) partition: f64,
+    /// Rate per second at which a host is partitioned from all others for 5 to 20 s, longer than
+    /// its leases last.
+    pub(crate) long_partition: f64,
     /// Rate per second at which a worker crashes.
     pub(crate) crash: f64,
     /// Rate per second at which the store becomes unavailable to all or some hosts for up to 5 s.
@@ -305,6 +308,10 @@
         if self.chance(faults.partition) {
             self.hosts[host].partitioned_until = self.now + span;
         }
+        // Schedules without long partitions keep the random numbers of their seeds.
+        if faults.long_partition > 0.0 && self.chance(faults.long_partition) {
+            self.hosts[host].partitioned_until = self.now + self.random.random_range(5000..20_000);
+        }
         if self.chance(faults.crash) {
             self.crash(host);
         }
