[jobs, daemon] Bind grants to appends, and count inherited leases from the plan's end

Cause: a planner granted leases for reports that arrived up to 2 s after its last successful append, so a successor had to add 2 s, and it counted from its takeover, although it had seen for a second that the plan did not grow.

Change: a planner grants the stamps of reports that arrived before an append was first sent that has succeeded, as only then it was certainly not replaced. A candidate keeps the time at which it first saw the plan's end, and the planner counts inherited leases and bounds from there. The first report on a link is answered when the next append has succeeded, for which a heartbeat serves. The bound of an earlier planner is recorded again at once, so that also planners that live for less than a second pass it on.

Found in passing: a retried append counted from the retry, though the store may answer a repetition to a planner that was replaced in between.

--- a/crates/hornbeamlead_daemon/src/fleet/agent.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/agent.rs
@@ -329,10 +329,9 @@
                     self.handle_supervisor_event(SupervisorEvent::LinkUp(link))
                 }
                 LocatorEvent::LinkDown => self.handle_supervisor_event(SupervisorEvent::LinkDown),
-                LocatorEvent::Elected { epoch, claim } => {
+                LocatorEvent::Elected(election) => {
                     let (policy, now) = (self.policy.clone(), BootClock.mono());
-                    let planner =
-                        PlannerMachine::new(policy, OperatorRecordFormat, epoch, claim, now);
+                    let planner = PlannerMachine::new(policy, OperatorRecordFormat, election, now);
                     self.planner = Some(planner);
                 }
             }
--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -247,6 +247,9 @@
     pub hosts: BTreeMap<HostName, SocketAddr>,
     /// Next offset of the jobs stream that the planner reads.
     pub jobs_read: StreamOffset,
+    /// Whether the latest planner granted leases only for reports that arrived before its last
+    /// append. Planners of earlier versions, which store a `Claim`, granted some later.
+    pub confirmed_grants: bool,
     /// Longest time that leases of silent hosts last after the latest record about them.
     pub lease_bounds: BTreeMap<HostName, Duration>,
     /// Interference between images as learned by planners, for the next planner. Only snapshots
@@ -269,8 +272,11 @@
     /// Applies a record of the plan stream.
     pub fn apply(&mut self, record: &PlanRecord) {
         match record {
-            PlanRecord::Claim(_) => self.lease_bounds.clear(),
-            PlanRecord::Takeover(_) => {}
+            PlanRecord::Claim(_) => {
+                self.lease_bounds.clear();
+                self.confirmed_grants = false;
+            }
+            PlanRecord::Takeover(_) => self.confirmed_grants = true,
             PlanRecord::Tick { jobs_read } => self.jobs_read = self.jobs_read.max(*jobs_read),
             PlanRecord::Accepted { job, .. } if self.ended.contains_key(job) => {}
             PlanRecord::Accepted { job, queue } => {
--- a/crates/hornbeamlead_jobs/src/locator.rs
+++ b/crates/hornbeamlead_jobs/src/locator.rs
@@ -75,12 +75,26 @@
     /// The link to the planner has closed.
     LinkDown,
     /// This process has been elected planner.
-    Elected {
-        /// Epoch of the new planner.
-        epoch: PlannerEpoch,
-        /// Offset of the claim in the plan stream.
-        claim: StreamOffset,
-    },
+    Elected(PlannerElection),
+}
+
+/// Outcome of an election that this process has won.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlannerElection {
+    /// Epoch of the new planner.
+    pub epoch: PlannerEpoch,
+    /// Offset of the claim in the plan stream.
+    pub claim: StreamOffset,
+    /// Time after which no earlier planner has sent an append that succeeded.
+    pub plan_ended_at: MonoTime,
+}
+
+/// End of the plan, as read from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct PlanEnd {
+    offset: StreamOffset,
+    /// When the answer of the first read that showed this end arrived.
+    seen_at: MonoTime,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -101,17 +115,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ElectionStage {
     Idle,
-    /// Reads the end of the plan. `seen` is the end at the start of the election timeout,
-    /// `u64::MAX` if no timeout has started yet, and `None` until the read is sent.
+    /// Is about to read the end of the plan.
+    Starting,
+    /// Reads the end of the plan. `seen` is the end at the start of the election timeout, if one
+    /// has started.
     Reading {
-        seen: Option<StreamOffset>,
+        seen: Option<PlanEnd>,
     },
     Waiting {
-        seen: StreamOffset,
+        seen: PlanEnd,
         until: MonoTime,
     },
     Claiming {
-        end: StreamOffset,
+        end: PlanEnd,
         tries: u32,
     },
     Pausing {
@@ -232,7 +248,7 @@
                 .map_or_else(String::new, |planner| planner.address.to_string());
             self.effects
                 .push(Effect::log("planner_lost", id, format!("cause={cause}")));
-            self.election = ElectionStage::Reading { seen: None };
+            self.election = ElectionStage::Starting;
         }
     }
 
@@ -258,7 +274,7 @@
             (false, _) => self.election = ElectionStage::Idle,
             (true, ElectionStage::Idle) => {
                 self.election_timeout = REFUSED_ELECTION_TIMEOUT;
-                self.election = ElectionStage::Reading { seen: None };
+                self.election = ElectionStage::Starting;
             }
             (true, _) => {}
         }
@@ -369,12 +385,8 @@
                 self.election = ElectionStage::Reading { seen: None };
                 self.read_end(now);
             }
-            // An election has just started: no stream ends at `u64::MAX`, so that the outcome of
-            // the read starts an election timeout.
-            ElectionStage::Reading { seen: None } => {
-                self.election = ElectionStage::Reading {
-                    seen: Some(u64::MAX),
-                };
+            ElectionStage::Starting => {
+                self.election = ElectionStage::Reading { seen: None };
                 self.read_end(now);
             }
             _ => {}
@@ -412,7 +424,7 @@
                     self.apply_address_records(now, &newest.records);
                     if self.planner.is_none() {
                         self.election_timeout = Duration::ZERO;
-                        self.election = ElectionStage::Reading { seen: None };
+                        self.election = ElectionStage::Starting;
                     }
                 }
             }
--- a/crates/hornbeamlead_jobs/src/locator/claim.rs
+++ b/crates/hornbeamlead_jobs/src/locator/claim.rs
@@ -1,8 +1,8 @@
 //! Claims the planner role once the plan has not grown for the election timeout.
 
 use super::{
-    CLAIM_TIMEOUT, DIAL_PAUSE, ElectionStage, LocatorEvent, PlannerAddress, PlannerLocator,
-    REFUSED_ELECTION_TIMEOUT,
+    CLAIM_TIMEOUT, DIAL_PAUSE, ElectionStage, LocatorEvent, PlanEnd, PlannerAddress,
+    PlannerElection, PlannerLocator, REFUSED_ELECTION_TIMEOUT,
 };
 use crate::effect::Effect;
 use crate::ids::{PlannerEpoch, StreamOffset};
@@ -36,14 +36,15 @@
             }
             (ElectionStage::Claiming { end, .. }, StoreOutcome::Appended { offset }) => {
                 self.election = ElectionStage::Idle;
-                let epoch = self.epoch_at(end);
+                let epoch = self.epoch_at(end.offset);
                 let detail = format!("epoch={epoch} offset={offset}");
                 self.effects
                     .push(Effect::log("planner_claimed", &self.policy.host, detail));
-                self.events.push(LocatorEvent::Elected {
+                self.events.push(LocatorEvent::Elected(PlannerElection {
                     epoch,
                     claim: offset,
-                });
+                    plan_ended_at: end.seen_at,
+                }));
                 let address = self.policy.address;
                 self.learn_planner(now, PlannerAddress { epoch, address });
             }
@@ -56,7 +57,7 @@
             {
                 let tries = tries + 1;
                 self.election = ElectionStage::Claiming { end, tries };
-                self.claim(now, end);
+                self.claim(now, end.offset);
             }
             (ElectionStage::Reading { .. } | ElectionStage::Claiming { .. }, _) => {
                 let pause = DIAL_PAUSE + self.random_delay();
@@ -68,11 +69,14 @@
         }
     }
 
-    fn check_plan_end(&mut self, now: MonoTime, seen: Option<StreamOffset>, end: StreamOffset) {
+    fn check_plan_end(&mut self, now: MonoTime, seen: Option<PlanEnd>, end: StreamOffset) {
         self.plan_end = end;
         match seen {
-            Some(seen) if seen == end => {
-                self.election = ElectionStage::Claiming { end, tries: 0 };
+            Some(seen) if seen.offset == end => {
+                self.election = ElectionStage::Claiming {
+                    end: seen,
+                    tries: 0,
+                };
                 self.claim(now, end);
             }
             _ => self.wait_election_timeout(now, end),
@@ -80,10 +84,14 @@
     }
 
     /// Starts an election timeout, after which the end of the plan is read again.
-    fn wait_election_timeout(&mut self, now: MonoTime, seen: StreamOffset) {
+    fn wait_election_timeout(&mut self, now: MonoTime, offset: StreamOffset) {
         let span = self.election_timeout + self.random_delay();
         // Only the first planner of a platform is elected without a timeout.
         self.election_timeout = self.election_timeout.max(REFUSED_ELECTION_TIMEOUT);
+        let seen = PlanEnd {
+            offset,
+            seen_at: now,
+        };
         self.election = ElectionStage::Waiting {
             seen,
             until: now.plus(span),
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -26,9 +26,10 @@
 
 use crate::effect::{Effect, LinkId};
 use crate::follow::StreamFollower;
-use crate::ids::{HostName, PlannerEpoch, RunName, StreamOffset, TaskName};
+use crate::ids::{HostName, PlannerEpoch, RunName, TaskName};
 use crate::job::RunEnd;
 use crate::ledger::JobLedger;
+use crate::locator::PlannerElection;
 use crate::message::AgentMessage;
 use crate::operators::{OperatorFormat, OperatorReader};
 use crate::record::PlanRecord;
@@ -49,7 +50,8 @@
 /// Factor on durations that are measured by two clocks: worker clocks may run 2 % slow.
 const CLOCK_SKEW_FACTOR: f64 = 1.03;
 
-/// Time after its last successful append for which a planner may still grant leases.
+/// Time after its last successful append for which a planner answers reports with grants, and after
+/// its last read of the jobs stream for which it reports its position there.
 pub(crate) const GRANT_WINDOW: Duration = Duration::from_secs(2);
 
 /// Planner configuration.
@@ -133,6 +135,8 @@
     policy: PlannerPolicy,
     epoch: PlannerEpoch,
     started_at: MonoTime,
+    /// Time after which no earlier planner has sent an append that succeeded.
+    plan_ended_at: MonoTime,
     recovery: Option<RecoveryState>,
     deposed: bool,
     ledger: JobLedger,
@@ -157,21 +161,19 @@
 
 impl<F: OperatorFormat> PlannerMachine<F> {
     /// Creates the planner of an epoch. It schedules nothing until its state is recovered.
-    ///
-    /// `claim` is the offset of the record that began the epoch.
-    pub fn new(
-        policy: PlannerPolicy,
-        format: F,
-        epoch: PlannerEpoch,
-        claim: StreamOffset,
-        now: MonoTime,
-    ) -> Self {
+    pub fn new(policy: PlannerPolicy, format: F, election: PlannerElection, now: MonoTime) -> Self {
+        let PlannerElection {
+            epoch,
+            claim,
+            plan_ended_at,
+        } = election;
         let (stream, caller) = (StreamName::Jobs, StoreCaller::Jobs);
         let jobs_follower = StreamFollower::new(stream, caller, LONG_POLL_WAIT, Duration::ZERO);
         Self {
             policy,
             epoch,
             started_at: now,
+            plan_ended_at,
             recovery: Some(RecoveryState::new(claim)),
             deposed: false,
             ledger: JobLedger::default(),
--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -45,8 +45,10 @@
     Start { host: HostName, order: StartOrder },
     /// Send a stop order.
     Stop(RunName),
-    /// Grant leases to a host whose bound has been withdrawn.
+    /// Answer the first report of a host on its link.
     Grant(HostName),
+    /// Grant leases to a host whose bound has been withdrawn.
+    EndWithdrawal(HostName),
     /// Acknowledge ended attempts, which lets the worker drop them.
     Acknowledge {
         host: HostName,
@@ -75,17 +77,21 @@
 pub(super) struct RecordBatch {
     epoch: PlannerEpoch,
     sequence: u64,
+    /// Number of the last append that succeeded.
+    succeeded: u64,
     end: StreamOffset,
     records: Vec<PlanRecord>,
     deferred: Vec<DeferredAction>,
     /// When the oldest queued record was added.
     oldest: MonoTime,
     in_flight: Option<InFlightBatch>,
-    /// When the last successful append was sent.
+    /// When the last successful append was first sent.
     last_append_sent: MonoTime,
     /// Time of the first failed append since the last successful one.
     failing_since: Option<MonoTime>,
     last_heartbeat: MonoTime,
+    /// Whether an append has to follow, for which a heartbeat serves if there is no other record.
+    append_needed: bool,
 }
 
 impl RecordBatch {
@@ -93,6 +99,7 @@
         Self {
             epoch,
             sequence: 0,
+            succeeded: 0,
             end: claim + 1,
             records: Vec::new(),
             deferred: Vec::new(),
@@ -101,6 +108,7 @@
             last_append_sent: now,
             failing_since: None,
             last_heartbeat: MonoTime(0),
+            append_needed: false,
         }
     }
 
@@ -115,6 +123,22 @@
         self.deferred.push(action);
     }
 
+    /// Number of the append that was sent last.
+    pub(super) fn last_sent(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Number of the last append that succeeded.
+    pub(super) fn last_succeeded(&self) -> u64 {
+        self.succeeded
+    }
+
+    /// Grants leases to a host once an append that is sent from now on has succeeded.
+    pub(super) fn defer_grant(&mut self, host: HostName) {
+        self.append_needed = true;
+        self.defer(DeferredAction::Grant(host));
+    }
+
     /// Returns whether an append succeeded recently, which shows that the planner was not replaced.
     pub(super) fn has_recent_append(&self, now: MonoTime) -> bool {
         let failing = self
@@ -142,7 +166,6 @@
         match &mut self.batch.in_flight {
             Some(in_flight) if in_flight.retry_at.is_some_and(|at| now >= at) => {
                 in_flight.retry_at = None;
-                in_flight.sent = now;
                 self.send_batch(now);
             }
             None if due => self.send_next(now),
@@ -156,7 +179,9 @@
         // Entries report unknown jobs as absent while heartbeats arrive, so a planner that cannot
         // read the jobs stream must not send any.
         let current = last_read.is_some_and(|at| now.since(at) <= GRANT_WINDOW);
-        if now.since(self.batch.last_heartbeat) >= HEARTBEAT_INTERVAL && current {
+        let heartbeat_due = now.since(self.batch.last_heartbeat) >= HEARTBEAT_INTERVAL;
+        let needed = self.batch.append_needed && self.batch.records.is_empty();
+        if (heartbeat_due || needed) && current {
             self.batch.last_heartbeat = now;
             self.record(now, PlanRecord::Tick { jobs_read });
         }
@@ -175,6 +200,7 @@
             return;
         }
         self.batch.sequence += 1;
+        self.batch.append_needed = !drained;
         let due = drained && self.upkeep.is_snapshot_due(now);
         let snapshot = due.then(|| {
             let ledger = JobLedger {
@@ -236,6 +262,7 @@
             return;
         };
         self.batch.end = offset + in_flight.records.len() as u64;
+        self.batch.succeeded = in_flight.sequence;
         self.batch.last_append_sent = in_flight.sent;
         self.batch.failing_since = None;
         if let Some((ledger, ended)) = in_flight.snapshot {
@@ -250,7 +277,8 @@
         match action {
             DeferredAction::Start { host, order } => self.run_deferred_start(now, &host, order),
             DeferredAction::Stop(run) => self.order_stop(run),
-            DeferredAction::Grant(host) => self.end_withdrawal(now, &host),
+            DeferredAction::Grant(host) => self.send_grant(now, &host),
+            DeferredAction::EndWithdrawal(host) => self.end_withdrawal(now, &host),
             DeferredAction::Acknowledge {
                 host,
                 incarnation,
--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -7,7 +7,7 @@
 use crate::message::AgentStamp;
 use crate::worker::WorkerFacts;
 use hornbeamlead_core::clock::MonoTime;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// Time without a report after which a host gets no orders. Hosts report every 300 ms.
@@ -30,6 +30,36 @@
     Withdrawing,
 }
 
+/// Stamps of a host's reports. Only those are granted that arrived before an append was sent that
+/// has succeeded: the planner had certainly not been replaced when they arrived.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ReportStamps {
+    confirmed: Option<AgentStamp>,
+    /// Later stamps, each the newest that arrived after the append of the given number was sent.
+    unconfirmed: VecDeque<(u64, AgentStamp)>,
+}
+
+impl ReportStamps {
+    /// Adds the stamp of a report that arrived after the append `last_sent` was sent.
+    pub(super) fn add(&mut self, last_sent: u64, stamp: AgentStamp) {
+        match self.unconfirmed.back_mut() {
+            Some((sent, newest)) if *sent == last_sent => *newest = stamp,
+            _ => self.unconfirmed.push_back((last_sent, stamp)),
+        }
+    }
+
+    /// Returns the newest stamp that arrived before the append `succeeded` was sent.
+    pub(super) fn confirm(&mut self, succeeded: u64) -> Option<AgentStamp> {
+        while let Some(&(sent, stamp)) = self.unconfirmed.front()
+            && sent < succeeded
+        {
+            self.confirmed = Some(stamp);
+            self.unconfirmed.pop_front();
+        }
+        self.confirmed
+    }
+}
+
 /// State of a host as last reported by its agent, with the attempts placed on it.
 #[derive(Clone, Debug)]
 pub struct HostView {
@@ -75,6 +105,10 @@
     pub probation: bool,
     /// Whether leases may be granted to the host.
     pub(super) grant_state: GrantState,
+    /// Stamps of reports on the current link.
+    pub(super) stamps: ReportStamps,
+    /// Whether the first report on the current link waits for an append before it is answered.
+    pub(super) grant_deferred: bool,
     /// When the latest report on the current link was answered with a permission to renew leases.
     pub(super) granted_at: Option<MonoTime>,
     /// Orders sent on the current link.
@@ -104,6 +138,8 @@
             last_sample: (MonoTime(0), InterferenceSample::default()),
             probation: false,
             grant_state: GrantState::Open,
+            stamps: ReportStamps::default(),
+            grant_deferred: false,
             granted_at: None,
             orders_sent: 0,
         }
@@ -187,6 +223,8 @@
         self.orders_sent = 0;
         self.sent_coefficients = 0;
         self.granted_at = None;
+        self.stamps = ReportStamps::default();
+        self.grant_deferred = false;
         self.link.replace(link).filter(|old| *old != link)
     }
 }
--- a/crates/hornbeamlead_jobs/src/planner/leases.rs
+++ b/crates/hornbeamlead_jobs/src/planner/leases.rs
@@ -9,7 +9,7 @@
 use crate::effect::{Effect, LinkId};
 use crate::ids::HostName;
 use crate::job::RunEnd;
-use crate::message::{HostReport, PlannerMessage};
+use crate::message::{AgentStamp, HostReport, PlannerMessage};
 use crate::operators::OperatorFormat;
 use crate::record::PlanRecord;
 use hornbeamlead_core::clock::MonoTime;
@@ -26,8 +26,8 @@
 const LEASE_BOUND_INTERVAL: Duration = Duration::from_millis(500);
 
 impl<F: OperatorFormat> PlannerMachine<F> {
-    /// Answers a report, unless the host got an answer moments ago or will get one when the
-    /// withdrawal of its lease bound is stored.
+    /// Answers a report, unless the host got an answer moments ago or will get one when an append
+    /// has succeeded.
     pub(super) fn answer_report(
         &mut self,
         now: MonoTime,
@@ -36,26 +36,54 @@
         report: &HostReport,
     ) {
         let may_grant = self.recovery.is_none() && self.batch.has_recent_append(now);
+        let (sent, succeeded) = (self.batch.last_sent(), self.batch.last_succeeded());
         let Some(view) = self.hosts.get_mut(host) else {
             return;
         };
-        if may_grant && matches!(view.grant_state, GrantState::Bounded { .. }) {
-            return;
+        view.stamps.add(sent, report.stamp);
+        let confirmed = view.stamps.confirm(succeeded);
+        let answered_at = view.granted_at;
+        match confirmed {
+            _ if !may_grant => {
+                view.granted_at = None;
+                self.send_answer(link, None, report.stamp);
+            }
+            _ if view.grant_state != GrantState::Open => {}
+            None if view.grant_deferred => {}
+            None => {
+                view.grant_deferred = true;
+                self.batch.defer_grant(host.clone());
+            }
+            Some(_) if answered_at.is_some_and(|at| now.since(at) < GRANT_INTERVAL) => {}
+            Some(stamp) => {
+                view.granted_at = Some(now);
+                self.send_answer(link, Some(stamp), report.stamp);
+            }
         }
-        let may_grant = may_grant && view.grant_state == GrantState::Open;
-        let answered = view.granted_at.filter(|_| may_grant);
-        if answered.is_some_and(|at| now.since(at) < GRANT_INTERVAL) {
+    }
+
+    fn send_answer(&mut self, link: LinkId, stamp: Option<AgentStamp>, seen: AgentStamp) {
+        let epoch = self.epoch;
+        let message = PlannerMessage::Grant { epoch, stamp, seen };
+        self.effects.push(Effect::ToAgent { link, message });
+    }
+
+    /// Grants leases to a host that may have them, after an append has succeeded.
+    pub(super) fn send_grant(&mut self, now: MonoTime, host: &HostName) {
+        let succeeded = self.batch.last_succeeded();
+        let Some(view) = self.hosts.get_mut(host) else {
             return;
+        };
+        view.grant_deferred = false;
+        let confirmed = view.stamps.confirm(succeeded);
+        match (view.link, confirmed) {
+            (Some(link), Some(stamp)) if view.grant_state == GrantState::Open => {
+                view.granted_at = Some(now);
+                let seen = view.stamp;
+                self.send_answer(link, Some(stamp), seen);
+            }
+            _ => {}
         }
-        view.granted_at = may_grant.then_some(now);
-        self.effects.push(Effect::ToAgent {
-            link,
-            message: PlannerMessage::Grant {
-                epoch: self.epoch,
-                stamp: may_grant.then_some(report.stamp),
-                seen: report.stamp,
-            },
-        });
     }
 
     /// Returns how long a lease can last on the planner's clock after the report that it answers.
@@ -63,10 +91,14 @@
         self.policy.lease_span.mul_f64(CLOCK_SKEW_FACTOR) + LEASE_EXPIRY_SLACK
     }
 
-    /// Returns when all leases that earlier planners granted have expired. The previous planner may
-    /// have granted some for a while after it was deposed.
-    pub(super) fn inherited_leases_end(&self, taken_over_at: MonoTime) -> MonoTime {
-        taken_over_at.plus(GRANT_WINDOW + self.lease_timeout())
+    /// Returns when all leases that earlier planners granted have expired. They granted none for
+    /// reports that arrived after their last successful append, but for those of earlier versions.
+    pub(super) fn inherited_leases_end(&self) -> MonoTime {
+        let extra = match self.ledger.confirmed_grants {
+            true => Duration::ZERO,
+            false => GRANT_WINDOW,
+        };
+        self.plan_ended_at.plus(self.lease_timeout() + extra)
     }
 
     /// Ends attempts on hosts that have been silent for longer than any of their leases can last.
@@ -105,7 +137,9 @@
         let mut bounds = Vec::new();
         for view in self.hosts.values_mut() {
             let waits = !view.runs.is_empty() && now <= view.leases_end;
-            if waits && view.is_silent(now) && is_due(view) {
+            // The bound of an earlier planner goes on at once.
+            let silent = view.grant_state != GrantState::Open || view.is_silent(now);
+            if waits && silent && is_due(view) {
                 let recorded_at = Some(now);
                 view.grant_state = GrantState::Bounded { recorded_at };
                 let remaining = view.leases_end.since(now) + Duration::from_millis(1);
@@ -126,36 +160,25 @@
         if matches!(view.grant_state, GrantState::Bounded { .. }) {
             view.grant_state = GrantState::Withdrawing;
             let (host, remaining_ms) = (host.clone(), None);
-            self.batch.defer(DeferredAction::Grant(host.clone()));
+            self.batch
+                .defer(DeferredAction::EndWithdrawal(host.clone()));
             self.record(now, PlanRecord::LeaseBound { host, remaining_ms });
         }
     }
 
-    /// Permits grants to a host whose bound is no longer in the plan, and answers its latest report.
+    /// Permits grants to a host whose bound is no longer in the plan.
     pub(super) fn end_withdrawal(&mut self, now: MonoTime, host: &HostName) {
-        let Some(view) = self.hosts.get_mut(host) else {
-            return;
-        };
-        view.grant_state = GrantState::Open;
-        let stamp = view.stamp;
-        if let Some(link) = view.link.filter(|_| view.has_reported) {
-            view.granted_at = Some(now);
-            self.effects.push(Effect::ToAgent {
-                link,
-                message: PlannerMessage::Grant {
-                    epoch: self.epoch,
-                    stamp: Some(stamp),
-                    seen: stamp,
-                },
-            });
+        if let Some(view) = self.hosts.get_mut(host) {
+            view.grant_state = GrantState::Open;
         }
+        self.send_grant(now, host);
     }
 
     /// Takes over the bounds that earlier planners recorded. No lease was granted since.
     pub(super) fn adopt_lease_bounds(&mut self) {
         let started_at = self.started_at;
         for (host, &remaining) in &self.ledger.lease_bounds {
-            let leases_end = started_at.plus(remaining);
+            let leases_end = self.plan_ended_at.plus(remaining);
             let make = || HostView::new(host.clone(), started_at, leases_end);
             let view = self.hosts.entry(host.clone()).or_insert_with(make);
             view.leases_end = leases_end;
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -62,7 +62,7 @@
             return self.depose("later_epoch_seen");
         }
         let started_at = self.started_at;
-        let leases_end = self.inherited_leases_end(started_at);
+        let leases_end = self.inherited_leases_end();
         let make = || HostView::new(host.clone(), started_at, leases_end);
         let view = self.hosts.entry(host.clone()).or_insert_with(make);
         if let Some(old) = view.replace_link(link) {
@@ -363,7 +363,10 @@
                 adopted.push((run, placement.host.clone(), demand.unwrap_or_default()));
             }
         }
-        let leases_end = self.inherited_leases_end(now);
+        let leases_end = self.inherited_leases_end();
+        for view in self.hosts.values_mut() {
+            view.leases_end = leases_end;
+        }
         for (run, host, demand) in adopted {
             // The attempt may have been ordered on an earlier link. Every report covers order
             // number 0.
--- a/crates/hornbeamlead_jobs/src/snapshot.rs
+++ b/crates/hornbeamlead_jobs/src/snapshot.rs
@@ -25,7 +25,7 @@
     number: u32,
     /// Number of parts of the snapshot.
     parts: u32,
-    /// Slice of the encoded ledger, which is followed by the encoded lease bounds.
+    /// Slice of the encoded ledger, which is followed by what is known of leases.
     content: Vec<u8>,
 }
 
@@ -61,16 +61,19 @@
     learned: Vec<LearnedInterference>,
 }
 
-/// Lease bounds in milliseconds. Follows the ledger, since earlier versions ignore what does.
+/// What is known of leases. Follows the ledger, since earlier versions ignore what does.
 #[derive(Default, Serialize, Deserialize)]
-struct StoredBounds {
+struct StoredLeases {
+    confirmed_grants: bool,
+    /// Lease bounds in milliseconds.
     lease_bounds: BTreeMap<HostName, u32>,
 }
 
-impl From<&JobLedger> for StoredBounds {
+impl From<&JobLedger> for StoredLeases {
     fn from(ledger: &JobLedger) -> Self {
         let bounds = ledger.lease_bounds.iter();
         Self {
+            confirmed_grants: ledger.confirmed_grants,
             lease_bounds: bounds
                 .map(|(host, remaining)| (host.clone(), remaining.as_millis() as u32))
                 .collect(),
@@ -170,6 +173,7 @@
             ended: stored.ended,
             hosts: stored.hosts,
             jobs_read: stored.jobs_read,
+            confirmed_grants: false,
             lease_bounds: BTreeMap::new(),
             learned: stored.learned,
         }
@@ -180,7 +184,7 @@
 #[must_use]
 pub fn snapshot_records(ledger: &JobLedger, plan_offset: StreamOffset) -> Vec<NewRecord> {
     let mut content = encode(&StoredLedger::from(ledger)).to_vec();
-    content.extend(encode(&StoredBounds::from(ledger)));
+    content.extend(encode(&StoredLeases::from(ledger)));
     let parts = content.chunks(PART_BYTES);
     let count = parts.len() as u32;
     let record = |(number, content): (usize, &[u8])| NewRecord {
@@ -217,12 +221,13 @@
     }
     let content: Vec<u8> = parts.into_iter().flat_map(|part| part.content).collect();
     let (stored, rest) = decode_first::<StoredLedger>(&content)?;
-    let bounds = match rest {
-        [] => StoredBounds::default(),
+    let leases = match rest {
+        [] => StoredLeases::default(),
         rest => decode(rest)?,
     };
-    let bounds = bounds.lease_bounds.into_iter();
+    let bounds = leases.lease_bounds.into_iter();
     let ledger = JobLedger {
+        confirmed_grants: leases.confirmed_grants,
         lease_bounds: bounds
             .map(|(host, ms)| (host, Duration::from_millis(ms.into())))
             .collect(),
--- a/crates/hornbeamlead_jobs/tests/lease_bounds.rs
+++ b/crates/hornbeamlead_jobs/tests/lease_bounds.rs
@@ -65,9 +65,9 @@
     let mut records = read_records(snapshot_records(&JobLedger::default(), 7));
     let value = records[0].value.as_deref().expect("the part has a value");
     let mut part = decode::<EarlierPart>(value).expect("the part decodes");
-    let empty_bounds = [1, 0];
-    assert!(part.content.ends_with(&empty_bounds));
-    part.content.truncate(part.content.len() - 2);
+    let no_leases = [1, 0, 0];
+    assert!(part.content.ends_with(&no_leases));
+    part.content.truncate(part.content.len() - no_leases.len());
     records[0].value = Some(encode(&part));
     assert_eq!(read_snapshot(&records), Ok(Some((JobLedger::default(), 7))));
 }
@@ -78,14 +78,18 @@
     ledger.apply(&PlanRecord::Takeover(claim()));
     let remaining = Duration::from_secs(4);
     assert_eq!(ledger.lease_bounds.get(&host()), Some(&remaining));
+    assert!(ledger.confirmed_grants);
     ledger.apply(&bound(None));
     assert!(ledger.lease_bounds.is_empty());
 }
 
-/// A planner of an earlier version grants leases to hosts whose bounds it does not know.
+/// A planner of an earlier version grants leases to hosts whose bounds it does not know, and for a
+/// while after its last append.
 #[test]
 fn earlier_planner() {
     let mut ledger = bounded_ledger();
+    ledger.apply(&PlanRecord::Takeover(claim()));
     ledger.apply(&PlanRecord::Claim(claim()));
     assert!(ledger.lease_bounds.is_empty());
+    assert!(!ledger.confirmed_grants);
 }
--- a/crates/hornbeamlead_jobs/tests/world/processes.rs
+++ b/crates/hornbeamlead_jobs/tests/world/processes.rs
@@ -158,9 +158,9 @@
                 LocatorEvent::LinkDown => {
                     effects.extend(agent.supervisor.handle(now.mono, SupervisorEvent::LinkDown));
                 }
-                LocatorEvent::Elected { epoch, claim } => {
+                LocatorEvent::Elected(election) => {
                     let policy = planner_policy(host, incarnation);
-                    let planner = PlannerMachine::new(policy, WorldFormat, epoch, claim, now.mono);
+                    let planner = PlannerMachine::new(policy, WorldFormat, election, now.mono);
                     agent.planner = Some(planner);
                 }
             }
