[jobs] Let a new planner act on what it has read, and keep it in its role

Since grants wait for an append, a planner that took over on a quiet platform granted nothing for 0.4 s: its first heartbeat waited for the first long poll of the jobs stream, although recovery had just read that stream.

Change: the read of the newest records counts as the first read of the stream, from the time at which its first page was requested. While a planner recovers it leaves reports without an answer for up to 0.5 s, so that agents do not look for another planner.

--- a/crates/hornbeamlead_jobs/src/follow.rs
+++ b/crates/hornbeamlead_jobs/src/follow.rs
@@ -77,6 +77,12 @@
         self.next = next;
     }
 
+    /// Continues after a read of the newest records.
+    pub fn continue_after(&mut self, newest: &NewestRecords) {
+        self.next = newest.end;
+        self.last_answered = Some(newest.read_at);
+    }
+
     /// Returns the next offset to read.
     #[must_use]
     pub fn next(&self) -> StreamOffset {
@@ -153,6 +159,7 @@
     records: Vec<ReadRecord>,
     after: Option<Box<str>>,
     first_end: Option<StreamOffset>,
+    first_sent: Option<MonoTime>,
     in_flight: bool,
     not_before: MonoTime,
 }
@@ -164,6 +171,8 @@
     pub records: Vec<ReadRecord>,
     /// End of the stream when the first page was read.
     pub end: StreamOffset,
+    /// Time at which the first page was requested; all records stored before it are included.
+    pub read_at: MonoTime,
 }
 
 /// Time after which the read of a page is repeated. Pages are small; a slow store answers within
@@ -180,6 +189,7 @@
             records: Vec::new(),
             after: None,
             first_end: None,
+            first_sent: None,
             in_flight: false,
             not_before: MonoTime(0),
         }
@@ -191,6 +201,7 @@
             return None;
         }
         self.in_flight = true;
+        self.first_sent.get_or_insert(now);
         Some(StoreCall {
             caller: self.caller,
             operation: StoreOperation::Newest {
@@ -216,6 +227,7 @@
             false => Some(NewestRecords {
                 records: std::mem::take(&mut self.records),
                 end: first_end,
+                read_at: self.first_sent.unwrap_or(now),
             }),
         }
     }
--- a/crates/hornbeamlead_jobs/src/operators.rs
+++ b/crates/hornbeamlead_jobs/src/operators.rs
@@ -77,7 +77,7 @@
         match &mut self.stage {
             ReadStage::Newest(reader) => match reader.take(now, outcome) {
                 Some(newest) => {
-                    self.follower.seek(newest.end);
+                    self.follower.continue_after(&newest);
                     self.stage = ReadStage::Follow;
                     // Keys that were removed while the stream could not be followed are not among
                     // the newest records.
--- a/crates/hornbeamlead_jobs/src/planner/leases.rs
+++ b/crates/hornbeamlead_jobs/src/planner/leases.rs
@@ -22,6 +22,9 @@
 /// another within milliseconds.
 const GRANT_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time for which a planner that recovers leaves reports without an answer.
+const RECOVERY_GRACE_PERIOD: Duration = Duration::from_millis(500);
+
 /// Interval between two records of how long the leases of a silent host last.
 const LEASE_BOUND_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -36,6 +39,8 @@
         report: &HostReport,
     ) {
         let may_grant = self.recovery.is_none() && self.batch.has_recent_append(now);
+        let recovering =
+            self.recovery.is_some() && now.since(self.started_at) < RECOVERY_GRACE_PERIOD;
         let (sent, succeeded) = (self.batch.last_sent(), self.batch.last_succeeded());
         let Some(view) = self.hosts.get_mut(host) else {
             return;
@@ -44,6 +49,8 @@
         let confirmed = view.stamps.confirm(succeeded);
         let answered_at = view.granted_at;
         match confirmed {
+            // Agents would look for another planner.
+            _ if recovering => {}
             _ if !may_grant => {
                 view.granted_at = None;
                 self.send_answer(link, None, report.stamp);
--- a/crates/hornbeamlead_jobs/src/planner/recovery.rs
+++ b/crates/hornbeamlead_jobs/src/planner/recovery.rs
@@ -175,7 +175,7 @@
     }
 
     fn activate(&mut self, now: MonoTime, newest: NewestRecords) {
-        self.jobs_follower.seek(newest.end);
+        self.jobs_follower.continue_after(&newest);
         let (cancels, jobs): (Vec<_>, Vec<_>) = newest
             .records
             .into_iter()
@@ -190,6 +190,7 @@
             self.log("job_without_body", job, String::new());
         }
         self.adopt_placements(now);
+        self.ledger.confirmed_grants = true;
         let detail = format!(
             "epoch={} jobs={} runs={} took_ms={}",
             self.epoch,
