[jobs] Don't let leases grow with the age of an agent beside a slow worker clock

Callers would have seen TWICE: a task of a host that is partitioned for longer than its leases is started elsewhere while it still runs there.

Cause: an agent extrapolated its worker's clock at the rate of its own and accepted only readings at or above that, so beside a clock that is 2 % slow it kept its first reading for ever, and leases grew by 2 % of the time since. After 100 s they outlasted the planner's wait by 1.4 s. Found by review of the lease rules.

Change: an extrapolated reading advances at the slowest permitted rate, so that it is a lower bound and every later reading replaces it.

--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -47,9 +47,6 @@
 /// Longest wait of a long poll. Bounds how long a connection that went silent can hide new jobs.
 const LONG_POLL_WAIT: Duration = Duration::from_millis(400);
 
-/// Factor on durations that are measured by two clocks: worker clocks may run 2 % slow.
-const CLOCK_SKEW_FACTOR: f64 = 1.03;
-
 /// Time after its last successful append for which a planner answers reports with grants, and after
 /// its last read of the jobs stream for which it reports its position there.
 pub(crate) const GRANT_WINDOW: Duration = Duration::from_secs(2);
--- a/crates/hornbeamlead_jobs/src/planner/leases.rs
+++ b/crates/hornbeamlead_jobs/src/planner/leases.rs
@@ -5,13 +5,14 @@
 
 use super::batch::DeferredAction;
 use super::hosts::{GrantState, HostView};
-use super::{CLOCK_SKEW_FACTOR, GRANT_WINDOW, PlannerMachine};
+use super::{GRANT_WINDOW, PlannerMachine};
 use crate::effect::{Effect, LinkId};
 use crate::ids::HostName;
 use crate::job::RunEnd;
 use crate::message::{AgentStamp, HostReport, PlannerMessage};
 use crate::operators::OperatorFormat;
 use crate::record::PlanRecord;
+use crate::worker::CLOCK_SKEW_FACTOR;
 use hornbeamlead_core::clock::MonoTime;
 use std::time::Duration;
 
--- a/crates/hornbeamlead_jobs/src/supervisor.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor.rs
@@ -12,7 +12,8 @@
 use crate::ids::{HostName, PlannerEpoch, RunName, WorkerIncarnation};
 use crate::message::{AgentMessage, AgentStamp, HostReport, PlannerMessage, RunTraits, StartOrder};
 use crate::worker::{
-    WorkerAnnouncement, WorkerFacts, WorkerLists, WorkerRefusal, WorkerReply, WorkerTag,
+    CLOCK_SKEW_FACTOR, WorkerAnnouncement, WorkerFacts, WorkerLists, WorkerRefusal, WorkerReply,
+    WorkerTag,
 };
 use hornbeamlead_core::clock::MonoTime;
 use std::collections::BTreeMap;
@@ -42,7 +43,7 @@
     pub throttle: ThrottlePolicy,
 }
 
-/// Reading of the worker's clock.
+/// Reading of the worker's clock, which may run slow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct WorkerClock {
     ms: u64,
@@ -52,7 +53,8 @@
 impl WorkerClock {
     /// Returns a time on the worker's clock that has certainly passed at `now`.
     fn at(&self, now: MonoTime) -> u64 {
-        self.ms + now.since(self.read).as_millis() as u64
+        let elapsed = now.since(self.read).div_f64(CLOCK_SKEW_FACTOR);
+        self.ms + elapsed.as_millis() as u64
     }
 }
 
--- a/crates/hornbeamlead_jobs/src/worker.rs
+++ b/crates/hornbeamlead_jobs/src/worker.rs
@@ -6,6 +6,9 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+/// Factor on durations that are measured by two clocks: worker clocks may run 2 % slow.
+pub(crate) const CLOCK_SKEW_FACTOR: f64 = 1.03;
+
 /// Properties of a worker, as it announces them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerFacts {
--- a/crates/hornbeamlead_jobs/tests/lost_host.rs
+++ b/crates/hornbeamlead_jobs/tests/lost_host.rs
@@ -101,6 +101,23 @@
     assert_eq!(world.planner_epoch(), epoch);
 }
 
+/// Guards against leases that a worker with a slow clock keeps for longer, the longer its agent has
+/// run: a partitioned host then runs tasks that have been started elsewhere.
+#[rstest]
+fn slow_worker_clock(#[values(1, 2, 3)] seed: u64) {
+    let mut world = World::new(seed, HOSTS, WorldFaults::default(), 0);
+    world.worker_clock_percent = 98;
+    world.run(3000);
+    world.submit(JOB, World::long_running_job(TASKS));
+    world.run(100_000);
+    let planner = world.planner_host();
+    let host = (0..HOSTS).find(|&host| Some(host) != planner && world.running_on(host, JOB) > 0);
+    world.partition(host.expect("several hosts run tasks"), 20_000);
+    world.run(30_000);
+    assert_eq!(world.judge.violations, Vec::<String>::new());
+    assert_eq!(world.running(JOB).len(), TASKS as usize);
+}
+
 /// A host that is lost alone returns its tasks in the same time.
 #[rstest]
 fn worker_removed(#[values(1, 2, 3)] seed: u64) {
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -186,6 +186,8 @@
     pub(crate) slow_host: Option<usize>,
     /// Run time of best-effort tasks in milliseconds; random if absent.
     pub(crate) best_effort_ms: Option<u64>,
+    /// Rate of the workers' clocks in percent of true time.
+    pub(crate) worker_clock_percent: u64,
     /// Jobs that were accepted.
     pub(crate) accepted: Vec<JobId>,
     /// Judge that checks the starts and ends of attempts and collects violations.
@@ -246,6 +248,7 @@
             best_effort_rate: 1.0,
             slow_host: None,
             best_effort_ms: None,
+            worker_clock_percent: 100,
             accepted: Vec::new(),
             judge: JobJudge::default(),
         }
@@ -261,6 +264,11 @@
         1_000_000_000 + now
     }
 
+    /// Returns the reading of the workers' clocks in milliseconds.
+    fn worker_clock_ms(&self) -> u64 {
+        START_MS + (self.now - START_MS) * self.worker_clock_percent / 100
+    }
+
     fn clock(&self) -> ClockReading {
         ClockReading {
             mono: MonoTime(self.now * 1000),
@@ -403,10 +411,10 @@
 
     fn step_workers(&mut self) {
         for index in 0..self.hosts.len() {
-            let now = self.now;
+            let (now, worker_now) = (self.now, self.worker_clock_ms());
             let host = &mut self.hosts[index];
             if host.worker.alive {
-                host.worker.tick(now);
+                host.worker.tick(worker_now);
             } else if now >= host.worker_back_at {
                 let run_events = std::mem::take(&mut host.worker.run_events);
                 host.worker = EmulatedWorker::new(&format!("w-{index}-{now}"), now);
--- a/crates/hornbeamlead_jobs/tests/world/processes.rs
+++ b/crates/hornbeamlead_jobs/tests/world/processes.rs
@@ -41,7 +41,7 @@
                 });
             }
             WorldEvent::WorkerReplied(host, incarnation, call, answer) => {
-                let clock_ms = Some(self.now);
+                let clock_ms = Some(self.worker_clock_ms());
                 let reply = WorkerReply {
                     answer,
                     clock_ms,
@@ -368,7 +368,7 @@
     ) -> WorkerAnswer {
         let fails = self.random.random::<f64>() < self.faults.fail;
         let span = self.random.random_range(150..1500);
-        let now = self.now;
+        let now = self.worker_clock_ms();
         let best_effort_rate = match self.slow_host {
             Some(slow) if slow == host => 0.2,
             _ => self.best_effort_rate,
