[jobs] Renew leases at once when the store is back

Cause: the reports that arrive while an append hangs are only granted by the append after it, and that one waited for the jobs stream to be read, and the grant for the next report. The successful append counted from its first try, so the planner took itself for replaced meanwhile.

Change: when an append succeeds after a failing spell, another follows at once, with which all connected hosts get a grant; a record that holds nothing new serves if there is no other. Whether appends succeed promptly counts from their last try again; which reports are granted does not depend on it. A host that reports while its bound is being withdrawn gets its grant with the next append, so that no start order reaches it earlier (found by review).

--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -85,12 +85,12 @@
     /// When the oldest queued record was added.
     oldest: MonoTime,
     in_flight: Option<InFlightBatch>,
-    /// When the last successful append was first sent.
+    /// When the last successful append was last sent.
     last_append_sent: MonoTime,
     /// Time of the first failed append since the last successful one.
     failing_since: Option<MonoTime>,
     last_heartbeat: MonoTime,
-    /// Whether an append has to follow, for which a heartbeat serves if there is no other record.
+    /// Whether an append has to follow, even if there is no news.
     append_needed: bool,
 }
 
@@ -166,6 +166,7 @@
         match &mut self.batch.in_flight {
             Some(in_flight) if in_flight.retry_at.is_some_and(|at| now >= at) => {
                 in_flight.retry_at = None;
+                in_flight.sent = now;
                 self.send_batch(now);
             }
             None if due => self.send_next(now),
@@ -180,11 +181,13 @@
         // read the jobs stream must not send any.
         let current = last_read.is_some_and(|at| now.since(at) <= GRANT_WINDOW);
         let heartbeat_due = now.since(self.batch.last_heartbeat) >= HEARTBEAT_INTERVAL;
-        let needed = self.batch.append_needed && self.batch.records.is_empty();
-        if (heartbeat_due || needed) && current {
+        if heartbeat_due && current {
             self.batch.last_heartbeat = now;
             self.record(now, PlanRecord::Tick { jobs_read });
         }
+        if self.batch.append_needed && self.batch.records.is_empty() {
+            self.record_presence(now);
+        }
         let count = self.batch.records.len().min(MAX_BATCH_RECORDS);
         let records: Vec<_> = self.batch.records.drain(..count).collect();
         let record = |record: &PlanRecord| NewRecord {
@@ -224,6 +227,12 @@
         self.send_batch(now);
     }
 
+    /// Appends a record that holds nothing new, which shows that the planner was not replaced.
+    fn record_presence(&mut self, now: MonoTime) {
+        let (host, address) = (self.policy.host.clone(), self.policy.address);
+        self.record(now, PlanRecord::Host { host, address });
+    }
+
     fn send_batch(&mut self, now: MonoTime) {
         let Some(in_flight) = &self.batch.in_flight else {
             return;
@@ -262,12 +271,16 @@
             return;
         };
         self.batch.end = offset + in_flight.records.len() as u64;
+        let was_failing = self.batch.failing_since.is_some();
         self.batch.succeeded = in_flight.sequence;
         self.batch.last_append_sent = in_flight.sent;
         self.batch.failing_since = None;
         if let Some((ledger, ended)) = in_flight.snapshot {
             self.save_snapshot(now, &ledger, ended, self.batch.end);
         }
+        if was_failing {
+            self.renew_all_grants();
+        }
         for action in in_flight.deferred {
             self.run_deferred(now, action);
         }
--- a/crates/hornbeamlead_jobs/src/planner/leases.rs
+++ b/crates/hornbeamlead_jobs/src/planner/leases.rs
@@ -76,6 +76,16 @@
         self.effects.push(Effect::ToAgent { link, message });
     }
 
+    /// Grants leases to all connected hosts with the next append. After a failing spell the agents'
+    /// leases may be about to expire.
+    pub(super) fn renew_all_grants(&mut self) {
+        let connected = self.hosts.values_mut().filter(|view| view.link.is_some());
+        for view in connected {
+            view.grant_deferred = true;
+            self.batch.defer_grant(view.host.clone());
+        }
+    }
+
     /// Grants leases to a host that may have them, after an append has succeeded.
     pub(super) fn send_grant(&mut self, now: MonoTime, host: &HostName) {
         let succeeded = self.batch.last_succeeded();
@@ -176,10 +186,19 @@
 
     /// Permits grants to a host whose bound is no longer in the plan.
     pub(super) fn end_withdrawal(&mut self, now: MonoTime, host: &HostName) {
-        if let Some(view) = self.hosts.get_mut(host) {
-            view.grant_state = GrantState::Open;
+        let succeeded = self.batch.last_succeeded();
+        let Some(view) = self.hosts.get_mut(host) else {
+            return;
+        };
+        view.grant_state = GrantState::Open;
+        match view.stamps.confirm(succeeded) {
+            // The host has reported since the append was sent.
+            None if view.has_reported && view.link.is_some() => {
+                view.grant_deferred = true;
+                self.batch.defer_grant(host.clone());
+            }
+            _ => self.send_grant(now, host),
         }
-        self.send_grant(now, host);
     }
 
     /// Takes over the bounds that earlier planners recorded. No lease was granted since.
--- a/crates/hornbeamlead_jobs/tests/durable_order.rs
+++ b/crates/hornbeamlead_jobs/tests/durable_order.rs
@@ -110,21 +110,22 @@
     assert_eq!(world.running(job), before);
 }
 
-/// An outage of the store of 6 s ends no task, and jobs that are submitted afterwards complete.
-#[test]
-fn store_outage() {
-    let mut world = World::new(5, 4, WorldFaults::default(), 0);
+/// An outage of the store of 6 or 7 s ends no task, and jobs that are submitted afterwards complete.
+#[rstest]
+fn store_outage(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64, #[values(6000, 7000)] span_ms: u64) {
+    let mut world = World::new(seed, 4, WorldFaults::default(), 0);
     world.run(3000);
     let long_running = JobId(13);
     world.submit(long_running, World::long_running_job(4));
     world.run(2000);
     let before = world.running(long_running);
-    world.stop_store(6000);
-    world.run(6000);
+    world.stop_store(span_ms);
+    world.run(span_ms);
     assert_eq!(world.running(long_running), before);
     let job = JobId(14);
     world.submit(job, two_steps());
     world.run(8000);
+    assert_eq!(world.running(long_running), before);
     assert_eq!(world.phase(job), Some(JobPhase::Completed));
     assert_eq!(world.judge.violations, Vec::<String>::new());
 }
