[jobs] Bound the leases of unconnected hosts sooner, and grants of earlier versions safely

Two weaknesses of the lease bounds, found by review.

- A planner that ended within a second of its takeover recorded no bound for hosts that had not connected, so a series of short-lived planners waited anew each time.
Hosts are asked to connect at once; one that has not after 0.3 s counts as silent.
- In a rolling upgrade a planner of this version that ended within 2 s of replacing one of an earlier version let its successor drop the 2 s in which the earlier one may still have granted leases: a task could have run twice.
A planner now records GrantsConfirmed 2 s after its takeover; until then each successor adds the 2 s.

--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -247,8 +247,8 @@
     pub hosts: BTreeMap<HostName, SocketAddr>,
     /// Next offset of the jobs stream that the planner reads.
     pub jobs_read: StreamOffset,
-    /// Whether the latest planner granted leases only for reports that arrived before its last
-    /// append. Planners of earlier versions, which store a `Claim`, granted some later.
+    /// Whether all leases were granted for reports that arrived before an append of their planner.
+    /// Planners of earlier versions, which store a `Claim`, granted some for later ones.
     pub confirmed_grants: bool,
     /// Longest time that leases of silent hosts last after the latest record about them.
     pub lease_bounds: BTreeMap<HostName, Duration>,
@@ -276,7 +276,8 @@
                 self.lease_bounds.clear();
                 self.confirmed_grants = false;
             }
-            PlanRecord::Takeover(_) => self.confirmed_grants = true,
+            PlanRecord::Takeover(_) => {}
+            PlanRecord::GrantsConfirmed => self.confirmed_grants = true,
             PlanRecord::Tick { jobs_read } => self.jobs_read = self.jobs_read.max(*jobs_read),
             PlanRecord::Accepted { job, .. } if self.ended.contains_key(job) => {}
             PlanRecord::Accepted { job, queue } => {
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -248,6 +248,7 @@
         }
         let call = self.jobs_follower.poll(now.mono);
         self.effects.extend(call.map(Effect::Store));
+        self.confirm_grants(now.mono);
         self.expire_silent_hosts(now.mono);
         self.schedule(now);
         self.flush(now.mono);
--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -13,6 +13,9 @@
 /// Time without a report after which a host gets no orders. Hosts report every 300 ms.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// Time after a takeover within which hosts that are up connect; they are asked to at once.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Logarithm of latency over target that is assumed for serving tasks without a reading: far below
 /// any target.
 pub(super) const UNMEASURED_LOG_LATENCY: f64 = -3.0;
@@ -209,7 +212,11 @@
 
     /// Returns whether a report is overdue.
     pub(super) fn is_silent(&self, now: MonoTime) -> bool {
-        now.since(self.last_contact) > REPORT_TIMEOUT
+        let timeout = match self.has_reported {
+            true => REPORT_TIMEOUT,
+            false => CONNECT_TIMEOUT,
+        };
+        now.since(self.last_contact) > timeout
     }
 
     /// Returns the number of the next order on the link, and counts it as sent.
--- a/crates/hornbeamlead_jobs/src/planner/leases.rs
+++ b/crates/hornbeamlead_jobs/src/planner/leases.rs
@@ -109,6 +109,14 @@
         self.policy.lease_span.mul_f64(CLOCK_SKEW_FACTOR) + LEASE_EXPIRY_SLACK
     }
 
+    /// Records that no planner of an earlier version can have granted leases after this planner's
+    /// first append.
+    pub(super) fn confirm_grants(&mut self, now: MonoTime) {
+        if !self.ledger.confirmed_grants && now.since(self.started_at) > GRANT_WINDOW {
+            self.record(now, PlanRecord::GrantsConfirmed);
+        }
+    }
+
     /// Returns when all leases that earlier planners granted have expired. They granted none for
     /// reports that arrived after their last successful append, but for those of earlier versions.
     pub(super) fn inherited_leases_end(&self) -> MonoTime {
--- a/crates/hornbeamlead_jobs/src/planner/recovery.rs
+++ b/crates/hornbeamlead_jobs/src/planner/recovery.rs
@@ -190,7 +190,6 @@
             self.log("job_without_body", job, String::new());
         }
         self.adopt_placements(now);
-        self.ledger.confirmed_grants = true;
         let detail = format!(
             "epoch={} jobs={} runs={} took_ms={}",
             self.epoch,
--- a/crates/hornbeamlead_jobs/src/record.rs
+++ b/crates/hornbeamlead_jobs/src/record.rs
@@ -132,6 +132,8 @@
         /// `None` withdraws the bound.
         remaining_ms: Option<u32>,
     },
+    /// Grants that a planner of an earlier version has given after its last append have expired.
+    GrantsConfirmed,
 }
 
 impl PlanRecord {
--- a/crates/hornbeamlead_jobs/tests/lease_bounds.rs
+++ b/crates/hornbeamlead_jobs/tests/lease_bounds.rs
@@ -39,6 +39,7 @@
 
 fn bounded_ledger() -> JobLedger {
     let mut ledger = JobLedger::default();
+    ledger.apply(&PlanRecord::GrantsConfirmed);
     ledger.apply(&bound(Some(4000)));
     ledger
 }
@@ -88,8 +89,9 @@
 #[test]
 fn earlier_planner() {
     let mut ledger = bounded_ledger();
-    ledger.apply(&PlanRecord::Takeover(claim()));
     ledger.apply(&PlanRecord::Claim(claim()));
     assert!(ledger.lease_bounds.is_empty());
     assert!(!ledger.confirmed_grants);
+    ledger.apply(&PlanRecord::Takeover(claim()));
+    assert!(!ledger.confirmed_grants);
 }
