[jobs] Complete gangs and restart long-running tasks that ended before a failover

Callers see LOST: a job whose gang ended stays running for good, its later steps never start; a long-running task that ended done is not started again.

Without a body, the ledger took each end `Done` for that of a plain task: one member of the gang was done and the others had no further record, and the long-running task was done.

Change: setting the body corrects these ends. One done member of a gang means that all are done and that none of that attempt runs; a done long-running task waits again. The result equals that of the predecessor, since a gang starts only as a whole under one attempt number. Encodings stay as they are.

A closed job without a body keeps placements of its other members until reports show that they do not run.

Ruled out: `Failed` and the other ends; by reading, only `Done` depends on the body.

--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -1,5 +1,7 @@
 //! State of all jobs, which results from applying the records of the plan stream.
 
+mod body;
+
 use crate::ids::{
     HostName, JobId, RunName, RunNumber, StepName, StreamOffset, TaskName, WorkerIncarnation,
 };
@@ -116,20 +118,22 @@
         tasks.get(name.index as usize)
     }
 
-    /// Returns the state of a task, creating it and its occurrence if they are missing.
-    fn task_mut(&mut self, name: TaskName) -> &mut TaskState {
+    /// Returns the tasks of a step, creating it and its occurrence if they are missing.
+    fn step_mut(&mut self, name: StepName) -> &mut Vec<TaskState> {
         let record = self.record.as_deref();
         let make = || record.map(OccurrenceState::new).unwrap_or_default();
-        let occurrence = self
-            .occurrences
-            .entry(name.step.occurrence)
-            .or_insert_with(make);
-        let step = usize::from(name.step.step);
+        let occurrence = self.occurrences.entry(name.occurrence).or_insert_with(make);
+        let step = usize::from(name.step);
         if occurrence.steps.len() <= step {
             occurrence.steps.resize_with(step + 1, Vec::new);
         }
+        &mut occurrence.steps[step]
+    }
+
+    /// Returns the state of a task, creating it, its step and its occurrence if they are missing.
+    fn task_mut(&mut self, name: TaskName) -> &mut TaskState {
         let index = name.index as usize;
-        let tasks = &mut occurrence.steps[step];
+        let tasks = self.step_mut(name.step);
         if tasks.len() <= index {
             tasks.resize_with(index + 1, TaskState::default);
         }
@@ -144,18 +148,6 @@
         }
     }
 
-    /// Sets the job's record and creates the state of tasks that no plan record has named.
-    fn set_record(&mut self, record: Arc<JobRecord>) {
-        for occurrence in self.occurrences.values_mut() {
-            let complete = OccurrenceState::new(&record);
-            occurrence.steps.resize_with(complete.steps.len(), Vec::new);
-            for (tasks, wanted) in occurrence.steps.iter_mut().zip(&complete.steps) {
-                tasks.resize_with(wanted.len(), TaskState::default);
-            }
-        }
-        self.record = Some(record);
-    }
-
     /// Returns whether all tasks of all occurrences have completed; long-running tasks never do.
     #[must_use]
     pub fn is_done(&self) -> bool {
@@ -217,22 +209,19 @@
         }
         match end {
             RunEnd::Done if long_running => {}
-            RunEnd::Done if gang => self.end_gang(run),
+            RunEnd::Done if gang => end_gang(self.step_mut(run.task.step), run.run),
             RunEnd::Done => task.done = true,
             RunEnd::Failed => task.failures = task.failures.saturating_add(1),
             _ => {}
         }
     }
+}
 
-    /// Marks all tasks of a gang as completed, which the end `Done` of one member implies.
-    fn end_gang(&mut self, run: RunName) {
-        let step = usize::from(run.task.step.step);
-        let occurrence = self.occurrences.get_mut(&run.task.step.occurrence);
-        let tasks = occurrence.and_then(|occurrence| occurrence.steps.get_mut(step));
-        for task in tasks.into_iter().flatten() {
-            task.done = true;
-            task.placements.retain(|placement| placement.run != run.run);
-        }
+/// Marks all tasks of a gang as completed, which the end `Done` of one member implies.
+fn end_gang(tasks: &mut [TaskState], run: RunNumber) {
+    for task in tasks {
+        task.done = true;
+        task.placements.retain(|placement| placement.run != run);
     }
 }
 
--- /dev/null
+++ b/crates/hornbeamlead_jobs/src/ledger/body.rs
@@ -0,0 +1,37 @@
+//! Completes the state of a job once its body is known.
+//!
+//! A recovery applies plan records before it has read the jobs stream, so the state at that point
+//! depends on no body.
+
+use super::{JobState, OccurrenceState, TaskState, end_gang};
+use crate::job::{JobRecord, StepSpec};
+use std::sync::Arc;
+
+impl JobState {
+    /// Sets the job's record, creates the state of tasks that no plan record has named, and corrects
+    /// ends that were applied without the record.
+    pub(super) fn set_record(&mut self, record: Arc<JobRecord>) {
+        let complete = OccurrenceState::new(&record);
+        for occurrence in self.occurrences.values_mut() {
+            occurrence.steps.resize_with(complete.steps.len(), Vec::new);
+            for (tasks, wanted) in occurrence.steps.iter_mut().zip(&complete.steps) {
+                tasks.resize_with(wanted.len(), TaskState::default);
+            }
+            for (tasks, spec) in occurrence.steps.iter_mut().zip(&record.body.steps) {
+                correct_ends(tasks, spec);
+            }
+        }
+        self.record = Some(record);
+    }
+}
+
+/// Applies to a step what the end `Done` of a task means for gangs and long-running tasks.
+fn correct_ends(tasks: &mut [TaskState], spec: &StepSpec) {
+    let done = tasks.iter().filter(|task| task.done);
+    let done_run = done.map(|task| task.last_run).max();
+    match done_run {
+        Some(_) if spec.long_running => tasks.iter_mut().for_each(|task| task.done = false),
+        Some(run) if spec.gang => end_gang(tasks, run),
+        _ => {}
+    }
+}
