[jobs] Count the tasks of closed jobs after a failover

Callers see LIMIT: tasks start on workers on which tasks of a cancelled or failed job still run, so that a worker holds more than its capacity.

Cause: demand is known from the job's body only. A successor set no body for a job that had ended, and adopted its attempts with no demand at all.

A closed job that turns out idle once its body is set (a gang whose end was replayed without it) leaves the ledger then.

Ruled out by trial: either half alone.

--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -334,6 +334,7 @@
         if let Some(state) = self.jobs.get_mut(&job) {
             state.set_record(record);
         }
+        self.remove_if_idle(job);
     }
 
     /// Returns the phase of a job, or `None` if the job is unknown.
--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -207,7 +207,8 @@
                 learned: self.interference.learned(),
                 ..self.ledger.clone()
             };
-            (ledger, self.upkeep.drain_ended())
+            let ended = self.upkeep.drain_ended(&ledger);
+            (ledger, ended)
         });
         self.batch.in_flight = Some(InFlightBatch {
             records: records.iter().map(record).collect(),
--- a/crates/hornbeamlead_jobs/src/planner/intake.rs
+++ b/crates/hornbeamlead_jobs/src/planner/intake.rs
@@ -49,11 +49,14 @@
     }
 
     fn accept_job(&mut self, now: MonoTime, job: JobId, value: &[u8]) {
-        if self.ledger.ended.contains_key(&job) {
+        let ended = self.ledger.ended.contains_key(&job);
+        if ended {
             self.upkeep.remove_body(job);
-            return;
         }
         let known = self.ledger.jobs.get(&job);
+        if ended && known.is_none() {
+            return;
+        }
         if known.is_some_and(|state| state.record.is_some()) {
             return;
         }
--- a/crates/hornbeamlead_jobs/src/planner/upkeep.rs
+++ b/crates/hornbeamlead_jobs/src/planner/upkeep.rs
@@ -65,11 +65,13 @@
         now >= self.snapshot_at
     }
 
-    /// Removes and returns the ended jobs whose bodies can be deleted once a snapshot with all
-    /// records so far is stored.
-    pub(super) fn drain_ended(&mut self) -> Vec<JobId> {
-        let count = self.ended.len().min(MAX_REMOVALS);
-        self.ended.drain(..count).collect()
+    /// Removes and returns the ended jobs whose bodies can be deleted once a snapshot of the ledger
+    /// is stored. The bodies of jobs with attempts that may be running are kept, because the next
+    /// planner needs their demand.
+    pub(super) fn drain_ended(&mut self, ledger: &JobLedger) -> Vec<JobId> {
+        let idle = |job: &mut JobId| !ledger.jobs.contains_key(job);
+        let removable = self.ended.extract_if(.., idle);
+        removable.take(MAX_REMOVALS).collect()
     }
 
     pub(super) fn remove_body(&mut self, job: JobId) {
--- a/crates/hornbeamlead_jobs/tests/replayed_ends.rs
+++ b/crates/hornbeamlead_jobs/tests/replayed_ends.rs
@@ -128,6 +128,10 @@
     started(0, 1), ended(0, 1, RunEnd::Done), started(0, 2), ended(0, 2, RunEnd::Failed),
 ])]
 #[case(step(&[]), vec![started(0, 1), started(1, 1), ended(1, 1, RunEnd::Done)])]
+#[case(gang(), vec![
+    started(0, 1), started(1, 1), started(2, 1), ended(1, 1, RunEnd::Done),
+    PlanRecord::Closed { job: JOB, phase: JobPhase::Cancelled },
+])]
 fn replayed_without_body(#[case] step: StepSpec, #[case] records: Vec<PlanRecord>) {
     let body = body(vec![step, self::step(&[0])]);
     let expected = apply(Some(&body), &records);
