[jobs] Keep occurrences that were open at a failover

Late occurrences are placed after punctual ones, so that happens when there was no room for a while.

Cause: openings are no records. A successor knew only the occurrences with an attempt in the plan, and opened the one after the highest of them next.

Change: with the body, all occurrences before the highest known one are opened, once for each job and recovery. A pass still looks at the next occurrence of a job only.

Weighed and left: a search for gaps in each pass, which costs more, and which a clock that has jumped back since can delay.

--- a/crates/hornbeamlead_jobs/src/ledger/body.rs
+++ b/crates/hornbeamlead_jobs/src/ledger/body.rs
@@ -9,7 +9,8 @@
 
 impl JobState {
     /// Sets the job's record, creates the state of tasks that no plan record has named, and corrects
-    /// ends that were applied without the record.
+    /// ends that were applied without the record. Opens all occurrences before the latest known one,
+    /// since occurrences open in order and no plan record tells of it.
     pub(super) fn set_record(&mut self, record: Arc<JobRecord>) {
         let complete = OccurrenceState::new(&record);
         for occurrence in self.occurrences.values_mut() {
@@ -22,6 +23,10 @@
             }
         }
         self.record = Some(record);
+        let latest = self.occurrences.keys().next_back().copied();
+        for occurrence in 0..latest.unwrap_or(0) {
+            self.open_occurrence(occurrence);
+        }
     }
 }
 
