[jobs] Close jobs whose end was stored without the record that closes them

Callers see LOST: a job of which all tasks are done, or one has used up its attempts, stays running for good.

Cause: the outcome of a job is checked only when an attempt ends. The end and the job's closing are records of their own, which two appends separate if more than 4,000 records wait (by reading, not seen); a planner that is replaced in between leaves the job to a successor that sees no further end of it.

Change: a new planner checks the outcome of all jobs once their bodies are set. It does so before it applies cancellations, as the predecessor did with those that it had not read when the last task ended.

Evidence: unclosed_jobs without the change: 2 of 3 cases fail (phase Running instead of Completed and Failed); with it 3 of 3 pass. The third case, a stopped attempt that decides nothing, passes with and without. All other tests of the package pass.

--- a/crates/hornbeamlead_jobs/src/planner/intake.rs
+++ b/crates/hornbeamlead_jobs/src/planner/intake.rs
@@ -117,6 +117,14 @@
         }
     }
 
+    /// Closes the jobs whose end an earlier planner recorded without closing them.
+    pub(super) fn check_job_outcomes(&mut self, now: MonoTime) {
+        let jobs: Vec<JobId> = self.ledger.jobs.keys().copied().collect();
+        for job in jobs {
+            self.check_job_outcome(now, job);
+        }
+    }
+
     /// Closes a job if all its tasks are done, or if a task has used up its attempts.
     pub(super) fn check_job_outcome(&mut self, now: MonoTime, job: JobId) {
         let Some(state) = self.ledger.jobs.get(&job) else {
--- a/crates/hornbeamlead_jobs/src/planner/recovery.rs
+++ b/crates/hornbeamlead_jobs/src/planner/recovery.rs
@@ -181,6 +181,7 @@
             .into_iter()
             .partition(super::intake::is_cancel);
         self.apply_jobs(now, &jobs);
+        self.check_job_outcomes(now);
         self.apply_jobs(now, &cancels);
         let missing_body = |(job, state): (&crate::ids::JobId, &crate::ledger::JobState)| {
             (state.record.is_none() && !state.phase.is_final()).then_some(*job)
