--- a/crates/hornbeamlead_jobs/src/planner/intake.rs
+++ b/crates/hornbeamlead_jobs/src/planner/intake.rs
@@ -49,11 +49,14 @@
     }
 
     fn accept_job(&mut self, now: MonoTime, job: JobId, value: &[u8]) {
-        if self.ledger.ended.contains_key(&job) {
+        let ended = self.ledger.ended.contains_key(&job);
+        if ended {
             self.upkeep.remove_body(job);
-            return;
         }
         let known = self.ledger.jobs.get(&job);
+        if ended && known.is_none() {
+            return;
+        }
         if known.is_some_and(|state| state.record.is_some()) {
             return;
         }
@@ -114,6 +117,14 @@
         }
     }
 
+    /// Closes the jobs whose end an earlier planner recorded without closing them.
+    pub(super) fn check_job_outcomes(&mut self, now: MonoTime) {
+        let jobs: Vec<JobId> = self.ledger.jobs.keys().copied().collect();
+        for job in jobs {
+            self.check_job_outcome(now, job);
+        }
+    }
+
     /// Closes a job if all its tasks are done, or if a task has used up its attempts.
     pub(super) fn check_job_outcome(&mut self, now: MonoTime, job: JobId) {
         let Some(state) = self.ledger.jobs.get(&job) else {
