[jobs] Keep others from claiming the planner's role while it recovers

Callers would see nothing started and nothing ended for as long as the store is slow: with answers after 400 ms a successor's recovery takes longer than the election timeout of the other processes, which claim in turn, and each starts its recovery from zero.

Cause: a planner appends nothing before it has recovered, so for the others the plan does not grow.

Change: while it recovers, for up to 5 s, a planner appends a record that holds nothing new each 250 ms.

--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -244,6 +244,7 @@
         self.effects.extend(call.map(Effect::Store));
         if self.recovery.is_some() {
             self.poll_recovery(now.mono);
+            self.hold_role(now.mono);
             return;
         }
         let call = self.jobs_follower.poll(now.mono);
--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -35,6 +35,9 @@
 /// another at least every [`HEARTBEAT_INTERVAL`].
 const MAX_PROMPT_AGE: Duration = Duration::from_millis(600);
 
+/// Time for which a planner that recovers keeps others from taking over.
+const MAX_RECOVERY_TIME: Duration = Duration::from_secs(5);
+
 /// Most records in a batch; far below the store's limit of 2 MiB per call.
 const MAX_BATCH_RECORDS: usize = 4000;
 
@@ -204,7 +207,8 @@
         }
         self.batch.sequence += 1;
         self.batch.append_needed = !drained;
-        let due = drained && self.upkeep.is_snapshot_due(now);
+        let recovered = self.recovery.is_none();
+        let due = drained && recovered && self.upkeep.is_snapshot_due(now);
         let snapshot = due.then(|| {
             let ledger = JobLedger {
                 learned: self.interference.learned(),
@@ -228,6 +232,18 @@
         self.send_batch(now);
     }
 
+    /// Appends something at intervals while the planner recovers, so that no other process claims its
+    /// role meanwhile. A recovery that takes too long is left to others.
+    pub(super) fn hold_role(&mut self, now: MonoTime) {
+        if now.since(self.started_at) > MAX_RECOVERY_TIME {
+            return;
+        }
+        self.batch.append_needed |= now.since(self.batch.last_append_sent) >= HEARTBEAT_INTERVAL;
+        if self.batch.append_needed || self.batch.in_flight.is_some() {
+            self.flush(now);
+        }
+    }
+
     /// Appends a record that holds nothing new, which shows that the planner was not replaced.
     fn record_presence(&mut self, now: MonoTime) {
         let (host, address) = (self.policy.host.clone(), self.policy.address);
--- a/crates/hornbeamlead_jobs/tests/world/callers.rs
+++ b/crates/hornbeamlead_jobs/tests/world/callers.rs
@@ -17,7 +17,7 @@
                             condition,
                         } => {
                             let outcome = self.store.append(self.now, *stream, records, *condition);
-                            self.after(STORE_MS, WorldEvent::EntryStored(caller, outcome));
+                            self.after(self.store_ms, WorldEvent::EntryStored(caller, outcome));
                         }
                         _ => self.reads.push(PendingRead { host: None, call }),
                     }
--- a/crates/hornbeamlead_jobs/tests/world/calls.rs
+++ b/crates/hornbeamlead_jobs/tests/world/calls.rs
@@ -30,7 +30,7 @@
                     return self.after(700, answer(StoreOutcome::Unanswered { cause }));
                 }
                 let outcome = self.store.append(self.now, *stream, records, *condition);
-                self.after(STORE_MS, answer(outcome));
+                self.after(self.store_ms, answer(outcome));
             }
             _ => self.reads.push(PendingRead {
                 host: Some((host, incarnation)),
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -39,7 +39,7 @@
 /// Step of the virtual clock, in milliseconds.
 const STEP_MS: u64 = 5;
 
-/// Round trip of a call to the store, in milliseconds.
+/// Usual round trip of a call to the store, in milliseconds.
 const STORE_MS: u64 = 10;
 
 /// Latency of serving tasks as a fraction of their target.
@@ -180,6 +180,8 @@
     submit_tickets: BTreeMap<u64, JobId>,
     /// Whether processes may call the store through one another.
     pub(crate) relays: bool,
+    /// Round trip of a call to the store, in milliseconds.
+    pub(crate) store_ms: u64,
     /// Fraction of their processor demand that best-effort tasks get.
     pub(crate) best_effort_rate: f64,
     /// Host whose best-effort tasks get a fifth of their processor demand.
@@ -245,6 +247,7 @@
             cancel_tickets: BTreeMap::new(),
             submit_tickets: BTreeMap::new(),
             relays: false,
+            store_ms: STORE_MS,
             best_effort_rate: 1.0,
             slow_host: None,
             best_effort_ms: None,
@@ -473,7 +476,7 @@
             Some((host, incarnation)) => WorldEvent::Stored(host, incarnation, caller, outcome),
             None => WorldEvent::EntryStored(caller, outcome),
         };
-        self.after(STORE_MS, event);
+        self.after(self.store_ms, event);
     }
 
     fn after(&mut self, span_ms: u64, event: WorldEvent) {
