[jobs, tests] Test cut-off planners and withdrawn bounds directly

- planner_partitioned: the planner is cut off with its host for 20 s beside slow worker clocks.
- bound_withdrawn: a host is silent for 3 or 6 s, returns, and is cut off again while the planner is killed.

A host whose link is open when a planner becomes active counts as silent after 1 s, not 0.3 s: its first report may have come during recovery.

--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -212,7 +212,8 @@
 
     /// Returns whether a report is overdue.
     pub(super) fn is_silent(&self, now: MonoTime) -> bool {
-        let timeout = match self.has_reported {
+        let connected = self.has_reported || self.link.is_some();
+        let timeout = match connected {
             true => REPORT_TIMEOUT,
             false => CONNECT_TIMEOUT,
         };
--- a/crates/hornbeamlead_jobs/tests/lost_host.rs
+++ b/crates/hornbeamlead_jobs/tests/lost_host.rs
@@ -23,7 +23,14 @@
 const JOB: JobId = JobId(21);
 
 fn started_world(seed: u64) -> World {
+    clocked_world(seed, 100)
+}
+
+/// Returns a platform with running tasks whose workers' clocks run at a rate in percent of true
+/// time.
+fn clocked_world(seed: u64, worker_clock_percent: u64) -> World {
     let mut world = World::new(seed, HOSTS, WorldFaults::default(), 0);
+    world.worker_clock_percent = worker_clock_percent;
     world.run(3000);
     world.submit(JOB, World::long_running_job(TASKS));
     world.run(2000);
@@ -105,10 +112,7 @@
 /// run: a partitioned host then runs tasks that have been started elsewhere.
 #[rstest]
 fn slow_worker_clock(#[values(1, 2, 3)] seed: u64) {
-    let mut world = World::new(seed, HOSTS, WorldFaults::default(), 0);
-    world.worker_clock_percent = 98;
-    world.run(3000);
-    world.submit(JOB, World::long_running_job(TASKS));
+    let mut world = clocked_world(seed, 98);
     world.run(100_000);
     let planner = world.planner_host();
     let host = (0..HOSTS).find(|&host| Some(host) != planner && world.running_on(host, JOB) > 0);
@@ -118,6 +122,46 @@
     assert_eq!(world.running(JOB).len(), TASKS as usize);
 }
 
+/// Guards against a planner that is cut off with its host and grants leases to it for longer than
+/// its successor waits.
+#[rstest]
+fn planner_partitioned(
+    #[values(1, 2, 3, 4, 5, 6)] seed: u64,
+    #[values(0, 70, 140, 210)] offset_ms: u64,
+) {
+    let mut world = clocked_world(seed, 98);
+    let planner = elect_on_busy_host(&mut world);
+    world.run(offset_ms);
+    world.partition(planner, 20_000);
+    world.run(RETURN_MS);
+    let elsewhere = world.running(JOB).len() - world.running_on(planner, JOB);
+    assert_eq!(elsewhere, TASKS as usize);
+    world.run(20_000);
+    assert_eq!(world.running(JOB).len(), TASKS as usize);
+    assert_eq!(world.judge.violations, Vec::<String>::new());
+}
+
+/// Guards against the bound of an earlier silence that stays in the plan after the host has come
+/// back and got leases again.
+#[rstest]
+fn bound_withdrawn(
+    #[values(1, 2, 3)] seed: u64,
+    #[values(3000, 6000)] silence_ms: u64,
+    #[values(400, 900, 1500)] back_ms: u64,
+) {
+    let mut world = started_world(seed);
+    let planner = world.planner_host();
+    let host = (0..HOSTS).find(|&host| Some(host) != planner && world.running_on(host, JOB) > 0);
+    let host = host.expect("several hosts run tasks");
+    world.partition(host, silence_ms);
+    world.run(silence_ms + back_ms);
+    world.partition(host, 20_000);
+    world.kill(planner.expect("a planner is elected"));
+    world.run(30_000);
+    assert_eq!(world.running(JOB).len(), TASKS as usize);
+    assert_eq!(world.judge.violations, Vec::<String>::new());
+}
+
 /// A host that is lost alone returns its tasks in the same time.
 #[rstest]
 fn worker_removed(#[values(1, 2, 3)] seed: u64) {
