[jobs] Send the share of a best-effort task whose share is unknown

Callers see late jobs: a best-effort task that was paced at 0 to 95 % keeps this share after its agent has restarted, or after the call that raises it to 100 % has failed, as long as the controller wants 100 %.

Cause: the shares that were sent are known to the agent's process only, and a share that is not known was taken for 100 %, so no call followed.

Change: unknown is a state of its own, and the wanted share of such a task is sent until a call is answered. Tasks that the process has started itself are known to have 100 %, so they cost no call; after a restart it is one call a task.

Ruled out: that the worker starts an attempt at another share than 100 % (the users' pages say 100), and that a restarted agent takes an attempt of its predecessor for its own (a start is ordered once).

Why it works: a share counts as known only from a start by this process or from a call that has not failed; every listed best-effort task without a known share is due at each reading. Right after a restart the controller wants what the learned interference permits, else 100 %, and reduces it from the next reading on as for a new task.

pace_fillers: its tasks that have just started are now noted as started; what it asserts is unchanged.

--- a/crates/hornbeamlead_jobs/src/supervisor/calls.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/calls.rs
@@ -254,10 +254,26 @@
         worker.listed = Some(worker.hold_epoch);
         worker.lists = lists;
         self.report_due |= changed || first;
+        self.note_starts();
         self.confirm_orders(number);
         self.adjust_throttling(now);
     }
 
+    /// Notes which listed attempts this process has started; others may have been throttled by an
+    /// earlier one.
+    fn note_starts(&mut self) {
+        let Some(worker) = &self.worker else {
+            return;
+        };
+        for row in &worker.lists.running {
+            if let Some(RunStage::Starting { .. } | RunStage::Confirming { stopped: false, .. }) =
+                self.runs.get(&row.run)
+            {
+                self.throttle.note_started(row.run);
+            }
+        }
+    }
+
     /// Updates the stages of attempts whose orders were answered before the lists were read.
     fn confirm_orders(&mut self, number: u64) {
         let Some(worker) = &self.worker else {
--- a/crates/hornbeamlead_jobs/src/supervisor/throttle.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/throttle.rs
@@ -84,14 +84,15 @@
     capacity: u32,
     /// Logarithm of latency over target without best-effort tasks, by short image hash.
     baselines: BTreeMap<u32, f64>,
-    /// Share that was last sent for each best-effort task, in percent.
-    sent: BTreeMap<RunName, u8>,
+    /// Share of each listed best-effort task on the worker, in percent. `None` if unknown: an earlier
+    /// process may have set it, or a call has failed.
+    shares: BTreeMap<RunName, Option<u8>>,
     /// Detail text of a change that has not been logged yet.
     log_detail: Option<String>,
 }
 
 impl BestEffortThrottle {
-    /// Creates a controller that throttles no task.
+    /// Creates a controller that knows no shares and throttles no task.
     #[must_use]
     pub fn new(policy: ThrottlePolicy) -> Self {
         Self {
@@ -103,7 +104,7 @@
             use_share: 1.0,
             capacity: 0,
             baselines: BTreeMap::new(),
-            sent: BTreeMap::new(),
+            shares: BTreeMap::new(),
             log_detail: None,
         }
     }
@@ -124,13 +125,19 @@
         self.log_detail.take()
     }
 
-    /// Forgets the share that was sent for a task, so that it is sent again.
+    /// Notes that this process has started a task, which therefore has its full share unless another
+    /// was sent since.
+    pub fn note_started(&mut self, run: RunName) {
+        self.shares.entry(run).or_insert(Some(FULL_SHARE));
+    }
+
+    /// Notes that a task's share is unknown, so that the wanted share is sent again.
     pub fn forget(&mut self, run: RunName) {
-        self.sent.remove(&run);
+        self.shares.insert(run, None);
     }
 
     /// Updates the controller from the list of running attempts and returns the shares to send, in
-    /// percent.
+    /// percent: those that change, and those of tasks whose share is unknown.
     pub fn adjust(
         &mut self,
         now: MonoTime,
@@ -269,7 +276,7 @@
             Some((row.run, traits.interference_percent))
         };
         let tasks: BTreeMap<RunName, u8> = rows.iter().filter_map(best_effort).collect();
-        self.sent.retain(|run, _| tasks.contains_key(run));
+        self.shares.retain(|run, _| tasks.contains_key(run));
         let mut changes = Vec::new();
         for (run, interference) in tasks {
             let interference = f64::from(interference.min(FULL_SHARE)) / f64::from(FULL_SHARE);
@@ -277,10 +284,13 @@
             let share = 1.0 - (1.0 - self.use_share) * interference;
             let share = share.min(limits.get(&run).copied().unwrap_or(1.0));
             let share = (share * f64::from(FULL_SHARE)).round() as u8;
-            let sent = self.sent.entry(run).or_insert(FULL_SHARE);
-            let full = share == FULL_SHARE && *sent != FULL_SHARE;
-            if sent.abs_diff(share) >= MIN_CHANGE_PERCENT || full {
-                *sent = share;
+            let current = self.shares.entry(run).or_insert(None);
+            let due = |current: u8| {
+                let full = share == FULL_SHARE && current != FULL_SHARE;
+                current.abs_diff(share) >= MIN_CHANGE_PERCENT || full
+            };
+            if current.is_none_or(due) {
+                *current = Some(share);
                 changes.push((run, share));
             }
         }
--- a/crates/hornbeamlead_jobs/tests/pace_fillers.rs
+++ b/crates/hornbeamlead_jobs/tests/pace_fillers.rs
@@ -108,6 +108,7 @@
     throttle.set_capacity(16_000);
     let mut traits = traits();
     for index in [1, 2] {
+        throttle.note_started(run(index));
         if let Some(traits) = traits.get_mut(&run(index)) {
             traits.cpu = 2000;
             traits.coefficients = Box::new([(0, coefficient_tenths)]);
