[jobs] Partition hosts whose agents find their workers late

Change: half of the hosts with a late announcement are partitioned up to 1.5 s before it, for 5 to 20 s, and late announcements are twice as frequent.

--- a/crates/hornbeamlead_jobs/tests/random_faults.rs
+++ b/crates/hornbeamlead_jobs/tests/random_faults.rs
@@ -139,14 +139,15 @@
     }
 }
 
-/// Faults after which agents don't know their workers for about as long as leases last.
+/// Faults after which agents don't know their workers for about as long as leases last, or
+/// find them when their hosts have been partitioned.
 fn late_announcements() -> WorldFaults {
     WorldFaults {
         kill: 0.1,
         kill_planner: 0.3,
         freeze: 0.2,
         partition: 0.1,
-        late_announcement: 0.5,
+        late_announcement: 1.0,
         crash: 0.1,
         store_outage: 0.1,
         lost_answers: 0.05,
@@ -174,6 +175,15 @@
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
+/// Guards against leases that are renewed by a grant for a report without a worker, on a host that
+/// is partitioned when its agent finds the worker.
+#[rstest]
+#[case(6038656251814972769)]
+fn workerless_report_granted(#[case] seed: u64) {
+    let violations = simulate(seed, late_announcements(), false);
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 #[test]
 fn no_faults() {
     let violations = simulate(1, WorldFaults::default(), false);
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -111,6 +111,7 @@
     WorkerReplied(usize, u64, WorkerCall, WorkerAnswer),
     LateOrder(usize, WorkerCall),
     LateAppend(StreamName, Vec<NewRecord>, AppendCondition),
+    Partition(usize, u64),
     LinkOpened(usize, u64, LinkId),
     LinkClosed(usize, u64, LinkId, bool),
     ToPlanner(usize, LinkId, AgentMessage),
@@ -145,7 +146,7 @@
     /// Rate per second at which a worker crashes.
     pub(crate) crash: f64,
     /// Rate per second at which an agent is killed and its worker announces itself only 2 to 15 s
-    /// later.
+    /// later. Half of these hosts are partitioned for 5 to 20 s shortly before.
     pub(crate) late_announcement: f64,
     /// Rate per second at which the store becomes unavailable to all or some hosts for up to 5 s.
     pub(crate) store_outage: f64,
@@ -319,6 +320,12 @@
             self.kill(host);
             let span_ms = self.random.random_range(2000..15_000);
             self.delay_announcement(host, span_ms);
+            if self.random.random::<bool>() {
+                let before_ms = self.random.random_range(0..1500);
+                let partition_ms = self.random.random_range(5000..20_000);
+                let event = WorldEvent::Partition(host, partition_ms);
+                self.after(span_ms - before_ms, event);
+            }
         }
         if self.chance(faults.crash) {
             self.crash(host);
--- a/crates/hornbeamlead_jobs/tests/world/processes.rs
+++ b/crates/hornbeamlead_jobs/tests/world/processes.rs
@@ -57,6 +57,7 @@
                 });
             }
             WorldEvent::LateOrder(host, call) => self.carry_out(host, &call, true),
+            WorldEvent::Partition(host, span_ms) => self.partition(host, span_ms),
             WorldEvent::LateAppend(stream, records, condition) => {
                 self.store.append(self.now, stream, &records, condition);
             }
