--- a/crates/hornbeamlead_jobs/tests/lost_host.rs
+++ b/crates/hornbeamlead_jobs/tests/lost_host.rs
@@ -38,19 +38,6 @@
     world
 }
 
-/// Has planners replaced until one is elected on a host that runs tasks, and returns the host.
-fn elect_on_busy_host(world: &mut World) -> usize {
-    for _ in 0..40 {
-        let planner = world.planner_host().expect("a planner is elected");
-        if world.running_on(planner, JOB) > 0 {
-            return planner;
-        }
-        world.kill(planner);
-        world.run(2000);
-    }
-    panic!("no planner was elected on a host that runs tasks");
-}
-
 /// Removes a host other than the planner's that runs tasks.
 fn remove_worker(world: &mut World) {
     let planner = world.planner_host();
@@ -85,7 +72,7 @@
 #[rstest]
 fn planner_removed(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
     let mut world = started_world(seed);
-    let planner = elect_on_busy_host(&mut world);
+    let planner = world.elect_on_busy_host(JOB);
     world.remove(planner);
     assert!(world.running(JOB).len() < TASKS as usize);
     world.run(RETURN_MS);
@@ -98,7 +85,7 @@
 #[rstest]
 fn successor_kept(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
     let mut world = started_world(seed);
-    let planner = elect_on_busy_host(&mut world);
+    let planner = world.elect_on_busy_host(JOB);
     world.remove(planner);
     while world.planner_epoch().is_none() {
         world.run(5);
@@ -130,7 +117,7 @@
     #[values(0, 70, 140, 210)] offset_ms: u64,
 ) {
     let mut world = clocked_world(seed, 98);
-    let planner = elect_on_busy_host(&mut world);
+    let planner = world.elect_on_busy_host(JOB);
     world.run(offset_ms);
     world.partition(planner, 20_000);
     world.run(RETURN_MS);
