--- a/crates/hornbeamlead_jobs/src/planner/upkeep.rs
+++ b/crates/hornbeamlead_jobs/src/planner/upkeep.rs
@@ -14,7 +14,6 @@
     AppendCondition, NewRecord, StoreCall, StoreCaller, StoreOperation, StoreOutcome, StreamName,
 };
 use hornbeamlead_core::clock::MonoTime;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Interval between snapshots. The store retains plan records for at least 20 s, and a recovery
@@ -30,20 +29,42 @@
 /// Most bodies removed in one call.
 const MAX_REMOVALS: usize = 200;
 
+/// Snapshot that is not stored yet.
+#[derive(Debug)]
+struct PendingSnapshot {
+    records: Vec<NewRecord>,
+    /// Jobs whose bodies can be removed once the snapshot is stored.
+    ended: Vec<JobId>,
+}
+
+/// Maintenance call in flight.
 #[derive(Debug)]
 enum UpkeepJob {
     Publish,
-    Snapshot,
-    Remove,
+    Snapshot(PendingSnapshot),
+    Remove(Vec<JobId>),
 }
 
-/// Queue of maintenance calls, sent one at a time.
+impl UpkeepJob {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Publish => "publish",
+            Self::Snapshot(_) => "snapshot",
+            Self::Remove(_) => "remove",
+        }
+    }
+}
+
+/// Maintenance that is due, performed by one call at a time.
 #[derive(Debug)]
 pub(super) struct UpkeepState {
-    waiting: VecDeque<(UpkeepJob, StreamName, Vec<NewRecord>)>,
-    in_flight: bool,
+    publish_due: bool,
+    /// Newest snapshot, unless it is in flight or stored.
+    snapshot: Option<PendingSnapshot>,
+    /// Jobs whose bodies can be removed now.
+    removals: Vec<JobId>,
+    in_flight: Option<UpkeepJob>,
     not_before: MonoTime,
-    published: bool,
     snapshot_at: MonoTime,
     /// Ended jobs whose bodies are still in the store.
     ended: Vec<JobId>,
@@ -52,15 +73,48 @@
 impl UpkeepState {
     pub(super) fn new(now: MonoTime) -> Self {
         Self {
-            waiting: VecDeque::new(),
-            in_flight: false,
+            publish_due: true,
+            snapshot: None,
+            removals: Vec::new(),
+            in_flight: None,
             not_before: now,
-            published: false,
             snapshot_at: now,
             ended: Vec::new(),
         }
     }
 
+    fn next_job(&mut self) -> Option<UpkeepJob> {
+        if std::mem::take(&mut self.publish_due) {
+            return Some(UpkeepJob::Publish);
+        }
+        if let Some(snapshot) = self.snapshot.take() {
+            return Some(UpkeepJob::Snapshot(snapshot));
+        }
+        let count = self.removals.len().min(MAX_REMOVALS);
+        let jobs: Vec<_> = self.removals.drain(..count).collect();
+        (!jobs.is_empty()).then_some(UpkeepJob::Remove(jobs))
+    }
+
+    /// Queues a snapshot in place of an earlier one. The plan records after a snapshot expire, so
+    /// an earlier one is of no use.
+    fn add_snapshot(&mut self, mut snapshot: PendingSnapshot) {
+        let earlier = self.snapshot.take();
+        snapshot
+            .ended
+            .extend(earlier.into_iter().flat_map(|earlier| earlier.ended));
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Queues a failed call again.
+    fn restore(&mut self, job: UpkeepJob) {
+        match (job, &mut self.snapshot) {
+            (UpkeepJob::Publish, _) => self.publish_due = true,
+            (UpkeepJob::Snapshot(failed), Some(newer)) => newer.ended.extend(failed.ended),
+            (UpkeepJob::Snapshot(failed), None) => self.snapshot = Some(failed),
+            (UpkeepJob::Remove(jobs), _) => self.removals.extend(jobs),
+        }
+    }
+
     pub(super) fn is_snapshot_due(&self, now: MonoTime) -> bool {
         now >= self.snapshot_at
     }
@@ -79,43 +133,50 @@
 
 impl<F: OperatorFormat> PlannerMachine<F> {
     pub(super) fn poll_upkeep(&mut self, now: MonoTime) {
-        if !self.upkeep.published {
-            self.upkeep.published = true;
-            let (epoch, address) = (self.epoch, self.policy.address);
-            let record = NewRecord {
-                key: Some(PLANNER_KEY.into()),
-                value: Some(encode(&PlannerAddress { epoch, address })),
-            };
-            let call = (UpkeepJob::Publish, StreamName::Planner, vec![record]);
-            self.upkeep.waiting.push_back(call);
-        }
-        if self.upkeep.in_flight || now < self.upkeep.not_before {
+        if self.upkeep.in_flight.is_some() || now < self.upkeep.not_before {
             return;
         }
-        if let Some((_, stream, records)) = self.upkeep.waiting.front() {
-            self.effects.push(Effect::Store(StoreCall {
-                caller: StoreCaller::Upkeep,
-                operation: StoreOperation::Append {
-                    stream: *stream,
-                    records: records.clone(),
-                    condition: AppendCondition::Always,
-                },
-                deadline: now.plus(UPKEEP_TIMEOUT),
-            }));
-            self.upkeep.in_flight = true;
+        let Some(job) = self.upkeep.next_job() else {
+            return;
+        };
+        let (stream, records) = match &job {
+            UpkeepJob::Publish => (StreamName::Planner, vec![self.address_record()]),
+            UpkeepJob::Snapshot(snapshot) => (StreamName::Snapshots, snapshot.records.clone()),
+            UpkeepJob::Remove(jobs) => (StreamName::Jobs, removal_records(jobs)),
+        };
+        self.effects.push(Effect::Store(StoreCall {
+            caller: StoreCaller::Upkeep,
+            operation: StoreOperation::Append {
+                stream,
+                records,
+                condition: AppendCondition::Always,
+            },
+            deadline: now.plus(UPKEEP_TIMEOUT),
+        }));
+        self.upkeep.in_flight = Some(job);
+    }
+
+    fn address_record(&self) -> NewRecord {
+        let (epoch, address) = (self.epoch, self.policy.address);
+        NewRecord {
+            key: Some(PLANNER_KEY.into()),
+            value: Some(encode(&PlannerAddress { epoch, address })),
         }
     }
 
     pub(super) fn handle_upkeep(&mut self, now: MonoTime, outcome: StoreOutcome) {
-        self.upkeep.in_flight = false;
-        match outcome {
-            StoreOutcome::Appended { .. } => {
-                self.upkeep.waiting.pop_front();
+        let Some(job) = self.upkeep.in_flight.take() else {
+            return;
+        };
+        match (outcome, job) {
+            (StoreOutcome::Appended { .. }, UpkeepJob::Snapshot(snapshot)) => {
+                self.upkeep.removals.extend(snapshot.ended);
             }
-            other => {
-                let job = self.upkeep.waiting.front().map(|(job, ..)| job);
-                let detail = format!("job={job:?} outcome={other:?}");
+            (StoreOutcome::Appended { .. }, _) => {}
+            (other, job) => {
+                let detail = format!("job={} outcome={other:?}", job.name());
                 self.log("upkeep_failed", "store", detail);
+                self.upkeep.restore(job);
                 self.upkeep.not_before = now.plus(UPKEEP_BACKOFF);
             }
         }
@@ -130,31 +191,23 @@
         end: StreamOffset,
     ) {
         self.upkeep.snapshot_at = now.plus(SNAPSHOT_INTERVAL);
-        let is_snapshot = |(job, ..): &(UpkeepJob, StreamName, Vec<NewRecord>)| {
-            matches!(job, UpkeepJob::Snapshot)
-        };
-        if self.upkeep.waiting.iter().any(is_snapshot) {
-            self.upkeep.ended.extend(ended);
-            return;
-        }
         let records = snapshot_records(ledger, end);
         self.log("impact_learned", end, self.interference.describe());
-        let snapshot = (UpkeepJob::Snapshot, StreamName::Snapshots, records);
-        self.upkeep.waiting.push_back(snapshot);
-        let record = |key: String| NewRecord {
-            key: Some(key.into()),
-            value: None,
-        };
-        let keys = |job: JobId| {
-            [
-                format!("{JOB_PREFIX}{job}"),
-                format!("{CANCEL_PREFIX}{job}"),
-            ]
-        };
-        let records: Vec<_> = ended.into_iter().flat_map(keys).map(record).collect();
-        if !records.is_empty() {
-            let removal = (UpkeepJob::Remove, StreamName::Jobs, records);
-            self.upkeep.waiting.push_back(removal);
-        }
+        self.upkeep.add_snapshot(PendingSnapshot { records, ended });
     }
 }
+
+/// Returns the records that remove the bodies and cancellations of jobs.
+fn removal_records(jobs: &[JobId]) -> Vec<NewRecord> {
+    let keys = |job: &JobId| {
+        [
+            format!("{JOB_PREFIX}{job}"),
+            format!("{CANCEL_PREFIX}{job}"),
+        ]
+    };
+    let record = |key: String| NewRecord {
+        key: Some(key.into()),
+        value: None,
+    };
+    jobs.iter().flat_map(keys).map(record).collect()
+}
--- /dev/null
+++ b/crates/hornbeamlead_jobs/tests/world/lone.rs
@@ -0,0 +1,116 @@
+//! Planner without agents, with a store of its own.
+
+use super::*;
+
+/// Step of the clock, in milliseconds.
+const LONE_STEP_MS: u64 = 10;
+
+/// Planner, the store that it uses, and what it has requested.
+pub(crate) struct LonePlanner {
+    machine: PlannerMachine<WorldFormat>,
+    /// Store, in which the planner's claim is the newest record of the plan.
+    pub(crate) store: EmulatedStore,
+    /// Reading of the clock in milliseconds.
+    pub(crate) now_ms: u64,
+    /// Stream to which the store refuses appends.
+    pub(crate) refused: Option<StreamName>,
+    /// Calls to the store.
+    pub(crate) calls: Vec<StoreOperation>,
+    /// Events that were logged.
+    pub(crate) events: Vec<&'static str>,
+    outcomes: Vec<(StoreCaller, StoreOutcome)>,
+}
+
+impl LonePlanner {
+    /// Creates a planner that has claimed its role in a store with a plan and a snapshot.
+    pub(crate) fn new(mut store: EmulatedStore, now_ms: u64) -> Self {
+        let policy = planner_policy(0, 1);
+        let record = PlanRecord::Takeover(PlannerClaim {
+            host: policy.host.clone(),
+            incarnation: policy.incarnation,
+            address: policy.address,
+        });
+        let record = NewRecord {
+            key: None,
+            value: Some(encode(&record)),
+        };
+        let StoreOutcome::Appended { offset: claim } = store.append(
+            now_ms,
+            StreamName::Plan,
+            &[record],
+            AppendCondition::Epoch {
+                epoch: 1,
+                sequence: 0,
+            },
+        ) else {
+            panic!("the claim is stored");
+        };
+        let now = MonoTime(now_ms * 1000);
+        let election = PlannerElection {
+            epoch: PlannerEpoch(1),
+            claim,
+            plan_ended_at: now,
+        };
+        Self {
+            machine: PlannerMachine::new(policy, WorldFormat, election, now),
+            store,
+            now_ms,
+            refused: None,
+            calls: Vec::new(),
+            events: Vec::new(),
+            outcomes: Vec::new(),
+        }
+    }
+
+    /// Returns whether the planner is active.
+    pub(crate) fn is_active(&self) -> bool {
+        self.machine.is_active()
+    }
+
+    /// Advances the clock. Calls are answered after a step; long polls do not wait.
+    pub(crate) fn run(&mut self, span_ms: u64) {
+        let end = self.now_ms + span_ms;
+        while self.now_ms < end {
+            self.now_ms += LONE_STEP_MS;
+            self.store.expire(self.now_ms);
+            for (caller, outcome) in std::mem::take(&mut self.outcomes) {
+                self.handle(PlannerEvent::Stored { caller, outcome });
+            }
+            self.handle(PlannerEvent::Tick);
+        }
+    }
+
+    fn handle(&mut self, event: PlannerEvent) {
+        let now = ClockReading {
+            mono: MonoTime(self.now_ms * 1000),
+            wall: WallTime(World::wall_ms(self.now_ms)),
+        };
+        for effect in self.machine.handle(now, event) {
+            match effect {
+                Effect::Store(call) => self.answer(call),
+                Effect::Log(line) => self.events.push(line.event),
+                _ => {}
+            }
+        }
+    }
+
+    fn answer(&mut self, call: StoreCall) {
+        let outcome = match &call.operation {
+            StoreOperation::Append { stream, .. } if self.refused == Some(*stream) => {
+                let cause = "refused".into();
+                StoreOutcome::Refused { cause }
+            }
+            StoreOperation::Append {
+                stream,
+                records,
+                condition,
+            } => self.store.append(self.now_ms, *stream, records, *condition),
+            read => {
+                let outcome = self.store.read(read);
+                outcome.unwrap_or_else(|| self.store.read_empty(read))
+            }
+        };
+        self.calls.push(call.operation);
+        self.outcomes.push((call.caller, outcome));
+    }
+}
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -4,6 +4,7 @@
 
 mod callers;
 mod calls;
+pub(crate) mod lone;
 mod processes;
 
 use bytes::Bytes;
@@ -16,10 +17,13 @@
 use hornbeamlead_jobs::entry::{CallerOperation, CallerRequest, EntryEvent, EntryMachine};
 use hornbeamlead_jobs::ids::{JobId, PlannerEpoch, RunName};
 use hornbeamlead_jobs::job::{JobBody, JobPhase, QueueTerms, RunEnd, StepSpec};
-use hornbeamlead_jobs::locator::{LocatorEvent, LocatorPolicy, PlannerAddress, PlannerLocator};
+use hornbeamlead_jobs::locator::{
+    LocatorEvent, LocatorPolicy, PlannerAddress, PlannerElection, PlannerLocator,
+};
 use hornbeamlead_jobs::message::{AgentMessage, PlannerMessage};
 use hornbeamlead_jobs::operators::OperatorFormat;
 use hornbeamlead_jobs::planner::{PlacementPolicy, PlannerEvent, PlannerMachine, PlannerPolicy};
+use hornbeamlead_jobs::record::{PlanRecord, PlannerClaim, encode};
 use hornbeamlead_jobs::relay::{RelayRoute, StoreRoute};
 use hornbeamlead_jobs::store::{
     AppendCondition, NewRecord, StoreCall, StoreCaller, StoreOperation, StoreOutcome, StreamName,
