--- a/crates/hornbeamlead_jobs/src/entry.rs
+++ b/crates/hornbeamlead_jobs/src/entry.rs
@@ -14,6 +14,7 @@
 use crate::operators::{OperatorFormat, OperatorReader};
 use crate::record::{PlanRecord, decode};
 use crate::snapshot::read_snapshot;
+use crate::snapshot_retry::{SnapshotRetry, snapshot_reader};
 use crate::store::{ReadRecord, StoreCaller, StoreOutcome, StreamName};
 use append::PendingAppend;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
@@ -103,6 +104,7 @@
     operators: OperatorReader<F>,
     index: PhaseIndex,
     plan_stage: ReadStage,
+    snapshot_retry: SnapshotRetry,
     plan_follower: StreamFollower,
     plan_caught_up: bool,
     /// Time at which the planner's last heartbeat was read.
@@ -126,7 +128,8 @@
         Self {
             operators: OperatorReader::new(format),
             index: PhaseIndex::default(),
-            plan_stage: newest(StreamName::Snapshots, StoreCaller::Plan),
+            plan_stage: ReadStage::Newest(snapshot_reader()),
+            snapshot_retry: SnapshotRetry::default(),
             plan_follower: plan,
             plan_caught_up: false,
             last_heartbeat: None,
@@ -283,23 +286,27 @@
         match &mut self.plan_stage {
             ReadStage::Newest(reader) => {
                 if let Some(newest) = reader.take(now, outcome) {
-                    self.load_snapshot(&newest.records);
+                    self.load_snapshot(now, &newest.records);
                 }
             }
             ReadStage::Follow => match self.plan_follower.take(now, outcome) {
                 FollowOutcome::Records { records, caught_up } => {
+                    self.snapshot_retry.reset();
                     self.apply_plan(now, &records);
                     self.plan_caught_up |= caught_up;
                 }
-                FollowOutcome::Expired => {
-                    self.plan_stage = newest(StreamName::Snapshots, StoreCaller::Plan);
+                FollowOutcome::Expired { first } => {
+                    let from = self.plan_follower.next();
+                    let (reader, line) = self.snapshot_retry.after_expiry(now, from, first);
+                    self.plan_stage = ReadStage::Newest(reader);
+                    self.effects.extend(line);
                 }
                 FollowOutcome::Failed => {}
             },
         }
     }
 
-    fn load_snapshot(&mut self, records: &[ReadRecord]) {
+    fn load_snapshot(&mut self, now: MonoTime, records: &[ReadRecord]) {
         match read_snapshot(records) {
             Ok(Some((ledger, offset))) => {
                 self.index = PhaseIndex::from(&ledger);
@@ -312,12 +319,14 @@
                     .push(Effect::log("snapshot_read", "plan", detail));
             }
             Ok(None) if records.is_empty() => self.plan_stage = ReadStage::Follow,
-            Ok(None) => self.plan_stage = newest(StreamName::Snapshots, StoreCaller::Plan),
+            Ok(None) => {
+                self.plan_stage = ReadStage::Newest(self.snapshot_retry.after_pause(now));
+            }
             Err(error) => {
                 let detail = format!("cause={:?}", error.to_string());
                 self.effects
                     .push(Effect::log("snapshot_unreadable", "plan", detail));
-                self.plan_stage = newest(StreamName::Snapshots, StoreCaller::Plan);
+                self.plan_stage = ReadStage::Newest(self.snapshot_retry.after_pause(now));
             }
         }
     }
@@ -369,10 +378,6 @@
     }
 }
 
-fn newest(stream: StreamName, caller: StoreCaller) -> ReadStage {
-    ReadStage::Newest(NewestReader::new(stream, caller))
-}
-
 fn counter_name(reply: &CallerReply) -> &'static str {
     match reply {
         CallerReply::Accepted => "reply_accepted",
--- a/crates/hornbeamlead_jobs/src/follow.rs
+++ b/crates/hornbeamlead_jobs/src/follow.rs
@@ -27,7 +27,10 @@
         caught_up: bool,
     },
     /// Records expired before they were read, so the newest state has to be read again.
-    Expired,
+    Expired {
+        /// First offset that is still stored.
+        first: StreamOffset,
+    },
     /// The read failed and is repeated after a backoff.
     Failed,
 }
@@ -136,7 +139,7 @@
                 };
                 FollowOutcome::Records { records, caught_up }
             }
-            StoreOutcome::Expired { .. } => FollowOutcome::Expired,
+            StoreOutcome::Expired { first } => FollowOutcome::Expired { first },
             _ => {
                 self.back_off(now);
                 FollowOutcome::Failed
@@ -195,6 +198,13 @@
         }
     }
 
+    /// Delays the first page.
+    #[must_use]
+    pub(crate) fn starting_at(mut self, not_before: MonoTime) -> Self {
+        self.not_before = not_before;
+        self
+    }
+
     /// Returns the call to make now, if one is due.
     pub fn poll(&mut self, now: MonoTime) -> Option<StoreCall> {
         if self.in_flight || now < self.not_before {
--- a/crates/hornbeamlead_jobs/src/lib.rs
+++ b/crates/hornbeamlead_jobs/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod record;
 pub mod relay;
 pub mod snapshot;
+mod snapshot_retry;
 pub mod store;
 pub mod supervisor;
 pub mod worker;
--- a/crates/hornbeamlead_jobs/src/locator.rs
+++ b/crates/hornbeamlead_jobs/src/locator.rs
@@ -445,7 +445,7 @@
             }
             AddressStage::Follow => match self.follower.take(now, outcome) {
                 FollowOutcome::Records { records, .. } => self.apply_address_records(now, &records),
-                FollowOutcome::Expired => {
+                FollowOutcome::Expired { .. } => {
                     let reader = NewestReader::new(StreamName::Planner, StoreCaller::Locator);
                     self.address_stage = AddressStage::Newest(reader);
                 }
--- a/crates/hornbeamlead_jobs/src/operators.rs
+++ b/crates/hornbeamlead_jobs/src/operators.rs
@@ -88,7 +88,7 @@
             },
             ReadStage::Follow => match self.follower.take(now, outcome) {
                 FollowOutcome::Records { records, .. } => self.apply(&records),
-                FollowOutcome::Expired => {
+                FollowOutcome::Expired { .. } => {
                     self.stage = newest();
                     Vec::new()
                 }
--- a/crates/hornbeamlead_jobs/src/planner/intake.rs
+++ b/crates/hornbeamlead_jobs/src/planner/intake.rs
@@ -22,7 +22,7 @@
         match self.jobs_follower.take(now, outcome) {
             FollowOutcome::Records { records, .. } => self.apply_jobs(now, &records),
             // The planner could not read the store for longer than records are retained.
-            FollowOutcome::Expired => self.depose("jobs_expired"),
+            FollowOutcome::Expired { .. } => self.depose("jobs_expired"),
             FollowOutcome::Failed => {}
         }
     }
--- a/crates/hornbeamlead_jobs/src/planner/recovery.rs
+++ b/crates/hornbeamlead_jobs/src/planner/recovery.rs
@@ -10,6 +10,7 @@
 use crate::operators::OperatorFormat;
 use crate::record::{PlanRecord, decode};
 use crate::snapshot::read_snapshot;
+use crate::snapshot_retry::{SnapshotRetry, snapshot_reader};
 use crate::store::{ReadRecord, StoreCaller, StoreOutcome, StreamName};
 use hornbeamlead_core::clock::MonoTime;
 use std::time::Duration;
@@ -39,6 +40,7 @@
 pub(super) struct RecoveryState {
     claim: StreamOffset,
     plan: PlanStage,
+    snapshot_retry: SnapshotRetry,
     jobs: JobsStage,
 }
 
@@ -46,16 +48,13 @@
     pub(super) fn new(claim: StreamOffset) -> Self {
         Self {
             claim,
-            plan: snapshot_stage(),
+            plan: PlanStage::Snapshot(snapshot_reader()),
+            snapshot_retry: SnapshotRetry::default(),
             jobs: JobsStage::Reading(NewestReader::new(StreamName::Jobs, StoreCaller::Recovery)),
         }
     }
 }
 
-fn snapshot_stage() -> PlanStage {
-    PlanStage::Snapshot(NewestReader::new(StreamName::Snapshots, StoreCaller::Plan))
-}
-
 impl<F: OperatorFormat> PlannerMachine<F> {
     pub(super) fn poll_recovery(&mut self, now: MonoTime) {
         let Some(recovery) = &mut self.recovery else {
@@ -108,7 +107,8 @@
         match &mut recovery.plan {
             PlanStage::Snapshot(reader) => {
                 if let Some(newest) = reader.take(now, outcome) {
-                    recovery.plan = self.recover_snapshot(&newest.records);
+                    let retry = &mut recovery.snapshot_retry;
+                    recovery.plan = self.recover_snapshot(now, retry, &newest.records);
                 }
             }
             PlanStage::Records(follower) => match follower.take(now, outcome) {
@@ -117,14 +117,24 @@
                         recovery.plan = PlanStage::Done;
                     }
                 }
-                FollowOutcome::Expired => recovery.plan = snapshot_stage(),
+                FollowOutcome::Expired { first } => {
+                    let from = follower.next();
+                    let (reader, line) = recovery.snapshot_retry.after_expiry(now, from, first);
+                    recovery.plan = PlanStage::Snapshot(reader);
+                    self.effects.extend(line);
+                }
                 FollowOutcome::Failed => {}
             },
             PlanStage::Done => {}
         }
     }
 
-    fn recover_snapshot(&mut self, records: &[ReadRecord]) -> PlanStage {
+    fn recover_snapshot(
+        &mut self,
+        now: MonoTime,
+        retry: &mut SnapshotRetry,
+        records: &[ReadRecord],
+    ) -> PlanStage {
         let mut follower = StreamFollower::new(
             StreamName::Plan,
             StoreCaller::Plan,
@@ -142,11 +152,11 @@
                 self.ledger = Default::default();
                 PlanStage::Records(follower)
             }
-            Ok(None) => snapshot_stage(),
+            Ok(None) => PlanStage::Snapshot(retry.after_pause(now)),
             Err(error) => {
                 let cause = error.to_string();
                 self.log("snapshot_unreadable", "plan", format!("cause={cause:?}"));
-                snapshot_stage()
+                PlanStage::Snapshot(retry.after_pause(now))
             }
         }
     }
--- /dev/null
+++ b/crates/hornbeamlead_jobs/src/snapshot_retry.rs
@@ -0,0 +1,64 @@
+//! Repeated reads of the newest snapshot, when it cannot be used or does not reach the plan records
+//! that are still stored.
+
+use crate::effect::Effect;
+use crate::follow::NewestReader;
+use crate::ids::StreamOffset;
+use crate::store::{StoreCaller, StreamName};
+use hornbeamlead_core::clock::MonoTime;
+use std::time::Duration;
+
+/// First pause before the newest snapshot is read again; doubles up to [`MAX_PAUSE`].
+const MIN_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest pause; a planner that is active writes a snapshot each 3 s.
+const MAX_PAUSE: Duration = Duration::from_secs(2);
+
+/// Returns a reader of the newest snapshot that starts at once.
+pub(crate) fn snapshot_reader() -> NewestReader {
+    NewestReader::new(StreamName::Snapshots, StoreCaller::Plan)
+}
+
+/// Paces the reads of the newest snapshot.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SnapshotRetry {
+    failures: u32,
+    /// Offset of the last read of the plan whose records had expired.
+    expired_from: Option<StreamOffset>,
+    gap_logged: bool,
+}
+
+impl SnapshotRetry {
+    /// Returns a reader that starts after a pause, because the snapshot that was read is unusable.
+    pub(crate) fn after_pause(&mut self, now: MonoTime) -> NewestReader {
+        let pause = (MIN_PAUSE * (1 << self.failures.min(4))).min(MAX_PAUSE);
+        self.failures = self.failures.saturating_add(1);
+        snapshot_reader().starting_at(now.plus(pause))
+    }
+
+    /// Returns a reader for when plan records from an offset on have expired, and a log line if it
+    /// is certain that the newest snapshot does not include them. Records must not be skipped, since
+    /// a task whose end is unknown would run twice, so such a gap ends only with a newer snapshot.
+    pub(crate) fn after_expiry(
+        &mut self,
+        now: MonoTime,
+        from: StreamOffset,
+        first: StreamOffset,
+    ) -> (NewestReader, Option<Effect>) {
+        if self.expired_from.replace(from) != Some(from) {
+            // A reader that was slow finds a newer snapshot.
+            return (snapshot_reader(), None);
+        }
+        let line = (!std::mem::replace(&mut self.gap_logged, true)).then(|| {
+            let cause = "plan records expired that the newest snapshot does not include";
+            let detail = format!("from={from} first={first} cause={cause:?}");
+            Effect::log("plan_gap", "plan", detail)
+        });
+        (self.after_pause(now), line)
+    }
+
+    /// Ends the pauses once plan records after the snapshot have been read.
+    pub(crate) fn reset(&mut self) {
+        *self = Self::default();
+    }
+}
--- a/crates/hornbeamlead_jobs/tests/expired_plan.rs
+++ b/crates/hornbeamlead_jobs/tests/expired_plan.rs
@@ -2,9 +2,17 @@
 
 mod world;
 
+use hornbeamlead_core::clock::{ClockReading, MonoTime, WallTime};
 use hornbeamlead_emulator::store::EmulatedStore;
-use hornbeamlead_jobs::snapshot::read_snapshot;
-use hornbeamlead_jobs::store::{StoreOperation, StoreOutcome, StreamName};
+use hornbeamlead_jobs::effect::Effect;
+use hornbeamlead_jobs::entry::{EntryEvent, EntryMachine};
+use hornbeamlead_jobs::ledger::JobLedger;
+use hornbeamlead_jobs::record::{PlanRecord, encode};
+use hornbeamlead_jobs::snapshot::{read_snapshot, snapshot_records};
+use hornbeamlead_jobs::store::{
+    AppendCondition, NewRecord, StoreOperation, StoreOutcome, StreamName,
+};
+use world::WorldFormat;
 use world::lone::LonePlanner;
 
 /// Returns the plan offset of the newest snapshot.
@@ -24,7 +32,7 @@
     let read = StoreOperation::Read {
         stream: StreamName::Plan,
         from: 0,
-        wait_until: hornbeamlead_core::clock::MonoTime(0),
+        wait_until: MonoTime(0),
         end_only: true,
     };
     match store.read_empty(&read) {
@@ -33,6 +41,116 @@
     }
 }
 
+/// Number of plan records that have expired in [`gap_store`].
+const EXPIRED_RECORDS: u64 = 40;
+
+/// Time at which the records of [`gap_store`] have expired, in milliseconds.
+const GAP_MS: u64 = 40_000;
+
+fn append(store: &mut EmulatedStore, now: u64, stream: StreamName, records: &[NewRecord]) {
+    store.append(now, stream, records, AppendCondition::Always);
+}
+
+fn heartbeat() -> NewRecord {
+    NewRecord {
+        key: None,
+        value: Some(encode(&PlanRecord::Tick { jobs_read: 0 })),
+    }
+}
+
+/// Returns a store in which plan records have expired that the newest snapshot does not include.
+fn gap_store() -> EmulatedStore {
+    let mut store = EmulatedStore::default();
+    let records = vec![heartbeat(); EXPIRED_RECORDS as usize];
+    append(&mut store, 10_000, StreamName::Plan, &records);
+    let snapshot = snapshot_records(&JobLedger::default(), EXPIRED_RECORDS - 4);
+    append(&mut store, 10_000, StreamName::Snapshots, &snapshot);
+    let config = NewRecord {
+        key: Some("config".into()),
+        value: Some(encode(&1_u8)),
+    };
+    append(&mut store, 10_000, StreamName::Operators, &[config]);
+    store.expire(GAP_MS);
+    store
+}
+
+/// Adds a snapshot that includes the expired records.
+fn close_gap(store: &mut EmulatedStore, now: u64) {
+    let snapshot = snapshot_records(&JobLedger::default(), EXPIRED_RECORDS);
+    append(store, now, StreamName::Snapshots, &snapshot);
+}
+
+fn is_plan_read(operation: &&StoreOperation) -> bool {
+    matches!(
+        operation,
+        StoreOperation::Read {
+            stream: StreamName::Plan,
+            ..
+        } | StoreOperation::Newest {
+            stream: StreamName::Snapshots,
+            ..
+        }
+    )
+}
+
+fn count(events: &[&str], event: &str) -> usize {
+    events.iter().filter(|other| **other == event).count()
+}
+
+/// Guards against a recovery that reads an outdated snapshot over and over without a pause or a
+/// word in the log, and against one that skips records.
+#[test]
+fn recovery_waits() {
+    let mut planner = LonePlanner::new(gap_store(), GAP_MS);
+    planner.run(10_000);
+    assert!(!planner.is_active());
+    let reads = planner.calls.iter().filter(is_plan_read).count();
+    assert!(reads <= 20, "{reads} reads in 10 s");
+    assert_eq!(count(&planner.events, "plan_gap"), 1);
+    close_gap(&mut planner.store, planner.now_ms);
+    planner.run(2500);
+    assert!(planner.is_active());
+}
+
+/// Guards against an entry that reads an outdated snapshot over and over without a pause.
+#[test]
+fn entry_waits() {
+    let mut store = gap_store();
+    let mut entry = EntryMachine::new(WorldFormat);
+    let (mut reads, mut events) = (0, Vec::new());
+    let mut outcomes = Vec::new();
+    for now_ms in (GAP_MS..GAP_MS + 13_000).step_by(10) {
+        if now_ms == GAP_MS + 10_000 {
+            assert!(reads <= 20, "{reads} reads in 10 s");
+            assert_eq!(count(&events, "plan_gap"), 1);
+            assert!(!entry.is_ready());
+            close_gap(&mut store, now_ms);
+            append(&mut store, now_ms, StreamName::Plan, &[heartbeat()]);
+        }
+        let now = ClockReading {
+            mono: MonoTime(now_ms * 1000),
+            wall: WallTime(now_ms),
+        };
+        let stored = std::mem::take(&mut outcomes).into_iter();
+        let stored = stored.map(|(caller, outcome)| EntryEvent::Stored { caller, outcome });
+        for event in stored.chain([EntryEvent::Tick]).collect::<Vec<_>>() {
+            for effect in entry.handle(now, event) {
+                match effect {
+                    Effect::Store(call) => {
+                        reads += usize::from(is_plan_read(&&call.operation));
+                        let outcome = store.read(&call.operation);
+                        let outcome = outcome.unwrap_or_else(|| store.read_empty(&call.operation));
+                        outcomes.push((call.caller, outcome));
+                    }
+                    Effect::Log(line) => events.push(line.event),
+                    _ => {}
+                }
+            }
+        }
+    }
+    assert!(entry.is_ready());
+}
+
 /// Guards against a snapshot that waits for the store and keeps out newer ones, so that what is
 /// stored at last is older than the plan's retention.
 #[test]
