[jobs] Keep a planner that has lived through a long outage of the store

Callers see no planner for good after the store was away for 17 s or more, although all processes were alive.

Cause: when the store returns, a candidate may claim before the planner has repeated its append. Agents then elect one planner after the other, each with the same gap.

Change: a candidate whose calls had failed for 12 s claims nothing for 2.5 s after its first successful read. What had failed is forgotten when an election ends without a claim, so a single failure does not delay a later election.

Weighed: 12 s is above the outages that occur on the users' sites (6.9 s), for which nothing changes, and leaves 5 s to the first loss. If the planner is lost in such an outage, its successor is elected up to 2.5 s later; waits for leases count from the plan's end that was seen first, so they are not longer. Not covered: a store that serves reads and refuses appends for 17 s.

--- a/crates/hornbeamlead_jobs/src/locator.rs
+++ b/crates/hornbeamlead_jobs/src/locator.rs
@@ -159,6 +159,10 @@
     election_timeout: Duration,
     degraded: bool,
     plan_end: StreamOffset,
+    /// Time of the first failed call of an election since the last successful read.
+    calls_failing_since: Option<MonoTime>,
+    /// Time before which this process claims nothing.
+    claims_not_before: MonoTime,
     events: Vec<LocatorEvent>,
     effects: Vec<Effect>,
 }
@@ -187,6 +191,8 @@
             election_timeout: SILENT_ELECTION_TIMEOUT,
             degraded: false,
             plan_end: 0,
+            calls_failing_since: None,
+            claims_not_before: MonoTime(0),
             events: Vec::new(),
             effects: Vec::new(),
         }
@@ -278,7 +284,7 @@
         self.degraded = degraded;
         match (degraded, self.election) {
             (false, ElectionStage::Idle | ElectionStage::Claiming { .. }) => {}
-            (false, _) => self.election = ElectionStage::Idle,
+            (false, _) => self.end_election(),
             (true, ElectionStage::Idle) => {
                 self.election_timeout = REFUSED_ELECTION_TIMEOUT;
                 self.election = ElectionStage::Starting;
@@ -310,7 +316,7 @@
         self.effects
             .push(Effect::log("planner_found", planner.address, detail));
         self.planner = Some(planner);
-        self.election = ElectionStage::Idle;
+        self.end_election();
         self.degraded = false;
         match self.link {
             LinkStage::Up { link, .. } => {
@@ -323,13 +329,18 @@
         self.link = LinkStage::Down { dial_at: now };
     }
 
+    fn end_election(&mut self) {
+        self.election = ElectionStage::Idle;
+        self.calls_failing_since = None;
+    }
+
     /// Discards the planner's address, which may be that of this process, because this process has
     /// ceased to be the planner.
     pub fn step_down(&mut self, now: MonoTime) {
         self.planner = None;
         self.address_stage =
             AddressStage::Newest(NewestReader::new(StreamName::Planner, StoreCaller::Locator));
-        self.election = ElectionStage::Idle;
+        self.end_election();
         if let LinkStage::Up { link, .. } | LinkStage::Dialing { link } = self.link {
             self.effects.push(Effect::CloseLink { link });
             self.events.push(LocatorEvent::LinkDown);
--- a/crates/hornbeamlead_jobs/src/locator/claim.rs
+++ b/crates/hornbeamlead_jobs/src/locator/claim.rs
@@ -21,6 +21,14 @@
 /// Number of times a claim with an unknown outcome is repeated.
 const MAX_CLAIM_REPEATS: u32 = 4;
 
+/// Time for which calls have to fail to count as a long outage, after which plan records may expire
+/// that the newest snapshot does not include. Only a planner that has lived through the outage
+/// knows them.
+const LONG_OUTAGE: Duration = Duration::from_secs(12);
+
+/// Time without claims after a long outage. A planner that is alive appends again within a second.
+const INCUMBENT_TIME: Duration = Duration::from_millis(2500);
+
 /// Bits of an epoch that distinguish candidates; the others contain the offset of the claim.
 const CANDIDATE_BITS: u32 = 24;
 
@@ -28,6 +36,7 @@
     pub(super) fn handle_claim_outcome(&mut self, now: MonoTime, outcome: StoreOutcome) {
         match (self.election, outcome) {
             (ElectionStage::Reading { seen }, StoreOutcome::Records { end, .. }) => {
+                self.spare_incumbent(now);
                 self.check_plan_end(now, seen, end);
             }
             (ElectionStage::Reading { .. }, StoreOutcome::Expired { first }) => {
@@ -60,6 +69,7 @@
                 self.claim(now, end.offset);
             }
             (ElectionStage::Reading { .. } | ElectionStage::Claiming { .. }, _) => {
+                self.calls_failing_since.get_or_insert(now);
                 let pause = DIAL_PAUSE + self.random_delay();
                 self.election = ElectionStage::Pausing {
                     until: now.plus(pause),
@@ -69,6 +79,14 @@
         }
     }
 
+    /// Delays claims if the store was away for long.
+    fn spare_incumbent(&mut self, now: MonoTime) {
+        let failing_since = self.calls_failing_since.take();
+        if failing_since.is_some_and(|since| now.since(since) >= LONG_OUTAGE) {
+            self.claims_not_before = now.plus(INCUMBENT_TIME);
+        }
+    }
+
     fn check_plan_end(&mut self, now: MonoTime, seen: Option<PlanEnd>, end: StreamOffset) {
         self.plan_end = end;
         match seen {
@@ -94,7 +112,7 @@
         };
         self.election = ElectionStage::Waiting {
             seen,
-            until: now.plus(span),
+            until: now.plus(span).max(self.claims_not_before),
         };
     }
 
--- a/crates/hornbeamlead_jobs/tests/expired_plan.rs
+++ b/crates/hornbeamlead_jobs/tests/expired_plan.rs
@@ -4,16 +4,20 @@
 
 use hornbeamlead_core::clock::{ClockReading, MonoTime, WallTime};
 use hornbeamlead_emulator::store::EmulatedStore;
-use hornbeamlead_jobs::effect::Effect;
+use hornbeamlead_jobs::effect::{Effect, LinkId};
 use hornbeamlead_jobs::entry::{EntryEvent, EntryMachine};
+use hornbeamlead_jobs::ids::{JobId, PlannerEpoch};
 use hornbeamlead_jobs::ledger::JobLedger;
+use hornbeamlead_jobs::locator::{LocatorPolicy, PlannerAddress, PlannerLocator};
 use hornbeamlead_jobs::record::{PlanRecord, encode};
 use hornbeamlead_jobs::snapshot::{read_snapshot, snapshot_records};
 use hornbeamlead_jobs::store::{
-    AppendCondition, NewRecord, StoreOperation, StoreOutcome, StreamName,
+    AppendCondition, NewRecord, StoreCall, StoreCaller, StoreOperation, StoreOutcome, StreamName,
 };
-use world::WorldFormat;
+use rstest::rstest;
+use std::net::SocketAddr;
 use world::lone::LonePlanner;
+use world::{World, WorldFaults, WorldFormat};
 
 /// Returns the plan offset of the newest snapshot.
 fn snapshot_offset(store: &EmulatedStore) -> Option<u64> {
@@ -167,3 +171,77 @@
     let offset = snapshot_offset(&planner.store).expect("a snapshot is stored");
     assert!(offset + 13 >= end, "{offset} of {end}");
 }
+
+/// Guards against a planner that is replaced after a long outage of the store by one that cannot
+/// recover, because what the former knows has expired.
+#[rstest]
+fn store_away(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)] seed: u64,
+    #[values(18_000, 21_000, 30_000)] span_ms: u64,
+) {
+    let mut world = World::new(seed, 4, WorldFaults::default(), 0);
+    world.run(3000);
+    let job = JobId(23);
+    world.submit(job, World::long_running_job(8));
+    world.run(2000);
+    assert_eq!(world.running(job).len(), 8);
+    world.stop_store(span_ms);
+    world.run(span_ms + 10_000);
+    assert!(world.planner_host().is_some());
+    assert_eq!(world.running(job).len(), 8);
+    assert_eq!(world.judge.violations, Vec::<String>::new());
+}
+
+/// Guards against an election that is delayed by a call that failed long before.
+#[test]
+fn later_election() {
+    let address = SocketAddr::from(([10, 0, 0, 1], 7000));
+    let policy = LocatorPolicy {
+        host: "h1".into(),
+        incarnation: 1,
+        address,
+        seed: 1,
+    };
+    let mut locator = PlannerLocator::new(policy);
+    let at = |ms: u64| MonoTime(ms * 1000);
+    let epoch = PlannerEpoch(1);
+    locator.learn_planner(at(1000), PlannerAddress { epoch, address });
+    let link = LinkId(1);
+    locator.tick(at(1000));
+    locator.link_opened(at(1005), link);
+    // The planner cannot reach the store for a moment, and neither can this process.
+    locator.on_planner_message(at(1010), true);
+    locator.tick(at(1010));
+    let cause = "unavailable".into();
+    locator.stored(
+        at(1020),
+        StoreCaller::Claim,
+        StoreOutcome::Refused { cause },
+    );
+    locator.on_planner_message(at(1100), false);
+
+    locator.link_closed(at(20_000), link, false);
+    let end = 7;
+    let records = Vec::new();
+    let plan_end = StoreOutcome::Records { end, records };
+    let claims = |(effects, _): (Vec<Effect>, _)| effects.iter().any(is_claim);
+    let claimed = (20_000..21_000).step_by(10).any(|ms| {
+        locator.tick(at(ms));
+        locator.stored(at(ms), StoreCaller::Claim, plan_end.clone());
+        claims(locator.drain())
+    });
+    assert!(claimed);
+}
+
+fn is_claim(effect: &Effect) -> bool {
+    matches!(
+        effect,
+        Effect::Store(StoreCall {
+            operation: StoreOperation::Append {
+                condition: AppendCondition::Claim { .. },
+                ..
+            },
+            ..
+        })
+    )
+}
