--- a/crates/hornbeamlead_jobs/src/planner/recovery.rs
+++ b/crates/hornbeamlead_jobs/src/planner/recovery.rs
@@ -9,7 +9,7 @@
 use crate::message::AgentMessage;
 use crate::operators::OperatorFormat;
 use crate::record::{PlanRecord, decode};
-use crate::snapshot::read_snapshot;
+use crate::snapshot::{SnapshotSet, read_snapshot};
 use crate::snapshot_retry::{SnapshotRetry, snapshot_reader};
 use crate::store::{ReadRecord, StoreCaller, StoreOutcome, StreamName};
 use hornbeamlead_core::clock::MonoTime;
@@ -141,6 +141,7 @@
             Duration::ZERO,
             Duration::ZERO,
         );
+        self.upkeep.recover_set(SnapshotSet::of_newest(records));
         match read_snapshot(records) {
             Ok(Some((ledger, offset))) => {
                 self.interference = InterferenceModel::from_learned(&ledger.learned);
@@ -165,6 +166,9 @@
     fn replay(&mut self, claim: StreamOffset, records: &[ReadRecord]) -> bool {
         for read in records.iter().take_while(|read| read.offset <= claim) {
             let record = decode::<PlanRecord>(read.value.as_deref().unwrap_or_default());
+            if let Ok(PlanRecord::Claim(_) | PlanRecord::Takeover(_)) = record {
+                self.upkeep.advance_set();
+            }
             match record {
                 Ok(PlanRecord::Claim(other) | PlanRecord::Takeover(other))
                     if read.offset == claim =>
--- a/crates/hornbeamlead_jobs/src/planner/upkeep.rs
+++ b/crates/hornbeamlead_jobs/src/planner/upkeep.rs
@@ -9,7 +9,7 @@
 use crate::locator::{PLANNER_KEY, PlannerAddress};
 use crate::operators::OperatorFormat;
 use crate::record::encode;
-use crate::snapshot::snapshot_records;
+use crate::snapshot::{SnapshotSet, snapshot_records};
 use crate::store::{
     AppendCondition, NewRecord, StoreCall, StoreCaller, StoreOperation, StoreOutcome, StreamName,
 };
@@ -66,6 +66,7 @@
     in_flight: Option<UpkeepJob>,
     not_before: MonoTime,
     snapshot_at: MonoTime,
+    snapshot_set: SnapshotSet,
     /// Ended jobs whose bodies are still in the store.
     ended: Vec<JobId>,
 }
@@ -79,6 +80,7 @@
             in_flight: None,
             not_before: now,
             snapshot_at: now,
+            snapshot_set: SnapshotSet::default(),
             ended: Vec::new(),
         }
     }
@@ -115,6 +117,15 @@
         }
     }
 
+    pub(super) fn recover_set(&mut self, set: SnapshotSet) {
+        self.snapshot_set = set;
+    }
+
+    /// Goes on to the set of the next planner, for each claim of the role.
+    pub(super) fn advance_set(&mut self) {
+        self.snapshot_set = self.snapshot_set.next();
+    }
+
     pub(super) fn is_snapshot_due(&self, now: MonoTime) -> bool {
         now >= self.snapshot_at
     }
@@ -191,7 +202,7 @@
         end: StreamOffset,
     ) {
         self.upkeep.snapshot_at = now.plus(SNAPSHOT_INTERVAL);
-        let records = snapshot_records(ledger, end);
+        let records = snapshot_records(ledger, end, self.upkeep.snapshot_set);
         self.log("impact_learned", end, self.interference.describe());
         self.upkeep.add_snapshot(PendingSnapshot { records, ended });
     }
--- a/crates/hornbeamlead_jobs/src/snapshot.rs
+++ b/crates/hornbeamlead_jobs/src/snapshot.rs
@@ -7,7 +7,6 @@
 };
 use crate::record::{DecodeError, decode, decode_first, encode};
 use crate::store::{NewRecord, ReadRecord};
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -16,6 +15,51 @@
 /// Maximum size of a part, in bytes; the store limits a record to 256 KiB.
 const PART_BYTES: usize = 200 * 1024;
 
+/// Keys under which the parts of a snapshot are stored. Successive planners use different ones, as
+/// a late snapshot of a deposed planner would otherwise replace a part of its successor's.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum SnapshotSet {
+    /// Keys of versions that know no sets.
+    #[default]
+    First,
+    /// The other keys.
+    Second,
+}
+
+impl SnapshotSet {
+    /// Returns the set of the next planner.
+    #[must_use]
+    pub fn next(self) -> Self {
+        match self {
+            Self::First => Self::Second,
+            Self::Second => Self::First,
+        }
+    }
+
+    /// Returns the set of the newest snapshot that [`read_snapshot`] finds in the records.
+    #[must_use]
+    pub fn of_newest(records: &[ReadRecord]) -> Self {
+        match newest_parts(records) {
+            Ok(Some((set, _))) => set,
+            _ => Self::default(),
+        }
+    }
+
+    fn of_key(key: &str) -> Self {
+        match key.starts_with(Self::Second.prefix()) {
+            true => Self::Second,
+            false => Self::First,
+        }
+    }
+
+    fn prefix(self) -> &'static str {
+        match self {
+            Self::First => "part/",
+            Self::Second => "part2/",
+        }
+    }
+}
+
 /// Part of a snapshot.
 #[derive(Serialize, Deserialize)]
 struct SnapshotPart {
@@ -182,13 +226,17 @@
 
 /// Encodes a snapshot as records that have to be appended atomically.
 #[must_use]
-pub fn snapshot_records(ledger: &JobLedger, plan_offset: StreamOffset) -> Vec<NewRecord> {
+pub fn snapshot_records(
+    ledger: &JobLedger,
+    plan_offset: StreamOffset,
+    set: SnapshotSet,
+) -> Vec<NewRecord> {
     let mut content = encode(&StoredLedger::from(ledger)).to_vec();
     content.extend(encode(&StoredLeases::from(ledger)));
     let parts = content.chunks(PART_BYTES);
     let count = parts.len() as u32;
     let record = |(number, content): (usize, &[u8])| NewRecord {
-        key: Some(format!("part/{number}").into()),
+        key: Some(format!("{}{number}", set.prefix()).into()),
         value: Some(encode(&SnapshotPart {
             plan_offset,
             number: number as u32,
@@ -199,26 +247,45 @@
     parts.enumerate().map(record).collect()
 }
 
-/// Assembles the newest snapshot and returns it with its plan offset. Returns `None` if there is no
-/// snapshot or a part of the newest one is missing, as when the parts belong to different snapshots.
+/// Returns the parts of the newest complete snapshot in order, and their set.
+fn newest_parts(
+    records: &[ReadRecord],
+) -> Result<Option<(SnapshotSet, Vec<SnapshotPart>)>, DecodeError> {
+    let mut snapshots = BTreeMap::<StreamOffset, (SnapshotSet, Vec<SnapshotPart>)>::new();
+    for record in records {
+        let Some(value) = &record.value else {
+            continue;
+        };
+        let part = decode::<SnapshotPart>(value)?;
+        let set = SnapshotSet::of_key(&record.key);
+        let snapshot = snapshots.entry(part.plan_offset);
+        let (_, parts) = snapshot.or_insert_with(|| (set, Vec::new()));
+        parts.push(part);
+    }
+    let is_complete = |parts: &[SnapshotPart]| {
+        let expected = parts.first().map(|part| part.parts as usize);
+        expected == Some(parts.len())
+    };
+    let mut newest_first = snapshots.into_values().rev();
+    let newest = newest_first.find(|(_, parts)| is_complete(parts));
+    Ok(newest.map(|(set, mut parts)| {
+        parts.sort_by_key(|part| part.number);
+        (set, parts)
+    }))
+}
+
+/// Assembles the newest complete snapshot and returns it with its plan offset. Returns `None` if no
+/// snapshot is complete, as when parts of it were replaced by those of another.
 ///
 /// # Errors
 /// Returns [`DecodeError`] if a part or the ledger has another version or is malformed.
 pub fn read_snapshot(
     records: &[ReadRecord],
 ) -> Result<Option<(JobLedger, StreamOffset)>, DecodeError> {
-    let values = records.iter().filter_map(|record| record.value.as_ref());
-    let parts = values.map(|value: &Bytes| decode::<SnapshotPart>(value));
-    let mut parts = parts.collect::<Result<Vec<_>, _>>()?;
-    let Some(newest) = parts.iter().map(|part| part.plan_offset).max() else {
+    let Some((_, parts)) = newest_parts(records)? else {
         return Ok(None);
     };
-    parts.retain(|part| part.plan_offset == newest);
-    parts.sort_by_key(|part| part.number);
-    let expected = parts.first().map_or(0, |part| part.parts as usize);
-    if parts.len() != expected {
-        return Ok(None);
-    }
+    let newest = parts.first().map_or(0, |part| part.plan_offset);
     let content: Vec<u8> = parts.into_iter().flat_map(|part| part.content).collect();
     let (stored, rest) = decode_first::<StoredLedger>(&content)?;
     let leases = match rest {
--- a/crates/hornbeamlead_jobs/tests/expired_plan.rs
+++ b/crates/hornbeamlead_jobs/tests/expired_plan.rs
@@ -10,7 +10,7 @@
 use hornbeamlead_jobs::ledger::JobLedger;
 use hornbeamlead_jobs::locator::{LocatorPolicy, PlannerAddress, PlannerLocator};
 use hornbeamlead_jobs::record::{PlanRecord, encode};
-use hornbeamlead_jobs::snapshot::{read_snapshot, snapshot_records};
+use hornbeamlead_jobs::snapshot::{SnapshotSet, read_snapshot, snapshot_records};
 use hornbeamlead_jobs::store::{
     AppendCondition, NewRecord, StoreCall, StoreCaller, StoreOperation, StoreOutcome, StreamName,
 };
@@ -67,7 +67,11 @@
     let mut store = EmulatedStore::default();
     let records = vec![heartbeat(); EXPIRED_RECORDS as usize];
     append(&mut store, 10_000, StreamName::Plan, &records);
-    let snapshot = snapshot_records(&JobLedger::default(), EXPIRED_RECORDS - 4);
+    let snapshot = snapshot_records(
+        &JobLedger::default(),
+        EXPIRED_RECORDS - 4,
+        SnapshotSet::First,
+    );
     append(&mut store, 10_000, StreamName::Snapshots, &snapshot);
     let config = NewRecord {
         key: Some("config".into()),
@@ -80,7 +84,7 @@
 
 /// Adds a snapshot that includes the expired records.
 fn close_gap(store: &mut EmulatedStore, now: u64) {
-    let snapshot = snapshot_records(&JobLedger::default(), EXPIRED_RECORDS);
+    let snapshot = snapshot_records(&JobLedger::default(), EXPIRED_RECORDS, SnapshotSet::First);
     append(store, now, StreamName::Snapshots, &snapshot);
 }
 
--- a/crates/hornbeamlead_jobs/tests/lease_bounds.rs
+++ b/crates/hornbeamlead_jobs/tests/lease_bounds.rs
@@ -3,7 +3,7 @@
 use hornbeamlead_jobs::ids::{HostName, StreamOffset};
 use hornbeamlead_jobs::ledger::JobLedger;
 use hornbeamlead_jobs::record::{PlanRecord, PlannerClaim, decode, encode};
-use hornbeamlead_jobs::snapshot::{read_snapshot, snapshot_records};
+use hornbeamlead_jobs::snapshot::{SnapshotSet, read_snapshot, snapshot_records};
 use hornbeamlead_jobs::store::{NewRecord, ReadRecord};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -55,14 +55,18 @@
 #[test]
 fn snapshot_keeps_bound() {
     let ledger = bounded_ledger();
-    let records = read_records(snapshot_records(&ledger, 7));
+    let records = read_records(snapshot_records(&ledger, 7, SnapshotSet::First));
     assert_eq!(read_snapshot(&records), Ok(Some((ledger, 7))));
 }
 
 /// A snapshot that an earlier version wrote ends with the ledger.
 #[test]
 fn earlier_snapshot() {
-    let mut records = read_records(snapshot_records(&JobLedger::default(), 7));
+    let mut records = read_records(snapshot_records(
+        &JobLedger::default(),
+        7,
+        SnapshotSet::First,
+    ));
     let value = records[0].value.as_deref().expect("the part has a value");
     let mut part = decode::<EarlierPart>(value).expect("the part decodes");
     let no_leases = [1, 0, 0];
