[jobs] Write the planner's address again after a takeover

Callers see a host that starts nothing until the planner changes: its agent knows an address at which there is no planner, and as the plan grows, it does not claim either.

Cause: a planner writes its address once, without fencing. If an append of its predecessor is carried out after that, the predecessor's address is the newest, and an agent that starts then reads only the newest.

A reaction to another address seen in the stream costs nothing, but the locator sees it and not the planner, so it changes the interface to the daemon. Left: an append that is carried out more than 15 s after the takeover hides the planner from agents that start for up to a minute.

All tests of the package pass.

--- a/crates/hornbeamlead_jobs/src/planner/upkeep.rs
+++ b/crates/hornbeamlead_jobs/src/planner/upkeep.rs
@@ -20,6 +20,13 @@
 /// that begins after some seconds without a planner needs all records since the latest snapshot.
 const SNAPSHOT_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Time after its start in which a planner writes its address again with each snapshot. An append of
+/// its predecessor may be carried out seconds late and replace the address.
+const REPUBLISH_TIME: Duration = Duration::from_secs(15);
+
+/// Interval at which the address is written after that. Each write also ends a read of every agent.
+const REPUBLISH_INTERVAL: Duration = Duration::from_secs(60);
+
 /// Time after which a call counts as failed and is retried.
 const UPKEEP_TIMEOUT: Duration = Duration::from_millis(1200);
 
@@ -59,6 +66,8 @@
 #[derive(Debug)]
 pub(super) struct UpkeepState {
     publish_due: bool,
+    /// When the address was last queued.
+    published_at: MonoTime,
     /// Newest snapshot, unless it is in flight or stored.
     snapshot: Option<PendingSnapshot>,
     /// Jobs whose bodies can be removed now.
@@ -75,6 +84,7 @@
     pub(super) fn new(now: MonoTime) -> Self {
         Self {
             publish_due: true,
+            published_at: now,
             snapshot: None,
             removals: Vec::new(),
             in_flight: None,
@@ -167,6 +177,20 @@
         self.upkeep.in_flight = Some(job);
     }
 
+    /// Queues the address again if that is due. A process that was frozen may have been replaced, so
+    /// it has to append first.
+    fn republish(&mut self, now: MonoTime) {
+        let interval = match now.since(self.started_at) <= REPUBLISH_TIME {
+            true => SNAPSHOT_INTERVAL,
+            false => REPUBLISH_INTERVAL,
+        };
+        let due = now.since(self.upkeep.published_at) >= interval;
+        if due && self.batch.has_recent_append(now) {
+            self.upkeep.publish_due = true;
+            self.upkeep.published_at = now;
+        }
+    }
+
     fn address_record(&self) -> NewRecord {
         let (epoch, address) = (self.epoch, self.policy.address);
         NewRecord {
@@ -202,6 +226,7 @@
         end: StreamOffset,
     ) {
         self.upkeep.snapshot_at = now.plus(SNAPSHOT_INTERVAL);
+        self.republish(now);
         let records = snapshot_records(ledger, end, self.upkeep.snapshot_set);
         self.log("impact_learned", end, self.interference.describe());
         self.upkeep.add_snapshot(PendingSnapshot { records, ended });
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -18,7 +18,7 @@
 use hornbeamlead_jobs::ids::{JobId, PlannerEpoch, RunName};
 use hornbeamlead_jobs::job::{JobBody, JobPhase, QueueTerms, RunEnd, StepSpec};
 use hornbeamlead_jobs::locator::{
-    LocatorEvent, LocatorPolicy, PlannerAddress, PlannerElection, PlannerLocator,
+    LocatorEvent, LocatorPolicy, PLANNER_KEY, PlannerAddress, PlannerElection, PlannerLocator,
 };
 use hornbeamlead_jobs::message::{AgentMessage, PlannerMessage};
 use hornbeamlead_jobs::operators::OperatorFormat;
@@ -348,6 +348,23 @@
         agent.planner.as_ref().map(PlannerMachine::epoch)
     }
 
+    /// Returns the epoch and address of the active planner.
+    pub(crate) fn planner_address(&self) -> Option<PlannerAddress> {
+        let epoch = self.planner_epoch()?;
+        let address = address(self.planner_host()?);
+        Some(PlannerAddress { epoch, address })
+    }
+
+    /// Stores the address of a planner, as a late append does.
+    pub(crate) fn publish_address(&mut self, planner: &PlannerAddress) {
+        let record = NewRecord {
+            key: Some(PLANNER_KEY.into()),
+            value: Some(encode(planner)),
+        };
+        let (stream, condition) = (StreamName::Planner, AppendCondition::Always);
+        self.store.append(self.now, stream, &[record], condition);
+    }
+
     /// Kills the agent of a host, which restarts after 400 ms.
     pub(crate) fn kill(&mut self, host: usize) {
         self.hosts[host].agent = None;
