[jobs] Count members of a completed gang as running until their own ends

Callers see LOST: after gangs have run, later jobs stay queued beside workers that have room, until the planner is replaced. They may also see LIMIT: a successor takes room for free in which members are still at work. In the log, task_stalled and task_stopping repeat for members that ended long ago, and members at work are stopped as stray_stopped.

Cause: the end `Done` of one member dropped the placements of the others from the ledger. Their own ends then found no placement and were ignored, so the planner's views of hosts and attempts kept them; a successor, which builds these views from the placements, did not know of them.

Change: `Done` of one member marks all tasks of its step as done and leaves the other placements until each member's own end, or until its lease lapses or its worker's incarnation ends, as for any attempt. What follows from it: - A completed job does not stop its attempts: they can only be such members, which end by themselves. A stalled one is still stopped; those of cancelled and failed jobs are stopped as before. - A failed attempt no longer fails a job whose gang has completed. - Members of a completed gang do not count as running tasks of their job when a later step may start on crowded workers.

Why it works: done tasks never wait, so no member starts again however it ends, and the job stays in the ledger, and its body in the store, until the last member has ended. Placements no longer depend on the body, so a replay without bodies differs in the done marks only, which the body corrects, whatever the order of the ends. Encodings stay as they are.

Weighed and left: removing the members from the planner's views along with their placements, which is shorter, but gives away room that members may still use.

Ruled out: the emulated worker as the cause; the views keep the entries whether or not members end together.

Tests: the test of ends in the plan without a closing record now takes several tasks; its three cases are unchanged. No earlier assertion changes.

The count of running tasks has no test.

--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -165,6 +165,13 @@
         self.placements().next().is_none()
     }
 
+    /// Returns the attempts that may be running of tasks that have not completed.
+    pub fn unfinished_runs(&self) -> impl Iterator<Item = &TaskPlacement> {
+        let steps = self.occurrences.values().flat_map(|state| &state.steps);
+        let unfinished = steps.flatten().filter(|task| !task.done);
+        unfinished.flat_map(|task| &task.placements)
+    }
+
     /// Returns all attempts that may be running, each with its occurrence, step and task index.
     pub fn placements(&self) -> impl Iterator<Item = (u32, u16, u32, &TaskPlacement)> {
         self.occurrences.iter().flat_map(|(&occurrence, state)| {
@@ -209,7 +216,7 @@
         }
         match end {
             RunEnd::Done if long_running => {}
-            RunEnd::Done if gang => end_gang(self.step_mut(run.task.step), run.run),
+            RunEnd::Done if gang => complete_gang(self.step_mut(run.task.step)),
             RunEnd::Done => task.done = true,
             RunEnd::Failed => task.failures = task.failures.saturating_add(1),
             _ => {}
@@ -217,11 +224,11 @@
     }
 }
 
-/// Marks all tasks of a gang as completed, which the end `Done` of one member implies.
-fn end_gang(tasks: &mut [TaskState], run: RunNumber) {
+/// Marks all tasks of a gang as completed, which the end `Done` of one member implies. The other
+/// members stay placed until their own ends, since they may still use their workers' resources.
+fn complete_gang(tasks: &mut [TaskState]) {
     for task in tasks {
         task.done = true;
-        task.placements.retain(|placement| placement.run != run);
     }
 }
 
--- a/crates/hornbeamlead_jobs/src/ledger/body.rs
+++ b/crates/hornbeamlead_jobs/src/ledger/body.rs
@@ -3,7 +3,7 @@
 //! A recovery applies plan records before it has read the jobs stream, so the state at that point
 //! depends on no body.
 
-use super::{JobState, OccurrenceState, TaskState, end_gang};
+use super::{JobState, OccurrenceState, TaskState, complete_gang};
 use crate::job::{JobRecord, StepSpec};
 use std::sync::Arc;
 
@@ -32,11 +32,9 @@
 
 /// Applies to a step what the end `Done` of a task means for gangs and long-running tasks.
 fn correct_ends(tasks: &mut [TaskState], spec: &StepSpec) {
-    let done = tasks.iter().filter(|task| task.done);
-    let done_run = done.map(|task| task.last_run).max();
-    match done_run {
-        Some(_) if spec.long_running => tasks.iter_mut().for_each(|task| task.done = false),
-        Some(run) if spec.gang => end_gang(tasks, run),
+    match tasks.iter().any(|task| task.done) {
+        true if spec.long_running => tasks.iter_mut().for_each(|task| task.done = false),
+        true if spec.gang => complete_gang(tasks),
         _ => {}
     }
 }
--- a/crates/hornbeamlead_jobs/src/planner/intake.rs
+++ b/crates/hornbeamlead_jobs/src/planner/intake.rs
@@ -6,6 +6,7 @@
 use crate::follow::FollowOutcome;
 use crate::ids::{JobId, RunName};
 use crate::job::{JobPhase, JobRecord};
+use crate::ledger::TaskState;
 use crate::operators::OperatorFormat;
 use crate::record::{PlanRecord, decode};
 use crate::store::{ReadRecord, StoreOutcome};
@@ -104,11 +105,14 @@
         }
     }
 
-    /// Closes a job and stops its running attempts.
+    /// Closes a job and stops its running attempts. The attempts of a completed job are members of
+    /// gangs, which end by themselves.
     pub(super) fn close_job(&mut self, now: MonoTime, job: JobId, phase: JobPhase) {
         let runs: Vec<RunName> = match self.ledger.jobs.get(&job) {
-            Some(state) => state.runs(job).map(|(run, _)| run).collect(),
-            None => Vec::new(),
+            Some(state) if phase != JobPhase::Completed => {
+                state.runs(job).map(|(run, _)| run).collect()
+            }
+            _ => Vec::new(),
         };
         self.record(now, PlanRecord::Closed { job, phase });
         self.upkeep.remove_body(job);
@@ -137,7 +141,8 @@
         let attempts_exhausted = state.occurrences.values().any(|occurrence| {
             let steps = occurrence.steps.iter().zip(&record.body.steps);
             let mut bounded = steps.filter(|(_, step)| !step.long_running);
-            bounded.any(|(tasks, _)| tasks.iter().any(|task| task.failures >= attempts))
+            let exhausted = |task: &TaskState| !task.done && task.failures >= attempts;
+            bounded.any(|(tasks, _)| tasks.iter().any(exhausted))
         });
         let outcome = match () {
             () if attempts_exhausted => Some(JobPhase::Failed),
--- a/crates/hornbeamlead_jobs/src/planner/ready.rs
+++ b/crates/hornbeamlead_jobs/src/planner/ready.rs
@@ -92,7 +92,7 @@
     let deadline = due as i64 + objective;
     let started = tasks.steps.iter().flatten().any(|task| !task.is_waiting());
     debug_assert!(!state.phase.is_final());
-    let running = state.placements().take(MIN_RUNNING_TASKS).count();
+    let running = state.unfinished_runs().take(MIN_RUNNING_TASKS).count();
     let waited = now.wall.0.saturating_sub(due) >= MAX_START_WAIT_MS;
     let unconditional = if started || waited {
         MIN_RUNNING_TASKS - running
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -6,7 +6,7 @@
 use super::{PlannerMachine, RunView};
 use crate::effect::{Effect, LinkId};
 use crate::ids::{HostName, PlannerEpoch, RunName, WorkerIncarnation};
-use crate::job::RunEnd;
+use crate::job::{JobPhase, RunEnd};
 use crate::message::{AgentMessage, HostReport, PlannerMessage};
 use crate::operators::OperatorFormat;
 use crate::record::PlanRecord;
@@ -252,7 +252,10 @@
                 run_view.percent = row.percent;
             }
             let phase = self.ledger.phase(row.run.task.step.job);
-            let unwanted = phase.is_none_or(|phase| phase.is_final()) || stop_sent;
+            // Members of a gang that has completed end by themselves.
+            let completed = phase == Some(JobPhase::Completed);
+            let closed = phase.is_none_or(|phase| phase.is_final()) && !completed;
+            let unwanted = closed || stop_sent;
             if unwanted && self.can_resend_stop(row.run, report) {
                 self.order_stop(row.run);
             }
--- a/crates/hornbeamlead_jobs/tests/replayed_ends.rs
+++ b/crates/hornbeamlead_jobs/tests/replayed_ends.rs
@@ -132,6 +132,19 @@
     started(0, 1), started(1, 1), started(2, 1), ended(1, 1, RunEnd::Done),
     PlanRecord::Closed { job: JOB, phase: JobPhase::Cancelled },
 ])]
+#[case(gang(), vec![
+    started(0, 1), started(1, 1), started(2, 1),
+    ended(1, 1, RunEnd::Done), ended(0, 1, RunEnd::Failed), ended(2, 1, RunEnd::Lost),
+])]
+#[case(gang(), vec![
+    started(0, 1), started(1, 1), started(2, 1),
+    ended(2, 1, RunEnd::Broken), ended(0, 1, RunEnd::Done), ended(1, 1, RunEnd::Done),
+])]
+#[case(gang(), vec![
+    started(0, 1), started(1, 1), started(2, 1), ended(1, 1, RunEnd::Done),
+    PlanRecord::Closed { job: JOB, phase: JobPhase::Cancelled },
+    ended(2, 1, RunEnd::Done), ended(0, 1, RunEnd::NotStarted),
+])]
 fn replayed_without_body(#[case] step: StepSpec, #[case] records: Vec<PlanRecord>) {
     let body = body(vec![step, self::step(&[0])]);
     let expected = apply(Some(&body), &records);
@@ -145,6 +158,40 @@
     }
 }
 
+/// Guards against members of a completed gang that no longer count as placed, or that start again.
+#[rstest]
+#[case(RunEnd::Done)]
+#[case(RunEnd::Failed)]
+#[case(RunEnd::Broken)]
+#[case(RunEnd::Lapsed)]
+#[case(RunEnd::Lost)]
+#[case(RunEnd::NotStarted)]
+fn members_placed_until_their_ends(#[case] end: RunEnd, #[values(false, true)] known: bool) {
+    let body = body(vec![gang()]);
+    let starts = [started(0, 1), started(1, 1), started(2, 1)];
+    let mut ledger = apply(known.then_some(&body), &starts);
+    ledger.apply(&ended(1, 1, RunEnd::Done));
+    set_body(&mut ledger, &body);
+    let placed =
+        |ledger: &JobLedger| [0, 1, 2].map(|index| ledger.placement(run(index, 1)).is_some());
+    assert_eq!(placed(&ledger), [true, false, true]);
+    assert!(ledger.jobs[&JOB].is_done());
+    ledger.apply(&ended(2, 1, end));
+    assert_eq!(placed(&ledger), [true, false, false]);
+    for index in 0..TASKS {
+        let (_, task) = ledger.task(run(index, 1).task).expect("the task is known");
+        assert!(!task.is_waiting(), "task {index} waits after {end}");
+    }
+    ledger.apply(&PlanRecord::Closed {
+        job: JOB,
+        phase: JobPhase::Completed,
+    });
+    assert!(ledger.jobs.contains_key(&JOB));
+    ledger.apply(&ended(0, 1, end));
+    assert!(!ledger.jobs.contains_key(&JOB));
+    assert_eq!(ledger.phase(JOB), Some(JobPhase::Completed));
+}
+
 /// Guards against steps that never start because the planner was replaced around the end of the
 /// gang before them.
 #[test]
--- a/crates/hornbeamlead_jobs/tests/unclosed_jobs.rs
+++ b/crates/hornbeamlead_jobs/tests/unclosed_jobs.rs
@@ -37,44 +37,47 @@
     }
 }
 
-/// Records of the plan: the job's only task ends, and the new planner takes over.
-fn plan(end: RunEnd) -> Vec<ReadRecord> {
+/// Records of the plan: the job's tasks start and end in order, and the new planner takes over.
+fn plan(ends: &[RunEnd]) -> Vec<ReadRecord> {
     let step = StepName {
         job: JOB,
         ..StepName::default()
     };
-    let run = RunName {
-        task: TaskName { step, index: 0 },
+    let run = |index: usize| RunName {
+        task: TaskName {
+            step,
+            index: index as u32,
+        },
         run: RunNumber(1),
     };
     let accepted = PlanRecord::Accepted {
         job: JOB,
         queue: "h/q/".into(),
     };
-    let started = PlanRecord::Started {
-        run,
+    let started = (0..ends.len()).map(|index| PlanRecord::Started {
+        run: run(index),
         host: "h1".into(),
         incarnation: WorkerIncarnation::default(),
-    };
-    let saved = None;
-    let ended = PlanRecord::Ended { run, end, saved };
+    });
+    let ended = ends.iter().enumerate();
+    let ended = ended.map(|(index, &end)| PlanRecord::Ended {
+        run: run(index),
+        end,
+        saved: None,
+    });
     let takeover = PlanRecord::Takeover(PlannerClaim {
         host: "h0".into(),
         incarnation: INCARNATION,
         address: address(),
     });
-    let records = [accepted, started, ended, takeover];
-    let records = records.iter().zip(0..);
+    let records = [accepted].into_iter().chain(started).chain(ended);
+    let records = records.chain([takeover]).zip(0..);
     records
-        .map(|(record, offset)| read_record(offset, "", encode(record)))
+        .map(|(record, offset)| read_record(offset, "", encode(&record)))
         .collect()
 }
 
-fn job_record() -> ReadRecord {
-    let step = StepSpec {
-        tasks: 1,
-        ..StepSpec::default()
-    };
+fn job_record(step: StepSpec) -> ReadRecord {
     let record = JobRecord {
         terms: QueueTerms {
             max_attempts: 1,
@@ -90,7 +93,7 @@
 }
 
 /// Answers a read of the store; the store has no snapshot.
-fn answer(call: &StoreCall, plan: &[ReadRecord]) -> Option<StoreOutcome> {
+fn answer(call: &StoreCall, step: &StepSpec, plan: &[ReadRecord]) -> Option<StoreOutcome> {
     let page = |records| StoreOutcome::Page {
         records,
         more: false,
@@ -98,7 +101,7 @@
     };
     match &call.operation {
         StoreOperation::Newest { stream, .. } if *stream == StreamName::Jobs => {
-            Some(page(vec![job_record()]))
+            Some(page(vec![job_record(step.clone())]))
         }
         StoreOperation::Newest { .. } => Some(page(Vec::new())),
         StoreOperation::Read { stream, .. } if *stream == StreamName::Plan => {
@@ -112,7 +115,7 @@
 }
 
 /// Returns a planner that has recovered its state from the plan.
-fn recovered(plan: &[ReadRecord]) -> PlannerMachine<WorldFormat> {
+fn recovered(step: &StepSpec, plan: &[ReadRecord]) -> PlannerMachine<WorldFormat> {
     let policy = PlannerPolicy {
         host: "h0".into(),
         incarnation: INCARNATION,
@@ -134,7 +137,7 @@
         now.mono = now.mono.plus(Duration::from_millis(10));
         for effect in planner.handle(now, PlannerEvent::Tick) {
             if let Effect::Store(call) = effect
-                && let Some(outcome) = answer(&call, plan)
+                && let Some(outcome) = answer(&call, step, plan)
             {
                 let caller = call.caller;
                 planner.handle(now, PlannerEvent::Stored { caller, outcome });
@@ -151,6 +154,25 @@
 #[case(RunEnd::Failed, JobPhase::Failed)]
 #[case(RunEnd::Stopped, JobPhase::Running)]
 fn end_decides(#[case] end: RunEnd, #[case] phase: JobPhase) {
-    let planner = recovered(&plan(end));
+    let step = StepSpec {
+        tasks: 1,
+        ..StepSpec::default()
+    };
+    let planner = recovered(&step, &plan(&[end]));
     assert_eq!(planner.ledger().phase(JOB), Some(phase));
 }
+
+/// Guards against a job that fails because of a member whose gang has completed.
+#[rstest]
+#[case(RunEnd::Done)]
+#[case(RunEnd::Failed)]
+#[case(RunEnd::Lost)]
+fn completed_gang_decides(#[case] other: RunEnd) {
+    let step = StepSpec {
+        tasks: 2,
+        gang: true,
+        ..StepSpec::default()
+    };
+    let planner = recovered(&step, &plan(&[RunEnd::Done, other]));
+    assert_eq!(planner.ledger().phase(JOB), Some(JobPhase::Completed));
+}
