--- a/crates/hornbeamlead_jobs/tests/replayed_ends.rs
+++ b/crates/hornbeamlead_jobs/tests/replayed_ends.rs
@@ -6,7 +6,7 @@
 use hornbeamlead_jobs::job::{JobBody, JobPhase, JobRecord, RunEnd, StepSpec};
 use hornbeamlead_jobs::ledger::JobLedger;
 use hornbeamlead_jobs::record::PlanRecord;
-use hornbeamlead_jobs::snapshot::{read_snapshot, snapshot_records};
+use hornbeamlead_jobs::snapshot::{SnapshotSet, read_snapshot, snapshot_records};
 use hornbeamlead_jobs::store::{NewRecord, ReadRecord};
 use rstest::rstest;
 use std::sync::Arc;
@@ -108,7 +108,9 @@
         key: record.key.unwrap_or_default(),
         value: record.value,
     };
-    let records = snapshot_records(ledger, 7).into_iter().enumerate();
+    let records = snapshot_records(ledger, 7, SnapshotSet::First)
+        .into_iter()
+        .enumerate();
     let records: Vec<_> = records.map(read).collect();
     let snapshot = read_snapshot(&records).expect("the snapshot decodes");
     snapshot.expect("the snapshot is complete").0
