[jobs] Drop outcomes of store calls that an earlier planner of the process made

Callers could see a task run twice, or no planner for about a second more.

Cause: an outcome named the component that made the call, but not the planner.

Change: the caller in a planner's store call holds the epoch of the planner, and the planner ignores outcomes of other epochs. The caller already comes back with each outcome and stays inside the process, so the store thread and the messages between processes are unchanged.

Why it works: a claim ends up in the plan, so the next claim of the process is at a greater offset and thus has another epoch. Within one epoch a component has one call in flight, and each call has at most one outcome.

Ruled out: a number in each component that makes calls (six places that have to agree), and clearing the store thread's calls on an election (outcomes may already be queued for the event loop). Calls of entries need nothing: an entry is not replaced within its process, and tickets are unique.

--- a/crates/hornbeamlead_jobs/src/entry.rs
+++ b/crates/hornbeamlead_jobs/src/entry.rs
@@ -124,7 +124,7 @@
             PLAN_READ_PAUSE,
         );
         Self {
-            operators: OperatorReader::new(format),
+            operators: OperatorReader::new(format, StoreCaller::Operators),
             index: PhaseIndex::default(),
             plan_stage: newest(StreamName::Snapshots, StoreCaller::Plan),
             plan_follower: plan,
--- a/crates/hornbeamlead_jobs/src/operators.rs
+++ b/crates/hornbeamlead_jobs/src/operators.rs
@@ -28,18 +28,20 @@
 pub struct OperatorReader<F> {
     format: F,
     state: OperatorState,
+    caller: StoreCaller,
     stage: ReadStage,
     follower: StreamFollower,
 }
 
 impl<F: OperatorFormat> OperatorReader<F> {
     /// Creates a reader that has not read the stream yet.
-    pub fn new(format: F) -> Self {
-        let (stream, caller) = (StreamName::Operators, StoreCaller::Operators);
+    pub fn new(format: F, caller: StoreCaller) -> Self {
+        let stream = StreamName::Operators;
         Self {
             format,
             state: OperatorState::default(),
-            stage: newest(),
+            caller,
+            stage: newest(caller),
             follower: StreamFollower::new(stream, caller, LONG_POLL_WAIT, Duration::ZERO),
         }
     }
@@ -89,7 +91,7 @@
             ReadStage::Follow => match self.follower.take(now, outcome) {
                 FollowOutcome::Records { records, .. } => self.apply(&records),
                 FollowOutcome::Expired => {
-                    self.stage = newest();
+                    self.stage = newest(self.caller);
                     Vec::new()
                 }
                 FollowOutcome::Failed => Vec::new(),
@@ -114,9 +116,6 @@
     }
 }
 
-fn newest() -> ReadStage {
-    ReadStage::Newest(NewestReader::new(
-        StreamName::Operators,
-        StoreCaller::Operators,
-    ))
+fn newest(caller: StoreCaller) -> ReadStage {
+    ReadStage::Newest(NewestReader::new(StreamName::Operators, caller))
 }
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -33,7 +33,7 @@
 use crate::message::AgentMessage;
 use crate::operators::{OperatorFormat, OperatorReader};
 use crate::record::PlanRecord;
-use crate::store::{StoreCaller, StoreOutcome, StreamName};
+use crate::store::{PlannerComponent, StoreCaller, StoreOutcome, StreamName};
 use batch::RecordBatch;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
 use interference::InterferenceModel;
@@ -167,17 +167,22 @@
             claim,
             plan_ended_at,
         } = election;
-        let (stream, caller) = (StreamName::Jobs, StoreCaller::Jobs);
-        let jobs_follower = StreamFollower::new(stream, caller, LONG_POLL_WAIT, Duration::ZERO);
+        let jobs_follower = StreamFollower::new(
+            StreamName::Jobs,
+            PlannerComponent::Jobs.caller(epoch),
+            LONG_POLL_WAIT,
+            Duration::ZERO,
+        );
+        let operators_caller = PlannerComponent::Operators.caller(epoch);
         Self {
             policy,
             epoch,
             started_at: now,
             plan_ended_at,
-            recovery: Some(RecoveryState::new(claim)),
+            recovery: Some(RecoveryState::new(epoch, claim)),
             deposed: false,
             ledger: JobLedger::default(),
-            operators: OperatorReader::new(format),
+            operators: OperatorReader::new(format, operators_caller),
             jobs_follower,
             hosts: BTreeMap::new(),
             links: BTreeMap::new(),
@@ -263,18 +268,23 @@
         caller: StoreCaller,
         outcome: StoreOutcome,
     ) {
-        match caller {
-            StoreCaller::Operators => {
+        let StoreCaller::Planner { epoch, component } = caller else {
+            return;
+        };
+        if epoch != self.epoch {
+            return;
+        }
+        match component {
+            PlannerComponent::Operators => {
                 self.effects.extend(self.operators.take(now.mono, outcome));
                 self.pass_needed = true;
             }
-            StoreCaller::Jobs => self.handle_jobs_read(now.mono, outcome),
-            StoreCaller::Recovery | StoreCaller::Plan => {
-                self.handle_recovery(now.mono, caller, outcome);
+            PlannerComponent::Jobs => self.handle_jobs_read(now.mono, outcome),
+            PlannerComponent::Recovery | PlannerComponent::Plan => {
+                self.handle_recovery(now.mono, component, outcome);
             }
-            StoreCaller::Records => self.handle_append(now.mono, outcome),
-            StoreCaller::Upkeep => self.handle_upkeep(now.mono, outcome),
-            _ => {}
+            PlannerComponent::Records => self.handle_append(now.mono, outcome),
+            PlannerComponent::Upkeep => self.handle_upkeep(now.mono, outcome),
         }
     }
 
--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -10,7 +10,8 @@
 use crate::operators::OperatorFormat;
 use crate::record::{PlanRecord, encode};
 use crate::store::{
-    AppendCondition, NewRecord, StoreCall, StoreCaller, StoreOperation, StoreOutcome, StreamName,
+    AppendCondition, NewRecord, PlannerComponent, StoreCall, StoreOperation, StoreOutcome,
+    StreamName,
 };
 use hornbeamlead_core::clock::MonoTime;
 use std::time::Duration;
@@ -229,7 +230,7 @@
             return;
         };
         self.effects.push(Effect::Store(StoreCall {
-            caller: StoreCaller::Records,
+            caller: PlannerComponent::Records.caller(self.epoch),
             operation: StoreOperation::Append {
                 stream: StreamName::Plan,
                 records: in_flight.records.clone(),
--- a/crates/hornbeamlead_jobs/src/planner/recovery.rs
+++ b/crates/hornbeamlead_jobs/src/planner/recovery.rs
@@ -5,12 +5,12 @@
 use super::interference::InterferenceModel;
 use crate::effect::{Effect, LinkId};
 use crate::follow::{FollowOutcome, NewestReader, NewestRecords, StreamFollower};
-use crate::ids::StreamOffset;
+use crate::ids::{PlannerEpoch, StreamOffset};
 use crate::message::AgentMessage;
 use crate::operators::OperatorFormat;
 use crate::record::{PlanRecord, decode};
 use crate::snapshot::read_snapshot;
-use crate::store::{ReadRecord, StoreCaller, StoreOutcome, StreamName};
+use crate::store::{PlannerComponent, ReadRecord, StoreOutcome, StreamName};
 use hornbeamlead_core::clock::MonoTime;
 use std::time::Duration;
 
@@ -43,17 +43,19 @@
 }
 
 impl RecoveryState {
-    pub(super) fn new(claim: StreamOffset) -> Self {
+    pub(super) fn new(epoch: PlannerEpoch, claim: StreamOffset) -> Self {
+        let caller = PlannerComponent::Recovery.caller(epoch);
         Self {
             claim,
-            plan: snapshot_stage(),
-            jobs: JobsStage::Reading(NewestReader::new(StreamName::Jobs, StoreCaller::Recovery)),
+            plan: snapshot_stage(epoch),
+            jobs: JobsStage::Reading(NewestReader::new(StreamName::Jobs, caller)),
         }
     }
 }
 
-fn snapshot_stage() -> PlanStage {
-    PlanStage::Snapshot(NewestReader::new(StreamName::Snapshots, StoreCaller::Plan))
+fn snapshot_stage(epoch: PlannerEpoch) -> PlanStage {
+    let caller = PlannerComponent::Plan.caller(epoch);
+    PlanStage::Snapshot(NewestReader::new(StreamName::Snapshots, caller))
 }
 
 impl<F: OperatorFormat> PlannerMachine<F> {
@@ -77,14 +79,14 @@
     pub(super) fn handle_recovery(
         &mut self,
         now: MonoTime,
-        caller: StoreCaller,
+        component: PlannerComponent,
         outcome: StoreOutcome,
     ) {
         let Some(mut recovery) = self.recovery.take() else {
             return;
         };
-        match caller {
-            StoreCaller::Plan => self.recover_plan(now, &mut recovery, outcome),
+        match component {
+            PlannerComponent::Plan => self.recover_plan(now, &mut recovery, outcome),
             _ => {
                 if let JobsStage::Reading(reader) = &mut recovery.jobs
                     && let Some(newest) = reader.take(now, outcome)
@@ -117,7 +119,7 @@
                         recovery.plan = PlanStage::Done;
                     }
                 }
-                FollowOutcome::Expired => recovery.plan = snapshot_stage(),
+                FollowOutcome::Expired => recovery.plan = snapshot_stage(self.epoch),
                 FollowOutcome::Failed => {}
             },
             PlanStage::Done => {}
@@ -127,7 +129,7 @@
     fn recover_snapshot(&mut self, records: &[ReadRecord]) -> PlanStage {
         let mut follower = StreamFollower::new(
             StreamName::Plan,
-            StoreCaller::Plan,
+            PlannerComponent::Plan.caller(self.epoch),
             Duration::ZERO,
             Duration::ZERO,
         );
@@ -142,11 +144,11 @@
                 self.ledger = Default::default();
                 PlanStage::Records(follower)
             }
-            Ok(None) => snapshot_stage(),
+            Ok(None) => snapshot_stage(self.epoch),
             Err(error) => {
                 let cause = error.to_string();
                 self.log("snapshot_unreadable", "plan", format!("cause={cause:?}"));
-                snapshot_stage()
+                snapshot_stage(self.epoch)
             }
         }
     }
--- a/crates/hornbeamlead_jobs/src/planner/upkeep.rs
+++ b/crates/hornbeamlead_jobs/src/planner/upkeep.rs
@@ -11,7 +11,8 @@
 use crate::record::encode;
 use crate::snapshot::snapshot_records;
 use crate::store::{
-    AppendCondition, NewRecord, StoreCall, StoreCaller, StoreOperation, StoreOutcome, StreamName,
+    AppendCondition, NewRecord, PlannerComponent, StoreCall, StoreOperation, StoreOutcome,
+    StreamName,
 };
 use hornbeamlead_core::clock::MonoTime;
 use std::collections::VecDeque;
@@ -94,7 +95,7 @@
         }
         if let Some((_, stream, records)) = self.upkeep.waiting.front() {
             self.effects.push(Effect::Store(StoreCall {
-                caller: StoreCaller::Upkeep,
+                caller: PlannerComponent::Upkeep.caller(self.epoch),
                 operation: StoreOperation::Append {
                     stream: *stream,
                     records: records.clone(),
--- a/crates/hornbeamlead_jobs/src/store.rs
+++ b/crates/hornbeamlead_jobs/src/store.rs
@@ -1,6 +1,6 @@
 //! Calls to the platform's store and their outcomes, independent of the platform's wire format.
 
-use crate::ids::StreamOffset;
+use crate::ids::{PlannerEpoch, StreamOffset};
 use bytes::Bytes;
 use hornbeamlead_core::clock::MonoTime;
 use serde::{Deserialize, Serialize};
@@ -93,6 +93,32 @@
     },
 }
 
+/// Component of a planner that made a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum PlannerComponent {
+    /// Reader of the operators' stream.
+    Operators,
+    /// Recovery of the plan.
+    Plan,
+    /// Recovery of the jobs.
+    Recovery,
+    /// Reader of the jobs stream.
+    Jobs,
+    /// Writer of the plan stream.
+    Records,
+    /// Maintenance: the planner's address, snapshots and the removal of ended jobs.
+    Upkeep,
+}
+
+impl PlannerComponent {
+    /// Returns the caller that this component is in the planner of an epoch.
+    #[must_use]
+    pub fn caller(self, epoch: PlannerEpoch) -> StoreCaller {
+        let component = self;
+        StoreCaller::Planner { epoch, component }
+    }
+}
+
 /// Component of a process that made a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum StoreCaller {
@@ -100,18 +126,18 @@
     Operators,
     /// Reader of the plan stream.
     Plan,
-    /// Reader of the jobs stream.
-    Jobs,
     /// Reader of the planner's address.
     Locator,
     /// Claim of the planner role.
     Claim,
-    /// Recovery of the planner's state.
-    Recovery,
-    /// Writer of the plan stream.
-    Records,
-    /// Planner's maintenance: its address, snapshots and the removal of ended jobs.
-    Upkeep,
+    /// Planner, which ignores outcomes of another epoch: a process that is elected again may still
+    /// have calls of its earlier planner in flight.
+    Planner {
+        /// Epoch of the planner.
+        epoch: PlannerEpoch,
+        /// Component that made the call.
+        component: PlannerComponent,
+    },
     /// Request of a caller, by its number.
     Ticket(u64),
     /// Another host, for which this one makes the call.
