[jobs, daemon] Drop outcomes of calls of an abandoned election

Callers could wait for a planner for longer: a claim ends the epoch of the planner before, and the process that made it then did not take the role. Found by review; not seen to happen.

Cause: an election is abandoned when a planner reports or is learned of, while its read or claim is in flight, and the next election took that outcome for its own. A read answered in stage Claiming led to a pause, after which the stored claim was ignored. An old claim's Appended elected the process with the epoch of the new claim and the offset of the old one.

Evidence: claim_outcomes drives a locator through two elections and delivers the outcome of the first during the second. Without the mend both tests fail (old_read_answered: not elected; old_claim_stored: elected by the old claim); with it they pass, and so do all other tests of hornbeamlead_jobs.

Change: the caller in each call of an election holds a number, and the locator ignores the outcomes of all calls but the last. As before, the caller stays inside the process.

Why it works: an election has one call in flight at a time, and a call is only made in a stage that waits for it, so the last call is the one that the stage waits for. Each call has at most one outcome.

Ruled out: keeping an election until its call is answered, which would let a process claim that has just heard from a live planner.

--- a/crates/hornbeamlead_jobs/src/ids.rs
+++ b/crates/hornbeamlead_jobs/src/ids.rs
@@ -158,6 +158,10 @@
     }
 }
 
+/// Number of a call to the store, which distinguishes it from other calls of its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct CallNumber(pub u64);
+
 /// Incarnation of a worker, which lasts from the start to the end of its process.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default)]
 pub struct WorkerIncarnation {
--- a/crates/hornbeamlead_jobs/src/locator.rs
+++ b/crates/hornbeamlead_jobs/src/locator.rs
@@ -8,7 +8,7 @@
 
 use crate::effect::{Effect, LinkId};
 use crate::follow::{FollowOutcome, NewestReader, StreamFollower};
-use crate::ids::{HostName, PlannerEpoch, StreamOffset};
+use crate::ids::{CallNumber, HostName, PlannerEpoch, StreamOffset};
 use crate::record::decode;
 use crate::store::{ReadRecord, StoreCall, StoreCaller, StoreOperation, StoreOutcome, StreamName};
 use hornbeamlead_core::clock::MonoTime;
@@ -156,6 +156,8 @@
     link: LinkStage,
     last_link: u64,
     election: ElectionStage,
+    /// Last call of an election, the only one whose outcome counts.
+    last_call: CallNumber,
     election_timeout: Duration,
     degraded: bool,
     plan_end: StreamOffset,
@@ -184,6 +186,7 @@
             },
             last_link: 0,
             election: ElectionStage::Idle,
+            last_call: CallNumber::default(),
             election_timeout: SILENT_ELECTION_TIMEOUT,
             degraded: false,
             plan_end: 0,
@@ -409,8 +412,9 @@
     }
 
     fn read_end(&mut self, now: MonoTime) {
+        let caller = self.next_claim_caller();
         self.effects.push(Effect::Store(StoreCall {
-            caller: StoreCaller::Claim,
+            caller,
             operation: StoreOperation::Read {
                 stream: StreamName::Plan,
                 from: self.plan_end,
@@ -425,7 +429,9 @@
     pub fn stored(&mut self, now: MonoTime, caller: StoreCaller, outcome: StoreOutcome) {
         match caller {
             StoreCaller::Locator => self.handle_address_outcome(now, outcome),
-            StoreCaller::Claim => self.handle_claim_outcome(now, outcome),
+            StoreCaller::Claim(call) if call == self.last_call => {
+                self.handle_claim_outcome(now, outcome)
+            }
             _ => {}
         }
     }
--- a/crates/hornbeamlead_jobs/src/locator/claim.rs
+++ b/crates/hornbeamlead_jobs/src/locator/claim.rs
@@ -5,7 +5,7 @@
     PlannerElection, PlannerLocator, REFUSED_ELECTION_TIMEOUT,
 };
 use crate::effect::Effect;
-use crate::ids::{PlannerEpoch, StreamOffset};
+use crate::ids::{CallNumber, PlannerEpoch, StreamOffset};
 use crate::record::{PlanRecord, PlannerClaim, encode};
 use crate::store::{
     AppendCondition, NewRecord, StoreCall, StoreCaller, StoreOperation, StoreOutcome, StreamName,
@@ -109,6 +109,11 @@
         PlannerEpoch(((end + 1) << CANDIDATE_BITS) | candidate)
     }
 
+    pub(super) fn next_claim_caller(&mut self) -> StoreCaller {
+        self.last_call = CallNumber(self.last_call.0 + 1);
+        StoreCaller::Claim(self.last_call)
+    }
+
     fn claim(&mut self, now: MonoTime, end: StreamOffset) {
         let record = PlanRecord::Takeover(PlannerClaim {
             host: self.policy.host.clone(),
@@ -116,8 +121,9 @@
             address: self.policy.address,
         });
         let epoch = self.epoch_at(end).0;
+        let caller = self.next_claim_caller();
         self.effects.push(Effect::Store(StoreCall {
-            caller: StoreCaller::Claim,
+            caller,
             operation: StoreOperation::Append {
                 stream: StreamName::Plan,
                 records: vec![NewRecord {
--- a/crates/hornbeamlead_jobs/src/store.rs
+++ b/crates/hornbeamlead_jobs/src/store.rs
@@ -1,6 +1,6 @@
 //! Calls to the platform's store and their outcomes, independent of the platform's wire format.
 
-use crate::ids::{PlannerEpoch, StreamOffset};
+use crate::ids::{CallNumber, PlannerEpoch, StreamOffset};
 use bytes::Bytes;
 use hornbeamlead_core::clock::MonoTime;
 use serde::{Deserialize, Serialize};
@@ -128,8 +128,9 @@
     Plan,
     /// Reader of the planner's address.
     Locator,
-    /// Claim of the planner role.
-    Claim,
+    /// Election, which ignores outcomes of all calls but the last: a call of an abandoned election
+    /// may still be in flight.
+    Claim(CallNumber),
     /// Planner, which ignores outcomes of another epoch: a process that is elected again may still
     /// have calls of its earlier planner in flight.
     Planner {
--- /dev/null
+++ b/crates/hornbeamlead_jobs/tests/claim_outcomes.rs
@@ -0,0 +1,164 @@
+//! Outcomes of the calls of an election that arrive after the next election has begun.
+
+use hornbeamlead_core::clock::MonoTime;
+use hornbeamlead_jobs::effect::Effect;
+use hornbeamlead_jobs::ids::PlannerEpoch;
+use hornbeamlead_jobs::locator::{LocatorEvent, LocatorPolicy, PlannerAddress, PlannerLocator};
+use hornbeamlead_jobs::store::{StoreCall, StoreOperation, StoreOutcome, StreamName};
+use std::net::SocketAddr;
+
+/// Time in which a locator makes the next call of an election, in milliseconds. Longer than the
+/// election timeout and its random part.
+const CALL_MS: u64 = 1000;
+
+/// Step of the clock, in milliseconds.
+const STEP_MS: u64 = 5;
+
+/// End of the plan.
+const END: u64 = 3;
+
+/// Locator with a clock that the test controls. The test decides when its calls are answered.
+struct TestLocator {
+    locator: PlannerLocator,
+    now_ms: u64,
+    planner_epoch: u64,
+    effects: Vec<Effect>,
+    /// Offsets of the claims with which the locator was elected.
+    elected: Vec<u64>,
+}
+
+impl TestLocator {
+    /// Creates a locator that has read the planner's address, of which there is none.
+    fn new() -> Self {
+        let policy = LocatorPolicy {
+            host: "h0".into(),
+            incarnation: 1,
+            address: SocketAddr::from(([10, 0, 0, 1], 7000)),
+            seed: 1,
+        };
+        let mut locator = Self {
+            locator: PlannerLocator::new(policy),
+            now_ms: 10_000,
+            planner_epoch: 0,
+            effects: Vec::new(),
+            elected: Vec::new(),
+        };
+        let address = locator.await_call(|operation| {
+            matches!(operation, StoreOperation::Newest { stream, .. }
+                if *stream == StreamName::Planner)
+        });
+        let outcome = StoreOutcome::Page {
+            records: Vec::new(),
+            more: false,
+            end: 0,
+        };
+        locator.deliver(&address, outcome);
+        locator
+    }
+
+    fn now(&self) -> MonoTime {
+        MonoTime(self.now_ms * 1000)
+    }
+
+    fn tick(&mut self) {
+        self.now_ms += STEP_MS;
+        self.locator.tick(self.now());
+        self.drain();
+    }
+
+    fn drain(&mut self) {
+        let (effects, events) = self.locator.drain();
+        self.effects.extend(effects);
+        for event in events {
+            if let LocatorEvent::Elected(election) = event {
+                self.elected.push(election.claim);
+            }
+        }
+    }
+
+    fn deliver(&mut self, call: &StoreCall, outcome: StoreOutcome) {
+        self.locator.stored(self.now(), call.caller, outcome);
+        self.drain();
+    }
+
+    fn await_call(&mut self, is_awaited: fn(&StoreOperation) -> bool) -> StoreCall {
+        for _ in 0..CALL_MS / STEP_MS {
+            self.tick();
+            for effect in std::mem::take(&mut self.effects) {
+                match effect {
+                    Effect::Store(call) if is_awaited(&call.operation) => return call,
+                    _ => {}
+                }
+            }
+        }
+        panic!("the locator did not make the call");
+    }
+
+    /// Ends the election in progress by a planner of a later epoch, which then refuses connections.
+    fn lose_planner(&mut self) {
+        self.planner_epoch += 1;
+        let planner = PlannerAddress {
+            epoch: PlannerEpoch(self.planner_epoch),
+            address: SocketAddr::from(([10, 0, 0, 2], 7000)),
+        };
+        self.locator.learn_planner(self.now(), planner);
+        self.tick();
+        let dialed = self.effects.iter().find_map(|effect| match effect {
+            Effect::Dial { link, .. } => Some(*link),
+            _ => None,
+        });
+        let link = dialed.expect("the locator dials the planner");
+        self.locator.link_closed(self.now(), link, true);
+        self.drain();
+    }
+
+    /// Answers the reads of an election, in which the plan does not grow, and returns the claim.
+    fn await_claim(&mut self, end: u64) -> StoreCall {
+        for _ in 0..2 {
+            let read = self.await_call(is_end_read);
+            self.deliver(&read, plan_end(end));
+        }
+        self.await_call(is_claim)
+    }
+}
+
+fn is_end_read(operation: &StoreOperation) -> bool {
+    matches!(operation, StoreOperation::Read { end_only: true, .. })
+}
+
+fn is_claim(operation: &StoreOperation) -> bool {
+    matches!(operation, StoreOperation::Append { .. })
+}
+
+fn plan_end(end: u64) -> StoreOutcome {
+    let records = Vec::new();
+    StoreOutcome::Records { end, records }
+}
+
+/// Guards against a claim that is stored but abandoned, because a read of an earlier election was
+/// answered after the claim was sent.
+#[test]
+fn old_read_answered() {
+    let mut locator = TestLocator::new();
+    let old = locator.await_call(is_end_read);
+    locator.lose_planner();
+    let claim = locator.await_claim(END);
+    locator.deliver(&old, plan_end(END));
+    locator.deliver(&claim, StoreOutcome::Appended { offset: END });
+    assert_eq!(locator.elected, [END]);
+}
+
+/// Guards against an election by the claim of an earlier election, which another planner has
+/// followed since.
+#[test]
+fn old_claim_stored() {
+    let mut locator = TestLocator::new();
+    let old = locator.await_claim(END);
+    locator.lose_planner();
+    let claim = locator.await_claim(END + 2);
+    locator.deliver(&old, StoreOutcome::Appended { offset: END });
+    assert_eq!(locator.elected, []);
+    let offset = END + 2;
+    locator.deliver(&claim, StoreOutcome::Appended { offset });
+    assert_eq!(locator.elected, [offset]);
+}
