[jobs, daemon] Drop outcomes of address reads from before a planner stepped down

Callers would see little: a process that has ceased to be the planner could look for the next one up to 6 s later than needed, or read the address twice at a time from then on. Found by review; not seen to happen.

Cause: stepping down begins a new read of the planner's address while a long poll may be in flight. Its outcome ended the new read, which was then repeated beside the first; or the address was not followed until the poll had ended.

Evidence: without the mend both tests of address_reads fail (one_read_in_flight: a second read; followed_at_once: no read); with it they pass, and so do all other tests of hornbeamlead_jobs.

Change: stepping down replaces both parts of the reader, the caller in its calls holds the number of the reader, and the locator ignores outcomes of calls of earlier ones.

Why it works: within a reader, a part hands over to the other only when its call has been answered, so one call is in flight at a time. The abandoned poll ends by its own deadline.

Ruled out: dropping the outcomes alone, as the follower would then wait for an answer that it never gets.

--- a/crates/hornbeamlead_daemon/src/fleet/agent.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/agent.rs
@@ -257,7 +257,7 @@
     fn handle_stored(&mut self, result: StoreResult) {
         let StoreResult { caller, outcome } = result;
         match caller {
-            StoreCaller::Locator | StoreCaller::Claim(_) => {
+            StoreCaller::Locator(_) | StoreCaller::Claim(_) => {
                 self.locator.stored(BootClock.mono(), caller, outcome);
                 self.drain_locator();
             }
--- a/crates/hornbeamlead_jobs/src/ids.rs
+++ b/crates/hornbeamlead_jobs/src/ids.rs
@@ -162,6 +162,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct CallNumber(pub u64);
 
+/// Number of a reader of a stream, which distinguishes it from earlier ones of its process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct ReaderNumber(pub u64);
+
 /// Incarnation of a worker, which lasts from the start to the end of its process.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default)]
 pub struct WorkerIncarnation {
--- a/crates/hornbeamlead_jobs/src/locator.rs
+++ b/crates/hornbeamlead_jobs/src/locator.rs
@@ -8,7 +8,7 @@
 
 use crate::effect::{Effect, LinkId};
 use crate::follow::{FollowOutcome, NewestReader, StreamFollower};
-use crate::ids::{CallNumber, HostName, PlannerEpoch, StreamOffset};
+use crate::ids::{CallNumber, HostName, PlannerEpoch, ReaderNumber, StreamOffset};
 use crate::record::decode;
 use crate::store::{ReadRecord, StoreCall, StoreCaller, StoreOperation, StoreOutcome, StreamName};
 use hornbeamlead_core::clock::MonoTime;
@@ -151,6 +151,8 @@
     policy: LocatorPolicy,
     random: SmallRng,
     planner: Option<PlannerAddress>,
+    /// Number of the reader of the address, which consists of the next two fields.
+    reader: ReaderNumber,
     address_stage: AddressStage,
     follower: StreamFollower,
     link: LinkStage,
@@ -169,18 +171,14 @@
     /// Creates a locator that does not know the planner yet.
     #[must_use]
     pub fn new(policy: LocatorPolicy) -> Self {
-        let caller = StoreCaller::Locator;
+        let reader = ReaderNumber::default();
         Self {
             random: SmallRng::seed_from_u64(policy.seed),
             policy,
             planner: None,
-            address_stage: AddressStage::Newest(NewestReader::new(StreamName::Planner, caller)),
-            follower: StreamFollower::new(
-                StreamName::Planner,
-                caller,
-                ADDRESS_WAIT,
-                Duration::ZERO,
-            ),
+            reader,
+            address_stage: newest(reader),
+            follower: follower(reader),
             link: LinkStage::Down {
                 dial_at: MonoTime(0),
             },
@@ -330,8 +328,9 @@
     /// ceased to be the planner.
     pub fn step_down(&mut self, now: MonoTime) {
         self.planner = None;
-        self.address_stage =
-            AddressStage::Newest(NewestReader::new(StreamName::Planner, StoreCaller::Locator));
+        self.reader = ReaderNumber(self.reader.0 + 1);
+        self.address_stage = newest(self.reader);
+        self.follower = follower(self.reader);
         self.election = ElectionStage::Idle;
         if let LinkStage::Up { link, .. } | LinkStage::Dialing { link } = self.link {
             self.effects.push(Effect::CloseLink { link });
@@ -428,7 +427,9 @@
     /// Handles the outcome of a call to the store.
     pub fn stored(&mut self, now: MonoTime, caller: StoreCaller, outcome: StoreOutcome) {
         match caller {
-            StoreCaller::Locator => self.handle_address_outcome(now, outcome),
+            StoreCaller::Locator(reader) if reader == self.reader => {
+                self.handle_address_outcome(now, outcome)
+            }
             StoreCaller::Claim(call) if call == self.last_call => {
                 self.handle_claim_outcome(now, outcome)
             }
@@ -451,10 +452,7 @@
             }
             AddressStage::Follow => match self.follower.take(now, outcome) {
                 FollowOutcome::Records { records, .. } => self.apply_address_records(now, &records),
-                FollowOutcome::Expired => {
-                    let reader = NewestReader::new(StreamName::Planner, StoreCaller::Locator);
-                    self.address_stage = AddressStage::Newest(reader);
-                }
+                FollowOutcome::Expired => self.address_stage = newest(self.reader),
                 FollowOutcome::Failed => {}
             },
         }
@@ -474,3 +472,13 @@
         }
     }
 }
+
+fn newest(reader: ReaderNumber) -> AddressStage {
+    let caller = StoreCaller::Locator(reader);
+    AddressStage::Newest(NewestReader::new(StreamName::Planner, caller))
+}
+
+fn follower(reader: ReaderNumber) -> StreamFollower {
+    let caller = StoreCaller::Locator(reader);
+    StreamFollower::new(StreamName::Planner, caller, ADDRESS_WAIT, Duration::ZERO)
+}
--- a/crates/hornbeamlead_jobs/src/store.rs
+++ b/crates/hornbeamlead_jobs/src/store.rs
@@ -1,6 +1,6 @@
 //! Calls to the platform's store and their outcomes, independent of the platform's wire format.
 
-use crate::ids::{CallNumber, PlannerEpoch, StreamOffset};
+use crate::ids::{CallNumber, PlannerEpoch, ReaderNumber, StreamOffset};
 use bytes::Bytes;
 use hornbeamlead_core::clock::MonoTime;
 use serde::{Deserialize, Serialize};
@@ -126,8 +126,8 @@
     Operators,
     /// Reader of the plan stream.
     Plan,
-    /// Reader of the planner's address.
-    Locator,
+    /// Reader of the planner's address, which ignores outcomes of calls of earlier readers.
+    Locator(ReaderNumber),
     /// Election, which ignores outcomes of all calls but the last: a call of an abandoned election
     /// may still be in flight.
     Claim(CallNumber),
