--- a/crates/hornbeamlead_jobs/src/entry.rs
+++ b/crates/hornbeamlead_jobs/src/entry.rs
@@ -126,10 +126,10 @@
             PLAN_READ_PAUSE,
         );
         Self {
-            operators: OperatorReader::new(format),
+            operators: OperatorReader::new(format, StoreCaller::Operators),
             index: PhaseIndex::default(),
-            plan_stage: ReadStage::Newest(snapshot_reader()),
-            snapshot_retry: SnapshotRetry::default(),
+            plan_stage: ReadStage::Newest(snapshot_reader(StoreCaller::Plan)),
+            snapshot_retry: SnapshotRetry::new(StoreCaller::Plan),
             plan_follower: plan,
             plan_caught_up: false,
             last_heartbeat: None,
--- a/crates/hornbeamlead_jobs/src/locator.rs
+++ b/crates/hornbeamlead_jobs/src/locator.rs
@@ -8,7 +8,7 @@
 
 use crate::effect::{Effect, LinkId};
 use crate::follow::{FollowOutcome, NewestReader, StreamFollower};
-use crate::ids::{HostName, PlannerEpoch, StreamOffset};
+use crate::ids::{CallNumber, HostName, PlannerEpoch, ReaderNumber, StreamOffset};
 use crate::record::decode;
 use crate::store::{ReadRecord, StoreCall, StoreCaller, StoreOperation, StoreOutcome, StreamName};
 use hornbeamlead_core::clock::MonoTime;
@@ -151,11 +151,15 @@
     policy: LocatorPolicy,
     random: SmallRng,
     planner: Option<PlannerAddress>,
+    /// Number of the reader of the address, which consists of the next two fields.
+    reader: ReaderNumber,
     address_stage: AddressStage,
     follower: StreamFollower,
     link: LinkStage,
     last_link: u64,
     election: ElectionStage,
+    /// Last call of an election, the only one whose outcome counts.
+    last_call: CallNumber,
     election_timeout: Duration,
     degraded: bool,
     plan_end: StreamOffset,
@@ -171,23 +175,20 @@
     /// Creates a locator that does not know the planner yet.
     #[must_use]
     pub fn new(policy: LocatorPolicy) -> Self {
-        let caller = StoreCaller::Locator;
+        let reader = ReaderNumber::default();
         Self {
             random: SmallRng::seed_from_u64(policy.seed),
             policy,
             planner: None,
-            address_stage: AddressStage::Newest(NewestReader::new(StreamName::Planner, caller)),
-            follower: StreamFollower::new(
-                StreamName::Planner,
-                caller,
-                ADDRESS_WAIT,
-                Duration::ZERO,
-            ),
+            reader,
+            address_stage: newest(reader),
+            follower: follower(reader),
             link: LinkStage::Down {
                 dial_at: MonoTime(0),
             },
             last_link: 0,
             election: ElectionStage::Idle,
+            last_call: CallNumber::default(),
             election_timeout: SILENT_ELECTION_TIMEOUT,
             degraded: false,
             plan_end: 0,
@@ -338,8 +339,9 @@
     /// ceased to be the planner.
     pub fn step_down(&mut self, now: MonoTime) {
         self.planner = None;
-        self.address_stage =
-            AddressStage::Newest(NewestReader::new(StreamName::Planner, StoreCaller::Locator));
+        self.reader = ReaderNumber(self.reader.0 + 1);
+        self.address_stage = newest(self.reader);
+        self.follower = follower(self.reader);
         self.end_election();
         if let LinkStage::Up { link, .. } | LinkStage::Dialing { link } = self.link {
             self.effects.push(Effect::CloseLink { link });
@@ -420,8 +422,9 @@
     }
 
     fn read_end(&mut self, now: MonoTime) {
+        let caller = self.next_claim_caller();
         self.effects.push(Effect::Store(StoreCall {
-            caller: StoreCaller::Claim,
+            caller,
             operation: StoreOperation::Read {
                 stream: StreamName::Plan,
                 from: self.plan_end,
@@ -435,8 +438,12 @@
     /// Handles the outcome of a call to the store.
     pub fn stored(&mut self, now: MonoTime, caller: StoreCaller, outcome: StoreOutcome) {
         match caller {
-            StoreCaller::Locator => self.handle_address_outcome(now, outcome),
-            StoreCaller::Claim => self.handle_claim_outcome(now, outcome),
+            StoreCaller::Locator(reader) if reader == self.reader => {
+                self.handle_address_outcome(now, outcome)
+            }
+            StoreCaller::Claim(call) if call == self.last_call => {
+                self.handle_claim_outcome(now, outcome)
+            }
             _ => {}
         }
     }
@@ -456,10 +463,7 @@
             }
             AddressStage::Follow => match self.follower.take(now, outcome) {
                 FollowOutcome::Records { records, .. } => self.apply_address_records(now, &records),
-                FollowOutcome::Expired { .. } => {
-                    let reader = NewestReader::new(StreamName::Planner, StoreCaller::Locator);
-                    self.address_stage = AddressStage::Newest(reader);
-                }
+                FollowOutcome::Expired { .. } => self.address_stage = newest(self.reader),
                 FollowOutcome::Failed => {}
             },
         }
@@ -479,3 +483,13 @@
         }
     }
 }
+
+fn newest(reader: ReaderNumber) -> AddressStage {
+    let caller = StoreCaller::Locator(reader);
+    AddressStage::Newest(NewestReader::new(StreamName::Planner, caller))
+}
+
+fn follower(reader: ReaderNumber) -> StreamFollower {
+    let caller = StoreCaller::Locator(reader);
+    StreamFollower::new(StreamName::Planner, caller, ADDRESS_WAIT, Duration::ZERO)
+}
--- a/crates/hornbeamlead_jobs/src/planner/recovery.rs
+++ b/crates/hornbeamlead_jobs/src/planner/recovery.rs
@@ -5,13 +5,13 @@
 use super::interference::InterferenceModel;
 use crate::effect::{Effect, LinkId};
 use crate::follow::{FollowOutcome, NewestReader, NewestRecords, StreamFollower};
-use crate::ids::StreamOffset;
+use crate::ids::{PlannerEpoch, StreamOffset};
 use crate::message::AgentMessage;
 use crate::operators::OperatorFormat;
 use crate::record::{PlanRecord, decode};
 use crate::snapshot::{SnapshotSet, read_snapshot};
 use crate::snapshot_retry::{SnapshotRetry, snapshot_reader};
-use crate::store::{ReadRecord, StoreCaller, StoreOutcome, StreamName};
+use crate::store::{PlannerComponent, ReadRecord, StoreOutcome, StreamName};
 use hornbeamlead_core::clock::MonoTime;
 use std::time::Duration;
 
@@ -45,12 +45,14 @@
 }
 
 impl RecoveryState {
-    pub(super) fn new(claim: StreamOffset) -> Self {
+    pub(super) fn new(epoch: PlannerEpoch, claim: StreamOffset) -> Self {
+        let caller = PlannerComponent::Recovery.caller(epoch);
+        let plan_caller = PlannerComponent::Plan.caller(epoch);
         Self {
             claim,
-            plan: PlanStage::Snapshot(snapshot_reader()),
-            snapshot_retry: SnapshotRetry::default(),
-            jobs: JobsStage::Reading(NewestReader::new(StreamName::Jobs, StoreCaller::Recovery)),
+            plan: PlanStage::Snapshot(snapshot_reader(plan_caller)),
+            snapshot_retry: SnapshotRetry::new(plan_caller),
+            jobs: JobsStage::Reading(NewestReader::new(StreamName::Jobs, caller)),
         }
     }
 }
@@ -76,14 +78,14 @@
     pub(super) fn handle_recovery(
         &mut self,
         now: MonoTime,
-        caller: StoreCaller,
+        component: PlannerComponent,
         outcome: StoreOutcome,
     ) {
         let Some(mut recovery) = self.recovery.take() else {
             return;
         };
-        match caller {
-            StoreCaller::Plan => self.recover_plan(now, &mut recovery, outcome),
+        match component {
+            PlannerComponent::Plan => self.recover_plan(now, &mut recovery, outcome),
             _ => {
                 if let JobsStage::Reading(reader) = &mut recovery.jobs
                     && let Some(newest) = reader.take(now, outcome)
@@ -137,7 +139,7 @@
     ) -> PlanStage {
         let mut follower = StreamFollower::new(
             StreamName::Plan,
-            StoreCaller::Plan,
+            PlannerComponent::Plan.caller(self.epoch),
             Duration::ZERO,
             Duration::ZERO,
         );
--- a/crates/hornbeamlead_jobs/src/planner/upkeep.rs
+++ b/crates/hornbeamlead_jobs/src/planner/upkeep.rs
@@ -11,7 +11,8 @@
 use crate::record::encode;
 use crate::snapshot::{SnapshotSet, snapshot_records};
 use crate::store::{
-    AppendCondition, NewRecord, StoreCall, StoreCaller, StoreOperation, StoreOutcome, StreamName,
+    AppendCondition, NewRecord, PlannerComponent, StoreCall, StoreOperation, StoreOutcome,
+    StreamName,
 };
 use hornbeamlead_core::clock::MonoTime;
 use std::time::Duration;
@@ -168,7 +169,7 @@
             UpkeepJob::Remove(jobs) => (StreamName::Jobs, removal_records(jobs)),
         };
         self.effects.push(Effect::Store(StoreCall {
-            caller: StoreCaller::Upkeep,
+            caller: PlannerComponent::Upkeep.caller(self.epoch),
             operation: StoreOperation::Append {
                 stream,
                 records,
--- a/crates/hornbeamlead_jobs/src/snapshot_retry.rs
+++ b/crates/hornbeamlead_jobs/src/snapshot_retry.rs
@@ -15,13 +15,14 @@
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 
 /// Returns a reader of the newest snapshot that starts at once.
-pub(crate) fn snapshot_reader() -> NewestReader {
-    NewestReader::new(StreamName::Snapshots, StoreCaller::Plan)
+pub(crate) fn snapshot_reader(caller: StoreCaller) -> NewestReader {
+    NewestReader::new(StreamName::Snapshots, caller)
 }
 
 /// Paces the reads of the newest snapshot.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct SnapshotRetry {
+    caller: StoreCaller,
     failures: u32,
     /// Offset of the last read of the plan whose records had expired.
     expired_from: Option<StreamOffset>,
@@ -29,11 +30,21 @@
 }
 
 impl SnapshotRetry {
+    /// Creates the pace of a component that has not read a snapshot yet.
+    pub(crate) fn new(caller: StoreCaller) -> Self {
+        Self {
+            caller,
+            failures: 0,
+            expired_from: None,
+            gap_logged: false,
+        }
+    }
+
     /// Returns a reader that starts after a pause, because the snapshot that was read is unusable.
     pub(crate) fn after_pause(&mut self, now: MonoTime) -> NewestReader {
         let pause = (MIN_PAUSE * (1 << self.failures.min(4))).min(MAX_PAUSE);
         self.failures = self.failures.saturating_add(1);
-        snapshot_reader().starting_at(now.plus(pause))
+        snapshot_reader(self.caller).starting_at(now.plus(pause))
     }
 
     /// Returns a reader for when plan records from an offset on have expired, and a log line if it
@@ -47,7 +58,7 @@
     ) -> (NewestReader, Option<Effect>) {
         if self.expired_from.replace(from) != Some(from) {
             // A reader that was slow finds a newer snapshot.
-            return (snapshot_reader(), None);
+            return (snapshot_reader(self.caller), None);
         }
         let line = (!std::mem::replace(&mut self.gap_logged, true)).then(|| {
             let cause = "plan records expired that the newest snapshot does not include";
@@ -59,6 +70,6 @@
 
     /// Ends the pauses once plan records after the snapshot have been read.
     pub(crate) fn reset(&mut self) {
-        *self = Self::default();
+        *self = Self::new(self.caller);
     }
 }
--- a/crates/hornbeamlead_jobs/tests/expired_plan.rs
+++ b/crates/hornbeamlead_jobs/tests/expired_plan.rs
@@ -217,26 +217,34 @@
     locator.on_planner_message(at(1010), true);
     locator.tick(at(1010));
     let cause = "unavailable".into();
-    locator.stored(
-        at(1020),
-        StoreCaller::Claim,
-        StoreOutcome::Refused { cause },
-    );
+    let caller = election_caller(&locator.drain().0).expect("the plan's end is read");
+    locator.stored(at(1020), caller, StoreOutcome::Refused { cause });
     locator.on_planner_message(at(1100), false);
 
     locator.link_closed(at(20_000), link, false);
     let end = 7;
     let records = Vec::new();
     let plan_end = StoreOutcome::Records { end, records };
-    let claims = |(effects, _): (Vec<Effect>, _)| effects.iter().any(is_claim);
     let claimed = (20_000..21_000).step_by(10).any(|ms| {
         locator.tick(at(ms));
-        locator.stored(at(ms), StoreCaller::Claim, plan_end.clone());
-        claims(locator.drain())
+        let (mut effects, _) = locator.drain();
+        if let Some(caller) = election_caller(&effects) {
+            locator.stored(at(ms), caller, plan_end.clone());
+            effects.extend(locator.drain().0);
+        }
+        effects.iter().any(is_claim)
     });
     assert!(claimed);
 }
 
+/// Returns the caller of the latest call of an election.
+fn election_caller(effects: &[Effect]) -> Option<StoreCaller> {
+    effects.iter().rev().find_map(|effect| match effect {
+        Effect::Store(call) if matches!(call.caller, StoreCaller::Claim(_)) => Some(call.caller),
+        _ => None,
+    })
+}
+
 fn is_claim(effect: &Effect) -> bool {
     matches!(
         effect,
