--- a/crates/hornbeamlead_jobs/src/locator.rs
+++ b/crates/hornbeamlead_jobs/src/locator.rs
@@ -2,7 +2,8 @@
 //!
 //! Safety does not depend on the timeouts here: a claim ends the previous epoch at the store, so
 //! two planners can never both record attempts. The timeouts only prevent the replacement of a
-//! planner that is alive.
+//! planner that is alive. It does depend on the time at which the end of the plan was first seen,
+//! from which the next planner counts the leases that its predecessors granted.
 
 mod claim;
 
--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -84,7 +84,7 @@
     pub(super) worker_seen: bool,
     /// Whether a report has arrived in this epoch.
     pub has_reported: bool,
-    /// When the last lease that any planner has granted to the host has expired.
+    /// Upper bound for the end of all leases that any planner has granted to the host.
     pub leases_end: MonoTime,
     /// Whether the wait for these leases has been logged since the latest report with a worker.
     pub(super) lease_awaited: bool,
--- a/crates/hornbeamlead_jobs/src/planner/leases.rs
+++ b/crates/hornbeamlead_jobs/src/planner/leases.rs
@@ -163,6 +163,7 @@
     /// Records how long the leases of silent hosts still last, so that a successor does not have to
     /// assume that they were renewed until it took over.
     fn record_lease_bounds(&mut self, now: MonoTime) {
+        // Bounds would only pile up while appends fail.
         if !self.batch.is_prompt(now) {
             return;
         }
--- a/crates/hornbeamlead_jobs/tests/random_faults.rs
+++ b/crates/hornbeamlead_jobs/tests/random_faults.rs
@@ -14,8 +14,8 @@
 /// Duration of the phase with faults, in milliseconds.
 const FAULTS_MS: u64 = 12_000;
 
-/// Time after the last fault in which all jobs have to complete, in milliseconds: the lease
-/// of 9 s of an unreachable host, and some seconds of work.
+/// Time after the last fault in which all jobs have to complete, in milliseconds: the leases of an
+/// unreachable host, and some seconds of work.
 const SETTLE_MS: u64 = 30_000;
 
 /// Time in which the tasks of a cancelled job have to end, in milliseconds: 3 s for the orders and
--- /dev/null
+++ b/crates/hornbeamlead_jobs/tests/world/faults.rs
@@ -0,0 +1,149 @@
+//! Faults of the emulated platform: random ones, and those that a test brings about.
+
+use super::*;
+
+/// Rates of the random faults.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct WorldFaults {
+    /// Rate per second at which a random agent is killed.
+    pub(crate) kill: f64,
+    /// Rate per second at which the planner is killed.
+    pub(crate) kill_planner: f64,
+    /// Rate per second at which an agent is frozen for up to 4 s.
+    pub(crate) freeze: f64,
+    /// Rate per second at which a host is partitioned from all others for up to 5 s.
+    pub(crate) partition: f64,
+    /// Rate per second at which a host is partitioned from all others for 5 to 20 s, longer than
+    /// its leases last.
+    pub(crate) long_partition: f64,
+    /// Rate per second at which a worker crashes.
+    pub(crate) crash: f64,
+    /// Rate per second at which an agent is killed and its worker announces itself only 2 to 15 s
+    /// later. Half of these hosts are partitioned for 5 to 20 s shortly before.
+    pub(crate) late_announcement: f64,
+    /// Rate per second at which the store becomes unavailable to all or some hosts for up to 5 s.
+    pub(crate) store_outage: f64,
+    /// Fraction of appends whose answer is lost and which reach the store up to 4 s later.
+    pub(crate) lost_answers: f64,
+    /// Fraction of orders to workers that are carried out 2 to 6 s later without an answer.
+    pub(crate) late_orders: f64,
+    /// Fraction of jobs that are cancelled.
+    pub(crate) cancel: f64,
+    /// Fraction of attempts that fail.
+    pub(crate) fail: f64,
+}
+
+impl World {
+    fn chance(&mut self, per_second: f64) -> bool {
+        self.random.random::<f64>() < per_second * STEP_MS as f64 / 1000.0
+    }
+
+    pub(super) fn inject_faults(&mut self) {
+        let faults = self.faults;
+        let host = self.random.random_range(0..self.hosts.len());
+        let span = self.random.random_range(300..5000);
+        if self.chance(faults.kill) {
+            self.kill(host);
+        }
+        if self.chance(faults.kill_planner) {
+            let planner = self.planner_host();
+            if let Some(planner) = planner {
+                self.kill(planner);
+            }
+        }
+        if self.chance(faults.freeze) {
+            self.hosts[host].frozen_until = self.now + span.min(4000);
+        }
+        if self.chance(faults.partition) {
+            self.hosts[host].partitioned_until = self.now + span;
+        }
+        // Schedules without long partitions keep the random numbers of their seeds.
+        if faults.long_partition > 0.0 && self.chance(faults.long_partition) {
+            self.hosts[host].partitioned_until = self.now + self.random.random_range(5000..20_000);
+        }
+        if faults.late_announcement > 0.0 && self.chance(faults.late_announcement) {
+            self.kill(host);
+            let span_ms = self.random.random_range(2000..15_000);
+            self.delay_announcement(host, span_ms);
+            if self.random.random::<bool>() {
+                let before_ms = self.random.random_range(0..1500);
+                let partition_ms = self.random.random_range(5000..20_000);
+                let event = WorldEvent::Partition(host, partition_ms);
+                self.after(span_ms - before_ms, event);
+            }
+        }
+        if self.chance(faults.crash) {
+            self.crash(host);
+        }
+        if self.chance(faults.store_outage) {
+            let all = self.random.random::<bool>();
+            for (index, other) in self.hosts.iter_mut().enumerate() {
+                if all || index == host || index % 3 == 0 {
+                    other.store_down_until = self.now + span;
+                }
+            }
+        }
+    }
+
+    /// Kills the agent of a host, which restarts after 400 ms.
+    pub(crate) fn kill(&mut self, host: usize) {
+        self.hosts[host].agent = None;
+        self.hosts[host].restart_at = self.now + 400;
+        let ended: Vec<_> = self
+            .links
+            .iter()
+            .filter(|link| link.0 == host || link.2 == host)
+            .copied()
+            .collect();
+        for (opener, link, other, there) in ended {
+            self.end_link(opener, link, other, there);
+        }
+    }
+
+    /// Kills the agents of all hosts, and the entry.
+    pub(crate) fn kill_all(&mut self) {
+        for host in 0..self.hosts.len() {
+            self.kill(host);
+        }
+        self.entry = EntryMachine::new(WorldFormat);
+    }
+
+    /// Crashes the worker of a host, of which another incarnation starts after 700 ms.
+    pub(crate) fn crash(&mut self, host: usize) {
+        if self.hosts[host].worker.alive {
+            self.hosts[host].worker.crash();
+            self.hosts[host].worker_back_at = self.now + 700;
+        }
+    }
+
+    /// Crashes the worker of a host for good.
+    pub(crate) fn lose_worker(&mut self, host: usize) {
+        self.crash(host);
+        self.hosts[host].worker_back_at = u64::MAX;
+    }
+
+    /// Removes a host with its worker and its agent for good. Connections to it are not refused.
+    pub(crate) fn remove(&mut self, host: usize) {
+        self.lose_worker(host);
+        self.partition(host, u64::MAX / 2);
+        self.hosts[host].agent = None;
+        self.hosts[host].restart_at = u64::MAX;
+    }
+
+    /// Partitions a host from all others and from the store.
+    pub(crate) fn partition(&mut self, host: usize, span_ms: u64) {
+        self.hosts[host].partitioned_until = self.now + span_ms;
+    }
+
+    /// Makes the store unavailable to all agents.
+    pub(crate) fn stop_store(&mut self, span_ms: u64) {
+        for host in &mut self.hosts {
+            host.store_down_until = self.now + span_ms;
+        }
+    }
+
+    /// Has the store refuse one host while it serves all others.
+    pub(crate) fn refuse_host(&mut self, host: usize, span_ms: u64) {
+        self.hosts[host].store_down_until = self.now + span_ms;
+    }
+}
