[jobs] Grant no leases, and publish no address, before that is known to be right

Cause: two parts that met, presence records in a recovery and the renewal of grants after failed appends. Found by a second review of the merged code.

Change: stamps of reports that arrive during a recovery are not kept, and grants are not renewed then. A planner publishes its address only after a recent append: one that was frozen while it recovered may have been replaced.

Evidence: recovering_grants_nothing fails before (stamp 10300 granted while the planner recovers) and passes after. The address has no test of its own.

--- a/crates/hornbeamlead_jobs/src/planner/leases.rs
+++ b/crates/hornbeamlead_jobs/src/planner/leases.rs
@@ -43,14 +43,16 @@
         report: &HostReport,
     ) {
         let may_grant = self.recovery.is_none() && self.batch.has_recent_append(now);
-        let recovering =
-            self.recovery.is_some() && now.since(self.started_at) < RECOVERY_GRACE_PERIOD;
+        let is_recovering = self.recovery.is_some();
+        let in_grace_period = now.since(self.started_at) < RECOVERY_GRACE_PERIOD;
         let (sent, succeeded) = (self.batch.last_sent(), self.batch.last_succeeded());
         let Some(view) = self.hosts.get_mut(host) else {
             return;
         };
         let has_worker = report.worker.is_some();
         let confirmed = match has_worker {
+            // What the plan says of the host's leases is not known yet.
+            true if is_recovering => None,
             true => {
                 view.stamps.add(sent, report.stamp);
                 view.stamps.confirm(succeeded)
@@ -63,7 +65,7 @@
         let answered_at = view.granted_at;
         match confirmed {
             // Agents would look for another planner.
-            _ if recovering => {}
+            _ if is_recovering && in_grace_period => {}
             _ if !may_grant => {
                 view.granted_at = None;
                 self.send_answer(link, None, report.stamp);
@@ -91,6 +93,9 @@
     /// Grants leases to all connected hosts with the next append. After a failing spell the agents'
     /// leases may be about to expire.
     pub(super) fn renew_all_grants(&mut self) {
+        if self.recovery.is_some() {
+            return;
+        }
         let connected = self.hosts.values_mut().filter(|view| view.link.is_some());
         for view in connected {
             view.grant_deferred = true;
--- a/crates/hornbeamlead_jobs/src/planner/upkeep.rs
+++ b/crates/hornbeamlead_jobs/src/planner/upkeep.rs
@@ -157,7 +157,9 @@
 
 impl<F: OperatorFormat> PlannerMachine<F> {
     pub(super) fn poll_upkeep(&mut self, now: MonoTime) {
-        if self.upkeep.in_flight.is_some() || now < self.upkeep.not_before {
+        // A process that was frozen may have been replaced, and must not publish its address then.
+        let may_be_replaced = !self.batch.has_recent_append(now);
+        if self.upkeep.in_flight.is_some() || now < self.upkeep.not_before || may_be_replaced {
             return;
         }
         let Some(job) = self.upkeep.next_job() else {
