[jobs, settings] Serve jobs by value when there is too little room

What callers saw: when a burst exceeds the room, nearly all jobs of a low priority end late.

Cause: jobs were served by slack. Each job of a burst gets room until it is about to miss its deadline, and then the next one does.

Change: schedule.order = by_value selects the jobs that can end on time together (Moore and Hodgson, weighted by worth for the work left); the others are ranked behind them, by the work that they need, and do not hold two tasks each while the service is busy. With room for all, the order is as before.

--- a/crates/hornbeamlead_core/src/policy.rs
+++ b/crates/hornbeamlead_core/src/policy.rs
@@ -62,6 +62,42 @@
     }
 }
 
+/// Order in which a planner serves jobs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ServiceOrder {
+    /// By deadline, whether there is room for all jobs or not.
+    #[default]
+    ByDeadline,
+    /// By deadline among those jobs that can end on time together, then the others.
+    ByValue,
+}
+
+impl std::fmt::Display for ServiceOrder {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::ByDeadline => "by_deadline",
+            Self::ByValue => "by_value",
+        })
+    }
+}
+
+/// Error for a string that is not the name of a service order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, snafu::Snafu)]
+#[snafu(display("unknown service order, expected \"by_deadline\" or \"by_value\""))]
+pub struct UnknownOrder;
+
+impl std::str::FromStr for ServiceOrder {
+    type Err = UnknownOrder;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "by_deadline" => Ok(Self::ByDeadline),
+            "by_value" => Ok(Self::ByValue),
+            _ => Err(UnknownOrder),
+        }
+    }
+}
+
 /// Settings of the request path of an entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EntryPolicy {
--- a/crates/hornbeamlead_jobs/src/job.rs
+++ b/crates/hornbeamlead_jobs/src/job.rs
@@ -55,6 +55,14 @@
     pub may_miss: Option<u32>,
 }
 
+impl StepSpec {
+    /// Returns the estimated work of a task, in core-milliseconds.
+    #[must_use]
+    pub fn task_work(&self) -> f64 {
+        f64::from(self.cpu) / 1000.0 * f64::from(self.estimate_ms)
+    }
+}
+
 /// Due times of the occurrences of a job.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSchedule {
@@ -119,6 +127,21 @@
         }
     }
 
+    /// Returns the estimated work of one occurrence, in core-milliseconds.
+    #[must_use]
+    pub fn work(&self) -> f64 {
+        let work = |step: &StepSpec| f64::from(step.tasks) * step.task_work();
+        self.steps.iter().map(work).sum()
+    }
+
+    /// Returns whether most of the work is that of best-effort tasks.
+    #[must_use]
+    pub fn is_best_effort(&self) -> bool {
+        let work = |step: &StepSpec| f64::from(step.tasks) * step.task_work();
+        let best_effort = self.steps.iter().filter(|step| step.best_effort);
+        best_effort.map(work).sum::<f64>() > self.work() / 2.0
+    }
+
     /// Returns the estimated duration of the longest path from the start of a step to the end of
     /// the job, in milliseconds.
     #[must_use]
@@ -181,6 +204,27 @@
 }
 
 impl JobRecord {
+    /// Returns the time from which an occurrence counts, in milliseconds since the Unix epoch.
+    #[must_use]
+    pub fn due_ms(&self, occurrence: u32) -> u64 {
+        let due = self.body.schedule.due_ms(occurrence);
+        due.max(self.accepted_ms)
+    }
+
+    /// Returns the time after its due time within which an occurrence ends on time, in milliseconds.
+    #[must_use]
+    pub fn objective_ms(&self) -> u64 {
+        let path = self.body.critical_path_ms() as f64;
+        let scaled_path = f64::from(self.terms.target_factor) * path;
+        scaled_path as u64 + u64::from(self.terms.target_latency_ms)
+    }
+
+    /// Returns the time at which an occurrence is late, in milliseconds since the Unix epoch.
+    #[must_use]
+    pub fn deadline_ms(&self, occurrence: u32) -> u64 {
+        self.due_ms(occurrence).saturating_add(self.objective_ms())
+    }
+
     /// Returns the specification of a step, or `None` if the job has no such step.
     #[must_use]
     pub fn step(&self, name: StepName) -> Option<&StepSpec> {
--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -75,6 +75,12 @@
         step.after.iter().all(|&earlier| self.is_step_done(earlier))
     }
 
+    /// Returns whether an attempt of a task is placed or a task is done.
+    #[must_use]
+    pub fn is_started(&self) -> bool {
+        self.steps.iter().flatten().any(|task| !task.is_waiting())
+    }
+
     fn is_done(&self) -> bool {
         let tasks = |tasks: &Vec<TaskState>| tasks.iter().all(|task| task.done);
         self.steps.iter().all(tasks)
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -11,6 +11,7 @@
 mod intake;
 pub mod interference;
 mod leases;
+mod overload;
 mod placement;
 mod readings;
 mod ready;
@@ -18,6 +19,7 @@
 mod recovery;
 mod reports;
 mod schedule;
+pub mod service_order;
 mod serving_level;
 mod upkeep;
 
@@ -36,7 +38,9 @@
 use crate::store::{PlannerComponent, StoreCaller, StoreOutcome, StreamName};
 use batch::RecordBatch;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
+use hornbeamlead_core::policy::ServiceOrder;
 use interference::InterferenceModel;
+use overload::OverloadState;
 use recovery::RecoveryState;
 use serving_level::ServingLevels;
 use std::collections::BTreeMap;
@@ -64,6 +68,8 @@
     pub lease_span: Duration,
     /// Cost weights for the choice of a host.
     pub placement: PlacementPolicy,
+    /// Order in which jobs are served.
+    pub order: ServiceOrder,
 }
 
 /// Input to the planner's state machine.
@@ -149,6 +155,7 @@
     batch: RecordBatch,
     upkeep: UpkeepState,
     pass_needed: bool,
+    overload: OverloadState,
     last_pass: MonoTime,
     last_check: MonoTime,
     last_rebalance: MonoTime,
@@ -190,6 +197,7 @@
             batch: RecordBatch::new(epoch, claim, now),
             upkeep: UpkeepState::new(now),
             pass_needed: false,
+            overload: OverloadState::default(),
             last_pass: now,
             last_check: now,
             last_rebalance: now,
--- a/crates/hornbeamlead_jobs/src/planner/placement.rs
+++ b/crates/hornbeamlead_jobs/src/planner/placement.rs
@@ -254,6 +254,12 @@
         *self.placed.entry(demand.step).or_default() += 1;
     }
 
+    /// Returns the CPU that best-effort tasks can get on the host if they slow down no serving
+    /// task, in thousandths of a core.
+    pub(super) fn best_effort_room(&self) -> f64 {
+        f64::from(self.worker.cpu) - f64::from(self.load.cpu) * USED_CPU_SHARE
+    }
+
     /// Returns whether the worker has the service, labels and free resources that a task needs.
     pub(super) fn admits(&self, demand: &TaskDemand, spec: &StepSpec, service: &str) -> bool {
         let labelled = spec
@@ -283,8 +289,7 @@
         let within_targets = self.serving.iter().all(|(&image, group)| {
             group.log_latency + interference.on(image) * share <= MAX_LOG_LATENCY
         });
-        let used = f64::from(self.load.cpu) * USED_CPU_SHARE;
-        let free = f64::from(self.worker.cpu) - used - f64::from(self.load.best_effort_cpu);
+        let free = self.best_effort_room() - f64::from(self.load.best_effort_cpu);
         let throttled = self.view.best_effort_rate < MIN_BEST_EFFORT_RATE;
         let alone = self.load.best_effort_cpu == 0;
         within_targets && (alone || !throttled && free >= f64::from(demand.cpu))
--- a/crates/hornbeamlead_jobs/src/planner/ready.rs
+++ b/crates/hornbeamlead_jobs/src/planner/ready.rs
@@ -22,7 +22,8 @@
 
 /// Step with tasks that are waiting to be placed.
 pub(super) struct ReadyStep {
-    /// Long-running steps first, then by deadline outlook, priority and slack in milliseconds.
+    /// Long-running steps first, then by deadline outlook, priority and slack in milliseconds. Jobs
+    /// served by value that will be late are ordered by the work that they still need.
     pub(super) sort_key: (bool, DeadlineOutlook, u8, i64),
     pub(super) name: StepName,
     pub(super) record: Arc<JobRecord>,
@@ -39,6 +40,8 @@
     OnTimeStarted,
     /// On time.
     OnTime,
+    /// On time by itself, but there is too little room for it beside jobs that are worth more.
+    Deferred,
     /// Late, but its completion still has some value.
     Late,
     /// Too late to have any value; runs once nothing else waits.
@@ -82,15 +85,10 @@
     tasks: &OccurrenceState,
     ready: &mut Vec<ReadyStep>,
 ) {
-    let due = record
-        .body
-        .schedule
-        .due_ms(occurrence)
-        .max(record.accepted_ms);
-    let scaled_path = f64::from(record.terms.target_factor) * record.body.critical_path_ms() as f64;
-    let objective = scaled_path as i64 + i64::from(record.terms.target_latency_ms);
-    let deadline = due as i64 + objective;
-    let started = tasks.steps.iter().flatten().any(|task| !task.is_waiting());
+    let due = record.due_ms(occurrence);
+    let objective = record.objective_ms() as i64;
+    let deadline = record.deadline_ms(occurrence) as i64;
+    let started = tasks.is_started();
     debug_assert!(!state.phase.is_final());
     let running = state.unfinished_runs().take(MIN_RUNNING_TASKS).count();
     let waited = now.wall.0.saturating_sub(due) >= MAX_START_WAIT_MS;
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -10,6 +10,7 @@
 use crate::operators::OperatorFormat;
 use crate::record::PlanRecord;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
+use hornbeamlead_core::policy::ServiceOrder;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -68,9 +69,8 @@
         if !self.has_current_inputs(now.mono) || !self.batch.has_recent_append(now.mono) {
             return;
         }
-        let mut steps = self.ready_steps(now);
-        steps.sort_by_key(|step| step.sort_key);
-        for (step, choices) in self.place(now.mono, steps) {
+        let steps = self.ready_steps(now);
+        for (step, choices) in self.place(now, steps) {
             self.start(now.mono, &step, choices);
         }
     }
@@ -143,14 +143,18 @@
     }
 
     fn place(
-        &self,
-        now: MonoTime,
-        steps: Vec<ReadyStep>,
+        &mut self,
+        now: ClockReading,
+        mut steps: Vec<ReadyStep>,
     ) -> Vec<(ReadyStep, Vec<PlacementChoice>)> {
         if steps.is_empty() {
             return Vec::new();
         }
-        let mut candidates = self.candidates(now);
+        if self.policy.order == ServiceOrder::ByValue {
+            self.defer_by_value(now, &mut steps);
+        }
+        steps.sort_by_key(|step| step.sort_key);
+        let mut candidates = self.candidates(now.mono);
         let mut placed = Vec::new();
         for step in steps {
             let choices = self.place_step(&step, &mut candidates);
--- a/crates/hornbeamlead_jobs/tests/recovery_grants.rs
+++ b/crates/hornbeamlead_jobs/tests/recovery_grants.rs
@@ -3,6 +3,7 @@
 mod world;
 
 use hornbeamlead_core::clock::{ClockReading, MonoTime, WallTime};
+use hornbeamlead_core::policy::ServiceOrder;
 use hornbeamlead_jobs::effect::{Effect, LinkId};
 use hornbeamlead_jobs::ids::PlannerEpoch;
 use hornbeamlead_jobs::locator::PlannerElection;
@@ -48,6 +49,7 @@
         address,
         lease_span: Duration::from_millis(8500),
         placement: PlacementPolicy::default(),
+        order: ServiceOrder::default(),
     };
     let epoch = PlannerEpoch(1);
     let election = PlannerElection {
--- a/crates/hornbeamlead_jobs/tests/stale_outcomes.rs
+++ b/crates/hornbeamlead_jobs/tests/stale_outcomes.rs
@@ -3,6 +3,7 @@
 mod world;
 
 use hornbeamlead_core::clock::{ClockReading, MonoTime, WallTime};
+use hornbeamlead_core::policy::ServiceOrder;
 use hornbeamlead_emulator::store::EmulatedStore;
 use hornbeamlead_jobs::effect::Effect;
 use hornbeamlead_jobs::ids::PlannerEpoch;
@@ -161,6 +162,7 @@
         address: address(),
         lease_span: Duration::from_millis(8500),
         placement: PlacementPolicy::default(),
+        order: ServiceOrder::default(),
     };
     let election = PlannerElection {
         epoch: PlannerEpoch(epoch),
--- a/crates/hornbeamlead_jobs/tests/unclosed_jobs.rs
+++ b/crates/hornbeamlead_jobs/tests/unclosed_jobs.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use hornbeamlead_core::clock::{ClockReading, MonoTime, WallTime};
+use hornbeamlead_core::policy::ServiceOrder;
 use hornbeamlead_jobs::effect::Effect;
 use hornbeamlead_jobs::entry::JOB_PREFIX;
 use hornbeamlead_jobs::ids::{
@@ -122,6 +123,7 @@
         address: address(),
         lease_span: Duration::from_millis(8500),
         placement: PlacementPolicy::default(),
+        order: ServiceOrder::default(),
     };
     let mut now = ClockReading {
         mono: MonoTime(1_000_000),
--- /dev/null
+++ b/crates/hornbeamlead_jobs/tests/value_order.rs
@@ -0,0 +1,101 @@
+//! Order of service under overload: which jobs end on time when not all of them can.
+
+mod world;
+
+use hornbeamlead_core::policy::ServiceOrder;
+use hornbeamlead_jobs::ids::JobId;
+use hornbeamlead_jobs::job::{JobBody, JobPhase, StepSpec};
+use hornbeamlead_jobs::planner::service_order::{JobDemand, select_on_time};
+use rstest::rstest;
+use world::{World, WorldFaults};
+
+fn demand(cores_for_a_second: f64, due_in_ms: i64) -> JobDemand {
+    let work = cores_for_a_second * 1000.0;
+    JobDemand {
+        work,
+        due_in_ms,
+        total_work: work,
+        priority: 0,
+        started: false,
+    }
+}
+
+/// With room for all, no job is left out.
+#[test]
+fn room_suffices() {
+    let jobs = [demand(4.0, 1000), demand(4.0, 2000), demand(8.0, 4000)];
+    assert_eq!(select_on_time(&jobs, 4.0), [true; 3]);
+}
+
+/// Burst of equal jobs with one deadline: as many are selected as fit, not all or none.
+#[test]
+fn equal_burst() {
+    let jobs = [demand(4.0, 2000); 10];
+    let selected = select_on_time(&jobs, 10.0);
+    assert_eq!(selected.iter().filter(|selected| **selected).count(), 5);
+}
+
+/// One huge job is not kept at the price of many small ones.
+#[test]
+fn huge_left_out() {
+    let mut jobs = vec![demand(1.0, 2000); 20];
+    jobs.push(demand(20.0, 2000));
+    let selected = select_on_time(&jobs, 10.0);
+    assert_eq!(selected[20], false);
+    assert_eq!(selected.iter().filter(|selected| **selected).count(), 20);
+}
+
+/// A large job that needs little more is kept rather than a new one of its size, and a job of a
+/// higher priority rather than one of a lower.
+#[rstest]
+#[case::started(JobDemand { started: true, ..demand(10.0, 2000) }, demand(10.0, 2000))]
+#[case::nearly_done(JobDemand { total_work: 40_000.0, ..demand(10.0, 2000) }, demand(10.0, 2000))]
+#[case::priority(demand(10.0, 2000), JobDemand { priority: 1, ..demand(10.0, 2000) })]
+fn worth_more(#[case] kept: JobDemand, #[case] left_out: JobDemand) {
+    assert_eq!(select_on_time(&[left_out, kept], 5.0), [false, true]);
+}
+
+/// Submits more work at once than the workers can do within the objective, which is twice the
+/// estimated run time and 0.5 s, and returns how many jobs end on time.
+fn on_time_after_burst(order: ServiceOrder) -> usize {
+    let mut world = World::new(6, 2, WorldFaults::default(), 0);
+    world.order = order;
+    world.run(3000);
+    let step = |after: &[u16]| StepSpec {
+        tasks: 1,
+        cpu: 8000,
+        memory: 100,
+        estimate_ms: 1500,
+        after: after.to_vec(),
+        ..StepSpec::default()
+    };
+    let jobs: Vec<JobId> = (1..=12).map(JobId).collect();
+    for &job in &jobs {
+        let steps = vec![step(&[]), step(&[0])];
+        let spec = "work".into();
+        world.submit(
+            job,
+            JobBody {
+                spec,
+                steps,
+                ..JobBody::default()
+            },
+        );
+        world.run(20);
+    }
+    world.run(6500);
+    assert_eq!(world.judge.violations, Vec::<String>::new());
+    let completed = |job: &&JobId| world.phase(**job) == Some(JobPhase::Completed);
+    jobs.iter().filter(completed).count()
+}
+
+/// A burst of jobs that cannot all end on time makes some of them late, not nearly all.
+#[test]
+fn burst_deferred() {
+    let by_deadline = on_time_after_burst(ServiceOrder::ByDeadline);
+    let by_value = on_time_after_burst(ServiceOrder::ByValue);
+    assert!(
+        by_value > by_deadline,
+        "by value {by_value}, by deadline {by_deadline}"
+    );
+}
--- a/crates/hornbeamlead_jobs/tests/world/lone.rs
+++ b/crates/hornbeamlead_jobs/tests/world/lone.rs
@@ -24,7 +24,7 @@
 impl LonePlanner {
     /// Creates a planner that has claimed its role in a store with a plan and a snapshot.
     pub(crate) fn new(mut store: EmulatedStore, now_ms: u64) -> Self {
-        let policy = planner_policy(0, 1);
+        let policy = planner_policy(0, 1, ServiceOrder::default());
         let record = PlanRecord::Takeover(PlannerClaim {
             host: policy.host.clone(),
             incarnation: policy.incarnation,
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use hornbeamlead_core::clock::{ClockReading, MonoTime, WallTime};
+use hornbeamlead_core::policy::ServiceOrder;
 use hornbeamlead_emulator::judge::JobJudge;
 use hornbeamlead_emulator::store::EmulatedStore;
 use hornbeamlead_emulator::worker::{EmulatedRun, EmulatedWorker};
@@ -166,6 +167,8 @@
     pub(crate) best_effort_rate: f64,
     /// Host whose best-effort tasks get a fifth of their processor demand.
     pub(crate) slow_host: Option<usize>,
+    /// Order in which planners that are elected from now on serve jobs.
+    pub(crate) order: ServiceOrder,
     /// Run time of best-effort tasks in milliseconds; random if absent.
     pub(crate) best_effort_ms: Option<u64>,
     /// Rate of the workers' clocks in percent of true time.
@@ -230,6 +233,7 @@
             store_ms: STORE_MS,
             best_effort_rate: 1.0,
             slow_host: None,
+            order: ServiceOrder::default(),
             best_effort_ms: None,
             worker_clock_percent: 100,
             accepted: Vec::new(),
@@ -396,12 +400,13 @@
     }
 }
 
-fn planner_policy(host: usize, incarnation: u64) -> PlannerPolicy {
+fn planner_policy(host: usize, incarnation: u64, order: ServiceOrder) -> PlannerPolicy {
     PlannerPolicy {
         host: format!("h{host}").into(),
         incarnation,
         address: address(host),
         lease_span: Duration::from_millis(8500),
         placement: PlacementPolicy::default(),
+        order,
     }
 }
--- a/crates/hornbeamlead_jobs/tests/world/processes.rs
+++ b/crates/hornbeamlead_jobs/tests/world/processes.rs
@@ -137,6 +137,7 @@
         incarnation: u64,
         act: impl FnOnce(&mut WorldAgent, ClockReading) -> Vec<Effect>,
     ) {
+        let order = self.order;
         let now = self.clock();
         let Some(agent) = &mut self.hosts[host].agent else {
             return;
@@ -160,7 +161,7 @@
                     effects.extend(agent.supervisor.handle(now.mono, SupervisorEvent::LinkDown));
                 }
                 LocatorEvent::Elected(election) => {
-                    let policy = planner_policy(host, incarnation);
+                    let policy = planner_policy(host, incarnation, order);
                     let planner = PlannerMachine::new(policy, WorldFormat, election, now.mono);
                     agent.planner = Some(planner);
                 }
--- a/crates/hornbeamlead_settings/src/fleet.rs
+++ b/crates/hornbeamlead_settings/src/fleet.rs
@@ -4,6 +4,7 @@
 use crate::process::{RoleName, host_seed};
 use crate::section::{Section, parse_document};
 use hornbeamlead_core::ids::{DataCentreName, HostId};
+use hornbeamlead_core::policy::ServiceOrder;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -54,6 +55,8 @@
         throttle_grace: Duration,
         /// Time between two changes of the throttle.
         throttle_step: Duration,
+        /// Order in which the planner serves jobs.
+        order: ServiceOrder,
     },
 }
 
@@ -203,6 +206,7 @@
         log,
     );
     let section = parent.section("schedule", log);
+    let mut order = ServiceOrder::default();
     let mut durations = [
         DEFAULT_LEASE,
         DEFAULT_HOLD_MAX,
@@ -223,6 +227,7 @@
             "raise lease, or write a hold_max above 0",
             log,
         );
+        order = section.or_default("order", order, log);
         section.finish(log);
     }
     let [lease, hold_max, throttle_grace, throttle_step] = durations;
@@ -232,5 +237,6 @@
         hold_max,
         throttle_grace,
         throttle_step,
+        order,
     })
 }
--- a/crates/hornbeamlead_settings/src/value.rs
+++ b/crates/hornbeamlead_settings/src/value.rs
@@ -7,7 +7,7 @@
     TeamName,
 };
 use hornbeamlead_core::note::DeliveryMode;
-use hornbeamlead_core::policy::BalanceRule;
+use hornbeamlead_core::policy::{BalanceRule, ServiceOrder};
 use hornbeamlead_core::resource::{AcceleratorCount, CpuMillis, MemoryMebibytes};
 use jsonc_parser::ast::Value;
 use std::fmt::Display;
@@ -101,6 +101,7 @@
 
 text_values!(
     BalanceRule => "\"least_busy\"",
+    ServiceOrder => "\"by_value\"",
     HostId => "\"negombo-01\"",
     DataCentreName => "\"negombo\"",
     RackName => "\"negombo-r1\"",
