--- a/crates/hornbeamlead_jobs/tests/value_order.rs
+++ b/crates/hornbeamlead_jobs/tests/value_order.rs
@@ -41,7 +41,7 @@
     let mut jobs = vec![demand(1.0, 2000); 20];
     jobs.push(demand(20.0, 2000));
     let selected = select_on_time(&jobs, 10.0);
-    assert_eq!(selected[20], false);
+    assert!(!selected[20]);
     assert_eq!(selected.iter().filter(|selected| **selected).count(), 20);
 }
 
