[jobs, docs] Bring the fleet back after plan records have expired

What callers saw: after 17 to 20 s with all machines off, no planner became active again (`plan_gap`), and no job made progress for good.

Change: the planner copies each batch with starts, ends, closed jobs or withdrawn bounds to a keyed stream, at the same time as it appends the batch, and acts on it once both are stored.

--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -3,7 +3,8 @@
 mod body;
 
 use crate::ids::{
-    HostName, JobId, RunName, RunNumber, StepName, StreamOffset, TaskName, WorkerIncarnation,
+    HostName, JobId, PlannerEpoch, RunName, RunNumber, StepName, StreamOffset, TaskName,
+    WorkerIncarnation,
 };
 use crate::job::{JobPhase, JobRecord, RunEnd, StepSpec};
 use crate::record::PlanRecord;
@@ -251,6 +252,9 @@
     /// Interference between images as learned by planners, for the next planner. Only snapshots
     /// contain it, no record.
     pub learned: Vec<LearnedInterference>,
+    /// Epoch of the planner that wrote the snapshot, if it writes a journal. Only snapshots contain
+    /// it, no record.
+    pub journaled: Option<PlannerEpoch>,
 }
 
 /// Learned interference of best-effort tasks of one image with serving tasks of another.
--- a/crates/hornbeamlead_jobs/src/lib.rs
+++ b/crates/hornbeamlead_jobs/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod ids;
 pub mod index;
 pub mod job;
+pub mod journal;
 pub mod ledger;
 pub mod locator;
 pub mod message;
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -10,7 +10,9 @@
 mod hosts;
 mod intake;
 pub mod interference;
+mod journal;
 mod leases;
+mod orders;
 mod placement;
 mod readings;
 mod ready;
@@ -37,6 +39,7 @@
 use batch::RecordBatch;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
 use interference::InterferenceModel;
+use journal::JournalWriter;
 use recovery::RecoveryState;
 use serving_level::ServingLevels;
 use std::collections::BTreeMap;
@@ -147,6 +150,7 @@
     interference: InterferenceModel,
     serving_levels: ServingLevels,
     batch: RecordBatch,
+    journal: JournalWriter,
     upkeep: UpkeepState,
     pass_needed: bool,
     last_pass: MonoTime,
@@ -188,6 +192,7 @@
             interference: InterferenceModel::default(),
             serving_levels: ServingLevels::default(),
             batch: RecordBatch::new(epoch, claim, now),
+            journal: JournalWriter::new(epoch, claim),
             upkeep: UpkeepState::new(now),
             pass_needed: false,
             last_pass: now,
@@ -283,6 +288,7 @@
                 self.handle_recovery(now.mono, component, outcome);
             }
             PlannerComponent::Records => self.handle_append(now.mono, outcome),
+            PlannerComponent::Journal => self.handle_copy(now.mono, outcome),
             PlannerComponent::Upkeep => self.handle_upkeep(now.mono, outcome),
         }
     }
--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -1,10 +1,10 @@
 //! Group commit: appends records in order, one batch at a time, and runs the actions that depend on
-//! a batch once it is stored.
+//! a batch once it is stored, also in the journal if it is durable.
 
-use super::{GRANT_WINDOW, PlannerMachine, RunView};
+use super::journal::JournalAppend;
+use super::{GRANT_WINDOW, PlannerMachine};
 use crate::effect::Effect;
 use crate::ids::{HostName, JobId, PlannerEpoch, RunName, StreamOffset, WorkerIncarnation};
-use crate::job::RunEnd;
 use crate::ledger::JobLedger;
 use crate::message::{PlannerMessage, StartOrder};
 use crate::operators::OperatorFormat;
@@ -71,6 +71,10 @@
     sequence: u64,
     sent: MonoTime,
     retry_at: Option<MonoTime>,
+    /// Where the records are stored, once they are.
+    offset: Option<StreamOffset>,
+    /// Copy for the journal, until it is stored.
+    copy: Option<JournalAppend>,
     /// If a snapshot is due: ledger that includes this batch, and ended jobs whose bodies can be
     /// removed with it.
     snapshot: Option<(JobLedger, Vec<JobId>)>,
@@ -156,6 +160,23 @@
         self.failing_since.is_none() && now.since(self.last_append_sent) <= MAX_PROMPT_AGE
     }
 
+    /// Copy of the batch in flight that is not stored yet.
+    pub(super) fn copy_mut(&mut self) -> Option<&mut JournalAppend> {
+        self.in_flight.as_mut()?.copy.as_mut()
+    }
+
+    /// Handles that the copy of the batch in flight is stored.
+    pub(super) fn finish_copy(&mut self) {
+        if let Some(in_flight) = &mut self.in_flight {
+            in_flight.copy = None;
+        }
+    }
+
+    /// Notes that an append has failed.
+    pub(super) fn note_failure(&mut self, now: MonoTime) {
+        self.failing_since.get_or_insert(now);
+    }
+
     fn is_due(&self, now: MonoTime) -> bool {
         let lingered = !self.records.is_empty() && now.since(self.oldest) >= BATCH_LINGER;
         let deferred = !self.deferred.is_empty();
@@ -167,6 +188,7 @@
     /// Sends the next batch if it is due and none is in flight, or retries a failed one.
     pub(super) fn flush(&mut self, now: MonoTime) {
         let due = self.batch.is_due(now);
+        self.repeat_copy(now);
         match &mut self.batch.in_flight {
             Some(in_flight) if in_flight.retry_at.is_some_and(|at| now >= at) => {
                 in_flight.retry_at = None;
@@ -213,13 +235,16 @@
         let snapshot = due.then(|| {
             let ledger = JobLedger {
                 learned: self.interference.learned(),
+                journaled: Some(self.epoch),
                 ..self.ledger.clone()
             };
             let ended = self.upkeep.drain_ended(&ledger);
             (ledger, ended)
         });
+        let encoded: Vec<_> = records.iter().map(record).collect();
+        let copy = self.journal.add_batch(self.batch.end, &records, &encoded);
         self.batch.in_flight = Some(InFlightBatch {
-            records: records.iter().map(record).collect(),
+            records: encoded,
             deferred: if drained {
                 std::mem::take(&mut self.batch.deferred)
             } else {
@@ -228,9 +253,12 @@
             sequence: self.batch.sequence,
             sent: now,
             retry_at: None,
+            offset: None,
+            copy,
             snapshot,
         });
         self.send_batch(now);
+        self.send_copy(now);
     }
 
     /// Appends something at intervals while the planner recovers, so that no other process claims its
@@ -271,10 +299,15 @@
 
     pub(super) fn handle_append(&mut self, now: MonoTime, outcome: StoreOutcome) {
         match outcome {
-            StoreOutcome::Appended { offset } => self.complete_append(now, offset),
+            StoreOutcome::Appended { offset } => {
+                if let Some(in_flight) = &mut self.batch.in_flight {
+                    in_flight.offset = Some(offset);
+                }
+                self.complete_append(now);
+            }
             StoreOutcome::Fenced | StoreOutcome::Moved { .. } => self.depose("fenced"),
             StoreOutcome::Refused { cause } | StoreOutcome::Unanswered { cause } => {
-                self.batch.failing_since.get_or_insert(now);
+                self.batch.note_failure(now);
                 self.log("append_failed", "plan", format!("cause={cause:?}"));
                 if let Some(in_flight) = &mut self.batch.in_flight {
                     in_flight.retry_at = Some(now.plus(APPEND_BACKOFF));
@@ -284,10 +317,13 @@
         }
     }
 
-    fn complete_append(&mut self, now: MonoTime, offset: StreamOffset) {
-        let Some(in_flight) = self.batch.in_flight.take() else {
+    /// Acts on the batch in flight once it is stored, and its copy, if it has one.
+    pub(super) fn complete_append(&mut self, now: MonoTime) {
+        let stored = |batch: &mut InFlightBatch| batch.offset.is_some() && batch.copy.is_none();
+        let Some(in_flight) = self.batch.in_flight.take_if(stored) else {
             return;
         };
+        let offset = in_flight.offset.unwrap_or(self.batch.end);
         self.batch.end = offset + in_flight.records.len() as u64;
         let was_failing = self.batch.failing_since.is_some();
         self.batch.succeeded = in_flight.sequence;
@@ -326,65 +362,4 @@
             }
         }
     }
-
-    /// Sends a start order, unless the conditions for it no longer hold. An attempt whose order was
-    /// never sent cannot have started, so it ends as `NotStarted`.
-    fn run_deferred_start(&mut self, now: MonoTime, host: &HostName, order: StartOrder) {
-        let run = order.run;
-        let job = self.ledger.jobs.get(&run.task.step.job);
-        let ended = job.is_none_or(|job| job.phase.is_final());
-        let current = self.has_current_inputs(now);
-        let view = self.hosts.get_mut(host);
-        let usable = view.as_ref().is_some_and(|view| {
-            view.is_reachable(now)
-                && view.incarnation() == Some(&order.incarnation)
-                && !view.is_draining()
-        });
-        let evacuated = view.as_ref().is_some_and(|view| {
-            let data_centre = view.worker.as_ref().map(|worker| &worker.data_centre);
-            data_centre.is_some_and(|data_centre| self.operators.is_evacuated(data_centre))
-        });
-        let link = view.as_ref().and_then(|view| view.link);
-        match (view, link) {
-            (Some(view), Some(link)) if usable && current && !evacuated && !ended => {
-                let number = view.next_order_number();
-                let run_view = self.runs.entry(run).or_insert_with(|| RunView::new(now));
-                run_view.order_number = Some(number);
-                let message = PlannerMessage::Start { number, order };
-                self.effects.push(Effect::ToAgent { link, message });
-            }
-            _ => {
-                let detail =
-                    format!("host={host} ended={ended} evacuated={evacuated} current={current}");
-                self.log("start_withdrawn", run, detail);
-                self.end_run(now, run, RunEnd::NotStarted, None);
-            }
-        }
-    }
-
-    /// Sends a stop order if the host has a link. If not, the stop is sent again once a report
-    /// lists the attempt.
-    pub(super) fn order_stop(&mut self, run: RunName) {
-        let Some(placement) = self.ledger.placement(run) else {
-            return;
-        };
-        let incarnation = placement.incarnation.clone();
-        let Some(view) = self.hosts.get_mut(&placement.host) else {
-            return;
-        };
-        let Some(link) = view.link else {
-            return;
-        };
-        let number = view.next_order_number();
-        if let Some(run_view) = self.runs.get_mut(&run) {
-            run_view.stop_number = Some(number);
-            run_view.order_number.get_or_insert(number);
-        }
-        let message = PlannerMessage::Stop {
-            number,
-            run,
-            incarnation,
-        };
-        self.effects.push(Effect::ToAgent { link, message });
-    }
 }
--- a/crates/hornbeamlead_jobs/src/planner/recovery.rs
+++ b/crates/hornbeamlead_jobs/src/planner/recovery.rs
@@ -1,17 +1,19 @@
-//! Recovers the state of all jobs from the store: the latest snapshot, the plan records after it,
-//! and the jobs stream.
+//! Recovers the state of all jobs from the store: the latest snapshot, the plan records after it or
+//! their copies in the journal, and the jobs stream.
 
 use super::PlannerMachine;
 use super::interference::InterferenceModel;
 use crate::effect::{Effect, LinkId};
 use crate::follow::{FollowOutcome, NewestReader, NewestRecords, StreamFollower};
 use crate::ids::{PlannerEpoch, StreamOffset};
+use crate::journal::{SnapshotOrigin, read_journal};
 use crate::message::AgentMessage;
 use crate::operators::OperatorFormat;
 use crate::record::{PlanRecord, decode};
 use crate::snapshot::{SnapshotSet, read_snapshot};
 use crate::snapshot_retry::{SnapshotRetry, snapshot_reader};
 use crate::store::{PlannerComponent, ReadRecord, StoreOutcome, StreamName};
+use bytes::Bytes;
 use hornbeamlead_core::clock::MonoTime;
 use std::time::Duration;
 
@@ -25,9 +27,21 @@
 enum PlanStage {
     Snapshot(NewestReader),
     Records(StreamFollower),
+    /// Records that the snapshot lacks have expired.
+    Journal(JournalStage),
     Done,
 }
 
+/// Read of the journal.
+#[derive(Debug)]
+struct JournalStage {
+    reader: NewestReader,
+    /// Offset of the snapshot in the plan.
+    from: StreamOffset,
+    /// First offset of the plan that is still stored.
+    first: StreamOffset,
+}
+
 #[derive(Debug)]
 enum JobsStage {
     Reading(NewestReader),
@@ -65,6 +79,7 @@
         let plan = match &mut recovery.plan {
             PlanStage::Snapshot(reader) => reader.poll(now),
             PlanStage::Records(follower) => follower.poll(now),
+            PlanStage::Journal(stage) => stage.reader.poll(now),
             PlanStage::Done => None,
         };
         let jobs = match &mut recovery.jobs {
@@ -121,39 +136,91 @@
                 }
                 FollowOutcome::Expired { first } => {
                     let from = follower.next();
-                    let (reader, line) = recovery.snapshot_retry.after_expiry(now, from, first);
-                    recovery.plan = PlanStage::Snapshot(reader);
-                    self.effects.extend(line);
+                    let caller = PlannerComponent::Plan.caller(self.epoch);
+                    recovery.plan = match recovery.snapshot_retry.is_gap(from) {
+                        true => PlanStage::Journal(JournalStage {
+                            reader: NewestReader::new(StreamName::Journal, caller),
+                            from,
+                            first,
+                        }),
+                        false => PlanStage::Snapshot(snapshot_reader(caller)),
+                    };
                 }
                 FollowOutcome::Failed => {}
             },
+            PlanStage::Journal(stage) => {
+                if let Some(newest) = stage.reader.take(now, outcome) {
+                    let (from, first) = (stage.from, stage.first);
+                    self.recover_journal(now, recovery, (from, first), &newest.records);
+                }
+            }
             PlanStage::Done => {}
         }
     }
 
+    /// Applies the copies of the records that have expired. What the journal lacks must not be
+    /// skipped, since a task whose end is unknown would run twice.
+    fn recover_journal(
+        &mut self,
+        now: MonoTime,
+        recovery: &mut RecoveryState,
+        (from, first): (StreamOffset, StreamOffset),
+        records: &[ReadRecord],
+    ) {
+        let snapshot = SnapshotOrigin {
+            offset: from,
+            writer: self.ledger.journaled,
+        };
+        match read_journal(records, snapshot) {
+            // Whether the claim is that of this process was not read before it expired.
+            Ok(_) if first > recovery.claim => self.depose("claim_expired"),
+            Ok(copies) => {
+                let expired = copies.into_iter().take_while(|copy| copy.0 < first);
+                let expired: Vec<_> = expired.collect();
+                let detail = format!("from={from} first={first} records={}", expired.len());
+                self.log("journal_replayed", "plan", detail);
+                self.effects.push(Effect::Count("journal_replayed"));
+                for (offset, bytes) in expired {
+                    self.replay_record(offset, &bytes);
+                }
+                recovery.plan = PlanStage::Records(self.plan_follower(first));
+            }
+            Err(gap) => {
+                let retry = &mut recovery.snapshot_retry;
+                let line = retry.log_gap(from, first, &gap.to_string());
+                let counter = line.is_some().then_some(Effect::Count("plan_gap"));
+                self.effects.extend(line.into_iter().chain(counter));
+                recovery.plan = PlanStage::Snapshot(retry.after_pause(now));
+            }
+        }
+    }
+
+    fn plan_follower(&self, next: StreamOffset) -> StreamFollower {
+        let caller = PlannerComponent::Plan.caller(self.epoch);
+        let mut follower =
+            StreamFollower::new(StreamName::Plan, caller, Duration::ZERO, Duration::ZERO);
+        follower.seek(next);
+        follower
+    }
+
     fn recover_snapshot(
         &mut self,
         now: MonoTime,
         retry: &mut SnapshotRetry,
         records: &[ReadRecord],
     ) -> PlanStage {
-        let mut follower = StreamFollower::new(
-            StreamName::Plan,
-            PlannerComponent::Plan.caller(self.epoch),
-            Duration::ZERO,
-            Duration::ZERO,
-        );
         self.upkeep.recover_set(SnapshotSet::of_newest(records));
         match read_snapshot(records) {
             Ok(Some((ledger, offset))) => {
                 self.interference = InterferenceModel::from_learned(&ledger.learned);
                 self.ledger = ledger;
-                follower.seek(offset);
-                PlanStage::Records(follower)
+                self.journal.restart(offset);
+                PlanStage::Records(self.plan_follower(offset))
             }
             Ok(None) if records.is_empty() => {
                 self.ledger = Default::default();
-                PlanStage::Records(follower)
+                self.journal.restart(0);
+                PlanStage::Records(self.plan_follower(0))
             }
             Ok(None) => PlanStage::Snapshot(retry.after_pause(now)),
             Err(error) => {
@@ -167,27 +234,35 @@
     /// Applies records up to this planner's claim, and returns whether the claim was reached.
     fn replay(&mut self, claim: StreamOffset, records: &[ReadRecord]) -> bool {
         for read in records.iter().take_while(|read| read.offset <= claim) {
-            let record = decode::<PlanRecord>(read.value.as_deref().unwrap_or_default());
-            if let Ok(PlanRecord::Claim(_) | PlanRecord::Takeover(_)) = record {
-                self.upkeep.advance_set();
+            let bytes = read.value.clone().unwrap_or_default();
+            let record = self.replay_record(read.offset, &bytes);
+            if let Some(PlanRecord::Claim(other) | PlanRecord::Takeover(other)) = record
+                && read.offset == claim
+                && other.incarnation != self.policy.incarnation
+            {
+                self.depose("claim_of_another");
             }
-            match record {
-                Ok(PlanRecord::Claim(other) | PlanRecord::Takeover(other))
-                    if read.offset == claim =>
-                {
-                    if other.incarnation != self.policy.incarnation {
-                        self.depose("claim_of_another");
-                    }
-                }
-                Ok(record) => self.ledger.apply(&record),
-                Err(error) => {
-                    let cause = error.to_string();
-                    let detail = format!("offset={} cause={cause:?}", read.offset);
-                    self.log("record_unreadable", "plan", detail);
+        }
+        records.last().is_some_and(|read| read.offset >= claim)
+    }
+
+    fn replay_record(&mut self, offset: StreamOffset, bytes: &Bytes) -> Option<PlanRecord> {
+        match decode::<PlanRecord>(bytes) {
+            Ok(record) => {
+                if let PlanRecord::Claim(_) | PlanRecord::Takeover(_) = record {
+                    self.upkeep.advance_set();
                 }
+                self.ledger.apply(&record);
+                self.journal.hold(&record, (offset, bytes.clone()));
+                Some(record)
+            }
+            Err(error) => {
+                let cause = error.to_string();
+                let detail = format!("offset={offset} cause={cause:?}");
+                self.log("record_unreadable", "plan", detail);
+                None
             }
         }
-        records.last().is_some_and(|read| read.offset >= claim)
     }
 
     fn activate(&mut self, now: MonoTime, newest: NewestRecords) {
--- a/crates/hornbeamlead_jobs/src/planner/upkeep.rs
+++ b/crates/hornbeamlead_jobs/src/planner/upkeep.rs
@@ -41,6 +41,8 @@
 #[derive(Debug)]
 struct PendingSnapshot {
     records: Vec<NewRecord>,
+    /// Offset of the plan before which all records are included.
+    end: StreamOffset,
     /// Jobs whose bodies can be removed once the snapshot is stored.
     ended: Vec<JobId>,
 }
@@ -210,6 +212,7 @@
         };
         match (outcome, job) {
             (StoreOutcome::Appended { .. }, UpkeepJob::Snapshot(snapshot)) => {
+                self.journal.release(snapshot.end);
                 self.upkeep.removals.extend(snapshot.ended);
             }
             (StoreOutcome::Appended { .. }, _) => {}
@@ -234,7 +237,11 @@
         self.republish(now);
         let records = snapshot_records(ledger, end, self.upkeep.snapshot_set);
         self.log("impact_learned", end, self.interference.describe());
-        self.upkeep.add_snapshot(PendingSnapshot { records, ended });
+        self.upkeep.add_snapshot(PendingSnapshot {
+            records,
+            end,
+            ended,
+        });
     }
 }
 
--- a/crates/hornbeamlead_jobs/src/snapshot.rs
+++ b/crates/hornbeamlead_jobs/src/snapshot.rs
@@ -1,12 +1,13 @@
 //! Snapshots of the ledger in the store, split into parts of one record each.
 
-use crate::ids::{HostName, JobId, RunNumber, StreamOffset, WorkerIncarnation};
+use crate::ids::{HostName, JobId, PlannerEpoch, RunNumber, StreamOffset, WorkerIncarnation};
 use crate::job::JobPhase;
 use crate::ledger::{
     JobLedger, JobState, LearnedInterference, OccurrenceState, TaskPlacement, TaskState,
 };
 use crate::record::{DecodeError, decode, decode_first, encode};
 use crate::store::{NewRecord, ReadRecord};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -113,6 +114,12 @@
     lease_bounds: BTreeMap<HostName, u32>,
 }
 
+/// Planner that wrote the snapshot. Follows the leases, since earlier versions ignore what does.
+#[derive(Default, Serialize, Deserialize)]
+struct StoredOrigin {
+    journaled: Option<PlannerEpoch>,
+}
+
 impl From<&JobLedger> for StoredLeases {
     fn from(ledger: &JobLedger) -> Self {
         let bounds = ledger.lease_bounds.iter();
@@ -220,6 +227,7 @@
             confirmed_grants: false,
             lease_bounds: BTreeMap::new(),
             learned: stored.learned,
+            journaled: None,
         }
     }
 }
@@ -233,6 +241,9 @@
 ) -> Vec<NewRecord> {
     let mut content = encode(&StoredLedger::from(ledger)).to_vec();
     content.extend(encode(&StoredLeases::from(ledger)));
+    if let journaled @ Some(_) = ledger.journaled {
+        content.extend(encode(&StoredOrigin { journaled }));
+    }
     let parts = content.chunks(PART_BYTES);
     let count = parts.len() as u32;
     let record = |(number, content): (usize, &[u8])| NewRecord {
@@ -288,17 +299,24 @@
     let newest = parts.first().map_or(0, |part| part.plan_offset);
     let content: Vec<u8> = parts.into_iter().flat_map(|part| part.content).collect();
     let (stored, rest) = decode_first::<StoredLedger>(&content)?;
-    let leases = match rest {
-        [] => StoredLeases::default(),
-        rest => decode(rest)?,
-    };
+    let (leases, rest) = decode_optional::<StoredLeases>(rest)?;
+    let (origin, _) = decode_optional::<StoredOrigin>(rest)?;
     let bounds = leases.lease_bounds.into_iter();
     let ledger = JobLedger {
         confirmed_grants: leases.confirmed_grants,
         lease_bounds: bounds
             .map(|(host, ms)| (host, Duration::from_millis(ms.into())))
             .collect(),
+        journaled: origin.journaled,
         ..stored.into()
     };
     Ok(Some((ledger, newest)))
 }
+
+/// Decodes a value that snapshots of earlier versions lack.
+fn decode_optional<T: Default + DeserializeOwned>(bytes: &[u8]) -> Result<(T, &[u8]), DecodeError> {
+    match bytes {
+        [] => Ok((T::default(), bytes)),
+        bytes => decode_first(bytes),
+    }
+}
--- a/crates/hornbeamlead_jobs/src/snapshot_retry.rs
+++ b/crates/hornbeamlead_jobs/src/snapshot_retry.rs
@@ -56,16 +56,31 @@
         from: StreamOffset,
         first: StreamOffset,
     ) -> (NewestReader, Option<Effect>) {
-        if self.expired_from.replace(from) != Some(from) {
-            // A reader that was slow finds a newer snapshot.
+        if !self.is_gap(from) {
             return (snapshot_reader(self.caller), None);
         }
-        let line = (!std::mem::replace(&mut self.gap_logged, true)).then(|| {
+        let line = self.log_gap(from, first, "");
+        (self.after_pause(now), line)
+    }
+
+    /// Returns whether plan records from an offset on have expired that the newest snapshot certainly
+    /// does not include. A reader that was only slow finds a newer snapshot.
+    pub(crate) fn is_gap(&mut self, from: StreamOffset) -> bool {
+        self.expired_from.replace(from) == Some(from)
+    }
+
+    /// Returns a log line of a gap for its first occurrence.
+    pub(crate) fn log_gap(
+        &mut self,
+        from: StreamOffset,
+        first: StreamOffset,
+        journal: &str,
+    ) -> Option<Effect> {
+        (!std::mem::replace(&mut self.gap_logged, true)).then(|| {
             let cause = "plan records expired that the newest snapshot does not include";
-            let detail = format!("from={from} first={first} cause={cause:?}");
+            let detail = format!("from={from} first={first} cause={cause:?} journal={journal:?}");
             Effect::log("plan_gap", "plan", detail)
-        });
-        (self.after_pause(now), line)
+        })
     }
 
     /// Ends the pauses once plan records after the snapshot have been read.
--- a/crates/hornbeamlead_jobs/src/store.rs
+++ b/crates/hornbeamlead_jobs/src/store.rs
@@ -18,6 +18,8 @@
     Planner,
     /// Configuration and evacuations set by operators, keyed; read only.
     Operators,
+    /// Copies of durable plan records, keyed; written by the planner only.
+    Journal,
 }
 
 /// Condition under which an append takes effect.
@@ -108,6 +110,8 @@
     Records,
     /// Maintenance: the planner's address, snapshots and the removal of ended jobs.
     Upkeep,
+    /// Writer of the journal.
+    Journal,
 }
 
 impl PlannerComponent {
--- a/crates/hornbeamlead_jobs/tests/world/calls.rs
+++ b/crates/hornbeamlead_jobs/tests/world/calls.rs
@@ -15,6 +15,10 @@
             return self.after(span, answer(outcome));
         }
         match &call.operation {
+            StoreOperation::Append { stream, .. } if self.refused_stream == Some(*stream) => {
+                let cause = "refused".into();
+                self.after(self.store_ms, answer(StoreOutcome::Refused { cause }));
+            }
             StoreOperation::Append {
                 stream,
                 records,
--- a/crates/hornbeamlead_jobs/tests/world/faults.rs
+++ b/crates/hornbeamlead_jobs/tests/world/faults.rs
@@ -108,6 +108,39 @@
         self.entry = EntryMachine::new(WorldFormat);
     }
 
+    /// Powers a host off for a while: neither its agent nor its worker runs meanwhile.
+    pub(crate) fn power_off(&mut self, host: usize, span_ms: u64) {
+        self.kill(host);
+        self.crash(host);
+        self.hosts[host].restart_at = self.now + span_ms;
+        self.hosts[host].worker_back_at = self.now + span_ms;
+    }
+
+    /// Ends all processes except the workers, which cannot start again for a while.
+    pub(crate) fn end_processes(&mut self, span_ms: u64) {
+        self.kill_all();
+        for host in &mut self.hosts {
+            host.restart_at = self.now + span_ms;
+        }
+    }
+
+    /// Has the store refuse all appends to a stream.
+    pub(crate) fn refuse_stream(&mut self, stream: Option<StreamName>) {
+        self.refused_stream = stream;
+    }
+
+    /// Returns the number of keys in a stream.
+    pub(crate) fn stream_keys(&self, stream: StreamName) -> usize {
+        let newest = StoreOperation::Newest {
+            stream,
+            after: None,
+        };
+        match self.store.read(&newest) {
+            Some(StoreOutcome::Page { records, .. }) => records.len(),
+            _ => 0,
+        }
+    }
+
     /// Crashes the worker of a host, of which another incarnation starts after 700 ms.
     pub(crate) fn crash(&mut self, host: usize) {
         if self.hosts[host].worker.alive {
