--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -10,7 +10,9 @@
 mod hosts;
 mod intake;
 pub mod interference;
+mod journal;
 mod leases;
+mod orders;
 mod overload;
 mod placement;
 mod readings;
@@ -40,6 +42,7 @@
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
 use hornbeamlead_core::policy::ServiceOrder;
 use interference::InterferenceModel;
+use journal::JournalWriter;
 use overload::OverloadState;
 use recovery::RecoveryState;
 use serving_level::ServingLevels;
@@ -153,6 +156,7 @@
     interference: InterferenceModel,
     serving_levels: ServingLevels,
     batch: RecordBatch,
+    journal: JournalWriter,
     upkeep: UpkeepState,
     pass_needed: bool,
     overload: OverloadState,
@@ -195,6 +199,7 @@
             interference: InterferenceModel::default(),
             serving_levels: ServingLevels::default(),
             batch: RecordBatch::new(epoch, claim, now),
+            journal: JournalWriter::new(epoch, claim),
             upkeep: UpkeepState::new(now),
             pass_needed: false,
             overload: OverloadState::default(),
@@ -291,6 +296,7 @@
                 self.handle_recovery(now.mono, component, outcome);
             }
             PlannerComponent::Records => self.handle_append(now.mono, outcome),
+            PlannerComponent::Journal => self.handle_copy(now.mono, outcome),
             PlannerComponent::Upkeep => self.handle_upkeep(now.mono, outcome),
         }
     }
