--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -20,6 +20,7 @@
 mod rebalance;
 mod recovery;
 mod reports;
+pub mod run_times;
 mod schedule;
 pub mod service_order;
 mod serving_level;
@@ -45,6 +46,7 @@
 use journal::JournalWriter;
 use overload::OverloadState;
 use recovery::RecoveryState;
+use run_times::{RunTimes, RunWork};
 use serving_level::ServingLevels;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -118,6 +120,8 @@
     cpu_rate: f64,
     /// Best-effort tasks: since when the task has been slow.
     slow_since: Option<MonoTime>,
+    /// Work done since the worker first listed the attempt.
+    work: Option<RunWork>,
 }
 
 impl RunView {
@@ -131,6 +135,7 @@
             progressed_at: now,
             cpu_rate: 1.0,
             slow_since: None,
+            work: None,
         }
     }
 }
@@ -155,6 +160,7 @@
     failed_hosts: BTreeMap<TaskName, Vec<HostName>>,
     interference: InterferenceModel,
     serving_levels: ServingLevels,
+    run_times: RunTimes,
     batch: RecordBatch,
     journal: JournalWriter,
     upkeep: UpkeepState,
@@ -198,6 +204,7 @@
             failed_hosts: BTreeMap::new(),
             interference: InterferenceModel::default(),
             serving_levels: ServingLevels::default(),
+            run_times: RunTimes::default(),
             batch: RecordBatch::new(epoch, claim, now),
             journal: JournalWriter::new(epoch, claim),
             upkeep: UpkeepState::new(now),
@@ -321,6 +328,7 @@
         self.log("task_ended", run, format!("end={end} host={host}"));
         self.effects.push(Effect::Count(end_counter(end)));
         self.update_health(now, run, &host, end);
+        self.learn_end(now, run, end);
         self.runs.remove(&run);
         self.record(now, PlanRecord::Ended { run, end, saved });
         self.check_job_outcome(now, run.task.step.job);
