[agent] Take announcements of the agent's own worker only

An agent took the announcement of any worker that reached its local port. A worker of another fleet, whose agent had had that port before, made the agent ask that worker for its tasks, find none, and have the planner release the attempts that its own worker was running.

Settings of an agent may name its worker's address (`worker`); announcements of any other are refused. Without it, a worker at another address is refused while the known one still announces itself, and one of an older incarnation always is, as the request side did already. A refusal is counted (`foreign_worker`, `fenced`) and logged as the decision `announcement_refused`, not again while it repeats.

Weighed and left: a check of the peer's or worker's IP address, since strays come from the same host, and workers may have addresses that their agents do not.

The fleets of the process tests bind the address of a worker before they start its agent, and name it.

--- a/crates/hornbeamlead_agent/src/lib.rs
+++ b/crates/hornbeamlead_agent/src/lib.rs
@@ -5,5 +5,6 @@
 
 mod machine;
 mod snapshot_schedule;
+mod worker_guard;
 
 pub use machine::AgentMachine;
--- a/crates/hornbeamlead_agent/src/machine.rs
+++ b/crates/hornbeamlead_agent/src/machine.rs
@@ -1,9 +1,10 @@
 //! State machine of an agent: request side, batch side and configuration.
 
 use crate::snapshot_schedule::SnapshotSchedule;
+use crate::worker_guard::{RefusedAnnounce, WorkerGuard};
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
 use hornbeamlead_core::effect::{AgentEffect, AppendRecord};
-use hornbeamlead_core::event::{AgentEvent, NoteRecord, StreamBatch};
+use hornbeamlead_core::event::{AgentEvent, EndpointAnnounce, NoteRecord, StreamBatch};
 use hornbeamlead_core::explain::DecisionRecord;
 use hornbeamlead_core::fleet::FleetState;
 use hornbeamlead_core::ids::{LinkId, LogOffset, Revision};
@@ -18,10 +19,12 @@
 /// State machine of an agent.
 ///
 /// Each event is handled by the configuration, then by the batch side, then by the request side.
+/// Announcements of other workers than the host's reach neither side.
 #[derive(Debug)]
 pub struct AgentMachine {
     replica: NotesReplica,
     snapshots: SnapshotSchedule,
+    worker: WorkerGuard,
     schedule: ScheduleMachine,
     gate: RequestGate,
     stopping: bool,
@@ -34,6 +37,7 @@
         Self {
             replica: NotesReplica::default(),
             snapshots: SnapshotSchedule::new(identity.seed, policy.schedule.snapshot_records),
+            worker: WorkerGuard::new(policy.worker),
             schedule: ScheduleMachine::new(identity.clone(), policy.clone()),
             gate: RequestGate::new(identity, policy),
             stopping: false,
@@ -45,6 +49,18 @@
     /// The effects contain at most one wake-up request: the earliest of all parts.
     pub fn handle(&mut self, now: ClockReading, event: &AgentEvent) -> Vec<AgentEffect> {
         let mut effects = Vec::new();
+        let event = match event {
+            AgentEvent::EndpointAnnounced(announce) => {
+                match self.worker.check(now.mono, announce) {
+                    Ok(()) => event,
+                    Err(refused) => {
+                        self.report_refused(now, announce, refused, &mut effects);
+                        &AgentEvent::TimerFired
+                    }
+                }
+            }
+            _ => event,
+        };
         self.apply_notes(now, event, &mut effects);
         self.schedule
             .handle(now, self.replica.fleet(), event, &mut effects);
@@ -130,6 +146,33 @@
         }
     }
 
+    /// Counts a refused announcement; logs it unless it repeats the last one.
+    fn report_refused(
+        &self,
+        now: ClockReading,
+        announce: &EndpointAnnounce,
+        refused: RefusedAnnounce,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let RefusedAnnounce {
+            reason,
+            own,
+            repeated,
+        } = refused;
+        effects.push(AgentEffect::CountRefusal(reason));
+        if repeated {
+            return;
+        }
+        let (address, incarnation) = (announce.worker_address, announce.incarnation);
+        effects.push(AgentEffect::Decide(DecisionRecord {
+            at: now.wall,
+            subject: format!("worker:{address}").into(),
+            rule: "announcement_refused",
+            inputs: format!("reason={reason} incarnation={incarnation} own={own}").into(),
+            revision: self.replica.revision(),
+        }));
+    }
+
     fn log_decisions(
         &self,
         now: ClockReading,
--- a/crates/hornbeamlead_core/src/counter.rs
+++ b/crates/hornbeamlead_core/src/counter.rs
@@ -106,6 +106,8 @@
         NoLease => "no_lease",
         /// The retry budget is exhausted.
         BudgetSpent => "budget_spent",
+        /// An announcement came from another worker than the agent's own.
+        ForeignWorker => "foreign_worker",
     }
 );
 
--- a/crates/hornbeamlead_core/src/policy.rs
+++ b/crates/hornbeamlead_core/src/policy.rs
@@ -214,6 +214,8 @@
     pub entries: Vec<SocketAddr>,
     /// Control addresses of some agents of the cell, contacted while no planner is known.
     pub seeds: Vec<SocketAddr>,
+    /// Address of the worker that may announce itself; without one, the first that does.
+    pub worker: Option<SocketAddr>,
     /// Resources for batch tasks on the worker; the rest is reserved for services.
     pub batch_capacity: ResourceSize,
     /// Settings of the request path.
--- a/crates/hornbeamlead_daemon/tests/cell_faults.rs
+++ b/crates/hornbeamlead_daemon/tests/cell_faults.rs
@@ -8,6 +8,8 @@
     events_of, finished_tasks, overlapping_runs, repeated_attempts, task_intervals,
 };
 use hornbeamlead_standin::fleet::{Fleet, FleetPlan};
+use hornbeamlead_standin::worker::WorkerStandin;
+use hornbeamlead_standin::worker::control::WorkerSettings;
 use hornbeamlead_standin::worker::history::TaskEventKind;
 use serde_json::json;
 use std::time::Duration;
@@ -105,6 +107,27 @@
     assert_no_eviction(&fleet);
 }
 
+/// A worker of another fleet announces itself to agents whose ports were those of its own agents.
+#[test]
+fn foreign_worker_announced() {
+    let fleet = start_cell(9, Duration::from_secs(6));
+    await_started(&fleet, 9);
+    let strays = fleet.agents.iter().map(|agent| {
+        let settings = WorkerSettings {
+            agent: Some(agent.process.address("local")),
+            ..WorkerSettings::default()
+        };
+        WorkerStandin::start(settings).expect("the worker starts")
+    });
+    let strays: Vec<WorkerStandin> = strays.collect();
+    await_finished(&fleet, 9);
+    assert_invariants(&fleet);
+    assert_no_eviction(&fleet);
+    for stray in strays {
+        assert!(stray.stop().0.events.is_empty());
+    }
+}
+
 #[test]
 fn planner_freezes() {
     let mut fleet = start_cell(9, Duration::from_secs(4));
--- a/crates/hornbeamlead_measure/src/capacity/cell_model.rs
+++ b/crates/hornbeamlead_measure/src/capacity/cell_model.rs
@@ -138,6 +138,7 @@
             cell: CellId(1),
             entries: Vec::new(),
             seeds: vec![address(0)],
+            worker: None,
             batch_capacity: size(tasks_per_worker),
             gate: GatePolicy::default(),
             schedule: schedule.clone(),
--- a/crates/hornbeamlead_request/src/entry/reply.rs
+++ b/crates/hornbeamlead_request/src/entry/reply.rs
@@ -296,6 +296,7 @@
         | RefusalReason::StartTooLate
         | RefusalReason::NoRoom
         | RefusalReason::NoLease
-        | RefusalReason::BudgetSpent => false,
+        | RefusalReason::BudgetSpent
+        | RefusalReason::ForeignWorker => false,
     }
 }
--- a/crates/hornbeamlead_request/tests/common/mod.rs
+++ b/crates/hornbeamlead_request/tests/common/mod.rs
@@ -74,6 +74,7 @@
         cell: CellId(1),
         entries: entries.iter().map(|number| address(*number)).collect(),
         seeds: Vec::new(),
+        worker: None,
         batch_capacity: ResourceSize::default(),
         gate: GatePolicy::default(),
         schedule: SchedulePolicy::default(),
--- a/crates/hornbeamlead_schedule/tests/common/mod.rs
+++ b/crates/hornbeamlead_schedule/tests/common/mod.rs
@@ -240,6 +240,7 @@
             cell: CellId(host.spec.cell),
             entries: Vec::new(),
             seeds: Vec::new(),
+            worker: None,
             batch_capacity: size(4000, 8192),
             gate: GatePolicy::default(),
             schedule: self.policy.clone(),
--- a/crates/hornbeamlead_settings/src/process.rs
+++ b/crates/hornbeamlead_settings/src/process.rs
@@ -14,10 +14,11 @@
 const ADDRESSES_EXAMPLE: &str = r#"{"inner": "127.0.0.1:0", "operators": "127.0.0.1:0"}"#;
 
 /// Keys that are read according to the role; accepted as known while the role is invalid.
-const ROLE_KEYS: [&str; 6] = [
+const ROLE_KEYS: [&str; 7] = [
     "cell",
     "entries",
     "seeds",
+    "worker",
     "batch_capacity",
     "requests",
     "schedule",
@@ -257,7 +258,14 @@
 }
 
 fn read_entry(section: &mut Section<'_>, log: &mut FindingLog<'_>) -> Option<RoleSettings> {
-    for key in ["cell", "entries", "seeds", "batch_capacity", "schedule"] {
+    for key in [
+        "cell",
+        "entries",
+        "seeds",
+        "worker",
+        "batch_capacity",
+        "schedule",
+    ] {
         section.forbid(key, "it belongs to the role agent", log);
     }
     Some(RoleSettings::Entry(read_entry_policy(section, log)))
@@ -267,6 +275,7 @@
     let cell = section.required::<CellId>("cell", log);
     let entries = section.list::<SocketAddr>("entries", log);
     let seeds = section.list::<SocketAddr>("seeds", log);
+    let worker = section.optional::<SocketAddr>("worker", log);
     let batch_capacity = read_size(section, "batch_capacity", log);
     let gate = read_gate_policy(section, log);
     let schedule = read_schedule_policy(section, log);
@@ -277,6 +286,9 @@
         "list the inner addresses of the entries under \"entries\"",
         log,
     );
+    if let Some(address) = worker {
+        check_target(section, "worker", address, log);
+    }
     for (key, addresses) in [("entries", &entries), ("seeds", &seeds)] {
         for address in addresses {
             check_target(section, key, *address, log);
@@ -286,6 +298,7 @@
         cell: cell?,
         entries,
         seeds,
+        worker,
         batch_capacity: batch_capacity?,
         gate,
         schedule,
--- a/crates/hornbeamlead_standin/src/fleet.rs
+++ b/crates/hornbeamlead_standin/src/fleet.rs
@@ -12,6 +12,7 @@
 pub mod checker;
 
 use crate::client::{TestAnswer, TestError, TestRequest, send_blocking};
+use crate::http::bind;
 use crate::log::LogStandin;
 use crate::proxy::ProxyFaults;
 use crate::worker::WorkerStandin;
@@ -24,7 +25,7 @@
 pub use plan::{FleetPlan, HostPlan};
 pub use process::DaemonProcess;
 use serde_json::{Value, json};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tempfile::TempDir;
 
@@ -35,13 +36,31 @@
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Worker of a host, with the records of its earlier incarnations.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct WorkerIncarnations {
+    /// Address of all incarnations, which the settings of the agent name.
+    address: SocketAddr,
+    /// Listener bound for the first incarnation.
+    listener: Option<TcpListener>,
     running: Option<WorkerStandin>,
     histories: Vec<WorkerHistory>,
     runs: Vec<EndpointRuns>,
 }
 
+impl WorkerIncarnations {
+    /// Binds the address of a worker that is not running yet.
+    fn bind() -> std::io::Result<Self> {
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        Ok(Self {
+            address: listener.local_addr()?,
+            listener: Some(listener),
+            running: None,
+            histories: Vec::new(),
+            runs: Vec::new(),
+        })
+    }
+}
+
 /// Running fleet, started by [`FleetPlan::start`].
 #[derive(Debug)]
 pub struct Fleet {
@@ -71,7 +90,6 @@
         fleet.start_entries();
         fleet.start_agents();
         for host in 0..fleet.plan.hosts.len() {
-            fleet.workers.push(WorkerIncarnations::default());
             fleet.start_worker(host);
         }
         fleet
@@ -99,13 +117,21 @@
     /// # Panics
     /// Panics if it does not start.
     pub fn start_worker(&mut self, host: usize) {
+        let incarnations = &mut self.workers[host];
+        if incarnations.running.is_some() {
+            return;
+        }
         let settings = WorkerSettings {
+            listen: incarnations.address,
             agent: Some(self.agents[host].process.address("local")),
             seed: host as u64 + 1,
             ..self.plan.worker.clone()
         };
-        let worker = &mut self.workers[host].running;
-        worker.get_or_insert_with(|| WorkerStandin::start(settings).expect("the worker starts"));
+        let worker = match incarnations.listener.take() {
+            Some(listener) => WorkerStandin::start_on(listener, settings),
+            None => WorkerStandin::start(settings),
+        };
+        incarnations.running = Some(worker.expect("the worker starts"));
     }
 
     /// Kills the worker of a host, with its endpoint and all tasks.
@@ -313,13 +339,16 @@
             .collect();
         for index in 0..self.plan.hosts.len() {
             let proxies = self.start_proxies();
+            let worker = WorkerIncarnations::bind().expect("a port is free");
             let addresses = NetworkAddresses {
                 log: Some(self.log.addr()),
                 entries: entries.clone(),
                 seeds: self.peers_of(index),
+                worker: Some(worker.address),
                 ..NetworkAddresses::default()
             };
             let agent = self.start_member(MemberRole::Agent(index), addresses, proxies);
+            self.workers.push(worker);
             self.agents.push(agent);
         }
     }
--- a/crates/hornbeamlead_standin/src/fleet/plan.rs
+++ b/crates/hornbeamlead_standin/src/fleet/plan.rs
@@ -166,6 +166,7 @@
             "cell": host.cell,
             "entries": addresses.entries,
             "seeds": addresses.seeds,
+            "worker": addresses.worker,
             "batch_capacity": {"cpu": "8000m", "memory": "32GiB", "accelerators": 0},
         });
         self.apply_patch(settings, &self.agent_settings, addresses)
@@ -191,6 +192,8 @@
     pub(crate) entries: Vec<SocketAddr>,
     /// Inner addresses of peers in the same cell.
     pub(crate) seeds: Vec<SocketAddr>,
+    /// Address of the worker that the agent is set to.
+    pub(crate) worker: Option<SocketAddr>,
     /// Listeners that the previous incarnation of the process has bound.
     pub(crate) bound: Vec<(Box<str>, SocketAddr)>,
 }
--- a/crates/hornbeamlead_standin/src/worker.rs
+++ b/crates/hornbeamlead_standin/src/worker.rs
@@ -16,7 +16,7 @@
 use history::{EndpointRuns, WorkerHistory};
 use state::WorkerState;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// State shared by the listeners of one worker.
@@ -43,6 +43,17 @@
     /// Returns an error if an address cannot be bound or the thread cannot be started.
     pub fn start(settings: WorkerSettings) -> io::Result<Self> {
         let worker_listener = bind(settings.listen)?;
+        Self::start_on(worker_listener, settings)
+    }
+
+    /// Starts a worker on a listener that is bound already, and its endpoint.
+    ///
+    /// # Errors
+    /// Returns an error if an address cannot be bound or the thread cannot be started.
+    pub(crate) fn start_on(
+        worker_listener: TcpListener,
+        settings: WorkerSettings,
+    ) -> io::Result<Self> {
         let endpoint_listener = bind(settings.endpoint)?;
         let worker_address = worker_listener.local_addr()?;
         let endpoint_address = endpoint_listener.local_addr()?;
