[jobs] State the waiting work of each service in the planner's heartbeat

The planner knows it, and all entries read its heartbeat already, so the report follows the heartbeat's bytes in the same record: the version before ignores bytes after a record, and a heartbeat without a report has none. Ruled out: a stream of its own (one more call for each planner and entry) and a new record kind, which the version before does not read.

Rows are by service, priority and class, with the work, the room, the rate of completed work and the wait; those with most work come first and at most 24 are sent. Not counted: work that no reachable worker could run, since it would make a queue look full for ever, and waiting work of jobs that are too late, which runs last. After a takeover there is no report for 2 s, as the room is not known before hosts have reported.

--- a/crates/hornbeamlead_jobs/src/lib.rs
+++ b/crates/hornbeamlead_jobs/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod index;
 pub mod job;
 pub mod ledger;
+pub mod load;
 pub mod locator;
 pub mod message;
 pub mod operators;
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -11,6 +11,7 @@
 mod intake;
 pub mod interference;
 mod leases;
+mod load_report;
 mod placement;
 mod readings;
 mod ready;
@@ -37,6 +38,7 @@
 use batch::RecordBatch;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
 use interference::InterferenceModel;
+use load_report::LoadTracker;
 use recovery::RecoveryState;
 use serving_level::ServingLevels;
 use std::collections::BTreeMap;
@@ -148,6 +150,7 @@
     serving_levels: ServingLevels,
     batch: RecordBatch,
     upkeep: UpkeepState,
+    load: LoadTracker,
     pass_needed: bool,
     last_pass: MonoTime,
     last_check: MonoTime,
@@ -189,6 +192,7 @@
             serving_levels: ServingLevels::default(),
             batch: RecordBatch::new(epoch, claim, now),
             upkeep: UpkeepState::new(now),
+            load: LoadTracker::default(),
             pass_needed: false,
             last_pass: now,
             last_check: now,
@@ -245,6 +249,7 @@
     }
 
     fn advance(&mut self, now: ClockReading) {
+        self.load.wall = now.wall;
         let call = self.operators.poll(now.mono);
         self.effects.extend(call.map(Effect::Store));
         if self.recovery.is_some() {
@@ -308,6 +313,9 @@
         self.effects.push(Effect::Count(end_counter(end)));
         self.update_health(now, run, &host, end);
         self.runs.remove(&run);
+        if end == RunEnd::Done {
+            self.count_completed(run);
+        }
         self.record(now, PlanRecord::Ended { run, end, saved });
         self.check_job_outcome(now, run.task.step.job);
     }
--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -8,7 +8,7 @@
 use crate::ledger::JobLedger;
 use crate::message::{PlannerMessage, StartOrder};
 use crate::operators::OperatorFormat;
-use crate::record::{PlanRecord, encode};
+use crate::record::PlanRecord;
 use crate::store::{
     AppendCondition, NewRecord, PlannerComponent, StoreCall, StoreOperation, StoreOutcome,
     StreamName,
@@ -194,10 +194,6 @@
         }
         let count = self.batch.records.len().min(MAX_BATCH_RECORDS);
         let records: Vec<_> = self.batch.records.drain(..count).collect();
-        let record = |record: &PlanRecord| NewRecord {
-            key: None,
-            value: Some(encode(record)),
-        };
         let drained = self.batch.records.is_empty();
         if records.is_empty() {
             // All records that these actions depend on are stored already.
@@ -219,7 +215,7 @@
             (ledger, ended)
         });
         self.batch.in_flight = Some(InFlightBatch {
-            records: records.iter().map(record).collect(),
+            records: self.encode_records(now, &records),
             deferred: if drained {
                 std::mem::take(&mut self.batch.deferred)
             } else {
--- /dev/null
+++ b/crates/hornbeamlead_jobs/src/planner/load_report.rs
@@ -0,0 +1,351 @@
+//! Computes the load report of a heartbeat: one walk over the tasks that have not completed and one
+//! over the hosts.
+
+use super::PlannerMachine;
+use super::hosts::HostView;
+use super::placement::HostLoad;
+use crate::effect::Effect;
+use crate::ids::RunName;
+use crate::job::{JobRecord, StepSpec};
+use crate::ledger::{OccurrenceState, TaskState};
+use crate::load::{CoreMillis, LoadReport, LoadRow};
+use crate::operators::OperatorFormat;
+use crate::record::{PlanRecord, encode, encode_heartbeat};
+use crate::store::NewRecord;
+use crate::worker::WorkerFacts;
+use hornbeamlead_core::clock::{MonoTime, WallTime};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Time over which the rate of completed work is averaged. Work has to wait for as long before the
+/// rate counts: before, it only tells how little there was to do.
+const RATE_WINDOW: Duration = Duration::from_secs(5);
+
+/// Least share of the room that is expected to be used, whatever the rate was lately. Long tasks
+/// complete rarely, and then many at once.
+const MIN_SPEED_SHARE: u32 = 4;
+
+/// Share of what serving tasks reserve that best-effort tasks cannot use, as a divisor.
+const SERVING_USE: u32 = 2;
+
+/// Time after a takeover for which the room is not known, because hosts connect and report.
+const CONNECT_TIME: Duration = Duration::from_secs(2);
+
+/// Multiple of its objective after which a job's completion has no value.
+const MAX_OBJECTIVES: u8 = 3;
+
+/// Interval between log lines that state the load.
+const LOG_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Most rows in a log line.
+const LOGGED_ROWS: usize = 4;
+
+/// Service, and whether the tasks are best-effort.
+type LoadClass = (Box<str>, bool);
+
+/// Completed work of a class.
+#[derive(Clone, Copy, Debug, Default)]
+struct ClassRate {
+    /// Work that completed since the last report.
+    completed: CoreMillis,
+    /// Mean rate over the last [`RATE_WINDOW`], in thousandths of a core.
+    rate: f64,
+    /// Since when reports have stated work of the class.
+    waiting_since: Option<MonoTime>,
+}
+
+/// What is kept from one report to the next.
+#[derive(Debug, Default)]
+pub(super) struct LoadTracker {
+    rates: BTreeMap<LoadClass, ClassRate>,
+    /// Time of day of the latest event.
+    pub(super) wall: WallTime,
+    reported_at: Option<MonoTime>,
+    logged_at: Option<MonoTime>,
+}
+
+impl LoadTracker {
+    /// Averages the rates over the time since the last report.
+    fn advance(&mut self, now: MonoTime) {
+        let elapsed = self.reported_at.map(|at| now.since(at)).unwrap_or_default();
+        self.reported_at = Some(now);
+        if elapsed.is_zero() {
+            return;
+        }
+        let weight = (elapsed.as_secs_f64() / RATE_WINDOW.as_secs_f64()).min(1.0);
+        for class in self.rates.values_mut() {
+            let completed = std::mem::take(&mut class.completed).0 as f64;
+            let rate = completed / elapsed.as_secs_f64();
+            class.rate += (rate - class.rate) * weight;
+        }
+    }
+
+    /// Returns the rate of a class, and the rate to expect with the given room.
+    fn speed(&mut self, now: MonoTime, class: LoadClass, room: u32) -> (u32, u32) {
+        let class = self.rates.entry(class).or_default();
+        let since = *class.waiting_since.get_or_insert(now);
+        let rate = class.rate as u32;
+        let speed = match now.since(since) >= RATE_WINDOW {
+            true => rate.clamp(room / MIN_SPEED_SHARE, room),
+            false => room,
+        };
+        (rate, speed)
+    }
+}
+
+/// Reachable workers of a service.
+#[derive(Clone, Debug, Default)]
+struct ServiceRoom<'a> {
+    /// Processor time for tasks that reserve it, in thousandths of a core.
+    reserved: u32,
+    /// Processor time for best-effort tasks, in thousandths of a core.
+    best_effort: u32,
+    /// Capacity of the largest workers.
+    largest: HostLoad,
+    labels: BTreeSet<&'a str>,
+}
+
+impl<'a> ServiceRoom<'a> {
+    fn add(&mut self, view: &'a HostView, worker: &'a WorkerFacts) {
+        let load = HostLoad::of(&view.runs);
+        let reserved = worker.cpu.saturating_sub(load.long_running_cpu);
+        let running = load.cpu.saturating_sub(load.long_running_cpu);
+        let used = running + load.long_running_cpu / SERVING_USE;
+        self.reserved = self.reserved.saturating_add(reserved);
+        let best_effort = worker.cpu.saturating_sub(used);
+        self.best_effort = self.best_effort.saturating_add(best_effort);
+        self.largest.cpu = self.largest.cpu.max(worker.cpu);
+        self.largest.memory = self.largest.memory.max(worker.memory);
+        self.largest.accelerators = self.largest.accelerators.max(worker.accelerators);
+        self.labels
+            .extend(worker.labels.iter().map(|label| &**label));
+    }
+
+    /// Returns whether a worker may exist that can run the tasks of a step.
+    fn can_run(&self, spec: &StepSpec) -> bool {
+        let cpu = if spec.best_effort { 0 } else { spec.cpu };
+        let label = spec.label.as_deref();
+        cpu <= self.largest.cpu
+            && spec.memory <= self.largest.memory
+            && spec.accelerators <= self.largest.accelerators
+            && label.is_none_or(|label| self.labels.contains(label))
+    }
+}
+
+/// Work of a job's tasks of one class.
+#[derive(Clone, Copy, Debug, Default)]
+struct ClassWork {
+    jobs: u32,
+    work: CoreMillis,
+    late_work: CoreMillis,
+}
+
+impl<F: OperatorFormat> PlannerMachine<F> {
+    /// Counts the work of a task that has completed.
+    pub(super) fn count_completed(&mut self, run: RunName) {
+        let job = self.ledger.jobs.get(&run.task.step.job);
+        let record = job.and_then(|job| job.record.as_ref());
+        let Some((record, spec)) = record.and_then(|record| {
+            let spec = record.step(run.task.step)?;
+            Some((record, spec)).filter(|_| !spec.long_running)
+        }) else {
+            return;
+        };
+        let class = (record.terms.service.clone(), spec.best_effort);
+        let class = self.load.rates.entry(class).or_default();
+        class.completed = class.completed.plus(CoreMillis::of_task(spec));
+    }
+
+    /// Encodes records for an append, a heartbeat with the load report.
+    pub(super) fn encode_records(
+        &mut self,
+        now: MonoTime,
+        records: &[PlanRecord],
+    ) -> Vec<NewRecord> {
+        let mut encoded = Vec::with_capacity(records.len());
+        for record in records {
+            let report = match record {
+                PlanRecord::Tick { .. } => self.load_report(now),
+                _ => None,
+            };
+            let value = match report {
+                Some(report) => encode_heartbeat(record, &report),
+                None => encode(record),
+            };
+            encoded.push(NewRecord {
+                key: None,
+                value: Some(value),
+            });
+        }
+        encoded
+    }
+
+    /// Returns the report for a heartbeat; `None` until the state is recovered and hosts have had
+    /// time to report.
+    fn load_report(&mut self, now: MonoTime) -> Option<LoadReport> {
+        let connected = now.since(self.started_at) >= CONNECT_TIME;
+        if self.recovery.is_some() || !connected {
+            return None;
+        }
+        self.load.advance(now);
+        let mut rows = self.waiting_rows(now);
+        let present = |class: &LoadClass| {
+            rows.iter()
+                .any(|row| row.service == class.0 && row.best_effort == class.1)
+        };
+        for (class, rate) in &mut self.load.rates {
+            rate.waiting_since = rate.waiting_since.filter(|_| present(class));
+        }
+        let idle = |rate: &ClassRate| rate.waiting_since.is_none() && rate.rate < 1.0;
+        self.load
+            .rates
+            .retain(|_, rate| !idle(rate) || rate.completed.0 > 0);
+        // Rows are ordered by service, class and priority: each waits for those before it.
+        let mut ahead = (LoadClass::default(), 0_u64);
+        for row in &mut rows {
+            let class = (row.service.clone(), row.best_effort);
+            (row.rate, row.speed) = self.load.speed(now, class.clone(), row.room);
+            if ahead.0 != class {
+                ahead = (class, 0);
+            }
+            ahead.1 = ahead.1.saturating_add(row.work.0);
+            let wait_ms = ahead.1.saturating_mul(1000) / u64::from(row.speed.max(1));
+            row.wait_ms = u32::try_from(wait_ms).unwrap_or(u32::MAX);
+        }
+        let report = LoadReport::new(rows);
+        self.log_load(now, &report);
+        Some(report)
+    }
+
+    /// Returns rows with the work that has not completed and the room for it, by service, class and
+    /// priority.
+    fn waiting_rows(&self, now: MonoTime) -> Vec<LoadRow> {
+        let rooms = self.service_rooms(now);
+        let mut sums = BTreeMap::<(&str, bool, u8), ClassWork>::new();
+        for state in self.ledger.jobs.values() {
+            let Some(record) = state.record.as_ref().filter(|_| !state.phase.is_final()) else {
+                continue;
+            };
+            let Some(room) = rooms.get(&*record.terms.service) else {
+                continue;
+            };
+            let mut classes = [ClassWork::default(); 2];
+            for (&number, occurrence) in &state.occurrences {
+                let late = is_late(self.load.wall, record, number, occurrence);
+                for (spec, tasks) in record.body.steps.iter().zip(&occurrence.steps) {
+                    if !spec.long_running && room.can_run(spec) {
+                        classes[usize::from(spec.best_effort)].add(spec, tasks, late);
+                    }
+                }
+            }
+            for (best_effort, class) in [false, true].into_iter().zip(classes) {
+                let key = (&*record.terms.service, best_effort, record.terms.priority);
+                if class.work.plus(class.late_work).0 > 0 {
+                    let sum = sums.entry(key).or_default();
+                    sum.jobs += u32::from(class.work.0 > 0);
+                    sum.work = sum.work.plus(class.work);
+                    sum.late_work = sum.late_work.plus(class.late_work);
+                }
+            }
+        }
+        let row = |((service, best_effort, priority), sum): (_, ClassWork)| {
+            let room = rooms.get(service);
+            let rooms = room.map(|room| (room.reserved, room.best_effort));
+            let (reserved, best_effort_room) = rooms.unwrap_or_default();
+            LoadRow {
+                service: Box::from(service),
+                priority,
+                best_effort,
+                jobs: sum.jobs,
+                work: sum.work,
+                late_work: sum.late_work,
+                room: if best_effort {
+                    best_effort_room
+                } else {
+                    reserved
+                },
+                rate: 0,
+                speed: 0,
+                wait_ms: 0,
+            }
+        };
+        sums.into_iter().map(row).collect()
+    }
+
+    fn service_rooms(&self, now: MonoTime) -> BTreeMap<&str, ServiceRoom<'_>> {
+        let mut rooms = BTreeMap::<&str, ServiceRoom<'_>>::new();
+        for view in self.hosts.values().filter(|view| view.is_reachable(now)) {
+            let usable = |worker: &&WorkerFacts| {
+                !worker.draining && !self.operators.is_evacuated(&worker.data_centre)
+            };
+            if let Some(worker) = view.worker.as_ref().filter(usable) {
+                let room = rooms.entry(&worker.service).or_default();
+                room.add(view, worker);
+            }
+        }
+        rooms
+    }
+
+    fn log_load(&mut self, now: MonoTime, report: &LoadReport) {
+        let logged = self.load.logged_at;
+        let recent = logged.is_some_and(|at| now.since(at) < LOG_INTERVAL);
+        if recent || report.rows.is_empty() {
+            return;
+        }
+        self.load.logged_at = Some(now);
+        let mut detail = format!(
+            "rows={} longest_wait_ms={} rest_rows={} rest_work={}",
+            report.rows.len(),
+            report.longest_wait_ms(),
+            report.rest_rows,
+            report.rest_work
+        );
+        for row in report.rows.iter().take(LOGGED_ROWS) {
+            detail += &format!(
+                " service={} priority={} best_effort={} jobs={} work={} late_work={} room={} rate={} \
+                 wait_ms={}",
+                row.service,
+                row.priority,
+                row.best_effort,
+                row.jobs,
+                row.work,
+                row.late_work,
+                row.room,
+                row.rate,
+                row.wait_ms
+            );
+        }
+        self.log("load_report", self.epoch, detail);
+        self.effects.push(Effect::Count("load_report"));
+    }
+}
+
+impl ClassWork {
+    /// Adds the tasks of a step that have not completed.
+    fn add(&mut self, spec: &StepSpec, tasks: &[TaskState], late: bool) {
+        let waiting = tasks.iter().filter(|task| task.is_waiting()).count() as u64;
+        let unfinished = tasks.iter().filter(|task| !task.done).count() as u64;
+        let task_work = CoreMillis::of_task(spec);
+        let running_work = CoreMillis(task_work.times(unfinished - waiting).0 / 2);
+        let waiting_work = task_work.times(waiting);
+        self.work = self.work.plus(running_work);
+        let sum = match late {
+            true => &mut self.late_work,
+            false => &mut self.work,
+        };
+        *sum = sum.plus(waiting_work);
+    }
+}
+
+/// Returns whether an occurrence is too late to be worth anything, even if its next step started
+/// now.
+fn is_late(wall: WallTime, record: &JobRecord, number: u32, occurrence: &OccurrenceState) -> bool {
+    let (body, terms) = (&record.body, &record.terms);
+    let objective = f64::from(terms.target_factor) * body.critical_path_ms() as f64
+        + f64::from(terms.target_latency_ms);
+    let due = body.schedule.due_ms(number).max(record.accepted_ms);
+    let last = due as f64 + f64::from(MAX_OBJECTIVES) * objective;
+    let is_open = |step: &Vec<TaskState>| step.iter().any(|task| !task.done);
+    let next = occurrence.steps.iter().position(is_open).unwrap_or(0);
+    objective > 0.0 && wall.0 as f64 + body.remaining_path_ms(next) as f64 > last
+}
--- a/crates/hornbeamlead_jobs/src/record.rs
+++ b/crates/hornbeamlead_jobs/src/record.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{HostName, JobId, RunName, StreamOffset, TaskName, WorkerIncarnation};
 use crate::job::{JobPhase, RunEnd};
+use crate::load::LoadReport;
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -61,6 +62,28 @@
     }
 }
 
+/// Encodes a heartbeat that a load report follows in the same record of the stream. Readers that do
+/// not know load reports ignore it.
+#[must_use]
+pub fn encode_heartbeat(heartbeat: &PlanRecord, report: &LoadReport) -> Bytes {
+    let bytes = [encode(heartbeat), encode(report)];
+    bytes.concat().into()
+}
+
+/// Decodes a record of the plan stream, and the load report if it is a heartbeat with one. A report
+/// that cannot be read counts as absent.
+///
+/// # Errors
+/// Returns [`DecodeError`] for another version of the encoding or malformed content.
+pub fn decode_heartbeat(bytes: &[u8]) -> Result<(PlanRecord, Option<LoadReport>), DecodeError> {
+    let (record, rest) = decode_first(bytes)?;
+    let report = match record {
+        PlanRecord::Tick { .. } => decode(rest).ok(),
+        _ => None,
+    };
+    Ok((record, report))
+}
+
 /// Claim of the planner role, which is the first record of an epoch.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlannerClaim {
--- a/crates/hornbeamlead_jobs/tests/world/callers.rs
+++ b/crates/hornbeamlead_jobs/tests/world/callers.rs
@@ -1,6 +1,8 @@
 //! Callers of the emulated platform, and the entry that serves them.
 
 use super::*;
+use hornbeamlead_jobs::load::LoadReport;
+use hornbeamlead_jobs::record::decode_heartbeat;
 
 impl World {
     pub(super) fn notify_entry(&mut self, event: EntryEvent) {
@@ -210,4 +212,26 @@
         };
         (job, body)
     }
+
+    /// Returns the load report of the planner's newest heartbeat.
+    pub(crate) fn newest_load(&self) -> Option<LoadReport> {
+        let StoreOutcome::Records { records, .. } = self.store.read(&StoreOperation::Read {
+            stream: StreamName::Plan,
+            from: 0,
+            wait_until: MonoTime(0),
+            end_only: false,
+        })?
+        else {
+            return None;
+        };
+        let values = records
+            .iter()
+            .rev()
+            .filter_map(|read| read.value.as_deref());
+        let records = values.filter_map(|value| decode_heartbeat(value).ok());
+        records
+            .map(|(record, report)| (matches!(record, PlanRecord::Tick { .. }), report))
+            .find(|(heartbeat, _)| *heartbeat)?
+            .1
+    }
 }
