[jobs] Average the rate of completed work from when work began to wait

It is now the mean since work of the class waits, faded over 15 s, and counts after 5 s and ten completed tasks, as long tasks complete late and many at once. At least half of the room is taken to be used, not a quarter: too long a wait turns callers away for nothing.

--- a/crates/hornbeamlead_jobs/src/load.rs
+++ b/crates/hornbeamlead_jobs/src/load.rs
@@ -82,6 +82,16 @@
         self.best_effort = self.best_effort.plus(other.best_effort);
     }
 
+    /// Returns the work of several times as many jobs.
+    #[must_use]
+    pub fn times(self, factor: f64) -> Self {
+        let scaled = |work: CoreMillis| CoreMillis((work.0 as f64 * factor) as u64);
+        Self {
+            reserved: scaled(self.reserved),
+            best_effort: scaled(self.best_effort),
+        }
+    }
+
     /// Returns the work of all tasks.
     #[must_use]
     pub fn total(&self) -> CoreMillis {
@@ -108,8 +118,8 @@
     pub late_work: CoreMillis,
     /// Processor time that such tasks of all priorities can get, in thousandths of a core.
     pub room: u32,
-    /// Rate at which work of such tasks of all priorities completed lately, in thousandths of a
-    /// core.
+    /// Rate at which work of such tasks of all priorities has completed since some waits, in
+    /// thousandths of a core.
     pub rate: u32,
     /// Rate at which the work is expected to complete, in thousandths of a core.
     pub speed: u32,
--- a/crates/hornbeamlead_jobs/src/planner/load_report.rs
+++ b/crates/hornbeamlead_jobs/src/planner/load_report.rs
@@ -17,13 +17,17 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Time over which the rate of completed work is averaged. Work has to wait for as long before the
-/// rate counts: before, it only tells how little there was to do.
-const RATE_WINDOW: Duration = Duration::from_secs(5);
+/// Time over which the rate of completed work is averaged.
+const RATE_WINDOW: Duration = Duration::from_secs(15);
 
-/// Least share of the room that is expected to be used, whatever the rate was lately. Long tasks
-/// complete rarely, and then many at once.
-const MIN_SPEED_SHARE: u32 = 4;
+/// Time for which work has to wait, and number of tasks that have to complete meanwhile, before the
+/// rate counts: before, it only tells how little there was to do, or how long tasks take.
+const MIN_WAIT: Duration = Duration::from_secs(5);
+const MIN_COMPLETED: u32 = 10;
+
+/// Least share of the room that is expected to be used, as a divisor. Long tasks complete rarely,
+/// and then many at once.
+const MIN_SPEED_SHARE: u32 = 2;
 
 /// Share of what serving tasks reserve that best-effort tasks cannot use, as a divisor.
 const SERVING_USE: u32 = 2;
@@ -43,17 +47,43 @@
 /// Service, and whether the tasks are best-effort.
 type LoadClass = (Box<str>, bool);
 
-/// Completed work of a class.
+/// Completed work of a class, while work of the class waits.
 #[derive(Clone, Copy, Debug, Default)]
 struct ClassRate {
     /// Work that completed since the last report.
     completed: CoreMillis,
-    /// Mean rate over the last [`RATE_WINDOW`], in thousandths of a core.
-    rate: f64,
+    /// Tasks that completed while work waited.
+    tasks: u32,
+    /// Faded sum of rates in thousandths of a core, and of their weights.
+    rate_sum: f64,
+    weight_sum: f64,
     /// Since when reports have stated work of the class.
     waiting_since: Option<MonoTime>,
 }
 
+impl ClassRate {
+    /// Adds what has completed since the last report.
+    fn advance(&mut self, elapsed: Duration) {
+        let completed = std::mem::take(&mut self.completed).0 as f64;
+        let weight = (elapsed.as_secs_f64() / RATE_WINDOW.as_secs_f64()).min(1.0);
+        let rate = completed / elapsed.as_secs_f64();
+        self.rate_sum += (rate - self.rate_sum) * weight;
+        self.weight_sum += (1.0 - self.weight_sum) * weight;
+    }
+
+    /// Returns the mean rate, and the rate to expect with the given room.
+    fn speed(&mut self, now: MonoTime, room: u32) -> (u32, u32) {
+        let since = *self.waiting_since.get_or_insert(now);
+        let rate = (self.rate_sum / self.weight_sum.max(f64::EPSILON)) as u32;
+        let is_known = now.since(since) >= MIN_WAIT && self.tasks >= MIN_COMPLETED;
+        let speed = match is_known {
+            true => rate.clamp(room / MIN_SPEED_SHARE, room),
+            false => room,
+        };
+        (rate, speed)
+    }
+}
+
 /// What is kept from one report to the next.
 #[derive(Debug, Default)]
 pub(super) struct LoadTracker {
@@ -65,31 +95,21 @@
 }
 
 impl LoadTracker {
-    /// Averages the rates over the time since the last report.
-    fn advance(&mut self, now: MonoTime) {
+    /// Averages the rates over the time since the last report; forgets those of classes without
+    /// work.
+    fn advance(&mut self, now: MonoTime, rows: &[LoadRow]) {
         let elapsed = self.reported_at.map(|at| now.since(at)).unwrap_or_default();
         self.reported_at = Some(now);
-        if elapsed.is_zero() {
-            return;
-        }
-        let weight = (elapsed.as_secs_f64() / RATE_WINDOW.as_secs_f64()).min(1.0);
-        for class in self.rates.values_mut() {
-            let completed = std::mem::take(&mut class.completed).0 as f64;
-            let rate = completed / elapsed.as_secs_f64();
-            class.rate += (rate - class.rate) * weight;
-        }
-    }
-
-    /// Returns the rate of a class, and the rate to expect with the given room.
-    fn speed(&mut self, now: MonoTime, class: LoadClass, room: u32) -> (u32, u32) {
-        let class = self.rates.entry(class).or_default();
-        let since = *class.waiting_since.get_or_insert(now);
-        let rate = class.rate as u32;
-        let speed = match now.since(since) >= RATE_WINDOW {
-            true => rate.clamp(room / MIN_SPEED_SHARE, room),
-            false => room,
+        let waits = |class: &LoadClass| {
+            rows.iter()
+                .any(|row| row.service == class.0 && row.best_effort == class.1)
         };
-        (rate, speed)
+        self.rates.retain(|class, _| waits(class));
+        if !elapsed.is_zero() {
+            for rate in self.rates.values_mut() {
+                rate.advance(elapsed);
+            }
+        }
     }
 }
 
@@ -154,6 +174,7 @@
         let class = (record.terms.service.clone(), spec.best_effort);
         let class = self.load.rates.entry(class).or_default();
         class.completed = class.completed.plus(CoreMillis::of_task(spec));
+        class.tasks = class.tasks.saturating_add(1);
     }
 
     /// Encodes records for an append, a heartbeat with the load report.
@@ -187,24 +208,14 @@
         if self.recovery.is_some() || !connected {
             return None;
         }
-        self.load.advance(now);
         let mut rows = self.waiting_rows(now);
-        let present = |class: &LoadClass| {
-            rows.iter()
-                .any(|row| row.service == class.0 && row.best_effort == class.1)
-        };
-        for (class, rate) in &mut self.load.rates {
-            rate.waiting_since = rate.waiting_since.filter(|_| present(class));
-        }
-        let idle = |rate: &ClassRate| rate.waiting_since.is_none() && rate.rate < 1.0;
-        self.load
-            .rates
-            .retain(|_, rate| !idle(rate) || rate.completed.0 > 0);
+        self.load.advance(now, &rows);
         // Rows are ordered by service, class and priority: each waits for those before it.
         let mut ahead = (LoadClass::default(), 0_u64);
         for row in &mut rows {
             let class = (row.service.clone(), row.best_effort);
-            (row.rate, row.speed) = self.load.speed(now, class.clone(), row.room);
+            let rate = self.load.rates.entry(class.clone()).or_default();
+            (row.rate, row.speed) = rate.speed(now, row.room);
             if ahead.0 != class {
                 ahead = (class, 0);
             }
