[jobs, daemon, settings] Refuse truly, reject what is worth nothing, and spread returns

False refusals. A job whose append had no answer may be stored. When its caller came again to the same entry, after a 504 or a broken connection, and the store was away, the entry answered 503, which says that the job never runs. Entries now remember jobs whose append ended without an answer until the plan would show them, and count appends in flight; such jobs are appended again and end as accepted or unknown, never as refused. Tests: refusals_true (unknown_then_away and broken_connection fail without).

Acceptance in vain. With the setting requests.admission (off by default) an entry answers 429 to a job that would end after three times its objective, by the planner's newest load report, not older than 1.5 s by a bound that takes a late read into account. Around the limit a random share is admitted; an entry takes the others to accept what the plan shows of them. Small jobs count a quarter of what waits as before them; large ones are admitted at least 0.6 times as often as their queue. Rejected is only while the plan is current and no call to the store has failed for 3 s, since after trouble another entry may have stored the job.

Retry-After was 1 s whatever was known. It now grows with the age of the outage and the wait, with a random part and priority, from 1 to 8 s, so that four returns outlast an outage of 10 s (return_time). Reads and cancellations keep 1 s.

append_refused and submit_refused lines tell the figures that decided.

--- a/crates/hornbeamlead_daemon/src/fleet/entry.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/entry.rs
@@ -16,7 +16,7 @@
 use hornbeamlead_adapter::OperatorRecordFormat;
 use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_jobs::effect::{CallerReply, Effect};
-use hornbeamlead_jobs::entry::{CallerRequest, EntryEvent, EntryMachine};
+use hornbeamlead_jobs::entry::{CallerRequest, EntryEvent, EntryMachine, EntryPolicy};
 use hornbeamlead_settings::{FleetRole, FleetSettings, read_fleet_settings};
 use slog::{Logger, info, warn};
 use snafu::ResultExt;
@@ -68,6 +68,7 @@
         callers,
         readiness,
         stop_after,
+        admission,
     } = settings.role
     else {
         return EndedSnafu { thread: "entry" }.fail();
@@ -86,8 +87,12 @@
     let signal_inbox = inbox.clone();
     let notify = move |request| drop(signal_inbox.deliver(EntryInput::Signal(request)));
     spawn_signal_thread(signals, notify).context(StartSnafu { thread: "signals" })?;
+    let policy = EntryPolicy {
+        admission,
+        seed: settings.seed,
+    };
     let event_loop = EntryLoop {
-        machine: EntryMachine::new(OperatorRecordFormat),
+        machine: EntryMachine::with_policy(policy, OperatorRecordFormat),
         sinks: EffectSinks::new(store, metrics, log.clone()),
         reply_senders: HashMap::new(),
         ready,
@@ -304,6 +309,10 @@
         let metrics = &self.sinks.metrics;
         metrics.set_gauge("config_version", self.machine.config_version());
         metrics.set_gauge("requests_in_progress", self.machine.in_progress() as u64);
+        if let Some((wait_ms, age)) = self.machine.reported_wait(BootClock.mono()) {
+            metrics.set_gauge("load_wait_ms", wait_ms.into());
+            metrics.set_gauge("load_report_age_ms", age.as_millis() as u64);
+        }
     }
 
     fn begin_stop(&mut self) {
--- a/crates/hornbeamlead_jobs/src/effect.rs
+++ b/crates/hornbeamlead_jobs/src/effect.rs
@@ -47,6 +47,11 @@
         /// Seconds after which to retry.
         retry_after_s: u32,
     },
+    /// The job is not accepted and never runs, since it would end too late to be of any worth.
+    Overloaded {
+        /// Seconds after which to retry.
+        retry_after_s: u32,
+    },
     /// The request may or may not have taken effect.
     Unknown,
 }
--- a/crates/hornbeamlead_jobs/src/entry.rs
+++ b/crates/hornbeamlead_jobs/src/entry.rs
@@ -4,7 +4,13 @@
 //! the jobs stream, from which the planner reads it. Jobs are therefore accepted even while there
 //! is no planner.
 
+pub mod admission;
 mod append;
+mod load_view;
+mod replies;
+pub mod return_time;
+mod store_watch;
+mod uncertain;
 
 use crate::effect::{CallerReply, Effect};
 use crate::follow::{FollowOutcome, NewestReader, StreamFollower};
@@ -12,14 +18,19 @@
 use crate::index::PhaseIndex;
 use crate::job::{JobBody, JobPhase};
 use crate::operators::{OperatorFormat, OperatorReader};
-use crate::record::{PlanRecord, decode};
+use crate::record::{PlanRecord, decode_heartbeat};
 use crate::snapshot::read_snapshot;
 use crate::snapshot_retry::{SnapshotRetry, snapshot_reader};
 use crate::store::{ReadRecord, StoreCaller, StoreOutcome, StreamName};
 use append::PendingAppend;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
+use load_view::LoadView;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
+use store_watch::StoreWatch;
+use uncertain::UncertainJobs;
 
 /// Wait of a long poll of the plan; limits the delay of new records when the connection fails
 /// silently.
@@ -37,12 +48,6 @@
 /// planner's newest read of the jobs may be 2 s older than its heartbeat.
 const MAX_QUEUE_LENGTH_AGE: Duration = Duration::from_secs(2);
 
-/// Seconds after which a refused caller may retry; another entry may be able to reach the store.
-const RETRY_AFTER_S: u32 = 1;
-
-/// Time for which the store counts as unavailable after a refused or unanswered call.
-const UNAVAILABLE_DURATION: Duration = Duration::from_millis(400);
-
 /// Prefix of the key of a cancellation; the job id follows.
 pub const CANCEL_PREFIX: &str = "cancel/";
 
@@ -98,27 +103,47 @@
     Follow,
 }
 
+/// Settings of an entry.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EntryPolicy {
+    /// Whether jobs are rejected that cannot be of any worth to their callers, given the load.
+    pub admission: bool,
+    /// Seed of the random numbers.
+    pub seed: u64,
+}
+
 /// State machine of an entry.
 #[derive(Debug)]
 pub struct EntryMachine<F> {
+    policy: EntryPolicy,
+    random: SmallRng,
     operators: OperatorReader<F>,
     index: PhaseIndex,
     plan_stage: ReadStage,
     snapshot_retry: SnapshotRetry,
     plan_follower: StreamFollower,
     plan_caught_up: bool,
+    /// Whether the last answered read returned all records of the plan.
+    plan_current: bool,
     /// Time at which the planner's last heartbeat was read.
     last_heartbeat: Option<MonoTime>,
     /// Jobs accepted by this entry that the plan does not contain yet, with their queue.
     accepted: HashMap<JobId, Box<str>>,
     pending: BTreeMap<u64, PendingAppend>,
-    unavailable_until: Option<MonoTime>,
+    store_watch: StoreWatch,
+    uncertain: UncertainJobs,
+    load: LoadView,
     effects: Vec<Effect>,
 }
 
 impl<F: OperatorFormat> EntryMachine<F> {
-    /// Creates an entry that has not read any stream yet.
+    /// Creates an entry with default settings that has not read any stream yet.
     pub fn new(format: F) -> Self {
+        Self::with_policy(EntryPolicy::default(), format)
+    }
+
+    /// Creates an entry that has not read any stream yet.
+    pub fn with_policy(policy: EntryPolicy, format: F) -> Self {
         let plan = StreamFollower::new(
             StreamName::Plan,
             StoreCaller::Plan,
@@ -126,16 +151,21 @@
             PLAN_READ_PAUSE,
         );
         Self {
+            policy,
+            random: SmallRng::seed_from_u64(policy.seed),
             operators: OperatorReader::new(format, StoreCaller::Operators),
             index: PhaseIndex::default(),
             plan_stage: ReadStage::Newest(snapshot_reader(StoreCaller::Plan)),
             snapshot_retry: SnapshotRetry::new(StoreCaller::Plan),
             plan_follower: plan,
             plan_caught_up: false,
+            plan_current: false,
             last_heartbeat: None,
             accepted: HashMap::new(),
             pending: BTreeMap::new(),
-            unavailable_until: None,
+            store_watch: StoreWatch::default(),
+            uncertain: UncertainJobs::default(),
+            load: LoadView::default(),
             effects: Vec::new(),
         }
     }
@@ -159,6 +189,13 @@
         self.pending.len()
     }
 
+    /// Returns the longest wait in the newest load report, in milliseconds, and its age.
+    #[must_use]
+    pub fn reported_wait(&self, now: MonoTime) -> Option<(u32, Duration)> {
+        let (report, age) = self.load.newest(now)?;
+        Some((report.longest_wait_ms(), age))
+    }
+
     /// Handles an event and returns the effects to perform.
     pub fn handle(&mut self, now: ClockReading, event: EntryEvent) -> Vec<Effect> {
         match event {
@@ -246,7 +283,7 @@
     }
 
     fn handle_outcome(&mut self, now: MonoTime, caller: StoreCaller, outcome: StoreOutcome) {
-        self.track_store_state(now, &outcome);
+        self.effects.extend(self.store_watch.take(now, &outcome));
         match caller {
             StoreCaller::Operators => self.effects.extend(self.operators.take(now, outcome)),
             StoreCaller::Plan => self.handle_plan_outcome(now, outcome),
@@ -255,33 +292,6 @@
         }
     }
 
-    fn track_store_state(&mut self, now: MonoTime, outcome: &StoreOutcome) {
-        let failure_cause = match outcome {
-            StoreOutcome::Refused { cause } | StoreOutcome::Unanswered { cause } => Some(cause),
-            _ => None,
-        };
-        match failure_cause {
-            Some(cause) if self.unavailable_until.is_none() => {
-                self.effects.push(Effect::log(
-                    "store_lost",
-                    "store",
-                    format!("cause={cause:?}"),
-                ));
-            }
-            None if self.unavailable_until.is_some() => {
-                self.effects
-                    .push(Effect::log("store_regained", "store", ""));
-            }
-            _ => {}
-        }
-        self.unavailable_until = failure_cause.map(|_| now.plus(UNAVAILABLE_DURATION));
-    }
-
-    /// Returns whether the last call to the store failed less than [`UNAVAILABLE_DURATION`] ago.
-    fn is_store_unavailable(&self, now: MonoTime) -> bool {
-        self.unavailable_until.is_some_and(|until| now < until)
-    }
-
     fn handle_plan_outcome(&mut self, now: MonoTime, outcome: StoreOutcome) {
         match &mut self.plan_stage {
             ReadStage::Newest(reader) => {
@@ -289,20 +299,33 @@
                     self.load_snapshot(now, &newest.records);
                 }
             }
-            ReadStage::Follow => match self.plan_follower.take(now, outcome) {
-                FollowOutcome::Records { records, caught_up } => {
-                    self.snapshot_retry.reset();
-                    self.apply_plan(now, &records);
-                    self.plan_caught_up |= caught_up;
-                }
-                FollowOutcome::Expired { first } => {
-                    let from = self.plan_follower.next();
-                    let (reader, line) = self.snapshot_retry.after_expiry(now, from, first);
-                    self.plan_stage = ReadStage::Newest(reader);
-                    self.effects.extend(line);
+            ReadStage::Follow => self.follow_plan(now, outcome),
+        }
+    }
+
+    fn follow_plan(&mut self, now: MonoTime, outcome: StoreOutcome) {
+        // Records that this read returns were stored after the last one was sent, if that returned
+        // all that were stored then.
+        let stored_after = self.plan_follower.last_read_at();
+        let stored_after = stored_after.filter(|_| self.plan_current);
+        match self.plan_follower.take(now, outcome) {
+            FollowOutcome::Records { records, caught_up } => {
+                self.snapshot_retry.reset();
+                self.apply_plan(now, stored_after, &records);
+                self.plan_caught_up |= caught_up;
+                self.plan_current = caught_up;
+                if self.is_plan_fresh(now) {
+                    self.uncertain.prune(now);
                 }
-                FollowOutcome::Failed => {}
-            },
+            }
+            FollowOutcome::Expired { first } => {
+                let from = self.plan_follower.next();
+                let (reader, line) = self.snapshot_retry.after_expiry(now, from, first);
+                self.plan_current = false;
+                self.plan_stage = ReadStage::Newest(reader);
+                self.effects.extend(line);
+            }
+            FollowOutcome::Failed => {}
         }
     }
 
@@ -331,19 +354,29 @@
         }
     }
 
-    fn apply_plan(&mut self, now: MonoTime, records: &[ReadRecord]) {
+    fn apply_plan(
+        &mut self,
+        now: MonoTime,
+        stored_after: Option<MonoTime>,
+        records: &[ReadRecord],
+    ) {
         for read in records {
             let bytes = read.value.as_deref().unwrap_or_default();
-            match decode::<PlanRecord>(bytes) {
-                Ok(record) => {
+            match decode_heartbeat(bytes) {
+                Ok((record, report)) => {
                     if let PlanRecord::Tick { .. } = record {
                         self.last_heartbeat = Some(now);
                     }
+                    if let (Some(stored_after), Some(report)) = (stored_after, report) {
+                        let is_planned = |job| self.index.phase(job).is_some();
+                        self.load.take(stored_after, report, is_planned);
+                    }
                     if let PlanRecord::Host { address, .. } = &record {
                         self.effects.push(Effect::AddRelay(*address));
                     }
                     self.index.apply(&record);
                     if let PlanRecord::Accepted { job, .. } = &record {
+                        self.load.count_planned(*job);
                         self.accepted.remove(job);
                     }
                 }
@@ -355,39 +388,4 @@
             }
         }
     }
-
-    fn reply(&mut self, ticket: u64, reply: CallerReply) {
-        self.effects.push(Effect::Count(counter_name(&reply)));
-        self.effects.push(Effect::Reply { ticket, reply });
-    }
-
-    fn refuse(&mut self, ticket: u64, reason: &'static str) {
-        self.effects.push(Effect::Count(reason));
-        let retry_after_s = RETRY_AFTER_S;
-        self.reply(
-            ticket,
-            CallerReply::Refused {
-                reason,
-                retry_after_s,
-            },
-        );
-    }
-
-    fn log(&mut self, event: &'static str, job: JobId, detail: String) {
-        self.effects.push(Effect::log_job(event, job, detail));
-    }
-}
-
-fn counter_name(reply: &CallerReply) -> &'static str {
-    match reply {
-        CallerReply::Accepted => "reply_accepted",
-        CallerReply::Phase(_) => "reply_phase",
-        CallerReply::Cancelled => "reply_cancelled",
-        CallerReply::Waiting(_) => "reply_waiting",
-        CallerReply::NoQueue => "reply_no_queue",
-        CallerReply::NoJob => "reply_no_job",
-        CallerReply::Invalid(_) => "reply_invalid",
-        CallerReply::Refused { .. } => "reply_refused",
-        CallerReply::Unknown => "reply_unknown",
-    }
 }
--- a/crates/hornbeamlead_jobs/src/entry/append.rs
+++ b/crates/hornbeamlead_jobs/src/entry/append.rs
@@ -1,9 +1,12 @@
 //! Stores jobs and cancellations; an append is repeated until its outcome is known.
 
+use super::admission::JobFacts;
+use super::replies::JobRefusal;
 use super::{CANCEL_PREFIX, EntryMachine, JOB_PREFIX};
 use crate::effect::{CallerReply, Effect};
 use crate::ids::JobId;
 use crate::job::{JobBody, JobRecord, QueueTerms};
+use crate::load::JobWork;
 use crate::operators::OperatorFormat;
 use crate::record::encode;
 use crate::store::{
@@ -21,19 +24,32 @@
 /// Time before a caller's deadline at which it is told that the outcome is unknown.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 
+/// What an append stores.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PendingKind {
+    Submit { priority: u8 },
+    Cancel,
+}
+
 /// Append for a caller whose outcome is not known yet.
 #[derive(Clone, Debug)]
 pub(super) struct PendingAppend {
     job: JobId,
     queue: Box<str>,
     record: NewRecord,
-    cancel: bool,
+    kind: PendingKind,
     deadline: MonoTime,
     /// Whether an earlier append of the record may have taken effect.
     possibly_stored: bool,
     repeat_at: Option<MonoTime>,
 }
 
+impl PendingAppend {
+    fn is_cancel(&self) -> bool {
+        self.kind == PendingKind::Cancel
+    }
+}
+
 impl<F: OperatorFormat> EntryMachine<F> {
     pub(super) fn submit(
         &mut self,
@@ -53,13 +69,22 @@
                 let validation_error = body.validation_error().unwrap_or_default();
                 return self.reply(ticket, CallerReply::Invalid(validation_error));
             }
-            () if self.is_store_unavailable(now.mono) => {
-                self.log("submit_refused", job, "reason=store_away".into());
-                return self.refuse(ticket, "store_away");
+            () if self.may_be_stored(job) => {}
+            () if self.store_watch.is_unavailable(now.mono) => {
+                let (priority, refusal) = (terms.priority, JobRefusal::StoreAway);
+                return self.refuse_job(now.mono, ticket, job, priority, refusal);
+            }
+            () => {
+                let facts = JobFacts::from(&body);
+                if let Some(rejection) = self.rejection(now.mono, &terms, facts) {
+                    return self.reject_job(ticket, job, &terms, facts, rejection);
+                }
             }
-            () => {}
         }
-        let queue = terms.queue.clone();
+        let (queue, priority) = (terms.queue.clone(), terms.priority);
+        if self.policy.admission {
+            self.load.add(now.mono, job, &terms, JobWork::of_job(&body));
+        }
         let record = JobRecord {
             terms,
             accepted_ms: now.wall.0,
@@ -69,7 +94,21 @@
             key: Some(format!("{JOB_PREFIX}{job}").into()),
             value: Some(encode(&record)),
         };
-        self.append(now.mono, ticket, job, queue, record, false, deadline);
+        let kind = PendingKind::Submit { priority };
+        self.append(now.mono, ticket, job, queue, record, kind, deadline);
+    }
+
+    /// Returns whether an append of the job by this entry may have taken effect, or may still do so,
+    /// although the plan does not contain it. Another entry may have such appends too, of which this
+    /// one does not know.
+    fn may_be_stored(&self, job: JobId) -> bool {
+        self.uncertain.contains(job) || self.submissions(job) > 0
+    }
+
+    /// Returns the number of appends of a job that have no outcome yet.
+    fn submissions(&self, job: JobId) -> usize {
+        let of_job = |pending: &&PendingAppend| pending.job == job && !pending.is_cancel();
+        self.pending.values().filter(of_job).count()
     }
 
     pub(super) fn cancel(
@@ -84,7 +123,7 @@
             Some(phase) if phase.is_final() => self.reply(ticket, CallerReply::Cancelled),
             None if self.is_plan_fresh(now) => self.reply(ticket, CallerReply::NoJob),
             None => self.refuse(ticket, "plan_too_old"),
-            Some(_) if self.is_store_unavailable(now) => {
+            Some(_) if self.store_watch.is_unavailable(now) => {
                 self.log("cancel_refused", job, "reason=store_away".into());
                 self.refuse(ticket, "store_away");
             }
@@ -93,7 +132,15 @@
                     key: Some(format!("{CANCEL_PREFIX}{job}").into()),
                     value: Some(encode(&())),
                 };
-                self.append(now, ticket, job, queue, record, true, deadline);
+                self.append(
+                    now,
+                    ticket,
+                    job,
+                    queue,
+                    record,
+                    PendingKind::Cancel,
+                    deadline,
+                );
             }
         }
     }
@@ -109,16 +156,16 @@
         job: JobId,
         queue: Box<str>,
         record: NewRecord,
-        cancel: bool,
+        kind: PendingKind,
         deadline: MonoTime,
     ) {
         let pending = PendingAppend {
             job,
             queue,
             record,
-            cancel,
+            kind,
             deadline: deadline.minus(ANSWER_MARGIN),
-            possibly_stored: false,
+            possibly_stored: kind != PendingKind::Cancel && self.may_be_stored(job),
             repeat_at: None,
         };
         self.effects.push(append_effect(now, ticket, &pending));
@@ -131,16 +178,31 @@
         ticket: u64,
         outcome: StoreOutcome,
     ) {
+        let Some(&PendingAppend { job, .. }) = self.pending.get(&ticket) else {
+            return;
+        };
+        let submissions = self.submissions(job);
         let Some(pending) = self.pending.get_mut(&ticket) else {
             return;
         };
+        // The same caller may have come again while its first append was in flight.
+        let repeated = !pending.is_cancel() && submissions > 1;
         match outcome {
             StoreOutcome::Appended { offset } => self.complete_append(ticket, offset),
-            StoreOutcome::Refused { cause } if !pending.possibly_stored => {
-                let job = pending.job;
+            StoreOutcome::Refused { cause } if !pending.possibly_stored && !repeated => {
+                let kind = pending.kind;
                 self.pending.remove(&ticket);
-                self.log("append_refused", job, format!("cause={cause:?}"));
-                self.refuse(ticket, "store_refused");
+                match kind {
+                    PendingKind::Submit { priority } => {
+                        let refusal = JobRefusal::AppendRefused(cause);
+                        self.load.remove(job);
+                        self.refuse_job(now, ticket, job, priority, refusal);
+                    }
+                    PendingKind::Cancel => {
+                        self.log("append_refused", job, format!("cause={cause:?}"));
+                        self.refuse(ticket, "store_refused");
+                    }
+                }
             }
             _ => {
                 pending.possibly_stored = true;
@@ -154,7 +216,7 @@
             return;
         };
         let job = pending.job;
-        match pending.cancel {
+        match pending.is_cancel() {
             true => {
                 self.log("cancel_stored", job, format!("offset={offset}"));
                 self.reply(ticket, CallerReply::Cancelled);
@@ -173,11 +235,14 @@
 
     pub(super) fn repeat_appends(&mut self, now: MonoTime) {
         let expired = |(ticket, pending): (&u64, &PendingAppend)| {
-            (now >= pending.deadline).then_some((*ticket, pending.job))
+            (now >= pending.deadline).then_some((*ticket, pending.job, pending.is_cancel()))
         };
         let expired: Vec<_> = self.pending.iter().filter_map(expired).collect();
-        for (ticket, job) in expired {
+        for (ticket, job, is_cancel) in expired {
             self.pending.remove(&ticket);
+            if !is_cancel {
+                self.uncertain.add(now, job);
+            }
             self.log("append_unknown", job, "reason=deadline".into());
             self.reply(ticket, CallerReply::Unknown);
         }
--- a/crates/hornbeamlead_jobs/tests/world/callers.rs
+++ b/crates/hornbeamlead_jobs/tests/world/callers.rs
@@ -1,6 +1,7 @@
 //! Callers of the emulated platform, and the entry that serves them.
 
 use super::*;
+use hornbeamlead_jobs::entry::EntryPolicy;
 use hornbeamlead_jobs::load::LoadReport;
 use hornbeamlead_jobs::record::decode_heartbeat;
 
@@ -213,6 +214,18 @@
         (job, body)
     }
 
+    /// Replaces the entry by one with other settings.
+    pub(crate) fn set_entry_policy(&mut self, policy: EntryPolicy) {
+        self.entry = EntryMachine::with_policy(policy, WorldFormat);
+    }
+
+    /// Returns the reply to the only submission of a job.
+    pub(crate) fn submit_reply(&self, job: JobId) -> Option<&CallerReply> {
+        let of_job = |(ticket, submitted): (&u64, &JobId)| (*submitted == job).then_some(*ticket);
+        let ticket = self.submit_tickets.iter().find_map(of_job)?;
+        self.replies.get(&ticket)
+    }
+
     /// Returns the load report of the planner's newest heartbeat.
     pub(crate) fn newest_load(&self) -> Option<LoadReport> {
         let StoreOutcome::Records { records, .. } = self.store.read(&StoreOperation::Read {
--- a/crates/hornbeamlead_settings/src/fleet.rs
+++ b/crates/hornbeamlead_settings/src/fleet.rs
@@ -41,6 +41,8 @@
         readiness: SocketAddr,
         /// Time from a termination signal to the exit of the process.
         stop_after: Duration,
+        /// Whether jobs are rejected that cannot be of any worth to their callers, given the load.
+        admission: bool,
     },
     /// Runs next to a worker and can become planner.
     Agent {
@@ -120,7 +122,7 @@
         Some(RoleName::Entry) => read_entry(&mut section, parsed.as_ref(), log),
         Some(RoleName::Agent) => read_agent(&mut section, parsed.as_ref(), log),
         None => {
-            section.allow(&["stop_after", "schedule"]);
+            section.allow(&["stop_after", "requests", "schedule"]);
             None
         }
     };
@@ -184,11 +186,19 @@
 ) -> Option<FleetRole> {
     let stop_after = section.or_default("stop_after", DEFAULT_STOP_AFTER, log);
     section.forbid("schedule", "only an agent maintains leases", log);
+    let admission = section
+        .section("requests", log)
+        .is_some_and(|mut requests| {
+            let admission = requests.or_default("admission", false, log);
+            requests.finish(log);
+            admission
+        });
     let addresses = addresses?;
     Some(FleetRole::Entry {
         callers: addresses.callers?,
         readiness: addresses.readiness?,
         stop_after,
+        admission,
     })
 }
 
@@ -202,6 +212,7 @@
         "only an entry waits for callers to finish",
         log,
     );
+    parent.forbid("requests", "only an entry admits jobs", log);
     let section = parent.section("schedule", log);
     let mut durations = [
         DEFAULT_LEASE,
--- a/crates/hornbeamlead_settings/tests/fleet_settings.rs
+++ b/crates/hornbeamlead_settings/tests/fleet_settings.rs
@@ -38,6 +38,20 @@
     }
 }
 
+/// Admission is off unless the settings of an entry turn it on; an agent has no such setting.
+#[rstest]
+#[case("", false)]
+#[case(r#""requests": {"admission": true}, "#, true)]
+fn admission_setting(#[case] requests: &str, #[case] expected: bool) {
+    let template = filled_template("entry.json");
+    let text = template.replace("\"store\"", &format!("{requests}\"store\""));
+    let settings = read_fleet_settings("entry.json", &text).expect("the settings are valid");
+    assert!(matches!(settings.role, FleetRole::Entry { admission, .. } if admission == expected));
+    let agent = filled_template("agent.json");
+    let text = agent.replace("\"store\"", &format!("{requests}\"store\""));
+    assert_eq!(read_fleet_settings("agent.json", &text).is_ok(), !expected);
+}
+
 #[test]
 fn errors_reported_together() {
     let text = r#"{"role": "agent", "host": "", "data_centre": "z", "stop_after": "1s",
