--- a/crates/hornbeamlead_jobs/src/planner/load_report.rs
+++ b/crates/hornbeamlead_jobs/src/planner/load_report.rs
@@ -334,10 +334,15 @@
 impl ClassWork {
     /// Adds the tasks of a step that have not completed.
     fn add(&mut self, spec: &StepSpec, tasks: &[TaskState], late: bool) {
-        let waiting = tasks.iter().filter(|task| task.is_waiting()).count() as u64;
-        let unfinished = tasks.iter().filter(|task| !task.done).count() as u64;
+        let (mut waiting, mut running) = (0, 0);
+        for task in tasks.iter().filter(|task| !task.done) {
+            match task.placements.is_empty() {
+                true => waiting += 1,
+                false => running += 1,
+            }
+        }
         let task_work = CoreMillis::of_task(spec);
-        let running_work = CoreMillis(task_work.times(unfinished - waiting).0 / 2);
+        let running_work = CoreMillis(task_work.times(running).0 / 2);
         let waiting_work = task_work.times(waiting);
         self.work = self.work.plus(running_work);
         let sum = match late {
