--- a/crates/hornbeamlead_jobs/src/lib.rs
+++ b/crates/hornbeamlead_jobs/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod job;
 pub mod journal;
 pub mod ledger;
+pub mod load;
 pub mod locator;
 pub mod message;
 pub mod operators;
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -12,6 +12,7 @@
 pub mod interference;
 mod journal;
 mod leases;
+mod load_report;
 mod orders;
 mod overload;
 mod placement;
@@ -44,6 +45,7 @@
 use hornbeamlead_core::policy::ServiceOrder;
 use interference::InterferenceModel;
 use journal::JournalWriter;
+use load_report::LoadTracker;
 use overload::OverloadState;
 use recovery::RecoveryState;
 use run_times::{RunTimes, RunWork};
@@ -164,6 +166,7 @@
     batch: RecordBatch,
     journal: JournalWriter,
     upkeep: UpkeepState,
+    load: LoadTracker,
     pass_needed: bool,
     overload: OverloadState,
     last_pass: MonoTime,
@@ -208,6 +211,7 @@
             batch: RecordBatch::new(epoch, claim, now),
             journal: JournalWriter::new(epoch, claim),
             upkeep: UpkeepState::new(now),
+            load: LoadTracker::default(),
             pass_needed: false,
             overload: OverloadState::default(),
             last_pass: now,
@@ -265,6 +269,7 @@
     }
 
     fn advance(&mut self, now: ClockReading) {
+        self.load.wall = now.wall;
         let call = self.operators.poll(now.mono);
         self.effects.extend(call.map(Effect::Store));
         if self.recovery.is_some() {
@@ -330,6 +335,9 @@
         self.update_health(now, run, &host, end);
         self.learn_end(now, run, end);
         self.runs.remove(&run);
+        if end == RunEnd::Done {
+            self.count_completed(run);
+        }
         self.record(now, PlanRecord::Ended { run, end, saved });
         self.check_job_outcome(now, run.task.step.job);
     }
--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -8,7 +8,7 @@
 use crate::ledger::JobLedger;
 use crate::message::{PlannerMessage, StartOrder};
 use crate::operators::OperatorFormat;
-use crate::record::{PlanRecord, encode};
+use crate::record::PlanRecord;
 use crate::store::{
     AppendCondition, NewRecord, PlannerComponent, StoreCall, StoreOperation, StoreOutcome,
     StreamName,
@@ -216,10 +216,6 @@
         }
         let count = self.batch.records.len().min(MAX_BATCH_RECORDS);
         let records: Vec<_> = self.batch.records.drain(..count).collect();
-        let record = |record: &PlanRecord| NewRecord {
-            key: None,
-            value: Some(encode(record)),
-        };
         let drained = self.batch.records.is_empty();
         if records.is_empty() {
             // All records that these actions depend on are stored already.
@@ -241,7 +237,7 @@
             let ended = self.upkeep.drain_ended(&ledger);
             (ledger, ended)
         });
-        let encoded: Vec<_> = records.iter().map(record).collect();
+        let encoded = self.encode_records(now, &records);
         let copy = self.journal.add_batch(self.batch.end, &records, &encoded);
         self.batch.in_flight = Some(InFlightBatch {
             records: encoded,
--- a/crates/hornbeamlead_jobs/src/planner/overload.rs
+++ b/crates/hornbeamlead_jobs/src/planner/overload.rs
@@ -134,7 +134,7 @@
     }
 
     fn update_selection(&mut self, now: ClockReading, steps: &[ReadyStep]) {
-        let rooms = self.service_rooms(now.mono);
+        let rooms = self.rooms_by_service(now.mono);
         let waiting = steps
             .iter()
             .filter(|step| step.record.body.is_best_effort())
@@ -148,7 +148,7 @@
         self.update_deferred(now, &rooms);
     }
 
-    fn service_rooms(&self, now: MonoTime) -> BTreeMap<Box<str>, ServiceRoom> {
+    fn rooms_by_service(&self, now: MonoTime) -> BTreeMap<Box<str>, ServiceRoom> {
         let mut rooms = BTreeMap::<Box<str>, ServiceRoom>::new();
         for candidate in self.candidates(now) {
             let room = rooms.entry(candidate.worker.service.clone()).or_default();
