--- a/crates/hornbeamlead_daemon/src/fleet/agent.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/agent.rs
@@ -75,6 +75,7 @@
         throttle_grace,
         throttle_step,
         order,
+        copies,
     } = settings.role
     else {
         return EndedSnafu { thread: "agent" }.fail();
@@ -120,6 +121,7 @@
             lease_span: lease,
             placement: PlacementPolicy::default(),
             order,
+            copies,
         },
         sinks: EffectSinks::new(store, metrics, log.clone()),
         links,
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -6,6 +6,7 @@
 
 mod batch;
 mod consolidate;
+mod copies;
 mod health;
 mod hosts;
 mod intake;
@@ -77,6 +78,9 @@
     pub placement: PlacementPolicy,
     /// Order in which jobs are served.
     pub order: ServiceOrder,
+    /// Whether steps that permit it get second attempts of tasks that run far longer than their
+    /// siblings.
+    pub copies: bool,
 }
 
 /// Input to the planner's state machine.
@@ -124,6 +128,8 @@
     slow_since: Option<MonoTime>,
     /// Work done since the worker first listed the attempt.
     work: Option<RunWork>,
+    /// Whether it was logged that the attempt gets no copy.
+    copy_withheld: bool,
 }
 
 impl RunView {
@@ -138,6 +144,7 @@
             cpu_rate: 1.0,
             slow_since: None,
             work: None,
+            copy_withheld: false,
         }
     }
 }
@@ -173,6 +180,7 @@
     last_check: MonoTime,
     last_rebalance: MonoTime,
     last_consolidation: MonoTime,
+    last_copies: MonoTime,
     effects: Vec<Effect>,
 }
 
@@ -218,6 +226,7 @@
             last_check: now,
             last_rebalance: now,
             last_consolidation: now,
+            last_copies: now,
             effects: Vec::new(),
         }
     }
@@ -339,6 +348,7 @@
             self.count_completed(run);
         }
         self.record(now, PlanRecord::Ended { run, end, saved });
+        self.stop_other_attempts(run);
         self.check_job_outcome(now, run.task.step.job);
     }
 
--- a/crates/hornbeamlead_jobs/tests/recovery_grants.rs
+++ b/crates/hornbeamlead_jobs/tests/recovery_grants.rs
@@ -50,6 +50,7 @@
         lease_span: Duration::from_millis(8500),
         placement: PlacementPolicy::default(),
         order: ServiceOrder::default(),
+        copies: false,
     };
     let epoch = PlannerEpoch(1);
     let election = PlannerElection {
--- a/crates/hornbeamlead_jobs/tests/stale_outcomes.rs
+++ b/crates/hornbeamlead_jobs/tests/stale_outcomes.rs
@@ -163,6 +163,7 @@
         lease_span: Duration::from_millis(8500),
         placement: PlacementPolicy::default(),
         order: ServiceOrder::default(),
+        copies: false,
     };
     let election = PlannerElection {
         epoch: PlannerEpoch(epoch),
--- a/crates/hornbeamlead_jobs/tests/unclosed_jobs.rs
+++ b/crates/hornbeamlead_jobs/tests/unclosed_jobs.rs
@@ -124,6 +124,7 @@
         lease_span: Duration::from_millis(8500),
         placement: PlacementPolicy::default(),
         order: ServiceOrder::default(),
+        copies: false,
     };
     let mut now = ClockReading {
         mono: MonoTime(1_000_000),
--- a/crates/hornbeamlead_settings/src/fleet.rs
+++ b/crates/hornbeamlead_settings/src/fleet.rs
@@ -59,6 +59,8 @@
         throttle_step: Duration,
         /// Order in which the planner serves jobs.
         order: ServiceOrder,
+        /// Whether steps that permit it get copies of tasks that run far longer than their siblings.
+        copies: bool,
     },
 }
 
@@ -224,7 +226,9 @@
         DEFAULT_THROTTLE_GRACE,
         DEFAULT_THROTTLE_STEP,
     ];
+    let mut copies = false;
     if let Some(mut section) = section {
+        copies = section.or_default("copies", copies, log);
         let keys = ["lease", "hold_max", "pace_patience", "pace_step"];
         for (key, duration) in keys.into_iter().zip(&mut durations) {
             *duration = section.or_default(key, *duration, log);
@@ -249,5 +253,6 @@
         throttle_grace,
         throttle_step,
         order,
+        copies,
     })
 }
