[jobs, docs] Test lost hosts during stops, and paused processes

stopped_lost: five or six of twelve hosts are lost 0 to 350 ms after a long-running task was told to stop; its own host, worker or agent, or none; with and without the planner. All tasks run again within the 10 s that PROOFS.md promises, so no change was made.

--- a/crates/hornbeamlead_jobs/tests/world/faults.rs
+++ b/crates/hornbeamlead_jobs/tests/world/faults.rs
@@ -149,6 +149,12 @@
         }
     }
 
+    /// Has the worker of a host announce that it drains, so that its long-running tasks are stopped.
+    pub(crate) fn drain(&mut self, host: usize) {
+        self.hosts[host].draining = true;
+        self.hosts[host].announce_at = self.now;
+    }
+
     /// Crashes the worker of a host for good.
     pub(crate) fn lose_worker(&mut self, host: usize) {
         self.crash(host);
@@ -163,6 +169,11 @@
         self.hosts[host].restart_at = u64::MAX;
     }
 
+    /// Suspends the agent of a host, and with it the planner that it may be.
+    pub(crate) fn freeze(&mut self, host: usize, span_ms: u64) {
+        self.hosts[host].frozen_until = self.now + span_ms;
+    }
+
     /// Partitions a host from all others and from the store.
     pub(crate) fn partition(&mut self, host: usize, span_ms: u64) {
         self.hosts[host].partitioned_until = self.now + span_ms;
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -108,6 +108,7 @@
     worker: EmulatedWorker,
     worker_back_at: u64,
     announce_at: u64,
+    draining: bool,
     sequence: u64,
 }
 
@@ -194,6 +195,7 @@
             worker: EmulatedWorker::new(&format!("w-{index}"), START_MS),
             worker_back_at: 0,
             announce_at: START_MS,
+            draining: false,
             sequence: 0,
         };
         let mut store = EmulatedStore::default();
--- a/crates/hornbeamlead_jobs/tests/world/processes.rs
+++ b/crates/hornbeamlead_jobs/tests/world/processes.rs
@@ -220,7 +220,7 @@
                 memory: 16_000,
                 accelerators: 0,
                 labels: vec![format!("r{}", host % 2).into()],
-                draining: false,
+                draining: world_host.draining,
                 leaves_in_ms: None,
             },
             address: address(host),
