[jobs] Survive numbers that no correct process sends; know strays

Looked for in the three state machines with arbitrary numbers in reports, orders, worker lists, jobs, plan records and outcomes of the store (arbitrary_messages). What a process could be given, each with a test that failed first:

- Demands of tasks were summed in 32 bits.
A job whose task asks for MiB made the sum wrap, so that it fits a worker (a panic where overflow is checked): now summed in 64 bits, or saturating.
An occurrence now waits while 100,000 tasks of earlier ones of its job are open: `occurrence_deferred`, logged once per occurrence and counted.
A job that runs once opens whole, as before.
- A record of the jobs stream that no entry accepts was taken by the planner.
It is now checked as at an entry: `job_unreadable`.
Plan records for a task that no job can have are ignored, as its index sizes a table.
- A worker's clock near the end of its range made the lease's end wrap.
Such a clock gives no lease.
- Due times, deadlines and offsets saturate.

After a restart, a server that had left is not in use again: a late heartbeat of an earlier incarnation was refused already, without a test of its own. One of a worker of another machine with a later start was taken for a newer incarnation, and ended the tasks of the agent's own worker. It is now refused while that worker is known, logged (`announcement_ignored`, cause=other_machine) and counted (`foreign_worker`).

Weighed and left: a bound of repeatCount at the entry, since a schedule may have no end; lasting memory of the machine, since a stray that comes first would then shut out the host's own worker.

--- a/crates/hornbeamlead_jobs/src/follow.rs
+++ b/crates/hornbeamlead_jobs/src/follow.rs
@@ -127,7 +127,7 @@
                 self.failures = 0;
                 self.last_answered = Some(self.sent);
                 if let Some(last) = records.last() {
-                    self.next = last.offset + 1;
+                    self.next = last.offset.saturating_add(1);
                 }
                 let caught_up = self.next >= end;
                 // For a stream that does not exist yet, the store answers without waiting.
--- a/crates/hornbeamlead_jobs/src/ids.rs
+++ b/crates/hornbeamlead_jobs/src/ids.rs
@@ -125,7 +125,7 @@
     /// Returns the number that follows this one.
     #[must_use]
     pub fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
 
--- a/crates/hornbeamlead_jobs/src/job.rs
+++ b/crates/hornbeamlead_jobs/src/job.rs
@@ -79,7 +79,10 @@
     pub fn due_ms(&self, occurrence: u32) -> u64 {
         match self.times {
             0 => 0,
-            _ => self.first_ms + u64::from(occurrence) * self.interval_ms,
+            _ => {
+                let elapsed_ms = u64::from(occurrence).saturating_mul(self.interval_ms);
+                self.first_ms.saturating_add(elapsed_ms)
+            }
         }
     }
 }
@@ -119,6 +122,12 @@
         }
     }
 
+    /// Returns the number of tasks of one occurrence.
+    #[must_use]
+    pub fn task_count(&self) -> usize {
+        self.steps.iter().map(|step| step.tasks as usize).sum()
+    }
+
     /// Returns the estimated duration of the longest path from the start of a step to the end of
     /// the job, in milliseconds.
     #[must_use]
--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -5,7 +5,7 @@
 use crate::ids::{
     HostName, JobId, RunName, RunNumber, StepName, StreamOffset, TaskName, WorkerIncarnation,
 };
-use crate::job::{JobPhase, JobRecord, RunEnd, StepSpec};
+use crate::job::{JobPhase, JobRecord, MAX_STEP_TASKS, MAX_STEPS, RunEnd, StepSpec};
 use crate::record::PlanRecord;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -165,6 +165,13 @@
         self.placements().next().is_none()
     }
 
+    /// Returns the number of tasks of the open occurrences that have not completed.
+    #[must_use]
+    pub fn unfinished_tasks(&self) -> usize {
+        let steps = self.occurrences.values().flat_map(|state| &state.steps);
+        steps.flatten().filter(|task| !task.done).count()
+    }
+
     /// Returns the attempts that may be running of tasks that have not completed.
     pub fn unfinished_runs(&self) -> impl Iterator<Item = &TaskPlacement> {
         let steps = self.occurrences.values().flat_map(|state| &state.steps);
@@ -265,9 +272,12 @@
 }
 
 impl JobLedger {
-    /// Applies a record of the plan stream.
+    /// Applies a record of the plan stream, unless it names a task that no job can have.
     pub fn apply(&mut self, record: &PlanRecord) {
+        let is_possible =
+            |task: TaskName| usize::from(task.step.step) < MAX_STEPS && task.index < MAX_STEP_TASKS;
         match record {
+            record if !record.task().is_none_or(is_possible) => {}
             PlanRecord::Claim(_) => {
                 self.lease_bounds.clear();
                 self.confirmed_grants = false;
--- a/crates/hornbeamlead_jobs/src/locator/claim.rs
+++ b/crates/hornbeamlead_jobs/src/locator/claim.rs
@@ -124,7 +124,7 @@
         let seed = self.policy.seed.rotate_left(32) ^ self.policy.incarnation;
         let mut random = SmallRng::seed_from_u64(seed);
         let candidate = random.random::<u64>() & ((1 << CANDIDATE_BITS) - 1);
-        PlannerEpoch(((end + 1) << CANDIDATE_BITS) | candidate)
+        PlannerEpoch((end.saturating_add(1) << CANDIDATE_BITS) | candidate)
     }
 
     pub(super) fn next_claim_caller(&mut self) -> StoreCaller {
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -26,7 +26,7 @@
 
 use crate::effect::{Effect, LinkId};
 use crate::follow::StreamFollower;
-use crate::ids::{HostName, PlannerEpoch, RunName, TaskName};
+use crate::ids::{HostName, JobId, PlannerEpoch, RunName, TaskName};
 use crate::job::RunEnd;
 use crate::ledger::JobLedger;
 use crate::locator::PlannerElection;
@@ -148,6 +148,8 @@
     serving_levels: ServingLevels,
     batch: RecordBatch,
     upkeep: UpkeepState,
+    /// Occurrences that wait until earlier ones of their job have progressed.
+    deferred_occurrences: BTreeMap<JobId, u32>,
     pass_needed: bool,
     last_pass: MonoTime,
     last_check: MonoTime,
@@ -189,6 +191,7 @@
             serving_levels: ServingLevels::default(),
             batch: RecordBatch::new(epoch, claim, now),
             upkeep: UpkeepState::new(now),
+            deferred_occurrences: BTreeMap::new(),
             pass_needed: false,
             last_pass: now,
             last_check: now,
--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -104,7 +104,7 @@
             epoch,
             sequence: 0,
             succeeded: 0,
-            end: claim + 1,
+            end: claim.saturating_add(1),
             records: Vec::new(),
             deferred: Vec::new(),
             oldest: now,
@@ -288,7 +288,7 @@
         let Some(in_flight) = self.batch.in_flight.take() else {
             return;
         };
-        self.batch.end = offset + in_flight.records.len() as u64;
+        self.batch.end = offset.saturating_add(in_flight.records.len() as u64);
         let was_failing = self.batch.failing_since.is_some();
         self.batch.succeeded = in_flight.sequence;
         self.batch.last_append_sent = in_flight.sent;
--- a/crates/hornbeamlead_jobs/src/planner/intake.rs
+++ b/crates/hornbeamlead_jobs/src/planner/intake.rs
@@ -63,6 +63,10 @@
         }
         let is_new = known.is_none();
         match decode::<JobRecord>(value) {
+            Ok(record) if record.body.validation_error().is_some() => {
+                let cause = record.body.validation_error().unwrap_or_default();
+                self.log("job_unreadable", job, format!("cause={cause:?}"));
+            }
             Ok(record) => {
                 let queue = record.terms.queue.clone();
                 if is_new {
--- a/crates/hornbeamlead_jobs/src/planner/placement.rs
+++ b/crates/hornbeamlead_jobs/src/planner/placement.rs
@@ -137,23 +137,27 @@
 
     pub(super) fn add(&mut self, demand: &TaskDemand) {
         self.count += 1;
-        self.memory += demand.memory;
-        self.accelerators += demand.accelerators;
-        match demand.best_effort {
-            true => self.best_effort_cpu += demand.cpu,
-            false => self.cpu += demand.cpu,
-        }
+        self.memory = self.memory.saturating_add(demand.memory);
+        self.accelerators = self.accelerators.saturating_add(demand.accelerators);
+        let cpu = match demand.best_effort {
+            true => &mut self.best_effort_cpu,
+            false => &mut self.cpu,
+        };
+        *cpu = cpu.saturating_add(demand.cpu);
         self.serving += u32::from(demand.target_ms > 0);
         if demand.long_running {
-            self.long_running_cpu += demand.cpu;
+            self.long_running_cpu = self.long_running_cpu.saturating_add(demand.cpu);
         }
     }
 
     fn fits(&self, demand: &TaskDemand, worker: &WorkerFacts) -> bool {
         let cpu = if demand.best_effort { 0 } else { demand.cpu };
-        self.cpu + cpu <= worker.cpu
-            && self.memory + demand.memory <= worker.memory
-            && self.accelerators + demand.accelerators <= worker.accelerators
+        let fits = |used: u32, demanded: u32, capacity: u32| {
+            u64::from(used) + u64::from(demanded) <= u64::from(capacity)
+        };
+        fits(self.cpu, cpu, worker.cpu)
+            && fits(self.memory, demand.memory, worker.memory)
+            && fits(self.accelerators, demand.accelerators, worker.accelerators)
     }
 }
 
@@ -307,7 +311,8 @@
             .is_some_and(|rack| !self.worker.labels.contains(rack));
         let base = match (demand.best_effort, demand.long_running) {
             (true, _) => {
-                let utilization = share(self.load.cpu + self.load.best_effort_cpu + demand.cpu);
+                let used = self.load.cpu.saturating_add(self.load.best_effort_cpu);
+                let utilization = share(used.saturating_add(demand.cpu));
                 let (added, present) = self.lateness_of(interference, share(demand.cpu));
                 let serving = f64::from(self.load.serving.min(FULL_WEIGHT_TASKS));
                 let weight = serving / f64::from(FULL_WEIGHT_TASKS);
@@ -337,7 +342,8 @@
                 // Serving tasks use about half of what they reserve, so short tasks lose nothing
                 // beside them and leave the processors of other workers to best-effort tasks.
                 let others = self.load.cpu.saturating_sub(self.load.long_running_cpu);
-                share(others + self.load.best_effort_cpu + demand.cpu)
+                let used = others.saturating_add(self.load.best_effort_cpu);
+                share(used.saturating_add(demand.cpu))
                     - policy.long_running_affinity * long_running_share
             }
         };
--- a/crates/hornbeamlead_jobs/src/planner/ready.rs
+++ b/crates/hornbeamlead_jobs/src/planner/ready.rs
@@ -88,8 +88,9 @@
         .due_ms(occurrence)
         .max(record.accepted_ms);
     let scaled_path = f64::from(record.terms.target_factor) * record.body.critical_path_ms() as f64;
-    let objective = scaled_path as i64 + i64::from(record.terms.target_latency_ms);
-    let deadline = due as i64 + objective;
+    let objective = (scaled_path as i64).saturating_add(record.terms.target_latency_ms.into());
+    let due_ms = i64::try_from(due).unwrap_or(i64::MAX);
+    let deadline = due_ms.saturating_add(objective);
     let started = tasks.steps.iter().flatten().any(|task| !task.is_waiting());
     debug_assert!(!state.phase.is_final());
     let running = state.unfinished_runs().take(MIN_RUNNING_TASKS).count();
@@ -110,8 +111,8 @@
             continue;
         }
         let remaining_path = record.body.remaining_path_ms(index) as i64;
-        let slack = deadline - now.wall.0 as i64 - remaining_path;
-        let late_slack = slack + (MAX_OBJECTIVES - 1) * objective;
+        let slack = deadline.saturating_sub(now.wall.0 as i64 + remaining_path);
+        let late_slack = slack.saturating_add(objective.saturating_mul(MAX_OBJECTIVES - 1));
         let outlook = DeadlineOutlook::new(slack, late_slack, started);
         ready.push(ReadyStep {
             sort_key: (!spec.long_running, outlook, record.terms.priority, slack),
--- a/crates/hornbeamlead_jobs/src/planner/rebalance.rs
+++ b/crates/hornbeamlead_jobs/src/planner/rebalance.rs
@@ -102,7 +102,8 @@
                     && Some(&candidate.worker.service) == service
                     && (candidate.load.serving == 0
                         || interference.max_coefficient() <= task.max_coefficient)
-                    && candidate.load.memory + task.demand.memory <= candidate.worker.memory
+                    && candidate.load.memory.saturating_add(task.demand.memory)
+                        <= candidate.worker.memory
                     && candidate.has_best_effort_headroom(&task.demand, &interference);
                 suits.then_some((candidate, interference))
             });
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -5,7 +5,8 @@
 use super::placement::{Candidate, HostInterference, HostLoad, TaskDemand};
 use super::ready::ReadyStep;
 use super::{PlannerMachine, RunView};
-use crate::ids::{HostName, RunName, RunNumber, StepName, TaskName, WorkerIncarnation};
+use crate::effect::Effect;
+use crate::ids::{HostName, JobId, RunName, RunNumber, StepName, TaskName, WorkerIncarnation};
 use crate::message::StartOrder;
 use crate::operators::OperatorFormat;
 use crate::record::PlanRecord;
@@ -34,6 +35,10 @@
 /// Most tasks on a worker that is on probation.
 const PROBATION_TASKS: u32 = 1;
 
+/// Tasks of a job that may be open before its next occurrence has to wait. All occurrences of a
+/// schedule may be due at once.
+const MAX_OPEN_TASKS: usize = 100_000;
+
 /// Host chosen for a task.
 struct PlacementChoice {
     /// Index of the task in its step.
@@ -84,7 +89,8 @@
     }
 
     fn open_due(&mut self, now: ClockReading) {
-        for state in self.ledger.jobs.values_mut() {
+        let mut deferred = Vec::new();
+        for (&job, state) in &mut self.ledger.jobs {
             let Some(record) = state.record.clone().filter(|_| !state.phase.is_final()) else {
                 continue;
             };
@@ -93,14 +99,35 @@
                 .occurrences
                 .keys()
                 .next_back()
-                .map_or(0, |last| last + 1);
+                .map_or(0, |last| last.saturating_add(1));
+            let size = record.body.task_count();
+            let mut open_tasks = None;
             for occurrence in next..schedule.occurrences() {
                 if now.wall.0 < schedule.due_ms(occurrence) {
                     break;
                 }
+                let open_tasks = open_tasks.get_or_insert_with(|| state.unfinished_tasks());
+                if *open_tasks > 0 && *open_tasks + size > MAX_OPEN_TASKS {
+                    deferred.push((job, occurrence, *open_tasks));
+                    break;
+                }
+                *open_tasks += size;
                 state.open_occurrence(occurrence);
             }
         }
+        for (job, occurrence, open_tasks) in deferred {
+            self.report_deferred(job, occurrence, open_tasks);
+        }
+    }
+
+    /// Logs and counts an occurrence that waits for earlier ones, once.
+    fn report_deferred(&mut self, job: JobId, occurrence: u32, open_tasks: usize) {
+        if self.deferred_occurrences.insert(job, occurrence) == Some(occurrence) {
+            return;
+        }
+        let detail = format!("occurrence={occurrence} open_tasks={open_tasks}");
+        self.log("occurrence_deferred", job, detail);
+        self.effects.push(Effect::Count("occurrence_deferred"));
     }
 
     /// Stops tasks on draining workers: long-running tasks at once, others shortly before the
--- a/crates/hornbeamlead_jobs/src/supervisor.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor.rs
@@ -51,10 +51,11 @@
 }
 
 impl WorkerClock {
-    /// Returns a time on the worker's clock that has certainly passed at `now`.
-    fn at(&self, now: MonoTime) -> u64 {
+    /// Returns a time on the worker's clock that has certainly passed at `now`; `None` if the
+    /// reading leaves no room for one.
+    fn at(&self, now: MonoTime) -> Option<u64> {
         let elapsed = now.since(self.read).div_f64(CLOCK_SKEW_FACTOR);
-        self.ms + elapsed.as_millis() as u64
+        self.ms.checked_add(elapsed.as_millis() as u64)
     }
 }
 
@@ -206,6 +207,15 @@
             );
             return;
         }
+        if self.is_other_machine(announcement.facts.machine.as_deref()) {
+            self.effects.push(Effect::Count("foreign_worker"));
+            self.log(
+                "announcement_ignored",
+                &incarnation,
+                format!("cause=other_machine address={}", announcement.address),
+            );
+            return;
+        }
         let leaves_in = announcement.facts.leaves_in_ms;
         let leaves_at =
             leaves_in.map(|remaining_ms| now.plus(Duration::from_millis(remaining_ms.into())));
@@ -258,6 +268,13 @@
         dead || current.is_some_and(is_older)
     }
 
+    /// Returns whether a machine is certainly not that of the known worker.
+    fn is_other_machine(&self, announced: Option<&str>) -> bool {
+        let worker = self.worker.as_ref();
+        let known = worker.and_then(|worker| worker.facts.machine.as_deref());
+        known.is_some() && announced.is_some() && known != announced
+    }
+
     fn handle_leave(&mut self, id: &str) {
         if self
             .worker
--- a/crates/hornbeamlead_jobs/src/supervisor/calls.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/calls.rs
@@ -70,7 +70,8 @@
         let clock = self.worker.as_ref()?.clock?;
         let permitted = self.granted?.plus(self.policy.lease_span).since(now);
         let span = span.min(permitted);
-        (span > Duration::ZERO).then(|| clock.at(now) + span.as_millis() as u64)
+        let begin = clock.at(now).filter(|_| span > Duration::ZERO)?;
+        begin.checked_add(span.as_millis() as u64)
     }
 
     fn call(
@@ -151,7 +152,9 @@
         };
         if let Some(ms) = reply.clock_ms {
             let clock = WorkerClock { ms, read: now };
-            let newer = worker.clock.is_none_or(|known| clock.ms >= known.at(now));
+            let newer = worker
+                .clock
+                .is_none_or(|known| known.at(now).is_none_or(|at| clock.ms >= at));
             if newer {
                 worker.clock = Some(clock);
             }
--- a/crates/hornbeamlead_jobs/tests/agent/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/agent/mod.rs
@@ -62,7 +62,8 @@
         agent
     }
 
-    fn handle(&mut self, event: SupervisorEvent) {
+    /// Hands the supervisor an event.
+    pub(crate) fn handle(&mut self, event: SupervisorEvent) {
         for effect in self.supervisor.handle(self.now, event) {
             match effect {
                 Effect::Worker(call) if matches!(call.operation, WorkerOperation::Hold { .. }) => {
--- a/crates/hornbeamlead_jobs/tests/world/lone.rs
+++ b/crates/hornbeamlead_jobs/tests/world/lone.rs
@@ -80,7 +80,8 @@
         }
     }
 
-    fn handle(&mut self, event: PlannerEvent) {
+    /// Hands the planner an event and answers its calls to the store.
+    pub(crate) fn handle(&mut self, event: PlannerEvent) {
         let now = ClockReading {
             mono: MonoTime(self.now_ms * 1000),
             wall: WallTime(World::wall_ms(self.now_ms)),
