[ctl] Check a configuration before it is sent: hornbeamctl config check

Operators could send a configuration whose routes no request ever matches, or whose objectives no job can meet, and saw it only in force. `config check FILE [--against FILE] [--json]` reads files and sends nothing. It reports all findings together, with their places: what a process would not decode (entry by entry, where a process refuses the record at its first error), empty names, a route to a service that is not there, a version that is not higher than the one in force; entries that never match; limits that contradict each other; and what the configuration changes, field by field. Exit status 0 without findings, 1 with findings, 2 for usage or a file that cannot be read.

The check is a module without I/O on the product's types (config_check of hornbeamlead_jobs); the words of the record stay in the adapter, which decodes entry by entry for it and as before for processes.

Not checked: fields that no process reads, such as `limits` of the record, and fields with unknown names.

--- a/crates/hornbeamlead_ctl/src/args.rs
+++ b/crates/hornbeamlead_ctl/src/args.rs
@@ -87,6 +87,26 @@
     },
 }
 
+/// Commands for the configuration of a platform with a store.
+#[derive(Clone, Debug, Bpaf)]
+pub enum ConfigCommand {
+    /// Checks a configuration's file before it is sent: errors, entries that never match, limits
+    /// that contradict each other, and what changes. Exit status: 0 no findings, 1 findings.
+    /// Example: hornbeamctl config check next.json --against current.json
+    #[bpaf(command)]
+    Check {
+        /// Configuration in force, as a file of the same form
+        #[bpaf(long, argument("FILE"))]
+        against: Option<PathBuf>,
+        /// Prints JSON for scripts
+        #[bpaf(long, switch)]
+        json: bool,
+        /// Content of the store's record `config`, JSON
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+}
+
 /// Controls a hornbeamlead fleet: release notes, drains, cancellations, status, explanations
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version, footer(EXIT_STATUSES), generate(tool_options))]
@@ -94,6 +114,9 @@
     /// Validates and publishes release notes, and shows their status
     #[bpaf(command)]
     Note(#[bpaf(external(note_command))] NoteCommand),
+    /// Checks the configuration of a platform with a store
+    #[bpaf(command)]
+    Config(#[bpaf(external(config_command))] ConfigCommand),
     /// Takes a data centre out of service
     #[bpaf(command)]
     Drain {
--- a/crates/hornbeamlead_ctl/src/lib.rs
+++ b/crates/hornbeamlead_ctl/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod args;
 pub mod report;
 
+mod config_command;
 mod explain;
 mod failure;
 mod files;
--- a/crates/hornbeamlead_ctl/src/run.rs
+++ b/crates/hornbeamlead_ctl/src/run.rs
@@ -1,6 +1,7 @@
 //! Dispatch of the parsed command.
 
-use crate::args::{CommonOptions, NoteCommand, PublishOptions, ToolCommand};
+use crate::args::{CommonOptions, ConfigCommand, NoteCommand, PublishOptions, ToolCommand};
+use crate::config_command::check_file;
 use crate::explain::explain;
 use crate::failure::{InvalidNameSnafu, SetupSnafu, ToolFailure};
 use crate::files::{load_lines, load_note, load_settings};
@@ -33,7 +34,8 @@
 
 fn json_requested(command: &ToolCommand) -> bool {
     match command {
-        ToolCommand::Note(NoteCommand::Check { json, .. }) => *json,
+        ToolCommand::Note(NoteCommand::Check { json, .. })
+        | ToolCommand::Config(ConfigCommand::Check { json, .. }) => *json,
         ToolCommand::Note(
             NoteCommand::Apply { common, .. } | NoteCommand::Status { common, .. },
         )
@@ -48,6 +50,9 @@
 async fn execute(command: &ToolCommand, json: bool) -> ExitStatus {
     match command {
         ToolCommand::Note(NoteCommand::Check { file, .. }) => print_result(check_note(file), json),
+        ToolCommand::Config(ConfigCommand::Check { against, file, .. }) => {
+            print_result(check_file(file, against.as_deref()), json)
+        }
         ToolCommand::Note(NoteCommand::Apply {
             common,
             publish,
--- a/crates/hornbeamlead_jobs/src/lib.rs
+++ b/crates/hornbeamlead_jobs/src/lib.rs
@@ -12,6 +12,7 @@
 //! holds the state that results from applying them.
 
 pub mod config;
+pub mod config_check;
 pub mod effect;
 pub mod entry;
 pub mod follow;
