[jobs] Show that lost answers of a worker say nothing false

Looked for work that ran and was run again, or was told not to have run, after an answer of the worker was lost. The supervisor reports an attempt as not started only when its first start was refused, or when lists that were read after a confirmed stop do not hold it. No fault found and no code changed; lost_answers states it: a repeated start that is refused or not answered says nothing about the first one, and a stop is repeated until the worker has confirmed it. With the refusal of a repeated start believed, and a stop taken as done without an answer, three of its four cases failed; the one with an unanswered repeat was not seen to fail.

--- a/crates/hornbeamlead_jobs/tests/agent/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/agent/mod.rs
@@ -5,7 +5,7 @@
 use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_jobs::effect::{Effect, LinkId};
 use hornbeamlead_jobs::ids::{PlannerEpoch, RunName, WorkerIncarnation};
-use hornbeamlead_jobs::message::{AgentStamp, PlannerMessage};
+use hornbeamlead_jobs::message::{AgentMessage, AgentStamp, PlannerMessage};
 use hornbeamlead_jobs::supervisor::{
     SupervisorEvent, SupervisorMachine, SupervisorPolicy, ThrottlePolicy,
 };
@@ -47,6 +47,8 @@
     hold: Option<WorkerCall>,
     /// Calls that wait for an answer, without holds.
     pub(crate) calls: Vec<WorkerCall>,
+    /// Messages to the planner.
+    pub(crate) messages: Vec<AgentMessage>,
 }
 
 impl TestAgent {
@@ -57,6 +59,7 @@
             now,
             hold: None,
             calls: Vec::new(),
+            messages: Vec::new(),
         };
         agent.handle(SupervisorEvent::LinkUp(LinkId(1)));
         agent
@@ -70,6 +73,7 @@
                     self.hold = Some(call);
                 }
                 Effect::Worker(call) => self.calls.push(call),
+                Effect::ToPlanner { message, .. } => self.messages.push(message),
                 _ => {}
             }
         }
