--- a/crates/hornbeamlead_jobs/src/job.rs
+++ b/crates/hornbeamlead_jobs/src/job.rs
@@ -87,7 +87,10 @@
     pub fn due_ms(&self, occurrence: u32) -> u64 {
         match self.times {
             0 => 0,
-            _ => self.first_ms + u64::from(occurrence) * self.interval_ms,
+            _ => {
+                let elapsed_ms = u64::from(occurrence).saturating_mul(self.interval_ms);
+                self.first_ms.saturating_add(elapsed_ms)
+            }
         }
     }
 }
@@ -142,6 +145,12 @@
         best_effort.map(work).sum::<f64>() > self.work() / 2.0
     }
 
+    /// Returns the number of tasks of one occurrence.
+    #[must_use]
+    pub fn task_count(&self) -> usize {
+        self.steps.iter().map(|step| step.tasks as usize).sum()
+    }
+
     /// Returns the estimated duration of the longest path from the start of a step to the end of
     /// the job, in milliseconds.
     #[must_use]
@@ -216,7 +225,7 @@
     pub fn objective_ms(&self) -> u64 {
         let path = self.body.critical_path_ms() as f64;
         let scaled_path = f64::from(self.terms.target_factor) * path;
-        scaled_path as u64 + u64::from(self.terms.target_latency_ms)
+        (scaled_path as u64).saturating_add(self.terms.target_latency_ms.into())
     }
 
     /// Returns the time at which an occurrence is late, in milliseconds since the Unix epoch.
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -33,7 +33,7 @@
 
 use crate::effect::{Effect, LinkId};
 use crate::follow::StreamFollower;
-use crate::ids::{HostName, PlannerEpoch, RunName, TaskName};
+use crate::ids::{HostName, JobId, PlannerEpoch, RunName, TaskName};
 use crate::job::RunEnd;
 use crate::ledger::JobLedger;
 use crate::locator::PlannerElection;
@@ -174,6 +174,8 @@
     journal: JournalWriter,
     upkeep: UpkeepState,
     load: LoadTracker,
+    /// Occurrences that wait until earlier ones of their job have progressed.
+    deferred_occurrences: BTreeMap<JobId, u32>,
     pass_needed: bool,
     overload: OverloadState,
     last_pass: MonoTime,
@@ -220,6 +222,7 @@
             journal: JournalWriter::new(epoch, claim),
             upkeep: UpkeepState::new(now),
             load: LoadTracker::default(),
+            deferred_occurrences: BTreeMap::new(),
             pass_needed: false,
             overload: OverloadState::default(),
             last_pass: now,
--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -108,7 +108,7 @@
             epoch,
             sequence: 0,
             succeeded: 0,
-            end: claim + 1,
+            end: claim.saturating_add(1),
             records: Vec::new(),
             deferred: Vec::new(),
             oldest: now,
@@ -320,7 +320,7 @@
             return;
         };
         let offset = in_flight.offset.unwrap_or(self.batch.end);
-        self.batch.end = offset + in_flight.records.len() as u64;
+        self.batch.end = offset.saturating_add(in_flight.records.len() as u64);
         let was_failing = self.batch.failing_since.is_some();
         self.batch.succeeded = in_flight.sequence;
         self.batch.last_append_sent = in_flight.sent;
--- a/crates/hornbeamlead_jobs/src/planner/copies.rs
+++ b/crates/hornbeamlead_jobs/src/planner/copies.rs
@@ -66,11 +66,13 @@
 
 impl CopyBudget {
     fn weight(demand: &TaskDemand) -> u32 {
-        demand.cpu + demand.accelerators * ACCELERATOR_CPU
+        demand
+            .cpu
+            .saturating_add(demand.accelerators.saturating_mul(ACCELERATOR_CPU))
     }
 
     fn admits(&self, demand: &TaskDemand) -> bool {
-        let copies = f64::from(self.copies + Self::weight(demand));
+        let copies = f64::from(self.copies.saturating_add(Self::weight(demand)));
         self.copies == 0 || copies <= BUDGET_SHARE * f64::from(self.running)
     }
 }
@@ -101,7 +103,8 @@
                 false => Err("budget"),
             };
             if outcome.is_ok() {
-                budget.copies += CopyBudget::weight(&straggler.demand);
+                let weight = CopyBudget::weight(&straggler.demand);
+                budget.copies = budget.copies.saturating_add(weight);
             }
             outcomes.push((straggler, budget, outcome));
         }
@@ -194,8 +197,9 @@
                 let first = task.placements.first();
                 first.map(|first| first.run == run.run)
             });
-            budget.running += weight;
-            budget.copies += if first == Some(false) { weight } else { 0 };
+            budget.running = budget.running.saturating_add(weight);
+            let copied = if first == Some(false) { weight } else { 0 };
+            budget.copies = budget.copies.saturating_add(copied);
         }
         budget
     }
--- a/crates/hornbeamlead_jobs/src/planner/overload.rs
+++ b/crates/hornbeamlead_jobs/src/planner/overload.rs
@@ -6,7 +6,7 @@
 //! of them wait.
 
 use super::PlannerMachine;
-use super::ready::{DeadlineOutlook, ReadyStep};
+use super::ready::{DeadlineOutlook, ReadyStep, saturating_signed};
 use super::service_order::{JobDemand, select_on_time};
 use crate::effect::Effect;
 use crate::ids::JobId;
@@ -235,7 +235,8 @@
     }
     let demand = JobDemand {
         work,
-        due_in_ms: record.deadline_ms(number) as i64 - now.wall.0 as i64,
+        due_in_ms: saturating_signed(record.deadline_ms(number))
+            .saturating_sub(saturating_signed(now.wall.0)),
         total_work: record.body.work(),
         priority: record.terms.priority,
         started: occurrence.is_started(),
--- a/crates/hornbeamlead_jobs/src/planner/ready.rs
+++ b/crates/hornbeamlead_jobs/src/planner/ready.rs
@@ -76,6 +76,11 @@
     }
 }
 
+/// Converts milliseconds, of which a caller may have sent any number.
+pub(super) fn saturating_signed(ms: u64) -> i64 {
+    i64::try_from(ms).unwrap_or(i64::MAX)
+}
+
 fn collect_ready(
     now: ClockReading,
     job: JobId,
@@ -86,8 +91,8 @@
     ready: &mut Vec<ReadyStep>,
 ) {
     let due = record.due_ms(occurrence);
-    let objective = record.objective_ms() as i64;
-    let deadline = record.deadline_ms(occurrence) as i64;
+    let objective = saturating_signed(record.objective_ms());
+    let deadline = saturating_signed(record.deadline_ms(occurrence));
     let started = tasks.is_started();
     debug_assert!(!state.phase.is_final());
     let running = state.unfinished_runs().take(MIN_RUNNING_TASKS).count();
@@ -108,8 +113,8 @@
             continue;
         }
         let remaining_path = record.body.remaining_path_ms(index) as i64;
-        let slack = deadline - now.wall.0 as i64 - remaining_path;
-        let late_slack = slack + (MAX_OBJECTIVES - 1) * objective;
+        let slack = deadline.saturating_sub(now.wall.0 as i64 + remaining_path);
+        let late_slack = slack.saturating_add(objective.saturating_mul(MAX_OBJECTIVES - 1));
         let outlook = DeadlineOutlook::new(slack, late_slack, started);
         ready.push(ReadyStep {
             sort_key: (!spec.long_running, outlook, record.terms.priority, slack),
