--- a/crates/hornbeamlead_jobs/src/journal.rs
+++ b/crates/hornbeamlead_jobs/src/journal.rs
@@ -14,9 +14,18 @@
 /// Maximum size of the records of an entry, in bytes; the store limits a record to 256 KiB.
 const ENTRY_BYTES: usize = 200 * 1024;
 
+/// Most bytes that the offset and the length of a copy take.
+const COPY_OVERHEAD: usize = 16;
+
 /// Copy of a plan record, with its offset in the plan.
 pub type CopiedRecord = (StreamOffset, Bytes);
 
+/// Returns an upper bound on the size of a copy in an entry, in bytes.
+#[must_use]
+pub fn copy_bytes(copy: &CopiedRecord) -> usize {
+    copy.1.len() + COPY_OVERHEAD
+}
+
 /// When a plan record is copied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CopyTerm {
@@ -78,11 +87,11 @@
         let mut parts = vec![part(self.since)];
         let mut size = 0;
         for record in &self.records {
-            if size + record.1.len() > ENTRY_BYTES {
+            if size + copy_bytes(record) > ENTRY_BYTES {
                 parts.push(part(record.0));
                 size = 0;
             }
-            size += record.1.len();
+            size += copy_bytes(record);
             if let Some(last) = parts.last_mut() {
                 last.records.push(record.clone());
             }
--- a/crates/hornbeamlead_jobs/src/planner/journal.rs
+++ b/crates/hornbeamlead_jobs/src/planner/journal.rs
@@ -3,7 +3,7 @@
 use super::PlannerMachine;
 use crate::effect::Effect;
 use crate::ids::{PlannerEpoch, StreamOffset};
-use crate::journal::{CopiedRecord, CopyTerm, JournalEntry};
+use crate::journal::{CopiedRecord, CopyTerm, JournalEntry, copy_bytes};
 use crate::operators::OperatorFormat;
 use crate::record::PlanRecord;
 use crate::store::{
@@ -69,15 +69,16 @@
     }
 
     /// Adds a record to the next entry, if it is durable.
-    pub(super) fn hold(&mut self, record: &PlanRecord, (offset, bytes): CopiedRecord) {
+    pub(super) fn hold(&mut self, record: &PlanRecord, copy: CopiedRecord) {
         if CopyTerm::from(record) == CopyTerm::Never {
             return;
         }
-        self.held_bytes += bytes.len();
-        self.held.push((offset, bytes));
+        let next = copy.0 + 1;
+        self.held_bytes += copy_bytes(&copy);
+        self.held.push(copy);
         if self.held_bytes > MAX_HELD_BYTES {
             // An outage before the next snapshot remains a gap, which no reader skips.
-            self.restart(offset + 1);
+            self.restart(next);
         }
     }
 
@@ -138,7 +139,7 @@
         }
         self.since = self.since.max(snapshot);
         self.held.retain(|(offset, _)| *offset >= snapshot);
-        self.held_bytes = self.held.iter().map(|(_, bytes)| bytes.len()).sum();
+        self.held_bytes = self.held.iter().map(copy_bytes).sum();
     }
 }
 
--- a/crates/hornbeamlead_jobs/tests/plan_journal.rs
+++ b/crates/hornbeamlead_jobs/tests/plan_journal.rs
@@ -109,13 +109,15 @@
 }
 
 /// What a planner finds at its start can be larger than a record of the store.
-#[test]
-fn large_entry() {
-    let content = Bytes::from(vec![7; 300]);
-    let records: Vec<_> = (40..4000).map(|offset| (offset, content.clone())).collect();
+#[rstest]
+#[case(300, 4000)]
+#[case(8, 100_000)]
+fn large_entry(#[case] size: usize, #[case] end: u64) {
+    let content = Bytes::from(vec![7; size]);
+    let records: Vec<_> = (40..end).map(|offset| (offset, content.clone())).collect();
     let whole = JournalEntry {
         records: records.clone(),
-        ..entry(2, 38, 4005)
+        ..entry(2, 38, end + 5)
     };
     let parts = whole.split();
     assert!(parts.len() > 4);
