[jobs] Move stragglers that save checkpoints and may not have a copy

With schedule.copies on, such a task of an ordinary step is stopped once and resumes on another host, where room is idle and it gains by that, not while appends are slow. The search moved to planner/stragglers.rs, which copies and moves share.

Ruled out: a second move; a task that is slow again is slow anywhere.

--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -21,6 +21,7 @@
 pub mod run_times;
 mod schedule;
 mod serving_level;
+mod stragglers;
 mod upkeep;
 
 pub use hosts::HostView;
@@ -67,8 +68,8 @@
     pub lease_span: Duration,
     /// Cost weights for the choice of a host.
     pub placement: PlacementPolicy,
-    /// Whether steps that permit it get second attempts of tasks that run far longer than their
-    /// siblings.
+    /// Whether tasks that run far longer than their siblings get a second attempt, if their step
+    /// permits it, or move, if they save checkpoints.
     pub copies: bool,
 }
 
--- a/crates/hornbeamlead_jobs/src/planner/copies.rs
+++ b/crates/hornbeamlead_jobs/src/planner/copies.rs
@@ -1,4 +1,5 @@
-//! Copies: second attempts of tasks that run far longer than their siblings.
+//! Stragglers: tasks that run far longer than their siblings get a copy, that is, a second attempt, or
+//! move if they save checkpoints.
 //!
 //! Only steps that permit it get copies, only while nothing waits for the room, and only for a few
 //! percent of what runs. The first attempt that completes counts, and the others are stopped once
@@ -8,16 +9,14 @@
 use super::batch::DeferredAction;
 use super::placement::{Candidate, TaskDemand};
 use super::ready::ReadyStep;
-use super::run_times::RunWork;
 use super::schedule::PlacementChoice;
+use super::stragglers::{StragglerRemedy, StragglingRun};
 use crate::effect::Effect;
-use crate::ids::{HostName, RunName};
-use crate::job::{JobRecord, StepSpec};
-use crate::ledger::JobState;
+use crate::ids::RunName;
+use crate::job::StepSpec;
 use crate::operators::OperatorFormat;
 use crate::worker::WorkerFacts;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
-use std::sync::Arc;
 use std::time::Duration;
 
 /// Least time between two searches for stragglers; hosts report every 300 ms.
@@ -30,33 +29,6 @@
 /// Processors that an accelerator counts for, in thousandths of a core.
 const ACCELERATOR_CPU: u32 = 8000;
 
-/// Least time without progress, and the share of the expected run time, after which an attempt
-/// gets a copy.
-const IDLE_LIMIT: (f64, f64) = (1000.0, 0.1);
-
-/// Multiple of the copy's expected run time that the straggler must still need, and the time for a
-/// start that it must need beyond that, in milliseconds.
-const WORTHWHILE: (f64, f64) = (1.25, 500.0);
-
-/// Attempt that runs far longer than its siblings.
-struct StragglingRun {
-    run: RunName,
-    host: HostName,
-    demand: TaskDemand,
-    record: Arc<JobRecord>,
-    finding: StragglerFinding,
-}
-
-/// Why an attempt is a straggler; times in milliseconds.
-#[derive(Clone, Copy, Debug)]
-struct StragglerFinding {
-    cause: &'static str,
-    elapsed_ms: f64,
-    expected_ms: f64,
-    /// Time that it still needs at its pace; infinite if it makes no progress.
-    remaining_ms: f64,
-}
-
 /// What copies and all attempts use, in thousandths of a core.
 #[derive(Clone, Copy, Debug, Default)]
 struct CopyBudget {
@@ -76,8 +48,8 @@
 }
 
 impl<F: OperatorFormat> PlannerMachine<F> {
-    /// Starts copies of stragglers where room is idle.
-    pub(super) fn start_copies(&mut self, now: ClockReading) {
+    /// Starts copies of stragglers, or moves them, where room is idle.
+    pub(super) fn relieve_stragglers(&mut self, now: ClockReading) {
         let due = now.mono.since(self.last_copies) >= COPY_INTERVAL;
         if !self.policy.copies || !due {
             return;
@@ -100,90 +72,23 @@
                 true => self.place_copy(&straggler, &waiting, &mut candidates),
                 false => Err("budget"),
             };
-            if outcome.is_ok() {
+            if outcome.is_ok() && straggler.remedy == StragglerRemedy::Copy {
                 budget.copies += CopyBudget::weight(&straggler.demand);
             }
             outcomes.push((straggler, budget, outcome));
         }
         for (straggler, budget, outcome) in outcomes {
             match outcome {
+                Ok(choice) if straggler.remedy == StragglerRemedy::Move => {
+                    self.move_straggler(&straggler, &choice);
+                }
                 Ok(choice) => self.start_copy(now.mono, &straggler, budget, choice),
-                Err(cause) => self.withhold_copy(straggler.run, cause),
-            }
-        }
-    }
-
-    fn stragglers(&self, now: MonoTime) -> Vec<StragglingRun> {
-        let mut found = Vec::new();
-        for view in self.hosts.values() {
-            for (&run, demand) in &view.runs {
-                let Some((job, spec)) = self.copyable(run) else {
-                    continue;
-                };
-                let record = job.record.as_ref().map(Arc::clone);
-                let finding = self.straggler_finding(now, run, job, spec);
-                if let (Some(record), Some(finding)) = (record, finding) {
-                    found.push(StragglingRun {
-                        run,
-                        host: view.host.clone(),
-                        demand: *demand,
-                        record,
-                        finding,
-                    });
+                Err(cause) if straggler.remedy == StragglerRemedy::Copy => {
+                    self.withhold_copy(straggler.run, cause);
                 }
+                Err(_) => {}
             }
         }
-        found
-    }
-
-    /// Returns the job and the step of an attempt that may get a copy. Both may fail without using
-    /// up the attempts of the task.
-    fn copyable(&self, run: RunName) -> Option<(&JobState, &StepSpec)> {
-        let (job, task) = self.ledger.task(run.task)?;
-        let record = job.record.as_ref()?;
-        let spec = job.spec(run.task.step)?;
-        let permitted = spec.copies && !spec.gang && !spec.long_running;
-        let single = task.placements.len() == 1 && !task.done;
-        let attempts = u32::from(record.terms.max_attempts);
-        let spare = u32::from(task.failures) + 2 <= attempts;
-        let open = !job.phase.is_final() && record.body.schedule.times == 0;
-        (permitted && single && spare && open).then_some((job, spec))
-    }
-
-    fn straggler_finding(
-        &self,
-        now: MonoTime,
-        run: RunName,
-        job: &JobState,
-        spec: &StepSpec,
-    ) -> Option<StragglerFinding> {
-        let run_view = self.runs.get(&run)?;
-        let work = run_view.work.filter(|_| run_view.stop_number.is_none())?;
-        let step = run.task.step;
-        let expected_ms = self.run_times.expected_ms(step, &job.queue, spec) as f64;
-        let (least, share) = IDLE_LIMIT;
-        let idle = now.since(run_view.progressed_at).as_secs_f64() * 1000.0;
-        let after = self.run_times.straggler_after_ms(step);
-        let (cause, remaining) = match after {
-            _ if idle > least.max(expected_ms * share) => ("no_progress", None),
-            Some(after) if work.least_whole_ms(now) > after as f64 => {
-                ("slow", work.remaining_ms(now))
-            }
-            _ => return None,
-        };
-        let left = match spec.checkpointing {
-            true => f64::from(100 - run_view.percent.min(100)) / 100.0,
-            false => 1.0,
-        };
-        let (factor, start_ms) = WORTHWHILE;
-        let remaining_ms = remaining.unwrap_or(f64::INFINITY);
-        let worthwhile = remaining_ms > expected_ms * left * factor + start_ms;
-        worthwhile.then_some(StragglerFinding {
-            cause,
-            elapsed_ms: RunWork::elapsed_ms(&work, now),
-            expected_ms,
-            remaining_ms,
-        })
     }
 
     fn copy_budget(&self) -> CopyBudget {
@@ -253,17 +158,12 @@
             task,
             run: state.last_run.next(),
         };
-        let finding = &straggler.finding;
         let detail = format!(
-            "cause={} host={} first={} first_host={} elapsed_ms={:.0} expected_ms={:.0} \
-             remaining_ms={:.0} copies_cpu={} running_cpu={}",
-            finding.cause,
+            "{} host={} first={} first_host={} copies_cpu={} running_cpu={}",
+            straggler.finding,
             choice.host,
             straggler.run,
             straggler.host,
-            finding.elapsed_ms,
-            finding.expected_ms,
-            finding.remaining_ms,
             budget.copies,
             budget.running
         );
@@ -272,6 +172,16 @@
         self.start_attempt(now, run, &straggler.record, choice);
     }
 
+    /// Stops a straggler, which resumes on another host.
+    fn move_straggler(&mut self, straggler: &StragglingRun, choice: &PlacementChoice) {
+        let (from, room) = (&straggler.host, &choice.host);
+        let detail = format!("{} host={from} room_on={room}", straggler.finding);
+        self.log("straggler_moved", straggler.run, detail);
+        self.effects.push(Effect::Count("straggler_moved"));
+        self.avoid_host(straggler.run);
+        self.stop_runs(vec![straggler.run], "straggles");
+    }
+
     /// Logs, once for each attempt, that a straggler gets no copy now.
     fn withhold_copy(&mut self, run: RunName, cause: &'static str) {
         let Some(run_view) = self.runs.get_mut(&run) else {
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -74,7 +74,7 @@
         for (step, choices) in self.place(now.mono, steps) {
             self.start(now.mono, &step, choices);
         }
-        self.start_copies(now);
+        self.relieve_stragglers(now);
     }
 
     /// Returns whether the planner has read cancellations and evacuations recently. A planner that
--- a/crates/hornbeamlead_jobs/tests/step_copies.rs
+++ b/crates/hornbeamlead_jobs/tests/step_copies.rs
@@ -102,6 +102,7 @@
 #[rstest]
 #[case::not_permitted(StepSpec { copies: false, ..copied_step() }, true)]
 #[case::gang(StepSpec { gang: true, ..copied_step() }, true)]
+#[case::moved_gang(StepSpec { gang: true, copies: false, checkpointing: true, ..copied_step() }, true)]
 #[case::long_running(StepSpec { long_running: true, ..copied_step() }, true)]
 #[case::switched_off(copied_step(), false)]
 #[case::last_attempt(copied_step(), true)]
@@ -118,7 +119,9 @@
     world.set_attempts(attempts);
     world.run(3000);
     world.submit(JOB, body(step));
-    world.run(7 * TASK_MS + 2000);
+    world.run(3 * TASK_MS);
+    assert_eq!(world.attempts(straggler()).len(), 1);
+    world.run(4 * TASK_MS + 2000);
     assert_eq!(world.judge.starts.len(), 6);
     assert_sound(&world);
 }
@@ -217,6 +220,25 @@
     }
 }
 
+/// A straggler that saves checkpoints and may not have a copy moves; it runs once at a time.
+#[rstest]
+fn straggler_moves(#[values(1, 2, 3)] seed: u64) {
+    let mut world = world(seed);
+    let step = StepSpec {
+        copies: false,
+        checkpointing: true,
+        ..copied_step()
+    };
+    world.submit(JOB, body(step));
+    world.run(200);
+    let (_, host) = world.attempts(straggler())[0];
+    world.run(COPIED_MS);
+    assert_eq!(world.phase(JOB), Some(JobPhase::Completed));
+    let last = world.judge.starts.last().map(|start| start.host);
+    assert!(world.judge.starts.len() == 7 && last != Some(host));
+    assert_sound(&world);
+}
+
 /// A job is cancelled while two attempts of a task run.
 #[rstest]
 fn cancelled_between(#[values(1, 2, 3, 4)] seed: u64, #[values(0, 1900)] delay_ms: u64) {
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -42,7 +42,7 @@
 use std::time::Duration;
 
 pub(crate) use faults::WorldFaults;
-use patterns::planner_policy;
+use patterns::{MAX_ATTEMPTS, planner_policy, world_config};
 
 /// Step of the virtual clock, in milliseconds.
 const STEP_MS: u64 = 5;
@@ -50,9 +50,6 @@
 /// Usual round trip of a call to the store, in milliseconds.
 const STORE_MS: u64 = 10;
 
-/// Attempts of a task unless a test sets fewer.
-const MAX_ATTEMPTS: u16 = 20;
-
 /// First reading of the virtual clock, in milliseconds; not 0, so that no reading is 0.
 const START_MS: u64 = 10_000;
 
@@ -70,27 +67,6 @@
     }
 }
 
-fn world_config(attempts: Option<&[u8]>) -> FleetConfig {
-    let attempts = attempts.and_then(|text| str::from_utf8(text).ok()?.parse().ok());
-    let terms = QueueTerms {
-        queue: "h/q/".into(),
-        service: "s".into(),
-        priority: 0,
-        max_attempts: attempts.unwrap_or(MAX_ATTEMPTS),
-        target_factor: 2.0,
-        target_latency_ms: 500,
-    };
-    FleetConfig {
-        version: 1,
-        routes: vec![QueueRoute {
-            host: "h".into(),
-            prefix: "/q/".into(),
-            terms,
-        }],
-        services: BTreeMap::new(),
-    }
-}
-
 /// Agent process of a host.
 struct WorldAgent {
     supervisor: SupervisorMachine,
--- a/crates/hornbeamlead_jobs/tests/world/patterns.rs
+++ b/crates/hornbeamlead_jobs/tests/world/patterns.rs
@@ -1,7 +1,10 @@
-//! Run times and readings of the emulated tasks, and the policy of the planners.
+//! Run times and readings of the emulated tasks, the configuration and the policy of planners.
 
 use super::*;
 
+/// Attempts of a task unless a test sets fewer.
+pub(super) const MAX_ATTEMPTS: u16 = 20;
+
 /// Latency of serving tasks as a fraction of their target.
 const SERVING_LEVEL: f64 = 0.4;
 
@@ -93,3 +96,24 @@
         copies: false,
     }
 }
+
+pub(super) fn world_config(attempts: Option<&[u8]>) -> FleetConfig {
+    let attempts = attempts.and_then(|text| str::from_utf8(text).ok()?.parse().ok());
+    let terms = QueueTerms {
+        queue: "h/q/".into(),
+        service: "s".into(),
+        priority: 0,
+        max_attempts: attempts.unwrap_or(MAX_ATTEMPTS),
+        target_factor: 2.0,
+        target_latency_ms: 500,
+    };
+    FleetConfig {
+        version: 1,
+        routes: vec![QueueRoute {
+            host: "h".into(),
+            prefix: "/q/".into(),
+            terms,
+        }],
+        services: BTreeMap::new(),
+    }
+}
--- a/crates/hornbeamlead_settings/src/fleet.rs
+++ b/crates/hornbeamlead_settings/src/fleet.rs
@@ -54,7 +54,7 @@
         throttle_grace: Duration,
         /// Time between two changes of the throttle.
         throttle_step: Duration,
-        /// Whether steps that permit it get copies of tasks that run far longer than their siblings.
+        /// Whether tasks that run far longer than their siblings get copies or move.
         copies: bool,
     },
 }
