[jobs] Place fewer tasks on hosts that are clearly slow

Of each host the last 9 tasks are kept as multiples of their siblings' median. A median of 1.75 or above, from four tasks on, costs in placement by how much it is above 1; a host that runs nothing for 30 s is tried again. Kept by the planner alone.

Ruled out: probation, since a slow host still works when room is short.

--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -8,6 +8,7 @@
 mod consolidate;
 mod copies;
 mod health;
+pub mod host_speeds;
 mod hosts;
 mod intake;
 pub mod interference;
@@ -39,6 +40,7 @@
 use crate::store::{PlannerComponent, StoreCaller, StoreOutcome, StreamName};
 use batch::RecordBatch;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
+use host_speeds::HostSpeeds;
 use interference::InterferenceModel;
 use recovery::RecoveryState;
 use run_times::{RunTimes, RunWork};
@@ -160,6 +162,7 @@
     interference: InterferenceModel,
     serving_levels: ServingLevels,
     run_times: RunTimes,
+    host_speeds: HostSpeeds,
     batch: RecordBatch,
     upkeep: UpkeepState,
     pass_needed: bool,
@@ -203,6 +206,7 @@
             interference: InterferenceModel::default(),
             serving_levels: ServingLevels::default(),
             run_times: RunTimes::default(),
+            host_speeds: HostSpeeds::default(),
             batch: RecordBatch::new(epoch, claim, now),
             upkeep: UpkeepState::new(now),
             pass_needed: false,
@@ -324,7 +328,7 @@
         self.log("task_ended", run, format!("end={end} host={host}"));
         self.effects.push(Effect::Count(end_counter(end)));
         self.update_health(now, run, &host, end);
-        self.learn_end(now, run, end);
+        self.learn_end(now, run, &host, end);
         self.runs.remove(&run);
         self.record(now, PlanRecord::Ended { run, end, saved });
         self.stop_other_attempts(run);
--- a/crates/hornbeamlead_jobs/src/planner/readings.rs
+++ b/crates/hornbeamlead_jobs/src/planner/readings.rs
@@ -49,8 +49,8 @@
         }
     }
 
-    /// Learns the run time of a task from the end of its attempt.
-    pub(super) fn learn_end(&mut self, now: MonoTime, run: RunName, end: RunEnd) {
+    /// Learns the run time of a task, and the speed of its host, from the end of its attempt.
+    pub(super) fn learn_end(&mut self, now: MonoTime, run: RunName, host: &HostName, end: RunEnd) {
         self.run_times.remove_run(run);
         let run_view = self.runs.get(&run);
         let work = run_view.and_then(|run_view| Some((run_view.work?, run_view.cpu_rate)));
@@ -62,6 +62,13 @@
             work.advance(now, rate, 100);
             self.run_times.finish(run, &job.queue, spec, &work);
         }
+        let median_ms = self.run_times.median_ms(run.task.step);
+        let ratio = median_ms.and_then(|median_ms| Some(work.projected_ms()? / median_ms));
+        let slow = ratio.and_then(|ratio| self.host_speeds.observe(now, host, ratio));
+        if let Some(median) = slow {
+            self.log("host_slow", host, format!("run_time_ratio={median:.2}"));
+            self.effects.push(Effect::Count("host_slow"));
+        }
     }
 
     /// Takes an interference sample from a host's report and learns from it.
--- a/crates/hornbeamlead_jobs/src/planner/run_times.rs
+++ b/crates/hornbeamlead_jobs/src/planner/run_times.rs
@@ -204,6 +204,13 @@
         siblings.unwrap_or_else(estimate).round() as u64
     }
 
+    /// Returns the median run time of the tasks of a step in milliseconds, or `None` if too few are
+    /// known.
+    pub(super) fn median_ms(&self, step: StepName) -> Option<f64> {
+        let times = self.steps.get(&step)?.sorted();
+        quantile(&times, 0.5).filter(|_| times.len() >= MIN_SIBLINGS)
+    }
+
     /// Returns the run time in milliseconds beyond which a task of the step is a straggler, or
     /// `None` if too few of its siblings are known.
     #[must_use]
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -181,7 +181,8 @@
                     worker: view.worker.as_ref()?,
                     load: HostLoad::of(&view.runs),
                     placed: BTreeMap::new(),
-                    failure_cost: f64::from(view.consecutive_failures),
+                    failure_cost: f64::from(view.consecutive_failures)
+                        + self.host_speeds.cost(now, &view.host),
                     max_tasks: if view.probation {
                         PROBATION_TASKS
                     } else {
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -150,6 +150,8 @@
     pub(crate) task_ms: Option<u64>,
     /// Task of each step whose first attempt takes seven times as long.
     pub(crate) straggler: Option<u32>,
+    /// Host on which ordinary tasks take three times as long.
+    pub(crate) slow_tasks_on: Option<usize>,
     /// Whether stragglers get copies, in planners from now on.
     pub(crate) copies: bool,
     /// Rate of the workers' clocks in percent of true time.
@@ -217,6 +219,7 @@
             best_effort_ms: None,
             task_ms: None,
             straggler: None,
+            slow_tasks_on: None,
             copies: true,
             worker_clock_percent: 100,
             accepted: Vec::new(),
--- a/crates/hornbeamlead_jobs/tests/world/patterns.rs
+++ b/crates/hornbeamlead_jobs/tests/world/patterns.rs
@@ -11,6 +11,9 @@
 /// Multiple of the usual run time that a straggler takes.
 const STRAGGLER_FACTOR: u64 = 7;
 
+/// Multiple of the usual run time that tasks take on a slow host.
+const SLOW_HOST_FACTOR: u64 = 3;
+
 impl World {
     /// Returns the run of an attempt that a call starts now.
     pub(super) fn planned_run(&mut self, now: u64, host: usize, call: &WorkerCall) -> EmulatedRun {
@@ -33,6 +36,7 @@
             _ if is_first && self.straggler == Some(run.task.index) => {
                 Some(task_ms * STRAGGLER_FACTOR)
             }
+            _ if self.slow_tasks_on == Some(host) => Some(task_ms * SLOW_HOST_FACTOR),
             _ => Some(task_ms),
         };
         EmulatedRun {
