--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -8,6 +8,7 @@
 mod consolidate;
 mod copies;
 mod health;
+pub mod host_speeds;
 mod hosts;
 mod intake;
 pub mod interference;
@@ -26,6 +27,7 @@
 mod schedule;
 pub mod service_order;
 mod serving_level;
+mod stragglers;
 mod upkeep;
 
 pub use hosts::HostView;
@@ -44,6 +46,7 @@
 use batch::RecordBatch;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
 use hornbeamlead_core::policy::ServiceOrder;
+use host_speeds::HostSpeeds;
 use interference::InterferenceModel;
 use journal::JournalWriter;
 use load_report::LoadTracker;
@@ -78,8 +81,8 @@
     pub placement: PlacementPolicy,
     /// Order in which jobs are served.
     pub order: ServiceOrder,
-    /// Whether steps that permit it get second attempts of tasks that run far longer than their
-    /// siblings.
+    /// Whether tasks that run far longer than their siblings get a second attempt, if their step
+    /// permits it, or move, if they save checkpoints.
     pub copies: bool,
 }
 
@@ -170,6 +173,7 @@
     interference: InterferenceModel,
     serving_levels: ServingLevels,
     run_times: RunTimes,
+    host_speeds: HostSpeeds,
     batch: RecordBatch,
     journal: JournalWriter,
     upkeep: UpkeepState,
@@ -218,6 +222,7 @@
             interference: InterferenceModel::default(),
             serving_levels: ServingLevels::default(),
             run_times: RunTimes::default(),
+            host_speeds: HostSpeeds::default(),
             batch: RecordBatch::new(epoch, claim, now),
             journal: JournalWriter::new(epoch, claim),
             upkeep: UpkeepState::new(now),
@@ -345,7 +350,7 @@
         self.log("task_ended", run, format!("end={end} host={host}"));
         self.effects.push(Effect::Count(end_counter(end)));
         self.update_health(now, run, &host, end);
-        self.learn_end(now, run, end);
+        self.learn_end(now, run, &host, end);
         self.runs.remove(&run);
         if end == RunEnd::Done {
             self.count_completed(run);
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -79,7 +79,7 @@
         for (step, choices) in self.place(now, steps) {
             self.start(now.mono, &step, choices);
         }
-        self.start_copies(now);
+        self.relieve_stragglers(now);
     }
 
     /// Returns whether the planner has read cancellations and evacuations recently. A planner that
@@ -212,7 +212,8 @@
                     worker: view.worker.as_ref()?,
                     load: HostLoad::of(&view.runs),
                     placed: BTreeMap::new(),
-                    failure_cost: f64::from(view.consecutive_failures),
+                    failure_cost: f64::from(view.consecutive_failures)
+                        + self.slowness_cost(now, &view.host),
                     max_tasks: if view.probation {
                         PROBATION_TASKS
                     } else {
@@ -224,6 +225,15 @@
             .collect()
     }
 
+    /// Returns the cost of a host on which tasks take far longer than their siblings, if the
+    /// settings call for it.
+    fn slowness_cost(&self, now: MonoTime, host: &HostName) -> f64 {
+        match self.policy.copies {
+            true => self.host_speeds.cost(now, host),
+            false => 0.0,
+        }
+    }
+
     fn place_step(
         &self,
         step: &ReadyStep,
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -43,7 +43,7 @@
 use std::time::Duration;
 
 pub(crate) use faults::WorldFaults;
-use patterns::planner_policy;
+use patterns::{MAX_ATTEMPTS, planner_policy, world_config};
 
 /// Step of the virtual clock, in milliseconds.
 const STEP_MS: u64 = 5;
@@ -51,9 +51,6 @@
 /// Usual round trip of a call to the store, in milliseconds.
 const STORE_MS: u64 = 10;
 
-/// Attempts of a task unless a test sets fewer.
-const MAX_ATTEMPTS: u16 = 20;
-
 /// First reading of the virtual clock, in milliseconds; not 0, so that no reading is 0.
 const START_MS: u64 = 10_000;
 
@@ -71,27 +68,6 @@
     }
 }
 
-fn world_config(attempts: Option<&[u8]>) -> FleetConfig {
-    let attempts = attempts.and_then(|text| str::from_utf8(text).ok()?.parse().ok());
-    let terms = QueueTerms {
-        queue: "h/q/".into(),
-        service: "s".into(),
-        priority: 0,
-        max_attempts: attempts.unwrap_or(MAX_ATTEMPTS),
-        target_factor: 2.0,
-        target_latency_ms: 500,
-    };
-    FleetConfig {
-        version: 1,
-        routes: vec![QueueRoute {
-            host: "h".into(),
-            prefix: "/q/".into(),
-            terms,
-        }],
-        services: BTreeMap::new(),
-    }
-}
-
 /// Agent process of a host.
 struct WorldAgent {
     supervisor: SupervisorMachine,
@@ -179,6 +155,8 @@
     pub(crate) task_ms: Option<u64>,
     /// Task of each step whose first attempt takes seven times as long.
     pub(crate) straggler: Option<u32>,
+    /// Host on which ordinary tasks take three times as long.
+    pub(crate) slow_tasks_on: Option<usize>,
     /// Whether stragglers get copies, in planners from now on.
     pub(crate) copies: bool,
     /// Rate of the workers' clocks in percent of true time.
@@ -249,6 +227,7 @@
             best_effort_ms: None,
             task_ms: None,
             straggler: None,
+            slow_tasks_on: None,
             copies: true,
             worker_clock_percent: 100,
             accepted: Vec::new(),
--- a/crates/hornbeamlead_settings/src/fleet.rs
+++ b/crates/hornbeamlead_settings/src/fleet.rs
@@ -59,7 +59,7 @@
         throttle_step: Duration,
         /// Order in which the planner serves jobs.
         order: ServiceOrder,
-        /// Whether steps that permit it get copies of tasks that run far longer than their siblings.
+        /// Whether tasks that run far longer than their siblings get copies or move.
         copies: bool,
     },
 }
