--- a/crates/hornbeamlead_daemon/tests/keyed_requests.rs
+++ b/crates/hornbeamlead_daemon/tests/keyed_requests.rs
@@ -5,6 +5,8 @@
 use common::{open_service, plan};
 use hornbeamlead_standin::client::TestRequest;
 use hornbeamlead_standin::fleet::Fleet;
+use hornbeamlead_standin::worker::WorkerStandin;
+use hornbeamlead_standin::worker::control::WorkerSettings;
 use std::collections::BTreeMap;
 use std::thread::sleep;
 use std::time::Duration;
@@ -89,6 +91,25 @@
     assert_eq!(runs_by_key(&fleet).len(), 21);
 }
 
+/// Workers of another fleet announce themselves to agents whose ports were those of its own agents.
+#[test]
+fn foreign_workers_announced() {
+    let fleet = fleet();
+    let strays = fleet.agents.iter().map(|agent| {
+        let settings = WorkerSettings {
+            agent: Some(agent.process.address("local")),
+            ..WorkerSettings::default()
+        };
+        WorkerStandin::start(settings).expect("the worker starts")
+    });
+    let strays: Vec<WorkerStandin> = strays.collect();
+    await_arbiters(&fleet);
+    assert_single_runs(&fleet);
+    for stray in strays {
+        assert!(stray.stop().1.runs.is_empty());
+    }
+}
+
 #[test]
 fn agent_killed() {
     let mut fleet = fleet();
