--- a/crates/hornbeamlead_jobs/src/entry.rs
+++ b/crates/hornbeamlead_jobs/src/entry.rs
@@ -314,7 +314,9 @@
                 self.apply_plan(now, stored_after, &records);
                 self.plan_caught_up |= caught_up;
                 self.plan_current = caught_up;
-                if self.is_plan_fresh(now) {
+                // A heartbeat that was read late may have been stored before an outage.
+                let recent = |at: MonoTime| now.since(at) <= MAX_PLAN_AGE;
+                if caught_up && stored_after.is_some_and(recent) && self.is_plan_fresh(now) {
                     self.uncertain.prune(now);
                 }
             }
--- a/crates/hornbeamlead_jobs/src/entry/admission.rs
+++ b/crates/hornbeamlead_jobs/src/entry/admission.rs
@@ -65,6 +65,7 @@
             Ordering::Equal => 1.0,
             Ordering::Greater => 1.0 + HISTORY_WEIGHT,
         };
+        self.median = self.median.max(1.0);
     }
 
     /// Returns the least share that is admitted of jobs of the given work.
@@ -130,7 +131,7 @@
     /// Returns the time after which the present work before the job would let it end in time.
     #[must_use]
     pub fn excess(&self, path: Duration) -> Duration {
-        (self.wait + path).saturating_sub(self.limit)
+        self.wait.saturating_add(path).saturating_sub(self.limit)
     }
 }
 
@@ -168,7 +169,7 @@
     };
     let limit = objective.mul_f64(MAX_OBJECTIVES);
     let wait = expected_wait(&load, terms, job.work);
-    let ratio = (wait + job.path).as_secs_f64() / limit.as_secs_f64();
+    let ratio = wait.saturating_add(job.path).as_secs_f64() / limit.as_secs_f64();
     let share = ((NO_ADMISSION - ratio) / (NO_ADMISSION - 1.0)).clamp(0.0, 1.0);
     let least_share = load.history.map(|history| history.least_share(job.work));
     let share = share.max(least_share.unwrap_or(0.0));
@@ -212,7 +213,7 @@
             (_, 0) => Duration::ZERO,
             (waiting, speed) => {
                 let before = waiting * share + load.accepted.class(best_effort).0 as f64;
-                Duration::from_secs_f64(before / f64::from(speed))
+                Duration::try_from_secs_f64(before / f64::from(speed)).unwrap_or(Duration::MAX)
             }
         }
     };
--- a/crates/hornbeamlead_jobs/src/entry/append.rs
+++ b/crates/hornbeamlead_jobs/src/entry/append.rs
@@ -182,12 +182,21 @@
             return;
         };
         let submissions = self.submissions(job);
+        // Another append of the same job may have been stored, or have ended without an answer.
+        let known = self.phase(job).is_some();
+        let uncertain = self.uncertain.contains(job);
         let Some(pending) = self.pending.get_mut(&ticket) else {
             return;
         };
         // The same caller may have come again while its first append was in flight.
-        let repeated = !pending.is_cancel() && submissions > 1;
+        let is_submission = !pending.is_cancel();
+        let repeated = is_submission && (submissions > 1 || uncertain);
         match outcome {
+            StoreOutcome::Refused { .. } if is_submission && known => {
+                self.pending.remove(&ticket);
+                self.log("submit_repeated", job, String::new());
+                self.reply(ticket, CallerReply::Accepted);
+            }
             StoreOutcome::Appended { offset } => self.complete_append(ticket, offset),
             StoreOutcome::Refused { cause } if !pending.possibly_stored && !repeated => {
                 let kind = pending.kind;
--- a/crates/hornbeamlead_jobs/src/entry/load_view.rs
+++ b/crates/hornbeamlead_jobs/src/entry/load_view.rs
@@ -9,6 +9,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+/// Most jobs that are kept while no report says which of them it includes.
+const MAX_ACCEPTED: usize = 20_000;
+
 /// Time after which accepted work no longer counts, if no report shows that the plan contains it.
 const MAX_ACCEPTED_AGE: Duration = Duration::from_secs(3);
 
@@ -96,6 +99,10 @@
 
     /// Adds a job whose append has been sent.
     pub(super) fn add(&mut self, now: MonoTime, job: JobId, terms: &QueueTerms, work: JobWork) {
+        // Reports remove old work; without any, nothing is decided by it.
+        if self.accepted.len() >= MAX_ACCEPTED {
+            self.accepted.clear();
+        }
         let accepted = AcceptedWork {
             service: terms.service.clone(),
             priority: terms.priority,
--- a/crates/hornbeamlead_jobs/src/entry/replies.rs
+++ b/crates/hornbeamlead_jobs/src/entry/replies.rs
@@ -93,6 +93,9 @@
         if !self.policy.admission || !self.is_plan_fresh(now) || !self.store_watch.is_calm(now) {
             return None;
         }
+        if !facts.has_objective {
+            return None;
+        }
         let random = self.random.random();
         let decision = decide(self.load.facts(now, terms), terms, facts, random);
         let share = decision.share;
--- a/crates/hornbeamlead_jobs/src/planner/copies.rs
+++ b/crates/hornbeamlead_jobs/src/planner/copies.rs
@@ -70,11 +70,12 @@
         let mut candidates = self.candidates(now.mono);
         let mut outcomes = Vec::new();
         for straggler in stragglers {
-            let outcome = match budget.admits(&straggler.demand) {
+            let is_move = straggler.remedy == StragglerRemedy::Move;
+            let outcome = match is_move || budget.admits(&straggler.demand) {
                 true => self.place_copy(&straggler, &waiting, &mut candidates),
                 false => Err("budget"),
             };
-            if outcome.is_ok() && straggler.remedy == StragglerRemedy::Copy {
+            if outcome.is_ok() && !is_move {
                 let weight = CopyBudget::weight(&straggler.demand);
                 budget.copies = budget.copies.saturating_add(weight);
             }
--- a/crates/hornbeamlead_jobs/src/planner/orders.rs
+++ b/crates/hornbeamlead_jobs/src/planner/orders.rs
@@ -15,6 +15,8 @@
         let run = order.run;
         let state = self.ledger.task(run.task);
         let ended = state.is_none_or(|(job, task)| job.phase.is_final() || task.done);
+        // The attempt may have ended while its record waited for the store.
+        let ended = ended || self.ledger.placement(run).is_none();
         let current = self.has_current_inputs(now);
         let view = self.hosts.get_mut(host);
         let usable = view.as_ref().is_some_and(|view| {
--- a/crates/hornbeamlead_jobs/src/planner/overload.rs
+++ b/crates/hornbeamlead_jobs/src/planner/overload.rs
@@ -6,6 +6,7 @@
 //! of them wait.
 
 use super::PlannerMachine;
+use super::placement::HostLoad;
 use super::ready::{DeadlineOutlook, ReadyStep, saturating_signed};
 use super::service_order::{JobDemand, select_on_time};
 use crate::effect::Effect;
@@ -49,20 +50,24 @@
 /// What the planner knows about the shortage of room.
 #[derive(Debug)]
 pub(super) struct OverloadState {
-    /// Share of the room beside other tasks that best-effort tasks get.
-    best_effort_share: f64,
+    /// Share of the room beside other tasks that best-effort tasks get, by service.
+    best_effort_shares: BTreeMap<Box<str>, f64>,
+    /// Services that had no room for some best-effort tasks in the latest pass.
+    short_of_room: BTreeSet<Box<str>>,
     observed_at: MonoTime,
     selected_at: MonoTime,
     /// Services that use more than half of their capacity, whatever their best-effort tasks use.
     busy: BTreeSet<Box<str>>,
-    /// Work that is left of the occurrences that will be late, in core-milliseconds.
+    /// Work that is left of the occurrences that were not selected or are late already, in
+    /// core-milliseconds.
     deferred: BTreeMap<OccurrenceName, f64>,
 }
 
 impl Default for OverloadState {
     fn default() -> Self {
         Self {
-            best_effort_share: FIRST_SHARE,
+            best_effort_shares: BTreeMap::new(),
+            short_of_room: BTreeSet::new(),
             observed_at: MonoTime(0),
             selected_at: MonoTime(0),
             busy: BTreeSet::new(),
@@ -72,19 +77,39 @@
 }
 
 impl OverloadState {
+    /// Sets the services that had no room for some best-effort tasks.
+    pub(super) fn note_shortage(&mut self, services: BTreeSet<Box<str>>) {
+        self.short_of_room = services;
+    }
+
     /// Learns the share of the room that best-effort tasks get while more of them wait.
-    fn observe(&mut self, now: MonoTime, used: f64, room: f64) {
-        if room <= 0.0 || now.since(self.observed_at) < OBSERVE_INTERVAL {
+    fn observe(&mut self, now: MonoTime, rooms: &BTreeMap<Box<str>, ServiceRoom>) {
+        if now.since(self.observed_at) < OBSERVE_INTERVAL {
             return;
         }
         self.observed_at = now;
-        let (least, most) = SHARE_RANGE;
-        let share = (used / room).clamp(least, most);
-        self.best_effort_share += SHARE_WEIGHT * (share - self.best_effort_share);
+        let short = rooms.iter().filter(|(service, room)| {
+            self.short_of_room.contains(*service) && room.best_effort > 0.0
+        });
+        for (service, room) in short {
+            let (least, most) = SHARE_RANGE;
+            let observed = (room.best_effort_used / room.best_effort).clamp(least, most);
+            let share = self
+                .best_effort_shares
+                .entry(service.clone())
+                .or_insert(FIRST_SHARE);
+            *share += SHARE_WEIGHT * (observed - *share);
+        }
+    }
+
+    fn best_effort_share(&self, service: &str) -> f64 {
+        let share = self.best_effort_shares.get(service);
+        share.copied().unwrap_or(FIRST_SHARE)
     }
 }
 
-/// Capacity of a service, and what its tasks use.
+/// Capacity of a service, and what its tasks use: CPU in thousandths of a core, memory in
+/// mebibytes. Capacity and what is reserved count on all workers, the rest on those that get tasks.
 #[derive(Clone, Copy, Debug, Default)]
 struct ServiceRoom {
     cpu: f64,
@@ -117,7 +142,7 @@
     pub(super) fn defer_by_value(&mut self, now: ClockReading, steps: &mut [ReadyStep]) {
         if now.mono.since(self.overload.selected_at) >= SELECT_INTERVAL {
             self.overload.selected_at = now.mono;
-            self.update_selection(now, steps);
+            self.update_selection(now);
         }
         for step in steps {
             let name = (step.name.job, step.name.occurrence);
@@ -133,16 +158,9 @@
         }
     }
 
-    fn update_selection(&mut self, now: ClockReading, steps: &[ReadyStep]) {
+    fn update_selection(&mut self, now: ClockReading) {
         let rooms = self.rooms_by_service(now.mono);
-        let waiting = steps
-            .iter()
-            .filter(|step| step.record.body.is_best_effort())
-            .find_map(|step| rooms.get(&step.record.terms.service));
-        if let Some(room) = waiting {
-            let (used, available) = (room.best_effort_used, room.best_effort);
-            self.overload.observe(now.mono, used, available);
-        }
+        self.overload.observe(now.mono, &rooms);
         let busy = rooms.iter().filter(|(_, room)| room.is_busy());
         self.overload.busy = busy.map(|(service, _)| service.clone()).collect();
         self.update_deferred(now, &rooms);
@@ -150,13 +168,20 @@
 
     fn rooms_by_service(&self, now: MonoTime) -> BTreeMap<Box<str>, ServiceRoom> {
         let mut rooms = BTreeMap::<Box<str>, ServiceRoom>::new();
+        for view in self.hosts.values() {
+            let Some(worker) = &view.worker else {
+                continue;
+            };
+            let load = HostLoad::of(&view.runs);
+            let room = rooms.entry(worker.service.clone()).or_default();
+            room.cpu += f64::from(worker.cpu);
+            room.reserved += f64::from(load.cpu);
+            room.memory += f64::from(worker.memory);
+            room.memory_used += f64::from(load.memory);
+        }
         for candidate in self.candidates(now) {
             let room = rooms.entry(candidate.worker.service.clone()).or_default();
             let cpu = f64::from(candidate.worker.cpu);
-            room.cpu += cpu;
-            room.reserved += f64::from(candidate.load.cpu);
-            room.memory += f64::from(candidate.worker.memory);
-            room.memory_used += f64::from(candidate.load.memory);
             room.best_effort += candidate.best_effort_room();
             let usage = candidate.view.last_sample.1.usage.values();
             room.best_effort_used += usage.sum::<f64>() * cpu;
@@ -189,19 +214,18 @@
         }
         for ((service, best_effort), jobs) in competing {
             let room = rooms.get(&service).copied().unwrap_or_default();
-            let millis = match best_effort {
-                true => room.best_effort * self.overload.best_effort_share,
+            let millicores = match best_effort {
+                true => room.best_effort * self.overload.best_effort_share(&service),
                 false => room.others,
             };
-            let selected = select_on_time(&jobs.demands, millis / 1000.0);
+            let cores = millicores / 1000.0;
+            let selected = select_on_time(&jobs.demands, cores);
             let rows = jobs.names.into_iter().zip(&jobs.demands).zip(selected);
             for ((name, demand), _) in rows.filter(|(_, selected)| !selected) {
                 if !self.overload.deferred.contains_key(&name) {
                     let detail = format!(
-                        "work_ms={:.0} due_in_ms={} cores={:.1}",
-                        demand.work,
-                        demand.due_in_ms,
-                        millis / 1000.0
+                        "work_ms={:.0} due_in_ms={} cores={cores:.1}",
+                        demand.work, demand.due_in_ms
                     );
                     self.effects
                         .push(Effect::log("job_deferred", name.0, detail));
--- a/crates/hornbeamlead_jobs/src/planner/ready.rs
+++ b/crates/hornbeamlead_jobs/src/planner/ready.rs
@@ -25,6 +25,8 @@
     /// Long-running steps first, then by deadline outlook, priority and slack in milliseconds. Jobs
     /// served by value that will be late are ordered by the work that they still need.
     pub(super) sort_key: (bool, DeadlineOutlook, u8, i64),
+    /// Milliseconds left until the job is late even if the step starts now.
+    pub(super) slack_ms: i64,
     pub(super) name: StepName,
     pub(super) record: Arc<JobRecord>,
     /// Indexes of the waiting tasks.
@@ -118,6 +120,7 @@
         let outlook = DeadlineOutlook::new(slack, late_slack, started);
         ready.push(ReadyStep {
             sort_key: (!spec.long_running, outlook, record.terms.priority, slack),
+            slack_ms: slack,
             name: StepName {
                 job,
                 occurrence,
--- a/crates/hornbeamlead_jobs/src/planner/rebalance.rs
+++ b/crates/hornbeamlead_jobs/src/planner/rebalance.rs
@@ -70,6 +70,8 @@
             .retain(|step| jobs.contains_key(&step.job));
         self.failed_hosts
             .retain(|task, _| jobs.contains_key(&task.step.job));
+        self.deferred_occurrences
+            .retain(|job, _| jobs.contains_key(job));
         self.run_times.retain(|job| jobs.contains_key(&job));
         let mut candidates = self.candidates(now);
         let (mut interfering, mut slow) = (Vec::new(), Vec::new());
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -13,7 +13,7 @@
 use crate::record::PlanRecord;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
 use hornbeamlead_core::policy::ServiceOrder;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Least time between two passes. A pass looks at all jobs and hosts, and with hundreds of hosts
@@ -185,12 +185,19 @@
         steps.sort_by_key(|step| step.sort_key);
         let mut candidates = self.candidates(now.mono);
         let mut placed = Vec::new();
+        let mut short_of_room = BTreeSet::new();
         for step in steps {
             let choices = self.place_step(&step, &mut candidates);
+            let spec = step.record.step(step.name);
+            if choices.len() < step.tasks.len() && spec.is_some_and(|spec| spec.best_effort) {
+                short_of_room.insert(step.record.terms.service.clone());
+            }
             if !choices.is_empty() {
                 placed.push((step, choices));
             }
         }
+        drop(candidates);
+        self.overload.note_shortage(short_of_room);
         placed
     }
 
@@ -329,7 +336,7 @@
             };
             let number = gang_run.unwrap_or_else(|| state.last_run.next());
             let run = RunName { task, run: number };
-            let detail = format!("host={} slack_ms={}", choice.host, step.sort_key.3);
+            let detail = format!("host={} slack_ms={}", choice.host, step.slack_ms);
             self.log("task_placed", run, detail);
             self.start_attempt(now, run, &step.record, choice);
         }
--- a/crates/hornbeamlead_jobs/tests/refusals_true.rs
+++ b/crates/hornbeamlead_jobs/tests/refusals_true.rs
@@ -59,7 +59,9 @@
     }
 }
 
-/// Once the plan would show a job that was stored late, the job can be refused.
+/// Once the plan would show a job that was stored late, the job can be refused. A heartbeat that
+/// is read after an outage may have been stored before it; one counts if the read before it was sent
+/// lately.
 #[test]
 fn certain_again() {
     let mut entry = TestEntry::ready();
@@ -68,6 +70,18 @@
     entry.planner_heartbeat(1);
     entry.stored(StoreCaller::Plan, refused());
     let again = entry.submit();
+    assert!(!is_refused(&entry, again));
+    entry.stored(StoreCaller::Ticket(again), APPENDED);
+    let mut entry = TestEntry::ready();
+    submit_unknown(&mut entry);
+    entry.now_ms += 11_000;
+    for offset in 1..=3 {
+        entry.planner_heartbeat(offset);
+        entry.now_ms += 200;
+        entry.tick();
+    }
+    entry.stored(StoreCaller::Plan, refused());
+    let again = entry.submit();
     assert!(is_refused(&entry, again));
 }
 
--- a/crates/hornbeamlead_jobs/tests/value_order.rs
+++ b/crates/hornbeamlead_jobs/tests/value_order.rs
@@ -9,6 +9,12 @@
 use rstest::rstest;
 use world::{World, WorldFaults};
 
+/// Completion objective of the jobs of a burst: twice their critical path, and 0.5 s.
+const OBJECTIVE_MS: u64 = 6500;
+
+/// Pause after each submission of a burst.
+const SUBMIT_PAUSE_MS: u64 = 20;
+
 fn demand(cores_for_a_second: f64, due_in_ms: i64) -> JobDemand {
     let work = cores_for_a_second * 1000.0;
     JobDemand {
@@ -81,15 +87,23 @@
                 ..JobBody::default()
             },
         );
-        world.run(20);
+        world.run(SUBMIT_PAUSE_MS);
     }
     if planner_killed && let Some(planner) = world.planner_host() {
         world.kill(planner);
     }
-    world.run(6500);
-    assert_eq!(world.judge.violations, Vec::<String>::new());
+    // The objective of the job that was submitted first ends now.
+    world.run(OBJECTIVE_MS - jobs.len() as u64 * SUBMIT_PAUSE_MS);
+    let mut on_time = 0;
+    for &job in &jobs {
+        on_time += usize::from(world.phase(job) == Some(JobPhase::Completed));
+        world.run(SUBMIT_PAUSE_MS);
+    }
+    world.run(40_000);
     let completed = |job: &&JobId| world.phase(**job) == Some(JobPhase::Completed);
-    jobs.iter().filter(completed).count()
+    assert_eq!(jobs.iter().filter(completed).count(), jobs.len());
+    assert_eq!(world.judge.violations, Vec::<String>::new());
+    on_time
 }
 
 /// A burst of jobs that cannot all end on time makes some of them late, not nearly all.
