--- a/crates/hornbeamlead_settings/tests/fleet_settings.rs
+++ b/crates/hornbeamlead_settings/tests/fleet_settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a process that runs jobs: the deployment templates are valid, and errors are
 //! reported together.
 
+use hornbeamlead_core::policy::ServiceOrder;
 use hornbeamlead_settings::{FleetRole, has_store, read_fleet_settings};
 use rstest::rstest;
 
@@ -52,15 +53,42 @@
     assert_eq!(read_fleet_settings("agent.json", &text).is_ok(), !expected);
 }
 
-/// Copies are off unless the settings call for them.
+/// Copies are off, and jobs are served by deadline, unless the settings call for the other.
 #[rstest]
-#[case("{", false)]
-#[case("{\"copies\": true, ", true)]
-fn copies_switch(#[case] schedule: &str, #[case] expected: bool) {
+#[case(r#"{"hold_max": "6s"}"#, false, ServiceOrder::ByDeadline)]
+#[case(r#"{"copies": true}"#, true, ServiceOrder::ByDeadline)]
+#[case(r#"{"order": "by_value"}"#, false, ServiceOrder::ByValue)]
+fn schedule_switches(
+    #[case] schedule: &str,
+    #[case] expected_copies: bool,
+    #[case] expected_order: ServiceOrder,
+) {
+    let template = filled_template("agent.json");
+    let begin = template
+        .find("\"schedule\": {")
+        .expect("the template has a schedule");
+    let end = begin + template[begin..].find('}').expect("the schedule ends");
+    let text = format!(
+        "{}\"schedule\": {schedule}{}",
+        &template[..begin],
+        &template[end + 1..]
+    );
+    let settings = read_fleet_settings("agent.json", &text).expect("the settings are valid");
+    let FleetRole::Agent { copies, order, .. } = settings.role else {
+        panic!("an agent's settings are those of an agent");
+    };
+    assert_eq!((copies, order), (expected_copies, expected_order));
+}
+
+/// The deployment calls for both.
+#[test]
+fn deployed_switches() {
     let text = filled_template("agent.json");
-    let text = text.replace("\"schedule\": {", &format!("\"schedule\": {schedule}"));
     let settings = read_fleet_settings("agent.json", &text).expect("the settings are valid");
-    assert!(matches!(settings.role, FleetRole::Agent { copies, .. } if copies == expected));
+    let by_value = |order| order == ServiceOrder::ByValue;
+    assert!(
+        matches!(settings.role, FleetRole::Agent { copies: true, order, .. } if by_value(order))
+    );
 }
 
 #[test]
