[jobs, deploy] Let learned run times decide on moves only where copies are on

Ruled out as the only cause: the order by value and the copies.

Cause, in part: moves of throttled tasks used learned run times whatever the settings said.

--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -81,8 +81,8 @@
     pub placement: PlacementPolicy,
     /// Order in which jobs are served.
     pub order: ServiceOrder,
-    /// Whether tasks that run far longer than their siblings get a second attempt, if their step
-    /// permits it, or move, if they save checkpoints.
+    /// Whether learned run times decide on moves, and tasks that run far longer than their siblings
+    /// get a second attempt, if their step permits it, or move, if they save checkpoints.
     pub copies: bool,
 }
 
--- a/crates/hornbeamlead_jobs/src/planner/rebalance.rs
+++ b/crates/hornbeamlead_jobs/src/planner/rebalance.rs
@@ -177,7 +177,10 @@
             let (job, _) = self.ledger.task(run.task)?;
             let spec = job.spec(run.task.step)?;
             let left = f64::from(100 - run_view.percent.min(100)) / 100.0;
-            let expected = self.run_times.expected_ms(run.task.step, &job.queue, spec);
+            let expected = match self.policy.copies {
+                true => self.run_times.expected_ms(run.task.step, &job.queue, spec),
+                false => spec.estimate_ms.into(),
+            };
             let remaining = Duration::from_millis(expected).mul_f64(left);
             (spec.checkpointing && settled).then_some((run, *demand, remaining))
         })
