[jobs, deploy, tests] Reproduce long-running tasks that wait for workers on probation

What callers see: LOST. A long-running task that has failed does not run again, and a job has nothing running, though workers are sound again and have room.

Cause, to be mended next: a worker on probation gets one task at a time, and leaves probation when a task has completed there. Long-running tasks count as that one task and never complete.

--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -157,6 +157,8 @@
     pub(crate) straggler: Option<u32>,
     /// Host on which ordinary tasks take three times as long.
     pub(crate) slow_tasks_on: Option<usize>,
+    /// Hosts on which ordinary tasks fail.
+    pub(crate) failing_hosts: BTreeSet<usize>,
     /// Whether stragglers get copies, in planners from now on.
     pub(crate) copies: bool,
     /// Rate of the workers' clocks in percent of true time.
@@ -228,6 +230,7 @@
             task_ms: None,
             straggler: None,
             slow_tasks_on: None,
+            failing_hosts: BTreeSet::new(),
             copies: true,
             worker_clock_percent: 100,
             accepted: Vec::new(),
--- a/crates/hornbeamlead_jobs/tests/world/patterns.rs
+++ b/crates/hornbeamlead_jobs/tests/world/patterns.rs
@@ -18,6 +18,7 @@
     /// Returns the run of an attempt that a call starts now.
     pub(super) fn planned_run(&mut self, now: u64, host: usize, call: &WorkerCall) -> EmulatedRun {
         let fails = self.random.random::<f64>() < self.faults.fail;
+        let fails = fails || self.failing_hosts.contains(&host);
         let random_ms = self.random.random_range(150..1500);
         let best_effort_rate = match self.slow_host {
             Some(slow) if slow == host => 0.2,
