[jobs] Probe workers on probation beside their long-running tasks

Cause: a worker on probation was limited to one task of any kind, and probation ends when a task completes there. Long-running tasks counted and never complete, so that probation lasted until the worker or the planner was replaced. Class: a suspicion that nothing can end.

Ruled out: the back-off after a failure (1.5 s, passes), the cost of earlier failures (it orders hosts and bars none), the wait for leases (no host was silent).

Mend: operational long-running tasks do not count towards the limit, so that a worker on probation can always be probed by one task. A worker that still fails gets one at a time (one_probe).

--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -150,6 +150,11 @@
             copy_withheld: false,
         }
     }
+
+    /// Returns whether a long-running attempt has completed its startup.
+    fn is_operational(&self) -> bool {
+        self.listed && self.percent >= 100
+    }
 }
 
 /// State machine of the planner. Performs no I/O: each event returns the effects to carry out.
--- a/crates/hornbeamlead_jobs/src/planner/health.rs
+++ b/crates/hornbeamlead_jobs/src/planner/health.rs
@@ -1,6 +1,6 @@
 //! Worker health, derived from the outcomes of attempts.
 
-use super::PlannerMachine;
+use super::{HostView, PlannerMachine, RunView};
 use crate::ids::{HostName, RunName};
 use crate::job::RunEnd;
 use crate::operators::OperatorFormat;
@@ -14,6 +14,9 @@
 /// Pause after a failure before a worker on probation gets another task.
 const PROBATION_BACKOFF: Duration = Duration::from_millis(1500);
 
+/// Most tasks on a worker on probation whose outcome is still open.
+const PROBATION_TASKS: u32 = 1;
+
 /// Time without progress after which an attempt counts as stalled.
 const STALL_TIMEOUT: Duration = Duration::from_millis(2000);
 
@@ -61,6 +64,19 @@
         }
     }
 
+    /// Returns the most tasks that may be on a worker. Long-running tasks that are operational do not
+    /// count on probation: they never end, so the worker would get no task with which to end it.
+    pub(super) fn task_limit(&self, view: &HostView) -> u32 {
+        if !view.probation {
+            return u32::MAX;
+        }
+        let operational = view.runs.iter().filter(|(run, demand)| {
+            let run_view = self.runs.get(run);
+            demand.long_running && run_view.is_some_and(RunView::is_operational)
+        });
+        operational.count() as u32 + PROBATION_TASKS
+    }
+
     /// Has the next attempt of a task start on another host than the present one, if possible.
     pub(super) fn avoid_host(&mut self, run: RunName) {
         let Some(placement) = self.ledger.placement(run) else {
@@ -88,7 +104,7 @@
                 };
                 let idle = now.since(run_view.progressed_at);
                 let is_stalled = match (demand.long_running, demand.best_effort) {
-                    (true, _) => run_view.percent < 100 && idle > LONG_RUNNING_START_TIMEOUT,
+                    (true, _) => !run_view.is_operational() && idle > LONG_RUNNING_START_TIMEOUT,
                     // A best-effort task may be throttled to a standstill.
                     (false, true) => false,
                     (false, false) => idle > STALL_TIMEOUT,
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -34,9 +34,6 @@
 /// save checkpoints.
 const DRAIN_MARGIN: Duration = Duration::from_millis(1600);
 
-/// Most tasks on a worker that is on probation.
-const PROBATION_TASKS: u32 = 1;
-
 /// Tasks of a job that may be open before its next occurrence has to wait. All occurrences of a
 /// schedule may be due at once.
 const MAX_OPEN_TASKS: usize = 100_000;
@@ -221,11 +218,7 @@
                     placed: BTreeMap::new(),
                     failure_cost: f64::from(view.consecutive_failures)
                         + self.slowness_cost(now, &view.host),
-                    max_tasks: if view.probation {
-                        PROBATION_TASKS
-                    } else {
-                        u32::MAX
-                    },
+                    max_tasks: self.task_limit(view),
                     serving: view.serving(),
                 })
             })
