[jobs, tests] Show that queues count jobs as begun that no worker has begun

The length of a queue is given as 0 while jobs accepted over 5 s before have not begun.

Cause: the entries' index takes a job out of its queue with the record that places its first task. A task that is placed on a suspended host has not begun until the host returns or its leases end. Nothing in the plan says that a worker has begun one.

--- a/crates/hornbeamlead_jobs/tests/world/callers.rs
+++ b/crates/hornbeamlead_jobs/tests/world/callers.rs
@@ -62,15 +62,19 @@
     }
 
     pub(super) fn send_request(&mut self, job: JobId, operation: CallerOperation) -> u64 {
-        self.last_ticket += 1;
-        let ticket = self.last_ticket;
         if matches!(operation, CallerOperation::Submit(_)) {
-            self.submit_tickets.insert(ticket, job);
+            self.submit_tickets.insert(self.last_ticket + 1, job);
         }
+        self.send_to(&format!("/q/{job}"), operation)
+    }
+
+    fn send_to(&mut self, path: &str, operation: CallerOperation) -> u64 {
+        self.last_ticket += 1;
+        let ticket = self.last_ticket;
         let request = CallerRequest {
             ticket,
             host: "h".into(),
-            path: format!("/q/{job}").into(),
+            path: path.into(),
             operation,
             deadline: self.clock().mono.plus(Duration::from_secs(3)),
         };
@@ -98,6 +102,15 @@
         }
     }
 
+    /// Returns the length of the queue as reported to callers.
+    pub(crate) fn queue_length(&mut self) -> Option<usize> {
+        let ticket = self.send_to("/q/", CallerOperation::Read);
+        match self.replies.get(&ticket) {
+            Some(CallerReply::Waiting(waiting)) => Some(*waiting),
+            _ => None,
+        }
+    }
+
     /// Returns the running attempts of a job.
     pub(crate) fn running(&self, job: JobId) -> Vec<RunName> {
         let runs = self
