[schedule] Let the planner's own agent take each view of the cell at once

Callers saw: in a new cell every keyed request ended as outcome unknown (key_history_lost) for the lifetime of a key, 600 s by default. The test agent_unfrozen saw it once, as 30 s without an answer.

Cause: that a cell never had a view before is known by the number of its first view (epoch 1). The planner sent this view to the one host whose heartbeat came next and replaced it in the same event, as that host became a member and, some milliseconds later, the named successor (epoch 3). Its own agent took views with its own next heartbeat only, thus a later one. With that one datagram lost, refused or late no process knew that there was no earlier view. Class: knowledge that lives in one process, or in one datagram, and starts anew elsewhere.

A freeze: the failure came before it. A stray worker: refused since foreign_workers_announced.

Why it works: the planner's agent sees every view in the event that makes it, so it needs no datagram, and others learn from it when they ask before a key runs.

--- a/crates/hornbeamlead_schedule/src/machine.rs
+++ b/crates/hornbeamlead_schedule/src/machine.rs
@@ -331,6 +331,10 @@
             notes_tail: self.notes_poller.tail_read_at(),
         };
         planner.tick(inputs, context);
+        // A heartbeat later the first view may have been replaced already.
+        if planner.epoch() >= self.supervisor.epoch() {
+            self.supervisor.apply_view(planner.view());
+        }
         let candidate = planner.successor_candidate(inputs.cell, context.mono());
         let fresh = planner.is_fresh(context.mono());
         if let Some(successor) = candidate.filter(|_| fresh) {
--- a/crates/hornbeamlead_schedule/src/planner.rs
+++ b/crates/hornbeamlead_schedule/src/planner.rs
@@ -31,7 +31,7 @@
 use hornbeamlead_core::ids::{
     AttemptId, CellId, Epoch, HostId, JobName, LogOffset, RecordId, TaskId,
 };
-use hornbeamlead_core::message::control::{HostHeartbeat, PromiseGrant};
+use hornbeamlead_core::message::control::{CellView, HostHeartbeat, PromiseGrant};
 use hornbeamlead_core::policy::{AgentPolicy, ProcessIdentity, SchedulePolicy};
 use hornbeamlead_core::record::{
     JobEntry, JobRecord, LogBatch, LogError, StreamName, WriterPosition,
@@ -155,6 +155,11 @@
         self.epoch
     }
 
+    /// Returns the view of the cell; `None` before the first one.
+    pub(crate) fn view(&self) -> Option<&CellView> {
+        self.view.view()
+    }
+
     /// Returns whether the planner may renew host leases now.
     pub(crate) fn may_renew(&self, now: MonoTime) -> bool {
         self.planner_lease.may_renew(now, self.schedule())
--- a/crates/hornbeamlead_schedule/src/supervisor.rs
+++ b/crates/hornbeamlead_schedule/src/supervisor.rs
@@ -8,7 +8,7 @@
 use hornbeamlead_core::counter::{RefusalReason, RetryReason};
 use hornbeamlead_core::effect::AgentEffect;
 use hornbeamlead_core::ids::{AttemptId, Epoch, HostId};
-use hornbeamlead_core::message::control::{HeartbeatReply, HostHeartbeat};
+use hornbeamlead_core::message::control::{CellView, HeartbeatReply, HostHeartbeat};
 use hornbeamlead_core::policy::{AgentPolicy, ProcessIdentity};
 use hornbeamlead_core::resource::ResourceSize;
 use hornbeamlead_core::status::HostMembership;
@@ -278,7 +278,7 @@
         } else {
             reply.acknowledged
         };
-        self.apply_view(reply);
+        self.apply_view(reply.view.as_ref());
         self.apply_lease(reply.lease_until, context);
         for command in &reply.commands {
             self.execute(command, context);
@@ -286,9 +286,10 @@
         true
     }
 
-    fn apply_view(&mut self, reply: &HeartbeatReply) {
+    /// Applies a view of the cell unless it is older than the known one.
+    pub(crate) fn apply_view(&mut self, view: Option<&CellView>) {
         let known = self.membership.view.as_ref().map_or(0, |view| view.number);
-        match &reply.view {
+        match view {
             Some(view) if view.number > known => self.membership.view = Some(view.clone()),
             Some(_) | None => {}
         }
