[requests] Log each view that does not follow the previous one

When all keyed requests of a cell end as unknown, no log told whether its agents had seen the first view of the cell, or had missed views: a process with either history logged the same lines. An agent now logs views_followed with the number of the view, the previous one and whether it is the first of the cell, once at its start and after each jump, thus about once a planner's term. first_view_logged checks both lines; it has nothing to find without the change. Tests of hornbeamlead_request (32 cases a property) and hornbeamlead_agent pass; process tests were not run with this line.

--- a/crates/hornbeamlead_request/src/gate.rs
+++ b/crates/hornbeamlead_request/src/gate.rs
@@ -23,9 +23,10 @@
 use hornbeamlead_core::counter::RefusalReason;
 use hornbeamlead_core::effect::AgentEffect;
 use hornbeamlead_core::event::AgentEvent;
+use hornbeamlead_core::explain::DecisionRecord;
 use hornbeamlead_core::fleet::FleetState;
 use hornbeamlead_core::ids::{HostId, LinkId, RequestId, Revision};
-use hornbeamlead_core::message::control::{AnnounceReply, ControlMessage};
+use hornbeamlead_core::message::control::{AnnounceReply, CellView, ControlMessage};
 use hornbeamlead_core::message::request::{LinkMessage, LoadSample, RequestOutcome, RequestReply};
 use hornbeamlead_core::policy::{AgentPolicy, ProcessIdentity};
 use hornbeamlead_core::status::{GateStatus, HostMembership};
@@ -180,11 +181,31 @@
         let now = turn.now.mono;
         self.homes.update(now, turn.context.fleet);
         let view = turn.context.membership.view.as_ref();
+        let previous = self.history.number();
         if self.history.update(now, view) {
+            self.log_view_jump(turn, previous);
             self.resolve_under_new_view(turn);
         }
     }
 
+    /// Logs a view that does not follow the previous one: without the first view, or after a gap,
+    /// keys may be answered as unknown.
+    fn log_view_jump(&self, turn: &mut GateTurn<'_>, previous: u64) {
+        let view = self.history.number();
+        if view == previous + 1 {
+            return;
+        }
+        let first = view == CellView::FIRST_NUMBER;
+        let revision = turn.context.fleet.revision();
+        turn.push(AgentEffect::Decide(DecisionRecord {
+            at: turn.now.wall,
+            subject: format!("cell:{}", self.policy.cell).into(),
+            rule: "views_followed",
+            inputs: format!("view={view} previous={previous} first={first}").into(),
+            revision,
+        }));
+    }
+
     /// Runs every timer that is due.
     fn run_timers(&mut self, turn: &mut GateTurn<'_>) {
         let now = turn.now.mono;
--- a/crates/hornbeamlead_request/tests/keyed_gate.rs
+++ b/crates/hornbeamlead_request/tests/keyed_gate.rs
@@ -367,3 +367,17 @@
     let answer_event = key_answer(queries(&effects)[0], KeyState::Absent);
     assert_eq!(granted(&bench.handle(at(3), &answer_event)).len(), 1);
 }
+
+/// Logs did not tell why keys were unknown: whether an agent had seen the first view of its cell.
+#[rstest]
+#[case::first(FIRST, "view=1048576 previous=0 first=true")]
+#[case::later(FIRST + 1, "view=1048577 previous=0 first=false")]
+fn first_view_logged(#[case] number: u64, #[case] inputs: &str) {
+    let mut bench = two_members(number);
+    let effects = bench.handle(at(1), &keyed(1, "key", None));
+    let logged = effects.iter().any(|effect| match effect {
+        AgentEffect::Decide(record) => record.rule == "views_followed" && *record.inputs == *inputs,
+        _ => false,
+    });
+    assert!(logged, "{effects:?}");
+}
