[jobs] Test that long-running tasks run in time under random schedules of faults

The property tests of random faults check that nothing runs twice, and 30 s after the last fault that tasks run. No test checked the users' rule in time: a long-running task that does not run for 3 s, with room for it twice over, from 6 s after its last run, is lost if these 3 s and the 4 s before them are calm. The emulated platform now watches each task for this, and the faults report how long they disturb it.

`tasks_run_in_time` plays schedules of one to seven faults, which overlap or follow one another: hosts lost with and without the planner, planners killed one after the other or suspended, agents killed, workers that crash, flap, hang or fail everything, workers lost for good, partitions, a dark data centre, a store that is silent or refuses some hosts, lost answers, late orders, connections that go silent for good, and waves of cancelled jobs. Half of the later schedules' pauses end around the end of an earlier fault.

--- a/crates/hornbeamlead_jobs/tests/world/callers.rs
+++ b/crates/hornbeamlead_jobs/tests/world/callers.rs
@@ -155,6 +155,7 @@
 
     /// Keeps the worker of a host from announcing itself for a while.
     pub(crate) fn delay_announcement(&mut self, host: usize, span_ms: u64) {
+        self.disturb(span_ms);
         self.hosts[host].announce_at = self.now + span_ms;
     }
 
--- a/crates/hornbeamlead_jobs/tests/world/calls.rs
+++ b/crates/hornbeamlead_jobs/tests/world/calls.rs
@@ -6,6 +6,9 @@
     pub(super) fn call_store(&mut self, host: usize, incarnation: u64, call: StoreCall) {
         let caller = call.caller;
         let answer = |outcome| WorldEvent::Stored(host, incarnation, caller, outcome);
+        if self.is_store_silent(host) {
+            return self.leave_unanswered(host, incarnation, &call);
+        }
         if let Err(outcome) = self.reach_store(host, &call.operation) {
             let span = if matches!(outcome, StoreOutcome::Refused { .. }) {
                 10
@@ -28,6 +31,7 @@
                     && self.random.random::<f64>() < self.faults.lost_answers;
                 if lost {
                     let span = self.random.random_range(0..4000);
+                    self.disturb(span);
                     let late = WorldEvent::LateAppend(*stream, records.clone(), *condition);
                     self.after(span, late);
                     let cause = "lost".into();
@@ -43,6 +47,51 @@
         }
     }
 
+    pub(super) fn step_reads(&mut self) {
+        let reads = std::mem::take(&mut self.reads);
+        for read in reads {
+            let over = match &read.call.operation {
+                StoreOperation::Read { wait_until, .. } => wait_until.0 / 1000 <= self.now,
+                _ => true,
+            };
+            match self.store.read(&read.call.operation) {
+                Some(outcome) => self.answer_read(read, outcome),
+                None if over => {
+                    let outcome = self.store.read_empty(&read.call.operation);
+                    self.answer_read(read, outcome);
+                }
+                None => self.reads.push(read),
+            }
+        }
+    }
+
+    fn answer_read(&mut self, read: PendingRead, outcome: StoreOutcome) {
+        let caller = read.call.caller;
+        if let Some((host, incarnation)) = read.host
+            && self.is_store_silent(host)
+        {
+            return self.leave_unanswered(host, incarnation, &read.call);
+        }
+        let event = match read.host {
+            Some((host, incarnation)) => WorldEvent::Stored(host, incarnation, caller, outcome),
+            None => WorldEvent::EntryStored(caller, outcome),
+        };
+        self.after(self.store_ms, event);
+    }
+
+    fn is_store_silent(&self, host: usize) -> bool {
+        self.now < self.hosts[host].store_silent_until
+    }
+
+    /// Ends a call that gets no answer, at its deadline.
+    fn leave_unanswered(&mut self, host: usize, incarnation: u64, call: &StoreCall) {
+        let span = (call.deadline.0 / 1000).saturating_sub(self.now);
+        let cause = "silent".into();
+        let outcome = StoreOutcome::Unanswered { cause };
+        let event = WorldEvent::Stored(host, incarnation, call.caller, outcome);
+        self.after(span, event);
+    }
+
     /// Selects a route to the store as a process does. Returns the error of the last route tried.
     fn reach_store(&mut self, host: usize, operation: &StoreOperation) -> Result<(), StoreOutcome> {
         let now = self.clock().mono;
@@ -94,6 +143,7 @@
                     && self.random.random::<f64>() < self.faults.late_orders;
                 if late {
                     let span = self.random.random_range(2000..6000);
+                    self.disturb(span);
                     self.after(span, WorldEvent::LateOrder(host, call.clone()));
                     let answer = WorkerAnswer::Unanswered;
                     return self.after(
--- a/crates/hornbeamlead_jobs/tests/world/faults.rs
+++ b/crates/hornbeamlead_jobs/tests/world/faults.rs
@@ -52,14 +52,15 @@
             }
         }
         if self.chance(faults.freeze) {
-            self.hosts[host].frozen_until = self.now + span.min(4000);
+            self.freeze(host, span.min(4000));
         }
         if self.chance(faults.partition) {
-            self.hosts[host].partitioned_until = self.now + span;
+            self.partition(host, span);
         }
         // Schedules without long partitions keep the random numbers of their seeds.
         if faults.long_partition > 0.0 && self.chance(faults.long_partition) {
-            self.hosts[host].partitioned_until = self.now + self.random.random_range(5000..20_000);
+            let span_ms = self.random.random_range(5000..20_000);
+            self.partition(host, span_ms);
         }
         if faults.late_announcement > 0.0 && self.chance(faults.late_announcement) {
             self.kill(host);
@@ -77,6 +78,7 @@
         }
         if self.chance(faults.store_outage) {
             let all = self.random.random::<bool>();
+            self.disturb(span);
             for (index, other) in self.hosts.iter_mut().enumerate() {
                 if all || index == host || index % 3 == 0 {
                     other.store_down_until = self.now + span;
@@ -87,6 +89,7 @@
 
     /// Kills the agent of a host, which restarts after 400 ms.
     pub(crate) fn kill(&mut self, host: usize) {
+        self.disturb(400);
         self.hosts[host].agent = None;
         self.hosts[host].restart_at = self.now + 400;
         let ended: Vec<_> = self
@@ -110,6 +113,7 @@
 
     /// Powers a host off for a while: neither its agent nor its worker runs meanwhile.
     pub(crate) fn power_off(&mut self, host: usize, span_ms: u64) {
+        self.disturb(span_ms);
         self.kill(host);
         self.crash(host);
         self.hosts[host].restart_at = self.now + span_ms;
@@ -118,6 +122,7 @@
 
     /// Ends all processes except the workers, which cannot start again for a while.
     pub(crate) fn end_processes(&mut self, span_ms: u64) {
+        self.disturb(span_ms);
         self.kill_all();
         for host in &mut self.hosts {
             host.restart_at = self.now + span_ms;
@@ -144,6 +149,7 @@
     /// Crashes the worker of a host, of which another incarnation starts after 700 ms.
     pub(crate) fn crash(&mut self, host: usize) {
         if self.hosts[host].worker.alive {
+            self.disturb(700);
             self.hosts[host].worker.crash();
             self.hosts[host].worker_back_at = self.now + 700;
         }
@@ -164,23 +170,26 @@
     /// Removes a host with its worker and its agent for good. Connections to it are not refused.
     pub(crate) fn remove(&mut self, host: usize) {
         self.lose_worker(host);
-        self.partition(host, u64::MAX / 2);
+        self.hosts[host].partitioned_until = u64::MAX;
         self.hosts[host].agent = None;
         self.hosts[host].restart_at = u64::MAX;
     }
 
     /// Suspends the agent of a host, and with it the planner that it may be.
     pub(crate) fn freeze(&mut self, host: usize, span_ms: u64) {
+        self.disturb(span_ms);
         self.hosts[host].frozen_until = self.now + span_ms;
     }
 
     /// Partitions a host from all others and from the store.
     pub(crate) fn partition(&mut self, host: usize, span_ms: u64) {
+        self.disturb(span_ms);
         self.hosts[host].partitioned_until = self.now + span_ms;
     }
 
     /// Makes the store unavailable to all agents.
     pub(crate) fn stop_store(&mut self, span_ms: u64) {
+        self.disturb(span_ms);
         for host in &mut self.hosts {
             host.store_down_until = self.now + span_ms;
         }
@@ -188,6 +197,7 @@
 
     /// Has the store refuse one host while it serves all others.
     pub(crate) fn refuse_host(&mut self, host: usize, span_ms: u64) {
+        self.disturb(span_ms);
         self.hosts[host].store_down_until = self.now + span_ms;
     }
 }
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -8,6 +8,8 @@
 pub(crate) mod lone;
 mod patterns;
 mod processes;
+mod troubles;
+mod watch;
 
 use hornbeamlead_core::clock::{ClockReading, MonoTime, WallTime};
 use hornbeamlead_core::policy::ServiceOrder;
@@ -44,6 +46,8 @@
 
 pub(crate) use faults::WorldFaults;
 use patterns::{MAX_ATTEMPTS, planner_policy, world_config};
+pub(crate) use troubles::{Pause, Trouble};
+use watch::RunWatch;
 
 /// Step of the virtual clock, in milliseconds.
 const STEP_MS: u64 = 5;
@@ -83,9 +87,13 @@
     frozen_until: u64,
     partitioned_until: u64,
     store_down_until: u64,
+    store_silent_until: u64,
     route: RelayRoute,
     worker: EmulatedWorker,
     worker_back_at: u64,
+    worker_hangs_until: u64,
+    worker_fails_until: u64,
+    crash_at: VecDeque<u64>,
     announce_at: u64,
     draining: bool,
     sequence: u64,
@@ -161,6 +169,7 @@
     pub(crate) copies: bool,
     /// Rate of the workers' clocks in percent of true time.
     pub(crate) worker_clock_percent: u64,
+    watch: Option<RunWatch>,
     /// Jobs that were accepted.
     pub(crate) accepted: Vec<JobId>,
     /// Judge that checks the starts and ends of attempts and collects violations.
@@ -180,9 +189,13 @@
             frozen_until: 0,
             partitioned_until: 0,
             store_down_until: 0,
+            store_silent_until: 0,
             route: RelayRoute::default(),
             worker: EmulatedWorker::new(&format!("w-{index}"), START_MS),
             worker_back_at: 0,
+            worker_hangs_until: 0,
+            worker_fails_until: 0,
+            crash_at: VecDeque::new(),
             announce_at: START_MS,
             draining: false,
             sequence: 0,
@@ -230,6 +243,7 @@
             slow_tasks_on: None,
             copies: true,
             worker_clock_percent: 100,
+            watch: None,
             accepted: Vec::new(),
             judge: JobJudge::default(),
         }
@@ -266,11 +280,13 @@
             if self.now < self.faults_until {
                 self.inject_faults();
             }
+            self.step_flaps();
             self.step_workers();
             self.step_reads();
             self.step_events();
             self.step_hosts();
             self.step_callers();
+            self.step_watch();
         }
     }
 
@@ -350,33 +366,6 @@
         }
     }
 
-    fn step_reads(&mut self) {
-        let reads = std::mem::take(&mut self.reads);
-        for read in reads {
-            let over = match &read.call.operation {
-                StoreOperation::Read { wait_until, .. } => wait_until.0 / 1000 <= self.now,
-                _ => true,
-            };
-            match self.store.read(&read.call.operation) {
-                Some(outcome) => self.answer_read(read, outcome),
-                None if over => {
-                    let outcome = self.store.read_empty(&read.call.operation);
-                    self.answer_read(read, outcome);
-                }
-                None => self.reads.push(read),
-            }
-        }
-    }
-
-    fn answer_read(&mut self, read: PendingRead, outcome: StoreOutcome) {
-        let caller = read.call.caller;
-        let event = match read.host {
-            Some((host, incarnation)) => WorldEvent::Stored(host, incarnation, caller, outcome),
-            None => WorldEvent::EntryStored(caller, outcome),
-        };
-        self.after(self.store_ms, event);
-    }
-
     fn after(&mut self, span_ms: u64, event: WorldEvent) {
         self.last_event += 1;
         self.events
--- a/crates/hornbeamlead_jobs/tests/world/patterns.rs
+++ b/crates/hornbeamlead_jobs/tests/world/patterns.rs
@@ -11,13 +11,17 @@
 /// Multiple of the usual run time that a straggler takes.
 const STRAGGLER_FACTOR: u64 = 7;
 
+/// Time after which a worker that fails all attempts ends one, in milliseconds.
+const FAILING_MS: u64 = 200;
+
 /// Multiple of the usual run time that tasks take on a slow host.
 const SLOW_HOST_FACTOR: u64 = 3;
 
 impl World {
     /// Returns the run of an attempt that a call starts now.
     pub(super) fn planned_run(&mut self, now: u64, host: usize, call: &WorkerCall) -> EmulatedRun {
-        let fails = self.random.random::<f64>() < self.faults.fail;
+        let fails_all = self.now < self.hosts[host].worker_fails_until;
+        let fails = self.random.random::<f64>() < self.faults.fail || fails_all;
         let random_ms = self.random.random_range(150..1500);
         let best_effort_rate = match self.slow_host {
             Some(slow) if slow == host => 0.2,
@@ -31,6 +35,7 @@
         let task_ms = self.task_ms.unwrap_or(random_ms);
         let is_first = run.run.0 == 1;
         let span_ms = match step {
+            _ if fails_all => Some(FAILING_MS),
             Some(step) if step.long_running => None,
             Some(step) if step.best_effort => Some(self.best_effort_ms.unwrap_or(random_ms)),
             _ if is_first && self.straggler == Some(run.task.index) => {
--- a/crates/hornbeamlead_jobs/tests/world/processes.rs
+++ b/crates/hornbeamlead_jobs/tests/world/processes.rs
@@ -349,6 +349,9 @@
     }
 
     pub(super) fn call_now(&mut self, host: usize, incarnation: u64, call: WorkerCall) {
+        if self.now < self.hosts[host].worker_hangs_until {
+            return self.hang_call(host, incarnation, call);
+        }
         let answer = match self.hosts[host].worker.alive {
             true => self.carry_out_with_answer(host, &call, false),
             false => WorkerAnswer::Gone,
