[jobs] Test the loss of the planner's host while the store is silent, as a known failure

What callers see: the store answers no host for 1.1 s, and the planner's host is lost for good 0.5 s before the end of that. 10 s after the end of the outage, the last disturbance, its 16 long-running tasks still don't run (LOST by the users' rule, of which the bound is 10 s); the leases lapse after 10.045 s.

Cause (by the trace): waits in a row whose sum exceeds the rule. The wait for leases counts from the first read of the plan's end that is answered. A read that the store swallows blocks the election until its deadline of 0.7 s and a pause of 0.15 to 0.4 s. Here the read that was answered came 0.79 s after the outage; with the 9.256 s of the leases that is 10.045 s. Up to 1.1 s are possible by the constants. An outage in which calls are refused, or closed, has the pause only: 30 of 30 cases pass.

The watch was too lenient before: a host or worker that is lost for good counted as a disturbance for the 0.7 s that a crashed worker needs to come back.

--- a/crates/hornbeamlead_jobs/tests/lost_watch.rs
+++ b/crates/hornbeamlead_jobs/tests/lost_watch.rs
@@ -6,6 +6,7 @@
 use hornbeamlead_jobs::ids::JobId;
 use proptest::collection::vec;
 use proptest::prelude::*;
+use rstest::rstest;
 use world::{Pause, Trouble, World, WorldFaults};
 
 /// Number of hosts.
@@ -38,6 +39,7 @@
         world.submit(job, World::long_running_job(TASKS));
         world.run(500);
     }
+    world.elect_on_busy_host(JobId(1));
     for (pause, trouble) in schedule {
         world.wait(pause);
         world.apply(trouble);
@@ -123,3 +125,27 @@
         prop_assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
     }
 }
+
+/// Guards against a wait for leases that begins late because the read that would have begun it went
+/// unanswered: the planner's host is lost while the store answers no host.
+#[rstest]
+fn planner_lost_in_outage(
+    #[values(1100, 4300)] span_ms: u64,
+    #[values(0, 500, 700, 900, 1000)] offset_ms: u64,
+    #[values(false, true)] refused: bool,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let hosts = (0..HOSTS).collect();
+    let outage = match refused {
+        true => Trouble::RefuseHosts(hosts, span_ms),
+        false => Trouble::SilenceStore(hosts, span_ms),
+    };
+    let schedule = [
+        (Pause::For(1000), outage),
+        (
+            Pause::AroundEnd(offset_ms),
+            Trouble::RemovePlanner(Vec::new()),
+        ),
+    ];
+    assert_eq!(play(seed, false, &schedule), Vec::<String>::new());
+}
--- a/crates/hornbeamlead_jobs/tests/world/faults.rs
+++ b/crates/hornbeamlead_jobs/tests/world/faults.rs
@@ -150,8 +150,7 @@
     pub(crate) fn crash(&mut self, host: usize) {
         if self.hosts[host].worker.alive {
             self.disturb(700);
-            self.hosts[host].worker.crash();
-            self.hosts[host].worker_back_at = self.now + 700;
+            self.end_worker(host, self.now + 700);
         }
     }
 
@@ -163,8 +162,13 @@
 
     /// Crashes the worker of a host for good.
     pub(crate) fn lose_worker(&mut self, host: usize) {
-        self.crash(host);
-        self.hosts[host].worker_back_at = u64::MAX;
+        self.disturb(0);
+        self.end_worker(host, u64::MAX);
+    }
+
+    fn end_worker(&mut self, host: usize, back_at: u64) {
+        self.hosts[host].worker.crash();
+        self.hosts[host].worker_back_at = back_at;
     }
 
     /// Removes a host with its worker and its agent for good. Connections to it are not refused.
