[jobs] Count leases as renewed only while the worker answers

What callers saw: tasks of a worker that is gone, or that answers nothing, never ran elsewhere if connections to it were not refused but got no answer, for as long as its agent went on (LOST).

Cause: the agent learned of the end of its worker only by a refused connection, by the answer of another incarnation, or by a newer announcement. Without one it reported the worker forever, and the planner took each of these reports for a renewal of all leases on the host. It also went on to place tasks there, each of which then waited for an answer to its start and to its stop.

Ruled out: the planner's own wait. With the host removed, or the worker lost and connections refused, lost_host and lost_worker pass on the same code.

Change: a hold that is not answered 200 ms after its wait makes the worker silent until it answers one. The last report that names the worker is at most 500 ms after its last answer, so its tasks are free at most 500 ms later than those of a host that is removed. The planner keeps the failures of an incarnation that was not reported for a while.

--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -73,6 +73,8 @@
     pub link: Option<LinkId>,
     /// Worker, while one is known to be alive.
     pub worker: Option<WorkerFacts>,
+    /// Latest worker incarnation that a report has named.
+    pub(super) last_incarnation: Option<WorkerIncarnation>,
     /// Latest worker incarnation that is known to have ended.
     pub dead: Option<WorkerIncarnation>,
     /// When the latest report arrived. Before the first report: when the planner started, or when
@@ -130,6 +132,7 @@
             host,
             link: None,
             worker: None,
+            last_incarnation: None,
             dead: None,
             last_contact,
             worker_seen_at: last_contact,
@@ -162,6 +165,19 @@
         self.worker.as_ref().map(|worker| &worker.incarnation)
     }
 
+    /// Sets the worker as reported. Another incarnation starts without failures; one that was only
+    /// not reported for a while keeps them.
+    pub(super) fn set_worker(&mut self, now: MonoTime, worker: Option<&WorkerFacts>) {
+        self.worker = worker.cloned();
+        let incarnation = worker.map(|worker| &worker.incarnation);
+        if incarnation.is_some() && incarnation != self.last_incarnation.as_ref() {
+            self.last_incarnation = incarnation.cloned();
+            self.consecutive_failures = 0;
+            self.probation = false;
+            self.not_before = now;
+        }
+    }
+
     /// Returns whether the worker is draining, that is, about to shut down.
     #[must_use]
     pub fn is_draining(&self) -> bool {
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -137,8 +137,6 @@
         };
         let first = !view.has_reported;
         let changed = view.worker != report.worker;
-        let other_incarnation =
-            view.incarnation() != report.worker.as_ref().map(|worker| &worker.incarnation);
         view.last_contact = now;
         view.has_reported = true;
         if report.worker.is_some() {
@@ -149,13 +147,8 @@
         }
         view.listed = report.listed;
         view.stamp = report.stamp;
-        view.worker = report.worker.clone();
+        view.set_worker(now, report.worker.as_ref());
         view.dead = report.dead.clone();
-        if other_incarnation {
-            view.consecutive_failures = 0;
-            view.probation = false;
-            view.not_before = now;
-        }
         if report.worker.is_some() {
             self.withdraw_bound(now, &host);
         }
--- a/crates/hornbeamlead_jobs/src/supervisor.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor.rs
@@ -15,6 +15,7 @@
     CLOCK_SKEW_FACTOR, WorkerAnnouncement, WorkerFacts, WorkerLists, WorkerRefusal, WorkerReply,
     WorkerTag,
 };
+use calls::answer_due;
 use hornbeamlead_core::clock::MonoTime;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -92,6 +93,10 @@
     hold_epoch: PlannerEpoch,
     acknowledged: u64,
     lists: WorkerLists,
+    /// Time by which the worker has to answer a hold.
+    answer_due: MonoTime,
+    /// Whether it has not. Its leases are not renewed then, so reports do not name it.
+    silent: bool,
     /// Epoch under which the lists were read.
     listed: Option<PlannerEpoch>,
     /// Earliest time at which a draining worker shuts down.
@@ -193,6 +198,7 @@
         }
         self.advance_runs(now);
         self.poll_hold(now);
+        self.check_silence(now);
         self.poll_report(now);
         std::mem::take(&mut self.effects)
     }
@@ -249,6 +255,8 @@
                     hold_epoch: PlannerEpoch(0),
                     acknowledged: 0,
                     lists: WorkerLists::default(),
+                    answer_due: answer_due(now),
+                    silent: false,
                     listed: None,
                     leaves_at,
                 });
@@ -363,6 +371,7 @@
                 Some((Some(WorkerRefusal::OtherLife), "other_life"))
             }
             Some(worker) if worker.facts.draining => Some((None, "worker_draining")),
+            Some(worker) if worker.silent => Some((None, "worker_silent")),
             Some(_) if age > MAX_ORDER_AGE => Some((None, "order_too_old")),
             Some(_) if self.runs.contains_key(&run) => return,
             Some(_) => None,
@@ -425,7 +434,7 @@
     fn report(&self, now: MonoTime) -> HostReport {
         let unconfirmed =
             |(run, stage): (&RunName, &RunStage)| (*stage != RunStage::Listed).then_some(*run);
-        let worker = self.worker.as_ref();
+        let worker = self.worker.as_ref().filter(|worker| !worker.silent);
         let lists = worker
             .map(|worker| worker.lists.clone())
             .unwrap_or_default();
--- a/crates/hornbeamlead_jobs/src/supervisor/calls.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/calls.rs
@@ -1,6 +1,6 @@
 //! Calls to the worker, and the handling of their outcomes.
 
-use super::{RunStage, SupervisorMachine, WorkerClock};
+use super::{RunStage, SupervisedWorker, SupervisorMachine, WorkerClock};
 use crate::effect::Effect;
 use crate::ids::{RunName, WorkerIncarnation};
 use crate::worker::{
@@ -29,6 +29,10 @@
 /// Time that a hold may take beyond its wait.
 const HOLD_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time after the wait of a hold within which the worker has to answer it. The tasks of a worker that
+/// is gone have to run elsewhere 10 s later, most of which is the wait for its leases.
+const MAX_ANSWER_DELAY: Duration = Duration::from_millis(200);
+
 /// Pause after a hold that was refused or not answered.
 const HOLD_PAUSE: Duration = Duration::from_millis(150);
 
@@ -256,12 +260,31 @@
         let first = worker.listed != Some(worker.hold_epoch);
         worker.listed = Some(worker.hold_epoch);
         worker.lists = lists;
-        self.report_due |= changed || first;
+        worker.answer_due = answer_due(worker.hold_at);
+        let was_silent = std::mem::take(&mut worker.silent);
+        let incarnation = worker.facts.incarnation.clone();
+        if was_silent {
+            self.log("worker_answers", incarnation, String::new());
+        }
+        self.report_due |= changed || first || was_silent;
         self.note_starts();
         self.confirm_orders(number);
         self.adjust_throttling(now);
     }
 
+    /// Notes that the worker has not answered in time. It may be gone, although connections to it are
+    /// not refused.
+    pub(super) fn check_silence(&mut self, now: MonoTime) {
+        let overdue = |worker: &&mut SupervisedWorker| !worker.silent && now > worker.answer_due;
+        let Some(worker) = self.worker.as_mut().filter(overdue) else {
+            return;
+        };
+        worker.silent = true;
+        let incarnation = worker.facts.incarnation.clone();
+        self.report_due = true;
+        self.log("worker_silent", incarnation, String::new());
+    }
+
     /// Notes which listed attempts this process has started; others may have been throttled by an
     /// earlier one.
     fn note_starts(&mut self) {
@@ -340,6 +363,11 @@
     }
 }
 
+/// Returns the time by which a hold that is sent at `hold_at` has to be answered.
+pub(super) fn answer_due(hold_at: MonoTime) -> MonoTime {
+    hold_at.plus(HOLD_WAIT + MAX_ANSWER_DELAY)
+}
+
 fn runs_of(lists: &WorkerLists) -> BTreeSet<RunName> {
     lists.running.iter().map(|row| row.run).collect()
 }
--- a/crates/hornbeamlead_jobs/tests/world/faults.rs
+++ b/crates/hornbeamlead_jobs/tests/world/faults.rs
@@ -171,6 +171,12 @@
         self.hosts[host].worker_back_at = back_at;
     }
 
+    /// Leaves calls to the worker of a host without an answer for a while. Those that it gets
+    /// meanwhile are carried out at the end, if it is alive then.
+    pub(crate) fn silence_worker(&mut self, host: usize, span_ms: u64) {
+        self.hosts[host].worker_hangs_until = self.now + span_ms;
+    }
+
     /// Removes a host with its worker and its agent for good. Connections to it are not refused.
     pub(crate) fn remove(&mut self, host: usize) {
         self.lose_worker(host);
--- a/crates/hornbeamlead_jobs/tests/world/troubles.rs
+++ b/crates/hornbeamlead_jobs/tests/world/troubles.rs
@@ -228,13 +228,12 @@
         }
     }
 
-    /// Leaves a call to a worker without an answer. Orders are carried out when the worker is back.
+    /// Leaves a call to a worker without an answer. It is carried out when the worker is back, if it is
+    /// alive then.
     pub(super) fn hang_call(&mut self, host: usize, incarnation: u64, call: WorkerCall) {
         let span = (call.deadline.0 / 1000).saturating_sub(self.now);
-        if !matches!(call.operation, WorkerOperation::Hold { .. }) {
-            let back_in = self.hosts[host].worker_hangs_until - self.now;
-            self.after(back_in, WorldEvent::LateOrder(host, call.clone()));
-        }
+        let back_in = self.hosts[host].worker_hangs_until - self.now;
+        self.after(back_in, WorldEvent::LateOrder(host, call.clone()));
         let answer = WorkerAnswer::Unanswered;
         let event = WorldEvent::WorkerReplied(host, incarnation, call, answer);
         self.after(span, event);
