[jobs] Count leases of another incarnation as not renewed

What callers saw: tasks of a worker that restarted together with its agent, with a clock that was set back between the two starts, never ran again (LOST).

Cause: attempts on a host were bound by one end of leases, which each report extended that named any worker. Attempts of an incarnation with a later start than the reported one are not known to have ended, and the agent drops stops for them, as it knows no such worker.

Ruled out: the agent that lives through the restart; it reports the end of the incarnation that it knew. Whether the order of starts is wrong by a late heartbeat alone: then the agent learns from the refused call that this incarnation has ended.

Change: when a report names another incarnation, the end of the leases until then is kept for the attempts of the others, which are lost once it has passed. An agent renews leases of one incarnation only.

--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -88,6 +88,8 @@
     pub has_reported: bool,
     /// Upper bound for the end of all leases that any planner has granted to the host.
     pub leases_end: MonoTime,
+    /// The same for incarnations before the one that was reported last, until it has passed.
+    pub(super) earlier_leases_end: Option<MonoTime>,
     /// Whether the wait for these leases has been logged since the latest report with a worker.
     pub(super) lease_awaited: bool,
     /// Whether the lists in the latest report were read from the worker in this epoch.
@@ -139,6 +141,7 @@
             worker_seen: false,
             has_reported: false,
             leases_end,
+            earlier_leases_end: None,
             lease_awaited: false,
             listed: false,
             stamp: AgentStamp(0),
@@ -172,6 +175,8 @@
         let incarnation = worker.map(|worker| &worker.incarnation);
         if incarnation.is_some() && incarnation != self.last_incarnation.as_ref() {
             self.last_incarnation = incarnation.cloned();
+            // The agent renews leases of one incarnation only.
+            self.earlier_leases_end = self.earlier_leases_end.max(Some(self.leases_end));
             self.consecutive_failures = 0;
             self.probation = false;
             self.not_before = now;
--- a/crates/hornbeamlead_jobs/src/planner/leases.rs
+++ b/crates/hornbeamlead_jobs/src/planner/leases.rs
@@ -149,6 +149,7 @@
     pub(super) fn expire_silent_hosts(&mut self, now: MonoTime) {
         self.log_awaited_leases(now);
         self.record_lease_bounds(now);
+        self.expire_earlier_incarnations(now);
         let silent: Vec<_> = self
             .hosts
             .values()
@@ -165,6 +166,27 @@
         }
     }
 
+    /// Ends attempts on earlier incarnations of workers once their leases have expired. Starts on a
+    /// clock that was set back do not tell which incarnation has ended.
+    fn expire_earlier_incarnations(&mut self, now: MonoTime) {
+        let mut expired = Vec::new();
+        for view in self.hosts.values_mut() {
+            let leases_end = view.earlier_leases_end.take_if(|end| now > *end);
+            if leases_end.is_some() {
+                expired.push((view.host.clone(), view.last_incarnation.clone()));
+            }
+        }
+        for (host, current) in expired {
+            for run in self.runs_on(&host) {
+                let incarnation = self.ledger.placement(run).map(|it| &it.incarnation);
+                if incarnation != current.as_ref() {
+                    self.log("lease_lapsed", run, format!("host={host} cause=other_life"));
+                    self.end_run(now, run, RunEnd::Lost, None);
+                }
+            }
+        }
+    }
+
     /// Records how long the leases of silent hosts still last, so that a successor does not have to
     /// assume that they were renewed until it took over.
     fn record_lease_bounds(&mut self, now: MonoTime) {
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -139,6 +139,7 @@
         let changed = view.worker != report.worker;
         view.last_contact = now;
         view.has_reported = true;
+        view.set_worker(now, report.worker.as_ref());
         if report.worker.is_some() {
             view.worker_seen_at = now;
             view.worker_seen = true;
@@ -147,7 +148,6 @@
         }
         view.listed = report.listed;
         view.stamp = report.stamp;
-        view.set_worker(now, report.worker.as_ref());
         view.dead = report.dead.clone();
         if report.worker.is_some() {
             self.withdraw_bound(now, &host);
--- a/crates/hornbeamlead_jobs/tests/lost_worker.rs
+++ b/crates/hornbeamlead_jobs/tests/lost_worker.rs
@@ -51,6 +51,20 @@
     assert_eq!(world.judge.violations, Vec::<String>::new());
 }
 
+/// Guards against leases of a worker that count as renewed by reports of another one. It cannot be
+/// told from their starts which of the two has ended if the clock was set back between them.
+#[rstest]
+fn set_back_in_restart(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    let mut world = started_world(seed);
+    let host = busy_host(&world);
+    world.kill(host);
+    world.set_worker_back(host);
+    assert!(world.running(JOB).len() < TASKS as usize);
+    world.run(RETURN_MS);
+    assert_eq!(world.running(JOB).len(), TASKS as usize);
+    assert_eq!(world.judge.violations, Vec::<String>::new());
+}
+
 /// Guards against the same under a successor, if the agent is that of the planner's host.
 #[rstest]
 fn gone_with_planner(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
--- a/crates/hornbeamlead_jobs/tests/world/faults.rs
+++ b/crates/hornbeamlead_jobs/tests/world/faults.rs
@@ -171,6 +171,18 @@
         self.hosts[host].worker_back_at = back_at;
     }
 
+    /// Replaces the worker of a host by one that names an earlier start, as its clock was set back.
+    pub(crate) fn set_worker_back(&mut self, host: usize) {
+        self.crash(host);
+        let world_host = &mut self.hosts[host];
+        let run_events = std::mem::take(&mut world_host.worker.run_events);
+        let born = world_host.worker.incarnation.born - 1;
+        world_host.worker = EmulatedWorker::new(&format!("w-{host}-{born}"), born);
+        world_host.worker.run_events = run_events;
+        world_host.announce_at = self.now;
+        world_host.sequence = 0;
+    }
+
     /// Leaves calls to the worker of a host without an answer for a while. Those that it gets
     /// meanwhile are carried out at the end, if it is alive then.
     pub(crate) fn silence_worker(&mut self, host: usize, span_ms: u64) {
