[jobs] Keep failures of workers and tasks across planners

What callers saw: with planners replaced every few seconds, a worker on which everything fails was filled with tasks again by each planner, and the work was repeated elsewhere. Emulated platform, 6 hosts, planner killed 8 times.

Cause: consecutive failures, probation and the hosts on which a task failed were known to one process and started anew in its successor.

Ruled out: that users' LOST or a failed job follows from it. Lasting tasks ran elsewhere within 9 s of the last kill and all jobs completed also without the change (`lasting_tasks_run` 6 of 6, jobs 120 of 120 in each case).

No new record. A worker's failures are forgotten after 120 heartbeats (30 s at least), a task's with its end or its job's; of a task at most four hosts are kept. The rest of the pause of a worker on probation follows the plan's end, less the heartbeats since the failure.

Evidence: `attempts_bounded` failed in 18 of 18 cases before (40 to 85 starts on the worker, limits 19 to 27), in none after. Limit: what fits at once, and one start each 1.5 s, the pause of a worker on probation.

Why it works: each planner replays the same records, so it starts with the counts that its predecessor had stored.

--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -1,6 +1,9 @@
 //! State of all jobs, which results from applying the records of the plan stream.
 
 mod body;
+mod health;
+
+pub use health::WorkerFailures;
 
 use crate::ids::{
     HostName, JobId, PlannerEpoch, RunName, RunNumber, StepName, StreamOffset, TaskName,
@@ -265,6 +268,11 @@
     /// Interference between images as learned by planners, for the next planner. Only snapshots
     /// contain it, no record.
     pub learned: Vec<LearnedInterference>,
+    /// Failures of workers since their last success, by host.
+    pub worker_failures: BTreeMap<HostName, WorkerFailures>,
+    /// Hosts on which an unfinished task has failed, stalled or was slow. Of the latter two only
+    /// snapshots tell, no record.
+    pub failed_hosts: BTreeMap<TaskName, Vec<HostName>>,
     /// Epoch of the planner that wrote the snapshot, if it writes a journal. Only snapshots contain
     /// it, no record.
     pub journaled: Option<PlannerEpoch>,
@@ -294,7 +302,10 @@
             }
             PlanRecord::Takeover(_) => {}
             PlanRecord::GrantsConfirmed => self.confirmed_grants = true,
-            PlanRecord::Tick { jobs_read } => self.jobs_read = self.jobs_read.max(*jobs_read),
+            PlanRecord::Tick { jobs_read } => {
+                self.jobs_read = self.jobs_read.max(*jobs_read);
+                self.count_heartbeat();
+            }
             PlanRecord::Accepted { job, .. } if self.ended.contains_key(job) => {}
             PlanRecord::Accepted { job, queue } => {
                 let make = || JobState::new(queue.clone());
@@ -306,6 +317,7 @@
                 incarnation,
             } => self.begin_run(*run, host, incarnation),
             PlanRecord::Ended { run, end, saved } => {
+                self.note_end(*run, *end);
                 if let Some(job) = self.jobs.get_mut(&run.task.step.job) {
                     job.end_run(*run, *end, saved.clone());
                 }
@@ -354,6 +366,7 @@
         let idle = |state: &JobState| state.phase.is_final() && state.is_idle();
         if self.jobs.get(&job).is_some_and(idle) {
             self.jobs.remove(&job);
+            self.forget_tasks(job);
         }
     }
 
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -35,7 +35,7 @@
 
 use crate::effect::{Effect, LinkId};
 use crate::follow::StreamFollower;
-use crate::ids::{HostName, JobId, PlannerEpoch, RunName, TaskName};
+use crate::ids::{HostName, JobId, PlannerEpoch, RunName};
 use crate::job::RunEnd;
 use crate::ledger::JobLedger;
 use crate::locator::PlannerElection;
@@ -168,8 +168,6 @@
     hosts: BTreeMap<HostName, HostView>,
     links: BTreeMap<LinkId, HostName>,
     runs: BTreeMap<RunName, RunView>,
-    /// Hosts on which a task has failed, stalled or was slow.
-    failed_hosts: BTreeMap<TaskName, Vec<HostName>>,
     interference: InterferenceModel,
     serving_levels: ServingLevels,
     run_times: RunTimes,
@@ -218,7 +216,6 @@
             hosts: BTreeMap::new(),
             links: BTreeMap::new(),
             runs: BTreeMap::new(),
-            failed_hosts: BTreeMap::new(),
             interference: InterferenceModel::default(),
             serving_levels: ServingLevels::default(),
             run_times: RunTimes::default(),
--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -20,7 +20,7 @@
 const BATCH_LINGER: Duration = Duration::from_millis(10);
 
 /// Interval between heartbeat records, by which other processes see that the planner is alive.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
+pub(super) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time after which an append counts as failed and is retried.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(800);
--- a/crates/hornbeamlead_jobs/src/planner/copies.rs
+++ b/crates/hornbeamlead_jobs/src/planner/copies.rs
@@ -123,7 +123,7 @@
         let beside = self.hosts.get(&straggler.host);
         let beside = beside.and_then(|view| view.worker.as_ref());
         let idle = |worker: &WorkerFacts| !waiting.iter().any(|step| awaits(step, demand, worker));
-        let failed = self.failed_hosts.get(&straggler.run.task);
+        let failed = self.ledger.failed_hosts.get(&straggler.run.task);
         let best = candidates
             .iter_mut()
             .filter(|candidate| candidate.view.host != straggler.host)
--- a/crates/hornbeamlead_jobs/src/planner/health.rs
+++ b/crates/hornbeamlead_jobs/src/planner/health.rs
@@ -1,6 +1,7 @@
 //! Worker health, derived from the outcomes of attempts.
 
 use super::PlannerMachine;
+use super::batch::HEARTBEAT_INTERVAL;
 use crate::ids::{HostName, RunName};
 use crate::job::RunEnd;
 use crate::operators::OperatorFormat;
@@ -20,9 +21,6 @@
 /// Time within which a long-running task must report that it is operational.
 const LONG_RUNNING_START_TIMEOUT: Duration = Duration::from_millis(3000);
 
-/// Most hosts kept per task in the list of hosts on which it failed.
-const MAX_FAILED_HOSTS: usize = 4;
-
 impl<F: OperatorFormat> PlannerMachine<F> {
     pub(super) fn update_health(
         &mut self,
@@ -50,14 +48,29 @@
                 _ => {}
             }
         }
-        match end {
-            RunEnd::Failed => {
-                self.remember_failure(run, host.clone());
-            }
-            RunEnd::Done => {
-                self.failed_hosts.remove(&run.task);
+    }
+
+    /// Takes over what the plan tells of the failures of a worker whose first report has arrived, or
+    /// of none.
+    pub(super) fn adopt_failures(&mut self, now: MonoTime, host: &HostName) {
+        let Some(view) = self.hosts.get_mut(host) else {
+            return;
+        };
+        let incarnation = view.incarnation();
+        let known = incarnation.and_then(|worker| self.ledger.failures_of(host, worker));
+        view.consecutive_failures = known.map_or(0, |failures| failures.count);
+        view.probation = view.consecutive_failures >= PROBATION_FAILURES;
+        view.not_before = match known {
+            Some(failures) if view.probation => {
+                let elapsed = HEARTBEAT_INTERVAL * failures.heartbeats;
+                let remaining = PROBATION_BACKOFF.saturating_sub(elapsed);
+                self.plan_ended_at.plus(remaining).max(now)
             }
-            _ => {}
+            _ => now,
+        };
+        if view.probation {
+            let detail = format!("strikes={} since=takeover", view.consecutive_failures);
+            self.log("worker_on_probation", host, detail);
         }
     }
 
@@ -67,15 +80,7 @@
             return;
         };
         let host = placement.host.clone();
-        self.remember_failure(run, host);
-    }
-
-    fn remember_failure(&mut self, run: RunName, host: HostName) {
-        let hosts = self.failed_hosts.entry(run.task).or_default();
-        hosts.push(host);
-        if hosts.len() > MAX_FAILED_HOSTS {
-            hosts.remove(0);
-        }
+        self.ledger.avoid_host(run.task, host);
     }
 
     /// Stops attempts that make no progress, so that they resume on another host.
@@ -101,8 +106,11 @@
         for (run, host) in &stalled {
             let detail = format!("host={host}");
             self.log("task_stalled", run, detail);
-            self.remember_failure(*run, host.clone());
+            self.ledger.avoid_host(run.task, host.clone());
             if let Some(view) = self.hosts.get_mut(host) {
+                if let Some(incarnation) = view.incarnation() {
+                    self.ledger.count_failure(host, incarnation);
+                }
                 view.consecutive_failures += 1;
                 view.probation |= view.consecutive_failures >= PROBATION_FAILURES;
                 if view.probation {
--- a/crates/hornbeamlead_jobs/src/planner/rebalance.rs
+++ b/crates/hornbeamlead_jobs/src/planner/rebalance.rs
@@ -68,8 +68,6 @@
         let jobs = &self.ledger.jobs;
         self.serving_levels
             .retain(|step| jobs.contains_key(&step.job));
-        self.failed_hosts
-            .retain(|task, _| jobs.contains_key(&task.step.job));
         self.deferred_occurrences
             .retain(|job, _| jobs.contains_key(job));
         self.run_times.retain(|job| jobs.contains_key(&job));
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -152,9 +152,7 @@
         view.worker = report.worker.clone();
         view.dead = report.dead.clone();
         if other_incarnation {
-            view.consecutive_failures = 0;
-            view.probation = false;
-            view.not_before = now;
+            self.adopt_failures(now, &host);
         }
         if report.worker.is_some() {
             self.withdraw_bound(now, &host);
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -272,7 +272,7 @@
             };
             let cost =
                 |(candidate, host_interference): &(&mut Candidate<'_>, &HostInterference)| {
-                    let failed = self.failed_hosts.get(&task);
+                    let failed = self.ledger.failed_hosts.get(&task);
                     let failed = failed.is_some_and(|hosts| hosts.contains(&candidate.view.host));
                     let repeat_cost = if failed {
                         self.policy.placement.previous_failure
--- a/crates/hornbeamlead_jobs/src/planner/stragglers.rs
+++ b/crates/hornbeamlead_jobs/src/planner/stragglers.rs
@@ -103,7 +103,7 @@
         let remedy = match spec {
             _ if spec.gang || spec.long_running => None,
             _ if spec.copies => Some(StragglerRemedy::Copy),
-            _ if movable && !self.failed_hosts.contains_key(&run.task) => {
+            _ if movable && !self.ledger.failed_hosts.contains_key(&run.task) => {
                 Some(StragglerRemedy::Move)
             }
             _ => None,
--- a/crates/hornbeamlead_jobs/src/snapshot.rs
+++ b/crates/hornbeamlead_jobs/src/snapshot.rs
@@ -1,9 +1,12 @@
 //! Snapshots of the ledger in the store, split into parts of one record each.
 
-use crate::ids::{HostName, JobId, PlannerEpoch, RunNumber, StreamOffset, WorkerIncarnation};
+use crate::ids::{
+    HostName, JobId, PlannerEpoch, RunNumber, StreamOffset, TaskName, WorkerIncarnation,
+};
 use crate::job::JobPhase;
 use crate::ledger::{
     JobLedger, JobState, LearnedInterference, OccurrenceState, TaskPlacement, TaskState,
+    WorkerFailures,
 };
 use crate::record::{DecodeError, decode, decode_first, encode};
 use crate::store::{NewRecord, ReadRecord};
@@ -120,6 +123,22 @@
     journaled: Option<PlannerEpoch>,
 }
 
+/// Failures of workers and tasks. Follow the origin, since earlier versions ignore what does.
+#[derive(Default, PartialEq, Serialize, Deserialize)]
+struct StoredFailures {
+    workers: BTreeMap<HostName, WorkerFailures>,
+    tasks: BTreeMap<TaskName, Vec<HostName>>,
+}
+
+impl From<&JobLedger> for StoredFailures {
+    fn from(ledger: &JobLedger) -> Self {
+        Self {
+            workers: ledger.worker_failures.clone(),
+            tasks: ledger.failed_hosts.clone(),
+        }
+    }
+}
+
 impl From<&JobLedger> for StoredLeases {
     fn from(ledger: &JobLedger) -> Self {
         let bounds = ledger.lease_bounds.iter();
@@ -224,10 +243,8 @@
             ended: stored.ended,
             hosts: stored.hosts,
             jobs_read: stored.jobs_read,
-            confirmed_grants: false,
-            lease_bounds: BTreeMap::new(),
             learned: stored.learned,
-            journaled: None,
+            ..Self::default()
         }
     }
 }
@@ -241,9 +258,15 @@
 ) -> Vec<NewRecord> {
     let mut content = encode(&StoredLedger::from(ledger)).to_vec();
     content.extend(encode(&StoredLeases::from(ledger)));
-    if let journaled @ Some(_) = ledger.journaled {
+    let failures = StoredFailures::from(ledger);
+    let has_failures = failures != StoredFailures::default();
+    if ledger.journaled.is_some() || has_failures {
+        let journaled = ledger.journaled;
         content.extend(encode(&StoredOrigin { journaled }));
     }
+    if has_failures {
+        content.extend(encode(&failures));
+    }
     let parts = content.chunks(PART_BYTES);
     let count = parts.len() as u32;
     let record = |(number, content): (usize, &[u8])| NewRecord {
@@ -300,7 +323,8 @@
     let content: Vec<u8> = parts.into_iter().flat_map(|part| part.content).collect();
     let (stored, rest) = decode_first::<StoredLedger>(&content)?;
     let (leases, rest) = decode_optional::<StoredLeases>(rest)?;
-    let (origin, _) = decode_optional::<StoredOrigin>(rest)?;
+    let (origin, rest) = decode_optional::<StoredOrigin>(rest)?;
+    let (failures, _) = decode_optional::<StoredFailures>(rest)?;
     let bounds = leases.lease_bounds.into_iter();
     let ledger = JobLedger {
         confirmed_grants: leases.confirmed_grants,
@@ -308,6 +332,8 @@
             .map(|(host, ms)| (host, Duration::from_millis(ms.into())))
             .collect(),
         journaled: origin.journaled,
+        worker_failures: failures.workers,
+        failed_hosts: failures.tasks,
         ..stored.into()
     };
     Ok(Some((ledger, newest)))
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -157,6 +157,10 @@
     pub(crate) straggler: Option<u32>,
     /// Host on which ordinary tasks take three times as long.
     pub(crate) slow_tasks_on: Option<usize>,
+    /// Host on which all attempts fail, and time in milliseconds after which they do.
+    pub(crate) failing_host: Option<(usize, u64)>,
+    /// Host on which no attempt makes progress.
+    pub(crate) hung_host: Option<usize>,
     /// Whether stragglers get copies, in planners from now on.
     pub(crate) copies: bool,
     /// Rate of the workers' clocks in percent of true time.
@@ -228,6 +232,8 @@
             task_ms: None,
             straggler: None,
             slow_tasks_on: None,
+            failing_host: None,
+            hung_host: None,
             copies: true,
             worker_clock_percent: 100,
             accepted: Vec::new(),
--- a/crates/hornbeamlead_jobs/tests/world/patterns.rs
+++ b/crates/hornbeamlead_jobs/tests/world/patterns.rs
@@ -14,6 +14,9 @@
 /// Multiple of the usual run time that tasks take on a slow host.
 const SLOW_HOST_FACTOR: u64 = 3;
 
+/// Run time of an attempt that makes no progress, in milliseconds.
+const HANG_MS: u64 = 1 << 32;
+
 impl World {
     /// Returns the run of an attempt that a call starts now.
     pub(super) fn planned_run(&mut self, now: u64, host: usize, call: &WorkerCall) -> EmulatedRun {
@@ -39,6 +42,11 @@
             _ if self.slow_tasks_on == Some(host) => Some(task_ms * SLOW_HOST_FACTOR),
             _ => Some(task_ms),
         };
+        let (span_ms, fails) = match self.failing_host {
+            _ if self.hung_host == Some(host) => (Some(HANG_MS), false),
+            Some((failing, after_ms)) if failing == host => (Some(after_ms), true),
+            _ => (span_ms, fails),
+        };
         EmulatedRun {
             done_at: span_ms.map(|span_ms| now + span_ms),
             reading: step.map_or(0, |step| steady_reading(step, best_effort_rate)),
