--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -35,7 +35,7 @@
 
 use crate::effect::{Effect, LinkId};
 use crate::follow::StreamFollower;
-use crate::ids::{HostName, JobId, PlannerEpoch, RunName, TaskName};
+use crate::ids::{HostName, JobId, PlannerEpoch, RunName};
 use crate::job::RunEnd;
 use crate::ledger::JobLedger;
 use crate::locator::PlannerElection;
@@ -173,8 +173,6 @@
     hosts: BTreeMap<HostName, HostView>,
     links: BTreeMap<LinkId, HostName>,
     runs: BTreeMap<RunName, RunView>,
-    /// Hosts on which a task has failed, stalled or was slow.
-    failed_hosts: BTreeMap<TaskName, Vec<HostName>>,
     interference: InterferenceModel,
     serving_levels: ServingLevels,
     run_times: RunTimes,
@@ -223,7 +221,6 @@
             hosts: BTreeMap::new(),
             links: BTreeMap::new(),
             runs: BTreeMap::new(),
-            failed_hosts: BTreeMap::new(),
             interference: InterferenceModel::default(),
             serving_levels: ServingLevels::default(),
             run_times: RunTimes::default(),
--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -168,19 +168,18 @@
         self.worker.as_ref().map(|worker| &worker.incarnation)
     }
 
-    /// Sets the worker as reported. Another incarnation starts without failures; one that was only
-    /// not reported for a while keeps them.
-    pub(super) fn set_worker(&mut self, now: MonoTime, worker: Option<&WorkerFacts>) {
+    /// Sets the worker as reported, and returns whether it is another incarnation than the one that
+    /// was reported last; one that was only not reported for a while is not.
+    pub(super) fn set_worker(&mut self, worker: Option<&WorkerFacts>) -> bool {
         self.worker = worker.cloned();
         let incarnation = worker.map(|worker| &worker.incarnation);
-        if incarnation.is_some() && incarnation != self.last_incarnation.as_ref() {
+        let is_other = incarnation.is_some() && incarnation != self.last_incarnation.as_ref();
+        if is_other {
             self.last_incarnation = incarnation.cloned();
             // The agent renews leases of one incarnation only.
             self.earlier_leases_end = self.earlier_leases_end.max(Some(self.leases_end));
-            self.consecutive_failures = 0;
-            self.probation = false;
-            self.not_before = now;
         }
+        is_other
     }
 
     /// Returns whether the worker is draining, that is, about to shut down.
--- a/crates/hornbeamlead_jobs/tests/lost_watch.rs
+++ b/crates/hornbeamlead_jobs/tests/lost_watch.rs
@@ -7,7 +7,8 @@
 use proptest::collection::vec;
 use proptest::prelude::*;
 use rstest::rstest;
-use world::{Pause, Trouble, World, WorldFaults};
+use world::troubles::{Pause, Trouble};
+use world::{World, WorldFaults};
 
 /// Number of hosts.
 const HOSTS: usize = 8;
--- a/crates/hornbeamlead_jobs/tests/probation_ends.rs
+++ b/crates/hornbeamlead_jobs/tests/probation_ends.rs
@@ -5,6 +5,7 @@
 use hornbeamlead_jobs::ids::JobId;
 use hornbeamlead_jobs::job::{JobBody, JobPhase, StepSpec};
 use rstest::rstest;
+use world::troubles::Trouble;
 use world::{World, WorldFaults};
 
 const HOSTS: usize = 3;
@@ -29,8 +30,8 @@
 }
 
 /// Starts a fleet whose hosts each run a long-running task, and has all workers fail what else they
-/// start until they are on probation.
-fn world_on_probation(seed: u64) -> World {
+/// start for a time in milliseconds, by the first 5 s of which they are on probation.
+fn world_on_probation(seed: u64, fails_ms: u64) -> World {
     let mut world = World::new(seed, HOSTS, WorldFaults::default(), 0);
     world.task_ms = Some(400);
     world.run(3000);
@@ -42,7 +43,7 @@
     world.run(4000);
     world.set_attempts(3);
     world.run(1000);
-    world.failing_hosts = (0..HOSTS).collect();
+    world.apply(&Trouble::FailWorkers((0..HOSTS).collect(), fails_ms));
     for job in 10..20 {
         world.submit(JobId(job), finite_job(3));
     }
@@ -51,8 +52,7 @@
 }
 
 fn recovered_world(seed: u64) -> World {
-    let mut world = world_on_probation(seed);
-    world.failing_hosts.clear();
+    let mut world = world_on_probation(seed, 5000);
     world.run(5000);
     world
 }
@@ -90,7 +90,7 @@
 /// A worker that still fails gets one task at a time beside its long-running ones.
 #[rstest]
 fn one_probe(#[values(1, 2, 3)] seed: u64) {
-    let mut world = world_on_probation(seed);
+    let mut world = world_on_probation(seed, 10_000);
     world.submit(JobId(32), finite_job(30));
     for _ in 0..600 {
         world.run(5);
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -8,7 +8,7 @@
 pub(crate) mod lone;
 mod patterns;
 mod processes;
-mod troubles;
+pub(crate) mod troubles;
 mod watch;
 
 use hornbeamlead_core::clock::{ClockReading, MonoTime, WallTime};
@@ -46,7 +46,6 @@
 
 pub(crate) use faults::WorldFaults;
 use patterns::{MAX_ATTEMPTS, planner_policy, world_config};
-pub(crate) use troubles::{Pause, Trouble};
 use watch::RunWatch;
 
 /// Step of the virtual clock, in milliseconds.
@@ -165,8 +164,10 @@
     pub(crate) straggler: Option<u32>,
     /// Host on which ordinary tasks take three times as long.
     pub(crate) slow_tasks_on: Option<usize>,
-    /// Hosts on which ordinary tasks fail.
-    pub(crate) failing_hosts: BTreeSet<usize>,
+    /// Host on which all attempts fail, and time in milliseconds after which they do.
+    pub(crate) failing_host: Option<(usize, u64)>,
+    /// Host on which no attempt makes progress.
+    pub(crate) hung_host: Option<usize>,
     /// Whether stragglers get copies, in planners from now on.
     pub(crate) copies: bool,
     /// Rate of the workers' clocks in percent of true time.
@@ -243,7 +244,8 @@
             task_ms: None,
             straggler: None,
             slow_tasks_on: None,
-            failing_hosts: BTreeSet::new(),
+            failing_host: None,
+            hung_host: None,
             copies: true,
             worker_clock_percent: 100,
             watch: None,
