--- a/crates/hornbeamlead_daemon/tests/fleet_soak.rs
+++ b/crates/hornbeamlead_daemon/tests/fleet_soak.rs
@@ -1,6 +1,6 @@
 //! Real entry and agent processes on an emulated platform with injected faults.
 
-use hornbeamlead_emulator::soak::{SoakPlan, run_soak};
+use hornbeamlead_emulator::soak::{SoakKind, SoakPlan, run_soak};
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +10,7 @@
 fn guarantees_hold(#[values(1, 2)] seed: u64) {
     let directory = tempfile::tempdir().expect("a directory");
     let plan = SoakPlan {
+        kind: SoakKind::Faults,
         seed,
         hosts: 4,
         entries: 2,
