--- a/crates/hornbeamlead_jobs/src/locator.rs
+++ b/crates/hornbeamlead_jobs/src/locator.rs
@@ -44,10 +44,6 @@
 /// Timeout of a call to the store during an election.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Time without an answer after which the end of the plan is read again. The wait for leases counts
-/// from the first answer, and a read that the store has swallowed would delay it until its timeout.
-const READ_REPEAT_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Wait of a long poll for the planner's address.
 const ADDRESS_WAIT: Duration = Duration::from_secs(5);
 
@@ -163,11 +159,8 @@
     link: LinkStage,
     last_link: u64,
     election: ElectionStage,
-    /// Last call of an election.
+    /// Last call of an election, the only one whose outcome counts.
     last_call: CallNumber,
-    /// First read of the present stage, of which any may be answered first.
-    first_read: CallNumber,
-    read_again_at: MonoTime,
     election_timeout: Duration,
     degraded: bool,
     plan_end: StreamOffset,
@@ -197,8 +190,6 @@
             last_link: 0,
             election: ElectionStage::Idle,
             last_call: CallNumber::default(),
-            first_read: CallNumber::default(),
-            read_again_at: MonoTime(0),
             election_timeout: SILENT_ELECTION_TIMEOUT,
             degraded: false,
             plan_end: 0,
@@ -416,27 +407,22 @@
     fn poll_election(&mut self, now: MonoTime) {
         match self.election {
             ElectionStage::Waiting { seen, until } if now >= until => {
-                self.begin_reading(now, Some(seen));
+                self.election = ElectionStage::Reading { seen: Some(seen) };
+                self.read_end(now);
             }
             ElectionStage::Pausing { until } if now >= until => {
-                self.begin_reading(now, None);
+                self.election = ElectionStage::Reading { seen: None };
+                self.read_end(now);
             }
             ElectionStage::Starting => {
-                self.begin_reading(now, None);
+                self.election = ElectionStage::Reading { seen: None };
+                self.read_end(now);
             }
-            ElectionStage::Reading { .. } if now >= self.read_again_at => self.read_end(now),
             _ => {}
         }
     }
 
-    fn begin_reading(&mut self, now: MonoTime, seen: Option<PlanEnd>) {
-        self.election = ElectionStage::Reading { seen };
-        self.first_read = CallNumber(self.last_call.0 + 1);
-        self.read_end(now);
-    }
-
     fn read_end(&mut self, now: MonoTime) {
-        self.read_again_at = now.plus(READ_REPEAT_INTERVAL);
         let caller = self.next_claim_caller();
         self.effects.push(Effect::Store(StoreCall {
             caller,
@@ -459,12 +445,6 @@
             StoreCaller::Claim(call) if call == self.last_call => {
                 self.handle_claim_outcome(now, outcome)
             }
-            StoreCaller::Claim(call)
-                if call >= self.first_read
-                    && matches!(self.election, ElectionStage::Reading { .. }) =>
-            {
-                self.handle_earlier_read(now, outcome);
-            }
             _ => {}
         }
     }
--- a/crates/hornbeamlead_jobs/src/locator/claim.rs
+++ b/crates/hornbeamlead_jobs/src/locator/claim.rs
@@ -79,17 +79,6 @@
         }
     }
 
-    /// Handles the outcome of a read that has been repeated meanwhile.
-    pub(super) fn handle_earlier_read(&mut self, now: MonoTime, outcome: StoreOutcome) {
-        match outcome {
-            StoreOutcome::Records { .. } => self.handle_claim_outcome(now, outcome),
-            StoreOutcome::Refused { .. } | StoreOutcome::Unanswered { .. } => {
-                self.calls_failing_since.get_or_insert(now);
-            }
-            _ => {}
-        }
-    }
-
     /// Delays claims if the store was away for long.
     fn spare_incumbent(&mut self, now: MonoTime) {
         let failing_since = self.calls_failing_since.take();
