--- a/crates/hornbeamlead_daemon/src/fleet/agent.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/agent.rs
@@ -1,23 +1,24 @@
 //! Starts the threads of an agent and runs its event loop: supervisor, locator and, while elected,
 //! planner.
 
-use super::entry::{check_reload, start_listener, start_probe, start_store};
-use super::links::{LINK_COMMAND_CAPACITY, LinkCommand, LinkEvent, LinksThread, PeerFrame};
-use super::local::{LocalContext, handle_local};
+mod threads;
+
+use super::entry::check_reload;
+use super::links::{LinkCommand, LinkEvent, PeerFrame};
 use super::metrics::FleetMetrics;
 use super::signals::{SignalHandlers, SignalRequest, spawn_signal_thread};
 use super::sinks::EffectSinks;
+use super::start::{start_links, start_probe, start_store};
 use super::store::StoreResult;
-use super::worker::{WORKER_CALL_CAPACITY, WorkerThread};
 use super::{EndedSnafu, FleetError, StartSnafu, listen};
 use crate::clock::{BootClock, new_incarnation};
-use crate::launch::thread::spawn_runtime_thread;
-use crate::ring::{RingSender, decision_ring};
+use crate::ring::decision_ring;
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 use hornbeamlead_adapter::OperatorRecordFormat;
 use hornbeamlead_jobs::effect::{Effect, LinkId};
 use hornbeamlead_jobs::locator::{LocatorEvent, LocatorPolicy, PlannerAddress, PlannerLocator};
 use hornbeamlead_jobs::message::{AgentMessage, PlannerMessage};
+use hornbeamlead_jobs::notice_board::{NoticeBoard, NoticeEvent};
 use hornbeamlead_jobs::planner::{PlacementPolicy, PlannerEvent, PlannerMachine, PlannerPolicy};
 use hornbeamlead_jobs::store::StoreCaller;
 use hornbeamlead_jobs::supervisor::{
@@ -31,6 +32,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
+use threads::{start_local, start_worker};
 use tokio::sync::mpsc;
 
 /// Maximum wait for an event while this process is the planner, whose batches and ticks are due by
@@ -61,6 +63,12 @@
     }
 }
 
+impl From<LinkEvent> for AgentInput {
+    fn from(event: LinkEvent) -> Self {
+        Self::Link(event)
+    }
+}
+
 /// Runs an agent until it stops or fails.
 pub(super) fn run_agent(
     settings: &FleetSettings,
@@ -85,7 +93,8 @@
     start_local(local, &inbox, &metrics, log)?;
     let ready = Arc::new(AtomicBool::new(true));
     start_probe("metrics", settings.metrics, &ready, &metrics, log)?;
-    let links = start_links(settings, &inbox)?;
+    let listener = listen("inner", settings.inner)?;
+    let links = start_links(settings.store, Some(listener), &inbox)?;
     let worker = start_worker(&inbox, &metrics)?;
     let store = start_store(settings, &inbox, &metrics, log)?;
     let signal_inbox = inbox.clone();
@@ -114,6 +123,7 @@
         supervisor: SupervisorMachine::new(supervisor_policy),
         locator: PlannerLocator::new(locator_policy),
         planner: None,
+        notice_board: NoticeBoard::default(),
         policy: PlannerPolicy {
             host,
             incarnation,
@@ -132,67 +142,12 @@
     event_loop.run(&ring)
 }
 
-fn start_local(
-    address: std::net::SocketAddr,
-    inbox: &RingSender<AgentInput>,
-    metrics: &FleetMetrics,
-    log: &Logger,
-) -> Result<(), FleetError> {
-    let listener = listen("local", address)?;
-    let context = Arc::new(LocalContext {
-        inbox: inbox.clone(),
-        metrics: metrics.clone(),
-        log: log.clone(),
-    });
-    let handler = move || {
-        let context = Arc::clone(&context);
-        Ok(move |state| handle_local(context, state))
-    };
-    start_listener("local", listener, handler, log)
-}
-
-fn start_links(
-    settings: &FleetSettings,
-    inbox: &RingSender<AgentInput>,
-) -> Result<mpsc::Sender<LinkCommand>, FleetError> {
-    let listener = listen("inner", settings.inner)?;
-    let (sender, commands) = mpsc::channel(LINK_COMMAND_CAPACITY);
-    let (inbox, store) = (inbox.clone(), settings.store);
-    let run = move || async move {
-        if let Ok(listener) = tokio::net::TcpListener::from_std(listener) {
-            let thread = LinksThread {
-                listener,
-                commands,
-                inbox,
-                store,
-            };
-            thread.run().await;
-        }
-    };
-    spawn_runtime_thread("links", run).context(StartSnafu { thread: "links" })?;
-    Ok(sender)
-}
-
-fn start_worker(
-    inbox: &RingSender<AgentInput>,
-    metrics: &FleetMetrics,
-) -> Result<mpsc::Sender<WorkerCall>, FleetError> {
-    let (sender, calls) = mpsc::channel(WORKER_CALL_CAPACITY);
-    let thread = WorkerThread {
-        calls,
-        inbox: inbox.clone(),
-        metrics: metrics.clone(),
-    };
-    spawn_runtime_thread("worker", move || thread.run())
-        .context(StartSnafu { thread: "worker" })?;
-    Ok(sender)
-}
-
 /// Event loop of an agent: feeds the state machines and executes their effects.
 struct AgentLoop {
     supervisor: SupervisorMachine,
     locator: PlannerLocator,
     planner: Option<PlannerMachine<OperatorRecordFormat>>,
+    notice_board: NoticeBoard,
     policy: PlannerPolicy,
     sinks: EffectSinks,
     links: mpsc::Sender<LinkCommand>,
@@ -230,6 +185,7 @@
     fn tick(&mut self) {
         self.handle_planner_event(PlannerEvent::Tick);
         self.handle_supervisor_event(SupervisorEvent::Tick);
+        self.handle_notice_event(NoticeEvent::Tick);
         self.locator.tick(BootClock.mono());
         self.drain_locator();
         if self
@@ -276,10 +232,14 @@
             LinkEvent::Closed { link, refused } => {
                 self.locator.link_closed(now, link, refused);
                 self.handle_planner_event(PlannerEvent::Closed(link));
+                self.handle_notice_event(NoticeEvent::Closed(link));
             }
             LinkEvent::Frame(link, frame) => match *frame {
                 PeerFrame::Agent(message) => self.handle_agent_message(link, message),
                 PeerFrame::Planner(message) => self.handle_planner_message(link, message),
+                PeerFrame::Notices(message) => {
+                    self.handle_notice_event(NoticeEvent::Message { link, message });
+                }
                 // Relayed calls are executed by the links thread.
                 PeerFrame::Relay(_) | PeerFrame::Relayed(_) => {}
             },
@@ -359,6 +319,13 @@
         }
     }
 
+    fn handle_notice_event(&mut self, event: NoticeEvent) {
+        let effects = self.notice_board.handle(BootClock.mono(), event);
+        for effect in effects {
+            self.apply_effect(effect);
+        }
+    }
+
     fn apply_effect(&mut self, effect: Effect) {
         match effect {
             Effect::AddRelay(address) => self.sinks.add_relay(address),
@@ -385,6 +352,10 @@
                 let frame = PeerFrame::Planner(message);
                 self.send_link_command(LinkCommand::Send { link, frame });
             }
+            Effect::Notices { link, message } => {
+                let frame = PeerFrame::Notices(message);
+                self.send_link_command(LinkCommand::Send { link, frame });
+            }
             Effect::CloseLink { link } => self.send_link_command(LinkCommand::CloseLink { link }),
             Effect::Log(line) => self.sinks.write_line(&line),
             Effect::Count(event) => self.sinks.metrics.count(event),
--- /dev/null
+++ b/crates/hornbeamlead_daemon/src/fleet/agent/threads.rs
@@ -0,0 +1,49 @@
+//! Starts the threads of an agent.
+
+use super::AgentInput;
+use crate::fleet::local::{LocalContext, handle_local};
+use crate::fleet::metrics::FleetMetrics;
+use crate::fleet::start::start_listener;
+use crate::fleet::worker::{WORKER_CALL_CAPACITY, WorkerThread};
+use crate::fleet::{FleetError, StartSnafu, listen};
+use crate::launch::thread::spawn_runtime_thread;
+use crate::ring::RingSender;
+use hornbeamlead_jobs::worker::WorkerCall;
+use slog::Logger;
+use snafu::ResultExt;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+pub(super) fn start_local(
+    address: std::net::SocketAddr,
+    inbox: &RingSender<AgentInput>,
+    metrics: &FleetMetrics,
+    log: &Logger,
+) -> Result<(), FleetError> {
+    let listener = listen("local", address)?;
+    let context = Arc::new(LocalContext {
+        inbox: inbox.clone(),
+        metrics: metrics.clone(),
+        log: log.clone(),
+    });
+    let handler = move || {
+        let context = Arc::clone(&context);
+        Ok(move |state| handle_local(context, state))
+    };
+    start_listener("local", listener, handler, log)
+}
+
+pub(super) fn start_worker(
+    inbox: &RingSender<AgentInput>,
+    metrics: &FleetMetrics,
+) -> Result<mpsc::Sender<WorkerCall>, FleetError> {
+    let (sender, calls) = mpsc::channel(WORKER_CALL_CAPACITY);
+    let thread = WorkerThread {
+        calls,
+        inbox: inbox.clone(),
+        metrics: metrics.clone(),
+    };
+    spawn_runtime_thread("worker", move || thread.run())
+        .context(StartSnafu { thread: "worker" })?;
+    Ok(sender)
+}
--- a/crates/hornbeamlead_daemon/src/fleet/entry.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/entry.rs
@@ -1,11 +1,12 @@
 //! Starts the threads of an entry and runs its event loop.
 
 use super::callers::{CallerContext, handle_call};
+use super::links::{LinkCommand, LinkEvent, PeerFrame};
 use super::metrics::FleetMetrics;
-use super::probes::{ProbeContext, handle_probe};
 use super::signals::{SignalHandlers, SignalRequest, spawn_signal_thread};
 use super::sinks::EffectSinks;
-use super::store::{STORE_COMMAND_CAPACITY, StoreCommand, StoreResult, StoreThread};
+use super::start::{start_links, start_probe, start_store};
+use super::store::StoreResult;
 use super::{EndedSnafu, FleetError, StartSnafu, listen};
 use crate::clock::BootClock;
 use crate::counters::ProcessCounters;
@@ -15,7 +16,7 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 use hornbeamlead_adapter::OperatorRecordFormat;
 use hornbeamlead_core::clock::MonoTime;
-use hornbeamlead_jobs::effect::{CallerReply, Effect};
+use hornbeamlead_jobs::effect::{CallerReply, Effect, LogLine};
 use hornbeamlead_jobs::entry::{CallerRequest, EntryEvent, EntryMachine, EntryPolicy};
 use hornbeamlead_settings::{FleetRole, FleetSettings, read_fleet_settings};
 use slog::{Logger, info, warn};
@@ -48,6 +49,7 @@
     Request(Box<PendingRequest>),
     /// Outcome of a store call.
     Stored(StoreResult),
+    Link(LinkEvent),
     Signal(SignalRequest),
 }
 
@@ -57,6 +59,12 @@
     }
 }
 
+impl From<LinkEvent> for EntryInput {
+    fn from(event: LinkEvent) -> Self {
+        Self::Link(event)
+    }
+}
+
 /// Runs an entry until it stops or fails.
 pub(super) fn run_entry(
     settings: &FleetSettings,
@@ -84,6 +92,7 @@
         start_probe(name, address, &ready, &metrics, log)?;
     }
     let store = start_store(settings, &inbox, &metrics, log)?;
+    let links = start_links(settings.store, None, &inbox)?;
     let signal_inbox = inbox.clone();
     let notify = move |request| drop(signal_inbox.deliver(EntryInput::Signal(request)));
     spawn_signal_thread(signals, notify).context(StartSnafu { thread: "signals" })?;
@@ -94,6 +103,7 @@
     let event_loop = EntryLoop {
         machine: EntryMachine::with_policy(policy, OperatorRecordFormat),
         sinks: EffectSinks::new(store, metrics, log.clone()),
+        links,
         reply_senders: HashMap::new(),
         ready,
         table,
@@ -133,71 +143,6 @@
         .context(StartSnafu { thread: "callers" })
 }
 
-/// Starts a listener that serves both readiness and metrics.
-pub(super) fn start_probe(
-    name: &'static str,
-    address: std::net::SocketAddr,
-    ready: &Arc<AtomicBool>,
-    metrics: &FleetMetrics,
-    log: &Logger,
-) -> Result<(), FleetError> {
-    let listener = listen(name, address)?;
-    let context = Arc::new(ProbeContext {
-        ready: Arc::clone(ready),
-        metrics: metrics.clone(),
-    });
-    let handler = move || {
-        let context = Arc::clone(&context);
-        Ok(move |state| handle_probe(&context, state))
-    };
-    start_listener(name, listener, handler, log)
-}
-
-/// Starts the thread of a listener that serves until the process exits.
-pub(super) fn start_listener<H>(
-    name: &'static str,
-    listener: std::net::TcpListener,
-    handler: H,
-    log: &Logger,
-) -> Result<(), FleetError>
-where
-    H: gotham::handler::NewHandler + 'static,
-{
-    let counters = ProcessCounters::new(None, log.clone()).context(StartSnafu { thread: name })?;
-    let table = ConnectionTable::new(ConnectionLimits::default(), Arc::new(counters));
-    let run = move || async move {
-        if let Ok(listener) = tokio::net::TcpListener::from_std(listener) {
-            serve(listener, handler, table).await;
-        }
-    };
-    spawn_runtime_thread(name, run)
-        .map(drop)
-        .context(StartSnafu { thread: name })
-}
-
-/// Starts the store thread and returns the sender of its commands.
-pub(super) fn start_store<T>(
-    settings: &FleetSettings,
-    inbox: &RingSender<T>,
-    metrics: &FleetMetrics,
-    log: &Logger,
-) -> Result<mpsc::Sender<StoreCommand>, FleetError>
-where
-    T: From<StoreResult> + Send + 'static,
-{
-    let (sender, commands) = mpsc::channel(STORE_COMMAND_CAPACITY);
-    let thread = StoreThread {
-        address: settings.store,
-        commands,
-        inbox: inbox.clone(),
-        metrics: metrics.clone(),
-        log: log.clone(),
-    };
-    let handle = spawn_runtime_thread("store", move || thread.run());
-    handle.context(StartSnafu { thread: "store" })?;
-    Ok(sender)
-}
-
 /// Reads the settings again and logs whether they are valid. They are not applied: the addresses
 /// and the role of a running process are fixed.
 pub(super) fn check_reload(path: &Path, log: &Logger) {
@@ -228,6 +173,7 @@
 struct EntryLoop {
     machine: EntryMachine<OperatorRecordFormat>,
     sinks: EffectSinks,
+    links: mpsc::Sender<LinkCommand>,
     reply_senders: HashMap<u64, oneshot::Sender<CallerReply>>,
     ready: Arc<AtomicBool>,
     table: Arc<ConnectionTable>,
@@ -272,11 +218,40 @@
             EntryInput::Stored(StoreResult { caller, outcome }) => {
                 self.handle_event(EntryEvent::Stored { caller, outcome });
             }
+            EntryInput::Link(event) => self.handle_link_event(event),
             EntryInput::Signal(SignalRequest::Reload) => check_reload(&self.path, &self.sinks.log),
             EntryInput::Signal(SignalRequest::Stop) => self.begin_stop(),
         }
     }
 
+    fn handle_link_event(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Opened(link) => self.handle_event(EntryEvent::LinkOpened(link)),
+            LinkEvent::Closed { link, .. } => self.handle_event(EntryEvent::LinkClosed(link)),
+            LinkEvent::Frame(link, frame) => match *frame {
+                PeerFrame::Notices(message) => {
+                    self.handle_event(EntryEvent::Notices { link, message });
+                }
+                _ => self.sinks.metrics.count("frame_unexpected"),
+            },
+            LinkEvent::Unreadable { link, cause } => {
+                let line = LogLine {
+                    event: "frame_unreadable",
+                    id: link.0.to_string().into(),
+                    detail: format!("cause={cause:?}").into(),
+                };
+                self.sinks.write_line(&line);
+            }
+        }
+    }
+
+    fn send_link_command(&self, command: LinkCommand) {
+        if self.links.try_send(command).is_err() {
+            // The link then stays silent until the entry gives it up.
+            self.sinks.metrics.count("link_ring_full");
+        }
+    }
+
     fn handle_event(&mut self, event: EntryEvent) {
         let effects = self.machine.handle(BootClock.read(), event);
         for effect in effects {
@@ -295,7 +270,23 @@
                 Effect::AddRelay(address) => self.sinks.add_relay(address),
                 Effect::Log(line) => self.sinks.write_line(&line),
                 Effect::Count(event) => self.sinks.metrics.count(event),
-                // An entry has no links and no worker.
+                Effect::Dial {
+                    link,
+                    address,
+                    deadline,
+                } => self.send_link_command(LinkCommand::Dial {
+                    link,
+                    address,
+                    timeout: deadline.since(BootClock.mono()),
+                }),
+                Effect::Notices { link, message } => {
+                    let frame = PeerFrame::Notices(message);
+                    self.send_link_command(LinkCommand::Send { link, frame });
+                }
+                Effect::CloseLink { link } => {
+                    self.send_link_command(LinkCommand::CloseLink { link });
+                }
+                // An entry is no agent or planner and has no worker.
                 _ => {}
             }
         }
@@ -309,6 +300,7 @@
         let metrics = &self.sinks.metrics;
         metrics.set_gauge("config_version", self.machine.config_version());
         metrics.set_gauge("requests_in_progress", self.machine.in_progress() as u64);
+        metrics.set_gauge("notice_links", self.machine.notice_links() as u64);
         if let Some((wait_ms, age)) = self.machine.reported_wait(BootClock.mono()) {
             metrics.set_gauge("load_wait_ms", wait_ms.into());
             metrics.set_gauge("load_report_age_ms", age.as_millis() as u64);
--- a/crates/hornbeamlead_daemon/src/fleet/links.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/links.rs
@@ -1,6 +1,5 @@
-//! Links thread: connections between agents and the planner.
+//! Links thread: connections between agents and the planner, and of entries to agents.
 
-use super::agent::AgentInput;
 use crate::clock::BootClock;
 use crate::ring::RingSender;
 use bytes::Bytes;
@@ -10,6 +9,7 @@
 use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_jobs::effect::LinkId;
 use hornbeamlead_jobs::message::{AgentMessage, PlannerMessage};
+use hornbeamlead_jobs::notice::NoticeMessage;
 use hornbeamlead_jobs::record::{decode, encode};
 use hornbeamlead_jobs::relay::RelayedCall;
 use hornbeamlead_jobs::store::{StoreCall, StoreOutcome};
@@ -47,6 +47,8 @@
     Relay(RelayedCall),
     /// Outcome of a relayed call.
     Relayed(StoreOutcome),
+    /// Sent by an entry, and by an agent in answer.
+    Notices(NoticeMessage),
 }
 
 /// Command to the links thread.
@@ -85,15 +87,16 @@
     },
 }
 
-pub(super) struct LinksThread {
-    pub(super) listener: TcpListener,
+pub(super) struct LinksThread<T> {
+    /// Listener for links of others; an entry has none.
+    pub(super) listener: Option<TcpListener>,
     pub(super) commands: mpsc::Receiver<LinkCommand>,
-    pub(super) inbox: RingSender<AgentInput>,
+    pub(super) inbox: RingSender<T>,
     /// Store, for the relayed calls of hosts that it refuses.
     pub(super) store: SocketAddr,
 }
 
-impl LinksThread {
+impl<T: From<LinkEvent> + 'static> LinksThread<T> {
     /// Serves links until the event loop has ended.
     pub(super) async fn run(mut self) {
         let local = tokio::task::LocalSet::new();
@@ -106,7 +109,7 @@
         let store = Rc::new(StoreClient::new(self.store));
         loop {
             tokio::select! {
-                accepted = self.listener.accept() => {
+                accepted = accept(self.listener.as_ref()) => {
                     // After an error, such as a reset before the accept, there is no link.
                     if let Ok((stream, _)) = accepted {
                         incoming += 1;
@@ -164,18 +167,26 @@
     }
 }
 
-async fn dial(
+/// Waits for a connection, for ever without a listener.
+async fn accept(listener: Option<&TcpListener>) -> io::Result<(TcpStream, SocketAddr)> {
+    match listener {
+        Some(listener) => listener.accept().await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn dial<T: From<LinkEvent>>(
     link: LinkId,
     address: SocketAddr,
     timeout: Duration,
     frames: mpsc::Receiver<Bytes>,
-    inbox: RingSender<AgentInput>,
+    inbox: RingSender<T>,
 ) {
     let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
     match stream {
         Ok(Ok(stream)) => {
             // Lost if the event loop has ended or its ring stays full; likewise below.
-            let _ = inbox.deliver(AgentInput::Link(LinkEvent::Opened(link)));
+            let _ = inbox.deliver(LinkEvent::Opened(link).into());
             pump_frames(link, stream, frames, &inbox, None).await;
             report_closed(&inbox, link, false);
         }
@@ -188,16 +199,16 @@
     }
 }
 
-fn report_closed(inbox: &RingSender<AgentInput>, link: LinkId, refused: bool) {
-    let _ = inbox.deliver(AgentInput::Link(LinkEvent::Closed { link, refused }));
+fn report_closed<T: From<LinkEvent>>(inbox: &RingSender<T>, link: LinkId, refused: bool) {
+    let _ = inbox.deliver(LinkEvent::Closed { link, refused }.into());
 }
 
 /// Sends and receives frames until either side closes the link.
-async fn pump_frames(
+async fn pump_frames<T: From<LinkEvent>>(
     link: LinkId,
     stream: TcpStream,
     mut frames: mpsc::Receiver<Bytes>,
-    inbox: &RingSender<AgentInput>,
+    inbox: &RingSender<T>,
     relay: Option<&StoreRelay>,
 ) {
     // The link also works without the option, only with a higher latency.
@@ -223,7 +234,7 @@
                     cause: error.to_string().into(),
                 },
             };
-            let _ = inbox.deliver(AgentInput::Link(event));
+            let _ = inbox.deliver(event.into());
         }
     };
     tokio::select! {
--- a/crates/hornbeamlead_daemon/src/fleet/mod.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod probes;
 mod signals;
 mod sinks;
+mod start;
 mod store;
 mod worker;
 
--- a/crates/hornbeamlead_jobs/src/effect.rs
+++ b/crates/hornbeamlead_jobs/src/effect.rs
@@ -3,6 +3,7 @@
 use crate::ids::JobId;
 use crate::job::JobPhase;
 use crate::message::{AgentMessage, PlannerMessage};
+use crate::notice::NoticeMessage;
 use crate::store::StoreCall;
 use crate::worker::WorkerCall;
 use hornbeamlead_core::clock::MonoTime;
@@ -86,6 +87,13 @@
         /// Message to send.
         message: PlannerMessage,
     },
+    /// Send notices of jobs that may be stored, from an entry to an agent or back.
+    Notices {
+        /// Link on which to send.
+        link: LinkId,
+        /// Message to send.
+        message: NoticeMessage,
+    },
     /// Close a link.
     CloseLink {
         /// Link to close.
--- a/crates/hornbeamlead_jobs/src/entry.rs
+++ b/crates/hornbeamlead_jobs/src/entry.rs
@@ -1,12 +1,15 @@
 //! Entry: stores callers' jobs and reports their state from the plan stream.
 //!
-//! An entry communicates with the store only. A job is accepted once its record is appended to
-//! the jobs stream, from which the planner reads it. Jobs are therefore accepted even while there
-//! is no planner.
+//! A job is accepted once its record is appended to the jobs stream, from which the planner reads
+//! it. Jobs are therefore accepted even while there is no planner. With agents, an entry only
+//! exchanges notices of jobs that may be stored; it works without them.
 
 pub mod admission;
 mod append;
+mod event;
 mod load_view;
+mod notices;
+mod rendezvous;
 mod replies;
 pub mod return_time;
 mod store_watch;
@@ -16,18 +19,22 @@
 use crate::follow::{FollowOutcome, NewestReader, StreamFollower};
 use crate::ids::JobId;
 use crate::index::PhaseIndex;
-use crate::job::{JobBody, JobPhase};
+use crate::job::JobPhase;
+use crate::notice::LateJob;
 use crate::operators::{OperatorFormat, OperatorReader};
 use crate::record::{PlanRecord, decode_heartbeat};
 use crate::snapshot::read_snapshot;
 use crate::snapshot_retry::{SnapshotRetry, snapshot_reader};
 use crate::store::{ReadRecord, StoreCaller, StoreOutcome, StreamName};
 use append::PendingAppend;
+pub use event::{CallerOperation, CallerRequest, EntryEvent};
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
 use load_view::LoadView;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rendezvous::RendezvousLinks;
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::time::Duration;
 use store_watch::StoreWatch;
 use uncertain::UncertainJobs;
@@ -54,48 +61,6 @@
 /// Prefix of the key of a job; the job id follows.
 pub const JOB_PREFIX: &str = "job/";
 
-/// Operation that a caller requests.
-#[derive(Clone, Debug, PartialEq)]
-pub enum CallerOperation {
-    /// Submit a job; an error states why the request body is invalid.
-    Submit(Result<JobBody, &'static str>),
-    /// Read the state of a job, or the length of the queue if the path names no job.
-    Read,
-    /// Cancel a job.
-    Cancel,
-}
-
-/// Request of a caller.
-#[derive(Clone, Debug, PartialEq)]
-pub struct CallerRequest {
-    /// Number of the request, unique within the process.
-    pub ticket: u64,
-    /// Host name in the request.
-    pub host: Box<str>,
-    /// Path of the request.
-    pub path: Box<str>,
-    /// Requested operation.
-    pub operation: CallerOperation,
-    /// Time at which the caller stops waiting.
-    pub deadline: MonoTime,
-}
-
-/// Event of an entry.
-#[derive(Clone, Debug, PartialEq)]
-pub enum EntryEvent {
-    /// A caller's request arrived.
-    Request(CallerRequest),
-    /// A call to the store ended.
-    Stored {
-        /// Component that made the call.
-        caller: StoreCaller,
-        /// Outcome of the call.
-        outcome: StoreOutcome,
-    },
-    /// Periodic event.
-    Tick,
-}
-
 /// Stage of reading the plan: the newest snapshot first, then the records that follow it.
 #[derive(Clone, Debug)]
 enum ReadStage {
@@ -132,6 +97,9 @@
     pending: BTreeMap<u64, PendingAppend>,
     store_watch: StoreWatch,
     uncertain: UncertainJobs,
+    rendezvous: RendezvousLinks,
+    /// Jobs of this entry of which others were not told yet.
+    fresh_late: Vec<LateJob>,
     load: LoadView,
     effects: Vec<Effect>,
 }
@@ -165,6 +133,8 @@
             pending: BTreeMap::new(),
             store_watch: StoreWatch::default(),
             uncertain: UncertainJobs::default(),
+            rendezvous: RendezvousLinks::default(),
+            fresh_late: Vec::new(),
             load: LoadView::default(),
             effects: Vec::new(),
         }
@@ -189,6 +159,13 @@
         self.pending.len()
     }
 
+    /// Returns the number of open links to agents, through which other entries are told of jobs that
+    /// may be stored.
+    #[must_use]
+    pub fn notice_links(&self) -> usize {
+        self.rendezvous.open_count()
+    }
+
     /// Returns the longest wait in the newest load report, in milliseconds, and its age.
     #[must_use]
     pub fn reported_wait(&self, now: MonoTime) -> Option<(u32, Duration)> {
@@ -198,14 +175,26 @@
 
     /// Handles an event and returns the effects to perform.
     pub fn handle(&mut self, now: ClockReading, event: EntryEvent) -> Vec<Effect> {
+        // Once a round, so that one message holds the notices of several events.
+        let is_tick = event == EntryEvent::Tick;
         match event {
             EntryEvent::Request(request) => self.handle_request(now, request),
             EntryEvent::Stored { caller, outcome } => {
                 self.handle_outcome(now.mono, caller, outcome)
             }
+            EntryEvent::LinkOpened(link) => {
+                self.rendezvous.opened(now.mono, link, &mut self.effects);
+            }
+            EntryEvent::LinkClosed(link) => {
+                self.rendezvous.closed(now.mono, link, &mut self.effects);
+            }
+            EntryEvent::Notices { link, message } => self.take_notices(now.mono, link, &message),
             EntryEvent::Tick => {}
         }
         self.repeat_appends(now.mono);
+        if is_tick {
+            self.exchange_notices(now.mono);
+        }
         self.poll_readers(now.mono);
         std::mem::take(&mut self.effects)
     }
@@ -335,8 +324,9 @@
         match read_snapshot(records) {
             Ok(Some((ledger, offset))) => {
                 self.index = PhaseIndex::from(&ledger);
-                let relays = ledger.hosts.values().copied();
-                self.effects.extend(relays.map(Effect::AddRelay));
+                for address in ledger.hosts.values() {
+                    self.add_agent(*address);
+                }
                 self.plan_follower.seek(offset);
                 self.plan_stage = ReadStage::Follow;
                 let detail = format!("offset={offset} jobs={}", self.index.len());
@@ -356,6 +346,11 @@
         }
     }
 
+    fn add_agent(&mut self, address: SocketAddr) {
+        self.effects.push(Effect::AddRelay(address));
+        self.rendezvous.add(address);
+    }
+
     fn apply_plan(
         &mut self,
         now: MonoTime,
@@ -374,7 +369,7 @@
                         self.load.take(stored_after, report, is_planned);
                     }
                     if let PlanRecord::Host { address, .. } = &record {
-                        self.effects.push(Effect::AddRelay(*address));
+                        self.add_agent(*address);
                     }
                     self.index.apply(&record);
                     if let PlanRecord::Accepted { job, .. } = &record {
--- a/crates/hornbeamlead_jobs/src/entry/append.rs
+++ b/crates/hornbeamlead_jobs/src/entry/append.rs
@@ -2,11 +2,13 @@
 
 use super::admission::JobFacts;
 use super::replies::JobRefusal;
+use super::uncertain::LATE_APPEND_TIME;
 use super::{CANCEL_PREFIX, EntryMachine, JOB_PREFIX};
 use crate::effect::{CallerReply, Effect};
 use crate::ids::JobId;
 use crate::job::{JobBody, JobRecord, QueueTerms};
 use crate::load::JobWork;
+use crate::notice::LateJob;
 use crate::operators::OperatorFormat;
 use crate::record::encode;
 use crate::store::{
@@ -41,6 +43,8 @@
     deadline: MonoTime,
     /// Whether an earlier append of the record may have taken effect.
     possibly_stored: bool,
+    /// Whether other entries are told that the job may be stored.
+    told: bool,
     repeat_at: Option<MonoTime>,
 }
 
@@ -48,6 +52,15 @@
     fn is_cancel(&self) -> bool {
         self.kind == PendingKind::Cancel
     }
+
+    /// Returns the job if an append of it may take effect although it had no answer.
+    pub(super) fn late_job(&self) -> Option<LateJob> {
+        let is_late = self.possibly_stored && !self.is_cancel();
+        is_late.then(|| LateJob {
+            job: self.job,
+            until: self.deadline.plus(LATE_APPEND_TIME),
+        })
+    }
 }
 
 impl<F: OperatorFormat> EntryMachine<F> {
@@ -69,6 +82,9 @@
                 let validation_error = body.validation_error().unwrap_or_default();
                 return self.reply(ticket, CallerReply::Invalid(validation_error));
             }
+            () if self.uncertain.is_told(job) => {
+                self.log("submit_uncertain", job, "reason=told".into());
+            }
             () if self.may_be_stored(job) => {}
             () if self.store_watch.is_unavailable(now.mono) => {
                 let (priority, refusal) = (terms.priority, JobRefusal::StoreAway);
@@ -98,9 +114,8 @@
         self.append(now.mono, ticket, job, queue, record, kind, deadline);
     }
 
-    /// Returns whether an append of the job by this entry may have taken effect, or may still do so,
-    /// although the plan does not contain it. Another entry may have such appends too, of which this
-    /// one does not know.
+    /// Returns whether an append of the job by this entry, or by one that has told of it, may have
+    /// taken effect, or may still do so, although the plan does not contain it.
     fn may_be_stored(&self, job: JobId) -> bool {
         self.uncertain.contains(job) || self.submissions(job) > 0
     }
@@ -166,6 +181,7 @@
             kind,
             deadline: deadline.minus(ANSWER_MARGIN),
             possibly_stored: kind != PendingKind::Cancel && self.may_be_stored(job),
+            told: false,
             repeat_at: None,
         };
         self.effects.push(append_effect(now, ticket, &pending));
@@ -216,6 +232,9 @@
             _ => {
                 pending.possibly_stored = true;
                 pending.repeat_at = Some(now.plus(REPEAT_DELAY));
+                let is_new = !std::mem::replace(&mut pending.told, true);
+                let late = pending.late_job().filter(|_| is_new);
+                self.fresh_late.extend(late);
             }
         }
     }
@@ -244,14 +263,21 @@
 
     pub(super) fn repeat_appends(&mut self, now: MonoTime) {
         let expired = |(ticket, pending): (&u64, &PendingAppend)| {
-            (now >= pending.deadline).then_some((*ticket, pending.job, pending.is_cancel()))
+            (now >= pending.deadline).then_some(*ticket)
         };
         let expired: Vec<_> = self.pending.iter().filter_map(expired).collect();
-        for (ticket, job, is_cancel) in expired {
-            self.pending.remove(&ticket);
-            if !is_cancel {
+        for ticket in expired {
+            let Some(pending) = self.pending.remove(&ticket) else {
+                continue;
+            };
+            let job = pending.job;
+            if !pending.is_cancel() {
                 self.uncertain.add(now, job);
             }
+            if !pending.is_cancel() && !pending.told {
+                let until = now.plus(LATE_APPEND_TIME);
+                self.fresh_late.push(LateJob { job, until });
+            }
             self.log("append_unknown", job, "reason=deadline".into());
             self.reply(ticket, CallerReply::Unknown);
         }
--- a/crates/hornbeamlead_jobs/src/lib.rs
+++ b/crates/hornbeamlead_jobs/src/lib.rs
@@ -24,6 +24,8 @@
 pub mod load;
 pub mod locator;
 pub mod message;
+pub mod notice;
+pub mod notice_board;
 pub mod operators;
 pub mod planner;
 pub mod record;
