[jobs] Count placed jobs as waiting until a worker has begun a task

A job left its queue's length as soon as a first task was placed. On suspended hosts nothing begins for seconds, and callers were told that 0 jobs wait.

Cause: entries derive the length from the plan, whose newest word on such a job is `Started`, which is recorded before the order is sent. The plan has no record of the beginning.

Ruled out: a late order or a lost one (the hosts are suspended, the placements are right); the age of the entry's plan (it is current).

Change: the planner keeps the jobs that it has placed until a host's report lists an attempt of theirs as running or ended, or they are closed, counted by queue as that happens, so no walk over tasks is needed. Each heartbeat states the numbers behind the load report, under a mark of their own, as there may be no load report; 256 rows at most, a hash of the queue's name and a number each. Entries add them to the queued jobs, and besides the jobs that later records have placed, so that no job is missing between its placement and the next heartbeat.

A new planner does not know what has begun until hosts report. After a planner of the version before there is no such number: the first report waits 2 s for the hosts.

Why it works: what is stated follows from reports of what workers list, and order in the stream tells which placements a report includes.

Tests that exist: `other_versions`, `many_teams` and `report_load` pass the load report inside `HeartbeatReports`, as the functions now take it; what they check is unchanged.

--- a/crates/hornbeamlead_jobs/src/entry.rs
+++ b/crates/hornbeamlead_jobs/src/entry.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 mod append;
 mod load_view;
+mod queue_length;
 mod replies;
 pub mod return_time;
 mod store_watch;
@@ -25,6 +26,7 @@
 use append::PendingAppend;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
 use load_view::LoadView;
+use queue_length::PlacedView;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::collections::{BTreeMap, HashMap};
@@ -44,10 +46,6 @@
 /// rely on an accepted job being known after 3 s.
 const MAX_PLAN_AGE: Duration = Duration::from_millis(1500);
 
-/// Age of the planner's last heartbeat beyond which the length of a queue is not reported. The
-/// planner's newest read of the jobs may be 2 s older than its heartbeat.
-const MAX_QUEUE_LENGTH_AGE: Duration = Duration::from_secs(2);
-
 /// Prefix of the key of a cancellation; the job id follows.
 pub const CANCEL_PREFIX: &str = "cancel/";
 
@@ -133,6 +131,7 @@
     store_watch: StoreWatch,
     uncertain: UncertainJobs,
     load: LoadView,
+    placed: PlacedView,
     effects: Vec<Effect>,
 }
 
@@ -166,6 +165,7 @@
             store_watch: StoreWatch::default(),
             uncertain: UncertainJobs::default(),
             load: LoadView::default(),
+            placed: PlacedView::default(),
             effects: Vec::new(),
         }
     }
@@ -247,22 +247,6 @@
         }
     }
 
-    fn read_queue(&mut self, now: MonoTime, ticket: u64, queue: &str) {
-        let age = self.last_heartbeat.map(|heartbeat| now.since(heartbeat));
-        match age {
-            Some(age) if age <= MAX_QUEUE_LENGTH_AGE => {
-                let unplanned = self
-                    .accepted
-                    .values()
-                    .filter(|accepted_queue| &***accepted_queue == queue)
-                    .count();
-                let waiting = self.index.waiting(queue) + unplanned;
-                self.reply(ticket, CallerReply::Waiting(waiting));
-            }
-            _ => self.refuse(ticket, "plan_too_old"),
-        }
-    }
-
     fn read_job(&mut self, now: MonoTime, ticket: u64, job: JobId) {
         match self.phase(job) {
             Some(phase) => self.reply(ticket, CallerReply::Phase(phase)),
@@ -365,11 +349,20 @@
         for read in records {
             let bytes = read.value.as_deref().unwrap_or_default();
             match decode_heartbeat(bytes) {
-                Ok((record, report)) => {
-                    if let PlanRecord::Tick { .. } = record {
-                        self.last_heartbeat = Some(now);
+                Ok((record, reports)) => {
+                    match record {
+                        PlanRecord::Tick { .. } => {
+                            self.last_heartbeat = Some(now);
+                            if self.placed.take(now, reports.placed) {
+                                self.index.forget_placed();
+                            }
+                        }
+                        PlanRecord::Claim(_) | PlanRecord::Takeover(_) => {
+                            self.placed.expect_planner();
+                        }
+                        _ => {}
                     }
-                    if let (Some(stored_after), Some(report)) = (stored_after, report) {
+                    if let (Some(stored_after), Some(report)) = (stored_after, reports.load) {
                         let is_planned = |job| self.index.phase(job).is_some();
                         self.load.take(stored_after, report, is_planned);
                     }
--- a/crates/hornbeamlead_jobs/src/index.rs
+++ b/crates/hornbeamlead_jobs/src/index.rs
@@ -13,11 +13,13 @@
     queue: Box<str>,
 }
 
-/// Phases of all jobs, and the number of queued jobs by queue.
+/// Phases of all jobs, and the numbers of queued and of recently placed jobs by queue.
 #[derive(Clone, Debug, Default)]
 pub struct PhaseIndex {
     jobs: HashMap<JobId, IndexedJob>,
     waiting: HashMap<Box<str>, usize>,
+    /// Number of jobs placed since the planner's last placed report, by queue.
+    placed: HashMap<Box<str>, usize>,
 }
 
 impl From<&JobLedger> for PhaseIndex {
@@ -53,12 +55,24 @@
         self.jobs.get(&job).map(|indexed| indexed.phase)
     }
 
-    /// Returns the number of jobs of a queue of which no task has started.
+    /// Returns the number of jobs of a queue of which no task has been placed.
     #[must_use]
     pub fn waiting(&self, queue: &str) -> usize {
         self.waiting.get(queue).copied().unwrap_or(0)
     }
 
+    /// Returns the number of jobs of a queue of which a first task has been placed since the
+    /// planner's last placed report, which says nothing of them.
+    #[must_use]
+    pub fn placed(&self, queue: &str) -> usize {
+        self.placed.get(queue).copied().unwrap_or(0)
+    }
+
+    /// Forgets which jobs have been placed lately, as a placed report includes them.
+    pub fn forget_placed(&mut self) {
+        self.placed.clear();
+    }
+
     /// Returns the number of jobs in the index.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -90,5 +104,8 @@
         if left_queue && let Some(count) = self.waiting.get_mut(&indexed.queue) {
             *count = count.saturating_sub(1);
         }
+        if left_queue && phase == JobPhase::Running {
+            *self.placed.entry(indexed.queue.clone()).or_default() += 1;
+        }
     }
 }
--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -10,6 +10,7 @@
     WorkerIncarnation,
 };
 use crate::job::{JobPhase, JobRecord, MAX_STEP_TASKS, MAX_STEPS, RunEnd, StepSpec};
+use crate::placed::PlacedReport;
 use crate::record::PlanRecord;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -276,6 +277,8 @@
     /// Epoch of the planner that wrote the snapshot, if it writes a journal. Only snapshots contain
     /// it, no record.
     pub journaled: Option<PlannerEpoch>,
+    /// Jobs that were placed and not known to have begun. Only snapshots contain it, no record.
+    pub placed: Option<PlacedReport>,
 }
 
 /// Learned interference of best-effort tasks of one image with serving tasks of another.
--- a/crates/hornbeamlead_jobs/src/lib.rs
+++ b/crates/hornbeamlead_jobs/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod locator;
 pub mod message;
 pub mod operators;
+pub mod placed;
 pub mod planner;
 pub mod record;
 pub mod relay;
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -17,6 +17,7 @@
 mod load_report;
 mod orders;
 mod overload;
+mod placed_jobs;
 mod placement;
 mod readings;
 mod ready;
@@ -51,6 +52,7 @@
 use journal::JournalWriter;
 use load_report::LoadTracker;
 use overload::OverloadState;
+use placed_jobs::PlacedTracker;
 use recovery::RecoveryState;
 use run_times::{RunTimes, RunWork};
 use serving_level::ServingLevels;
@@ -181,6 +183,7 @@
     journal: JournalWriter,
     upkeep: UpkeepState,
     load: LoadTracker,
+    placed: PlacedTracker,
     /// Occurrences that wait until earlier ones of their job have progressed.
     deferred_occurrences: BTreeMap<JobId, u32>,
     pass_needed: bool,
@@ -229,6 +232,7 @@
             journal: JournalWriter::new(epoch, claim),
             upkeep: UpkeepState::new(now),
             load: LoadTracker::default(),
+            placed: PlacedTracker::default(),
             deferred_occurrences: BTreeMap::new(),
             pass_needed: false,
             overload: OverloadState::default(),
@@ -334,6 +338,7 @@
 
     /// Applies a record to the ledger and queues it for the next append.
     fn record(&mut self, now: MonoTime, record: PlanRecord) {
+        self.track_placed(&record);
         self.ledger.apply(&record);
         self.batch.add(now, record);
         self.pass_needed = true;
--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -232,6 +232,7 @@
             let ledger = JobLedger {
                 learned: self.interference.learned(),
                 journaled: Some(self.epoch),
+                placed: self.placed_report(now),
                 ..self.ledger.clone()
             };
             let ended = self.upkeep.drain_ended(&ledger);
--- a/crates/hornbeamlead_jobs/src/planner/load_report.rs
+++ b/crates/hornbeamlead_jobs/src/planner/load_report.rs
@@ -10,7 +10,7 @@
 use crate::ledger::{OccurrenceState, TaskState};
 use crate::load::{CoreMillis, LoadReport, LoadRow};
 use crate::operators::OperatorFormat;
-use crate::record::{PlanRecord, encode, encode_heartbeat};
+use crate::record::{HeartbeatReports, PlanRecord, encode, encode_heartbeat};
 use crate::store::NewRecord;
 use crate::worker::WorkerFacts;
 use hornbeamlead_core::clock::{MonoTime, WallTime};
@@ -33,7 +33,7 @@
 const SERVING_USE: u32 = 2;
 
 /// Time after a takeover for which the room is not known, because hosts connect and report.
-const CONNECT_TIME: Duration = Duration::from_secs(2);
+pub(super) const CONNECT_TIME: Duration = Duration::from_secs(2);
 
 /// Multiple of its objective after which a job's completion has no value.
 const MAX_OBJECTIVES: u8 = 3;
@@ -177,7 +177,7 @@
         class.tasks = class.tasks.saturating_add(1);
     }
 
-    /// Encodes records for an append, a heartbeat with the load report.
+    /// Encodes records for an append, a heartbeat with its reports.
     pub(super) fn encode_records(
         &mut self,
         now: MonoTime,
@@ -185,13 +185,13 @@
     ) -> Vec<NewRecord> {
         let mut encoded = Vec::with_capacity(records.len());
         for record in records {
-            let report = match record {
-                PlanRecord::Tick { .. } => self.load_report(now),
-                _ => None,
-            };
-            let value = match report {
-                Some(report) => encode_heartbeat(record, &report),
-                None => encode(record),
+            let value = match record {
+                PlanRecord::Tick { .. } => {
+                    let load = self.load_report(now);
+                    let placed = self.placed_report(now);
+                    encode_heartbeat(record, &HeartbeatReports { load, placed })
+                }
+                record => encode(record),
             };
             encoded.push(NewRecord {
                 key: None,
--- a/crates/hornbeamlead_jobs/src/planner/recovery.rs
+++ b/crates/hornbeamlead_jobs/src/planner/recovery.rs
@@ -9,7 +9,7 @@
 use crate::journal::{SnapshotOrigin, read_journal};
 use crate::message::AgentMessage;
 use crate::operators::OperatorFormat;
-use crate::record::{PlanRecord, decode};
+use crate::record::{PlanRecord, decode_heartbeat};
 use crate::snapshot::{SnapshotSet, read_snapshot};
 use crate::snapshot_retry::{SnapshotRetry, snapshot_reader};
 use crate::store::{PlannerComponent, ReadRecord, StoreOutcome, StreamName};
@@ -214,11 +214,13 @@
             Ok(Some((ledger, offset))) => {
                 self.interference = InterferenceModel::from_learned(&ledger.learned);
                 self.ledger = ledger;
+                self.placed.restart(self.ledger.placed.take());
                 self.journal.restart(offset);
                 PlanStage::Records(self.plan_follower(offset))
             }
             Ok(None) if records.is_empty() => {
                 self.ledger = Default::default();
+                self.placed.restart(None);
                 self.journal.restart(0);
                 PlanStage::Records(self.plan_follower(0))
             }
@@ -247,11 +249,15 @@
     }
 
     fn replay_record(&mut self, offset: StreamOffset, bytes: &Bytes) -> Option<PlanRecord> {
-        match decode::<PlanRecord>(bytes) {
-            Ok(record) => {
+        match decode_heartbeat(bytes) {
+            Ok((record, reports)) => {
                 if let PlanRecord::Claim(_) | PlanRecord::Takeover(_) = record {
                     self.upkeep.advance_set();
                 }
+                if let PlanRecord::Tick { .. } = record {
+                    self.placed.restart(reports.placed);
+                }
+                self.track_placed(&record);
                 self.ledger.apply(&record);
                 self.journal.hold(&record, (offset, bytes.clone()));
                 Some(record)
@@ -282,6 +288,7 @@
             self.log("job_without_body", job, String::new());
         }
         self.adopt_placements(now);
+        self.adopt_placed();
         let detail = format!(
             "epoch={} jobs={} runs={} took_ms={}",
             self.epoch,
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -159,6 +159,7 @@
         if first {
             self.send_traits(link, &host);
         }
+        self.note_begun(&report);
         self.end_past_incarnations(now, &host, &report);
         self.process_ended(now, &host, &report);
         self.process_running(now, &host, &report);
--- a/crates/hornbeamlead_jobs/src/record.rs
+++ b/crates/hornbeamlead_jobs/src/record.rs
@@ -3,6 +3,7 @@
 use crate::ids::{HostName, JobId, RunName, StreamOffset, TaskName, WorkerIncarnation};
 use crate::job::{JobPhase, RunEnd};
 use crate::load::LoadReport;
+use crate::placed::PlacedReport;
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -12,6 +13,10 @@
 /// Version of the encoding, written as the first byte of each record and message.
 const ENCODING_VERSION: u8 = 1;
 
+/// First byte of a placed report. Differs from [`ENCODING_VERSION`], so that a placed report is not
+/// taken for a load report where there is none.
+const PLACED_MARK: u8 = 2;
+
 /// Error for bytes that are no valid record or message.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum DecodeError {
@@ -32,8 +37,12 @@
 /// Encodes a record or message.
 #[must_use]
 pub fn encode<T: Serialize>(value: &T) -> Bytes {
+    encode_after(ENCODING_VERSION, value)
+}
+
+fn encode_after<T: Serialize>(first: u8, value: &T) -> Bytes {
     // Writing to a vector does not fail, and postcard supports all types that are encoded.
-    let bytes = postcard::to_extend(value, vec![ENCODING_VERSION]);
+    let bytes = postcard::to_extend(value, vec![first]);
     bytes.unwrap_or_default().into()
 }
 
@@ -62,26 +71,50 @@
     }
 }
 
-/// Encodes a heartbeat that a load report follows in the same record of the stream. Readers that do
-/// not know load reports ignore it.
+/// Reports that follow a heartbeat in the same record of the stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HeartbeatReports {
+    /// Work that waits.
+    pub load: Option<LoadReport>,
+    /// Jobs that are placed and not known to have begun.
+    pub placed: Option<PlacedReport>,
+}
+
+/// Encodes a heartbeat and the reports that follow it. Readers that do not know a report ignore it.
 #[must_use]
-pub fn encode_heartbeat(heartbeat: &PlanRecord, report: &LoadReport) -> Bytes {
-    let bytes = [encode(heartbeat), encode(report)];
-    bytes.concat().into()
+pub fn encode_heartbeat(heartbeat: &PlanRecord, reports: &HeartbeatReports) -> Bytes {
+    let load = reports.load.as_ref().map(encode);
+    let placed = reports.placed.as_ref();
+    let placed = placed.map(|report| encode_after(PLACED_MARK, report));
+    let (load, placed) = (load.unwrap_or_default(), placed.unwrap_or_default());
+    [encode(heartbeat), load, placed].concat().into()
 }
 
-/// Decodes a record of the plan stream, and the load report if it is a heartbeat with one. A report
+/// Decodes a record of the plan stream, and the reports if it is a heartbeat with some. A report
 /// that cannot be read counts as absent.
 ///
 /// # Errors
 /// Returns [`DecodeError`] for another version of the encoding or malformed content.
-pub fn decode_heartbeat(bytes: &[u8]) -> Result<(PlanRecord, Option<LoadReport>), DecodeError> {
+pub fn decode_heartbeat(bytes: &[u8]) -> Result<(PlanRecord, HeartbeatReports), DecodeError> {
     let (record, rest) = decode_first(bytes)?;
-    let report = match record {
-        PlanRecord::Tick { .. } => decode(rest).ok(),
+    let reports = match record {
+        PlanRecord::Tick { .. } => decode_reports(rest),
+        _ => HeartbeatReports::default(),
+    };
+    Ok((record, reports))
+}
+
+fn decode_reports(bytes: &[u8]) -> HeartbeatReports {
+    let (load, rest) = match decode_first(bytes) {
+        Ok((load, rest)) => (Some(load), rest),
+        Err(_) => (None, bytes),
+    };
+    let placed = match rest.split_first() {
+        Some((&PLACED_MARK, body)) => postcard::take_from_bytes(body).ok(),
         _ => None,
     };
-    Ok((record, report))
+    let placed = placed.map(|(report, _)| report);
+    HeartbeatReports { load, placed }
 }
 
 /// Claim of the planner role, which is the first record of an epoch.
--- a/crates/hornbeamlead_jobs/src/snapshot.rs
+++ b/crates/hornbeamlead_jobs/src/snapshot.rs
@@ -8,6 +8,7 @@
     JobLedger, JobState, LearnedInterference, OccurrenceState, TaskPlacement, TaskState,
     WorkerFailures,
 };
+use crate::placed::PlacedReport;
 use crate::record::{DecodeError, decode, decode_first, encode};
 use crate::store::{NewRecord, ReadRecord};
 use serde::de::DeserializeOwned;
@@ -130,6 +131,13 @@
     tasks: BTreeMap<TaskName, Vec<HostName>>,
 }
 
+/// Jobs that are placed and not known to have begun. Follow the failures, since earlier versions
+/// ignore what does.
+#[derive(Default, Serialize, Deserialize)]
+struct StoredPlaced {
+    report: Option<PlacedReport>,
+}
+
 impl From<&JobLedger> for StoredFailures {
     fn from(ledger: &JobLedger) -> Self {
         Self {
@@ -259,7 +267,8 @@
     let mut content = encode(&StoredLedger::from(ledger)).to_vec();
     content.extend(encode(&StoredLeases::from(ledger)));
     let failures = StoredFailures::from(ledger);
-    let has_failures = failures != StoredFailures::default();
+    let has_placed = ledger.placed.is_some();
+    let has_failures = failures != StoredFailures::default() || has_placed;
     if ledger.journaled.is_some() || has_failures {
         let journaled = ledger.journaled;
         content.extend(encode(&StoredOrigin { journaled }));
@@ -267,6 +276,10 @@
     if has_failures {
         content.extend(encode(&failures));
     }
+    if has_placed {
+        let report = ledger.placed.clone();
+        content.extend(encode(&StoredPlaced { report }));
+    }
     let parts = content.chunks(PART_BYTES);
     let count = parts.len() as u32;
     let record = |(number, content): (usize, &[u8])| NewRecord {
@@ -324,7 +337,8 @@
     let (stored, rest) = decode_first::<StoredLedger>(&content)?;
     let (leases, rest) = decode_optional::<StoredLeases>(rest)?;
     let (origin, rest) = decode_optional::<StoredOrigin>(rest)?;
-    let (failures, _) = decode_optional::<StoredFailures>(rest)?;
+    let (failures, rest) = decode_optional::<StoredFailures>(rest)?;
+    let (placed, _) = decode_optional::<StoredPlaced>(rest)?;
     let bounds = leases.lease_bounds.into_iter();
     let ledger = JobLedger {
         confirmed_grants: leases.confirmed_grants,
@@ -334,6 +348,7 @@
         journaled: origin.journaled,
         worker_failures: failures.workers,
         failed_hosts: failures.tasks,
+        placed: placed.report,
         ..stored.into()
     };
     Ok(Some((ledger, newest)))
--- a/crates/hornbeamlead_jobs/tests/load_report.rs
+++ b/crates/hornbeamlead_jobs/tests/load_report.rs
@@ -5,7 +5,9 @@
 use hornbeamlead_jobs::ids::JobId;
 use hornbeamlead_jobs::job::{JobBody, StepSpec};
 use hornbeamlead_jobs::load::{CoreMillis, LoadReport, LoadRow, MAX_LOAD_ROWS};
-use hornbeamlead_jobs::record::{PlanRecord, decode, decode_heartbeat, encode, encode_heartbeat};
+use hornbeamlead_jobs::record::{
+    HeartbeatReports, PlanRecord, decode, decode_heartbeat, encode, encode_heartbeat,
+};
 use world::{World, WorldFaults};
 
 /// CPU of an emulated worker, in thousandths of a core.
@@ -29,6 +31,13 @@
     }
 }
 
+fn of_load(report: LoadReport) -> HeartbeatReports {
+    HeartbeatReports {
+        load: Some(report),
+        placed: None,
+    }
+}
+
 fn row(index: u32) -> LoadRow {
     LoadRow {
         service: format!("team-{}", index / 3).into(),
@@ -115,13 +124,15 @@
 /// The version before reads the heartbeat alone; this version takes one without a report.
 #[test]
 fn other_versions() {
-    let report = LoadReport::new(vec![row(1)]);
-    let bytes = encode_heartbeat(&HEARTBEAT, &report);
+    let reports = of_load(LoadReport::new(vec![row(1)]));
+    let none = HeartbeatReports::default();
+    let bytes = encode_heartbeat(&HEARTBEAT, &reports);
     assert_eq!(decode::<PlanRecord>(&bytes), Ok(HEARTBEAT));
-    assert_eq!(decode_heartbeat(&bytes), Ok((HEARTBEAT, Some(report))));
-    assert_eq!(decode_heartbeat(&encode(&HEARTBEAT)), Ok((HEARTBEAT, None)));
+    assert_eq!(decode_heartbeat(&bytes), Ok((HEARTBEAT, reports)));
+    let bare = decode_heartbeat(&encode(&HEARTBEAT));
+    assert_eq!(bare, Ok((HEARTBEAT, none.clone())));
     let cut = &bytes[..bytes.len() - 3];
-    assert_eq!(decode_heartbeat(cut), Ok((HEARTBEAT, None)));
+    assert_eq!(decode_heartbeat(cut), Ok((HEARTBEAT, none)));
 }
 
 /// 180 teams with three priorities each fit into a small report.
@@ -139,5 +150,5 @@
             .iter()
             .all(|row| row.work >= report.rows[23].work)
     );
-    assert!(encode_heartbeat(&HEARTBEAT, &report).len() < 1024);
+    assert!(encode_heartbeat(&HEARTBEAT, &of_load(report)).len() < 1024);
 }
--- a/crates/hornbeamlead_jobs/tests/refusals_true.rs
+++ b/crates/hornbeamlead_jobs/tests/refusals_true.rs
@@ -9,7 +9,7 @@
 use hornbeamlead_jobs::ids::JobId;
 use hornbeamlead_jobs::job::{JobBody, StepSpec};
 use hornbeamlead_jobs::load::{CoreMillis, LoadReport, LoadRow};
-use hornbeamlead_jobs::record::{PlanRecord, encode, encode_heartbeat};
+use hornbeamlead_jobs::record::{HeartbeatReports, PlanRecord, encode, encode_heartbeat};
 use hornbeamlead_jobs::store::{StoreCaller, StoreOutcome};
 
 const APPENDED: StoreOutcome = StoreOutcome::Appended { offset: 6 };
@@ -107,7 +107,7 @@
 fn report_load(entry: &mut TestEntry, offset: u64, span_s: u64) {
     entry.now_ms += 200;
     entry.tick();
-    let report = LoadReport::new(vec![LoadRow {
+    let load = LoadReport::new(vec![LoadRow {
         service: "s".into(),
         priority: 0,
         best_effort: false,
@@ -120,7 +120,11 @@
         wait_ms: span_s as u32 * 1000,
     }]);
     let heartbeat = PlanRecord::Tick { jobs_read: 0 };
-    entry.plan_record(offset, encode_heartbeat(&heartbeat, &report));
+    let reports = HeartbeatReports {
+        load: Some(load),
+        placed: None,
+    };
+    entry.plan_record(offset, encode_heartbeat(&heartbeat, &reports));
 }
 
 fn submit_work(entry: &mut TestEntry, id: u64) -> u64 {
--- a/crates/hornbeamlead_jobs/tests/world/callers.rs
+++ b/crates/hornbeamlead_jobs/tests/world/callers.rs
@@ -257,7 +257,7 @@
             .filter_map(|read| read.value.as_deref());
         let records = values.filter_map(|value| decode_heartbeat(value).ok());
         records
-            .map(|(record, report)| (matches!(record, PlanRecord::Tick { .. }), report))
+            .map(|(record, reports)| (matches!(record, PlanRecord::Tick { .. }), reports.load))
             .find(|(heartbeat, _)| *heartbeat)?
             .1
     }
