--- a/crates/hornbeamlead_jobs/tests/placed_report.rs
+++ b/crates/hornbeamlead_jobs/tests/placed_report.rs
@@ -8,7 +8,7 @@
 use hornbeamlead_jobs::effect::CallerReply;
 use hornbeamlead_jobs::entry::CallerOperation;
 use hornbeamlead_jobs::ids::{JobId, RunName, WorkerIncarnation};
-use hornbeamlead_jobs::load::LoadReport;
+use hornbeamlead_jobs::load::{CoreMillis, LoadReport, LoadRow};
 use hornbeamlead_jobs::placed::{MAX_PLACED_ROWS, PlacedReport, PlacedRow, QueueHash};
 use hornbeamlead_jobs::record::{
     HeartbeatReports, PlanRecord, PlannerClaim, decode, decode_first, decode_heartbeat, encode,
@@ -174,3 +174,40 @@
     let report = PlacedReport::new(vec![row]);
     assert_eq!(sent_reports(&planner).pop(), Some(Some(report)));
 }
+
+/// Control traffic of a node, in bytes per second.
+const NODE_BYTES_PER_S: usize = 9 * 1024;
+
+/// Heartbeats per second.
+const HEARTBEATS_PER_S: usize = 4;
+
+fn load_row(index: u32) -> LoadRow {
+    LoadRow {
+        service: format!("team-{}", index / 3).into(),
+        priority: (index % 3) as u8,
+        best_effort: false,
+        jobs: 1,
+        work: CoreMillis(u64::from(index) * 1000),
+        late_work: CoreMillis(0),
+        room: 64_000,
+        rate: 60_000,
+        speed: 60_000,
+        wait_ms: 5000,
+    }
+}
+
+/// A heartbeat fits into a node's traffic while work of all 180 teams waits and jobs of all of them
+/// are placed and have not begun.
+#[test]
+fn many_teams() {
+    let load = Some(LoadReport::new((0..540).map(load_row).collect()));
+    let size = |placed| {
+        let load = load.clone();
+        encode_heartbeat(&HEARTBEAT, &HeartbeatReports { load, placed }).len()
+    };
+    let before = size(None);
+    let empty = size(Some(PlacedReport::default()));
+    let all = size(Some(PlacedReport::new(rows(180))));
+    println!("{before} bytes without report, {empty} with an empty one, {all} with 180 rows");
+    assert!(all * HEARTBEATS_PER_S <= NODE_BYTES_PER_S, "{all} bytes");
+}
