--- a/crates/hornbeamlead_jobs/src/lib.rs
+++ b/crates/hornbeamlead_jobs/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod notice;
 pub mod notice_board;
 pub mod operators;
+pub mod placed;
 pub mod planner;
 pub mod record;
 pub mod relay;
