--- a/crates/hornbeamlead_jobs/src/locator/claim.rs
+++ b/crates/hornbeamlead_jobs/src/locator/claim.rs
@@ -1,8 +1,9 @@
 //! Claims the planner role once the plan has not grown for the election timeout.
 
+use super::link::DIAL_PAUSE;
 use super::{
-    CLAIM_TIMEOUT, DIAL_PAUSE, ElectionStage, LocatorEvent, PlanEnd, PlannerAddress,
-    PlannerElection, PlannerLocator, REFUSED_ELECTION_TIMEOUT,
+    ElectionStage, LocatorEvent, PlanEnd, PlannerAddress, PlannerElection, PlannerLocator,
+    REFUSED_ELECTION_TIMEOUT,
 };
 use crate::effect::Effect;
 use crate::ids::{CallNumber, PlannerEpoch, StreamOffset};
@@ -15,6 +16,9 @@
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
 
+/// Timeout of a call to the store during an election.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Maximum random delay of a claim, which makes concurrent claims less likely.
 const MAX_CLAIM_DELAY: Duration = Duration::from_millis(250);
 
@@ -33,6 +37,38 @@
 const CANDIDATE_BITS: u32 = 24;
 
 impl PlannerLocator {
+    pub(super) fn poll_election(&mut self, now: MonoTime) {
+        match self.election {
+            ElectionStage::Waiting { seen, until } if now >= until => {
+                self.election = ElectionStage::Reading { seen: Some(seen) };
+                self.read_end(now);
+            }
+            ElectionStage::Pausing { until } if now >= until => {
+                self.election = ElectionStage::Reading { seen: None };
+                self.read_end(now);
+            }
+            ElectionStage::Starting => {
+                self.election = ElectionStage::Reading { seen: None };
+                self.read_end(now);
+            }
+            _ => {}
+        }
+    }
+
+    fn read_end(&mut self, now: MonoTime) {
+        let caller = self.next_claim_caller();
+        self.effects.push(Effect::Store(StoreCall {
+            caller,
+            operation: StoreOperation::Read {
+                stream: StreamName::Plan,
+                from: self.plan_end,
+                wait_until: now,
+                end_only: true,
+            },
+            deadline: now.plus(CLAIM_TIMEOUT),
+        }));
+    }
+
     pub(super) fn handle_claim_outcome(&mut self, now: MonoTime, outcome: StoreOutcome) {
         match (self.election, outcome) {
             (ElectionStage::Reading { seen }, StoreOutcome::Records { end, .. }) => {
@@ -127,7 +163,7 @@
         PlannerEpoch((end.saturating_add(1) << CANDIDATE_BITS) | candidate)
     }
 
-    pub(super) fn next_claim_caller(&mut self) -> StoreCaller {
+    fn next_claim_caller(&mut self) -> StoreCaller {
         self.last_call = CallNumber(self.last_call.0 + 1);
         StoreCaller::Claim(self.last_call)
     }
