[jobs] Send starts on a new link only after its first answer

Cause: agents dial the planner's old address, where the process has just been elected, then read the new address and dial again. An order that waits for its record goes out on whichever link the host has then. An agent knows the age of an order only from the planner's answer to a report on some link; one that has just restarted has none, takes the reading of its clock for the age and drops the order. The planner kept the host reachable across the new link by the report on the old one.

Ruled out: a late order (dropped 0.09 s after the placement); a clock that jumped: ages differ by host (23,168 to 56,795 s), and without an answer the age is the whole reading of the clock (read in the code).

Change: a host takes no tasks until a report on its link has been answered, and a start whose record is stored before that is withdrawn, so that its task is placed again at once. Nothing is sent to agents that was not sent before. Cost: after a takeover the first start on a host waits for one append more, also on hosts whose agent knows an answer of the former planner.

--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -124,6 +124,9 @@
     /// When the latest report on the current link was answered, unless as by a planner that cannot
     /// reach the store.
     pub(super) granted_at: Option<MonoTime>,
+    /// Whether a report on the current link has been answered. The answer tells the agent the age of
+    /// the orders that follow; it drops orders without.
+    pub(super) answered: bool,
     /// Orders sent on the current link.
     orders_sent: u64,
 }
@@ -158,6 +161,7 @@
             stamps: ReportStamps::default(),
             grant_deferred: false,
             granted_at: None,
+            answered: false,
             orders_sent: 0,
         }
     }
@@ -265,6 +269,7 @@
         self.orders_sent = 0;
         self.sent_coefficients = 0;
         self.granted_at = None;
+        self.answered = false;
         self.stamps = ReportStamps::default();
         self.grant_deferred = false;
         self.link.replace(link).filter(|old| *old != link)
--- a/crates/hornbeamlead_jobs/src/planner/leases.rs
+++ b/crates/hornbeamlead_jobs/src/planner/leases.rs
@@ -86,6 +86,10 @@
 
     fn send_answer(&mut self, link: LinkId, stamp: Option<AgentStamp>, seen: AgentStamp) {
         let epoch = self.epoch;
+        let host = self.links.get(&link);
+        if let Some(view) = host.and_then(|host| self.hosts.get_mut(host)) {
+            view.answered = true;
+        }
         let message = PlannerMessage::Grant { epoch, stamp, seen };
         self.effects.push(Effect::ToAgent { link, message });
     }
--- a/crates/hornbeamlead_jobs/src/planner/orders.rs
+++ b/crates/hornbeamlead_jobs/src/planner/orders.rs
@@ -21,6 +21,7 @@
         let view = self.hosts.get_mut(host);
         let usable = view.as_ref().is_some_and(|view| {
             view.is_reachable(now)
+                && view.answered
                 && view.incarnation() == Some(&order.incarnation)
                 && !view.is_draining()
         });
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -202,6 +202,7 @@
         let candidate = |view: &'_ HostView| {
             let worker = view.worker.as_ref()?;
             let accepts = view.is_reachable(now)
+                && view.answered
                 && view.listed
                 && !worker.draining
                 && now >= view.not_before
--- a/crates/hornbeamlead_jobs/tests/world/lone.rs
+++ b/crates/hornbeamlead_jobs/tests/world/lone.rs
@@ -18,6 +18,8 @@
     pub(crate) calls: Vec<StoreOperation>,
     /// Events that were logged.
     pub(crate) events: Vec<&'static str>,
+    /// Messages to agents, with their link.
+    pub(crate) sent: Vec<(LinkId, PlannerMessage)>,
     outcomes: Vec<(StoreCaller, StoreOutcome)>,
 }
 
@@ -58,6 +60,7 @@
             refused: None,
             calls: Vec::new(),
             events: Vec::new(),
+            sent: Vec::new(),
             outcomes: Vec::new(),
         }
     }
@@ -90,6 +93,7 @@
             match effect {
                 Effect::Store(call) => self.answer(call),
                 Effect::Log(line) => self.events.push(line.event),
+                Effect::ToAgent { link, message } => self.sent.push((link, message)),
                 _ => {}
             }
         }
