[jobs] Keep stalls of workers and tasks across planners

Emulated platform, 6 hosts, planner killed 8 times, 2.3 to 2.7 s after it became active: 31 or 32 starts on the worker.

Ruled out: a mark in `Ended`. Versions that do not know it could not read the end, and the task would run twice.

Change: a record `Stalled` with the attempt, from which the ledger derives the worker's failure and the host that the task avoids. One record for each stall.

Limit: what fits at once, and one start each 3.5 s, the stall timeout and the pause of a worker on probation.

Why it works: each planner replays the records of the stalls, as it does those of failures.

--- a/crates/hornbeamlead_jobs/src/journal.rs
+++ b/crates/hornbeamlead_jobs/src/journal.rs
@@ -40,7 +40,9 @@
 impl From<&PlanRecord> for CopyTerm {
     fn from(record: &PlanRecord) -> Self {
         match record {
-            PlanRecord::Tick { .. } | PlanRecord::Host { .. } => Self::Never,
+            PlanRecord::Tick { .. } | PlanRecord::Host { .. } | PlanRecord::Stalled { .. } => {
+                Self::Never
+            }
             // Jobs are in their own stream. An unknown bound, or none, means the longest wait.
             PlanRecord::Claim(_)
             | PlanRecord::Takeover(_)
--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -268,9 +268,9 @@
     /// Interference between images as learned by planners, for the next planner. Only snapshots
     /// contain it, no record.
     pub learned: Vec<LearnedInterference>,
-    /// Failures of workers since their last success, by host.
+    /// Failures and stalls of workers since their last success, by host.
     pub worker_failures: BTreeMap<HostName, WorkerFailures>,
-    /// Hosts on which an unfinished task has failed, stalled or was slow. Of the latter two only
+    /// Hosts on which an unfinished task has failed, stalled or was slow. Of the latter only
     /// snapshots tell, no record.
     pub failed_hosts: BTreeMap<TaskName, Vec<HostName>>,
     /// Epoch of the planner that wrote the snapshot, if it writes a journal. Only snapshots contain
@@ -323,6 +323,7 @@
                 }
                 self.remove_if_idle(run.task.step.job);
             }
+            PlanRecord::Stalled { run } => self.note_stall(*run),
             PlanRecord::Closed { job, phase } => {
                 if let Some(state) = self.jobs.get_mut(job) {
                     state.phase = *phase;
--- a/crates/hornbeamlead_jobs/src/ledger/health.rs
+++ b/crates/hornbeamlead_jobs/src/ledger/health.rs
@@ -18,7 +18,7 @@
 pub struct WorkerFailures {
     /// Incarnation of the worker.
     pub incarnation: WorkerIncarnation,
-    /// Number of attempts that failed.
+    /// Number of attempts that failed or stalled.
     pub count: u32,
     /// Heartbeats of planners since the latest failure.
     pub heartbeats: u32,
@@ -49,7 +49,7 @@
     }
 
     /// Counts a failure of a worker.
-    pub fn count_failure(&mut self, host: &HostName, incarnation: &WorkerIncarnation) {
+    fn count_failure(&mut self, host: &HostName, incarnation: &WorkerIncarnation) {
         let earlier = self.failures_of(host, incarnation);
         let failures = WorkerFailures {
             incarnation: incarnation.clone(),
@@ -77,6 +77,14 @@
         }
     }
 
+    /// Notes that an attempt makes no progress.
+    pub(super) fn note_stall(&mut self, run: RunName) {
+        if let Some(placement) = self.placement(run).cloned() {
+            self.count_failure(&placement.host, &placement.incarnation);
+            self.avoid_host(run.task, placement.host);
+        }
+    }
+
     /// Counts a heartbeat, and forgets failures that are too old.
     pub(super) fn count_heartbeat(&mut self) {
         self.worker_failures.retain(|_, failures| {
--- a/crates/hornbeamlead_jobs/src/planner/health.rs
+++ b/crates/hornbeamlead_jobs/src/planner/health.rs
@@ -5,6 +5,7 @@
 use crate::ids::{HostName, RunName};
 use crate::job::RunEnd;
 use crate::operators::OperatorFormat;
+use crate::record::PlanRecord;
 use hornbeamlead_core::clock::MonoTime;
 use std::time::Duration;
 
@@ -122,11 +123,8 @@
         for (run, host) in &stalled {
             let detail = format!("host={host}");
             self.log("task_stalled", run, detail);
-            self.ledger.avoid_host(run.task, host.clone());
+            self.record(now, PlanRecord::Stalled { run: *run });
             if let Some(view) = self.hosts.get_mut(host) {
-                if let Some(incarnation) = view.incarnation() {
-                    self.ledger.count_failure(host, incarnation);
-                }
                 view.consecutive_failures += 1;
                 view.probation |= view.consecutive_failures >= PROBATION_FAILURES;
                 if view.probation {
--- a/crates/hornbeamlead_jobs/src/record.rs
+++ b/crates/hornbeamlead_jobs/src/record.rs
@@ -157,6 +157,12 @@
     },
     /// Grants that a planner of an earlier version has given after its last append have expired.
     GrantsConfirmed,
+    /// An attempt makes no progress, so it will be stopped. Versions that do not know this record
+    /// ignore it.
+    Stalled {
+        /// Attempt that stalled.
+        run: RunName,
+    },
 }
 
 impl PlanRecord {
@@ -164,7 +170,9 @@
     #[must_use]
     pub fn task(&self) -> Option<TaskName> {
         match self {
-            Self::Started { run, .. } | Self::Ended { run, .. } => Some(run.task),
+            Self::Started { run, .. } | Self::Ended { run, .. } | Self::Stalled { run } => {
+                Some(run.task)
+            }
             _ => None,
         }
     }
--- a/crates/hornbeamlead_jobs/tests/bad_worker.rs
+++ b/crates/hornbeamlead_jobs/tests/bad_worker.rs
@@ -18,6 +18,15 @@
 /// Pause between two starts on a worker on probation, in milliseconds.
 const PROBATION_MS: u64 = 1500;
 
+/// Time without progress after which an attempt counts as stalled, in milliseconds.
+const STALL_MS: u64 = 2000;
+
+/// Processor demand of a task, in thousandths of a core.
+const TASK_CPU: u32 = 1000;
+
+/// Number of these tasks for which a worker has room.
+const AT_ONCE: u64 = 8000 / TASK_CPU as u64;
+
 /// Host on which everything fails or hangs.
 const BAD: usize = 1;
 
@@ -43,6 +52,21 @@
     world
 }
 
+fn work_job(tasks: u32) -> JobBody {
+    let step = StepSpec {
+        tasks,
+        cpu: TASK_CPU,
+        memory: 100,
+        estimate_ms: 700,
+        ..StepSpec::default()
+    };
+    JobBody {
+        spec: "work".into(),
+        steps: vec![step],
+        ..JobBody::default()
+    }
+}
+
 fn kill_planner(world: &mut World) {
     if let Some(planner) = world.planner_host() {
         world.kill(planner);
@@ -59,24 +83,11 @@
 ) {
     let mut world = bad_world(Trouble::FailsAfter(fails_after_ms));
     world.task_ms = Some(700);
-    let cpu = 1000;
-    let step = StepSpec {
-        tasks,
-        cpu,
-        memory: 100,
-        estimate_ms: 700,
-        ..StepSpec::default()
-    };
-    let body = JobBody {
-        spec: "work".into(),
-        steps: vec![step],
-        ..JobBody::default()
-    };
     let begin = world.now();
     let jobs: Vec<_> = (0..KILLS * 15).map(JobId).collect();
     for batch in jobs.chunks(15) {
         for job in batch {
-            world.submit(*job, body.clone());
+            world.submit(*job, work_job(tasks));
             world.run(kill_ms / 15);
         }
         kill_planner(&mut world);
@@ -87,13 +98,46 @@
     }
     let starts = &world.judge.starts;
     let span_ms = starts.last().map_or(0, |start| start.at - begin);
-    let at_once = u64::from(8000 / cpu);
     let on_bad = starts.iter().filter(|start| start.host == BAD).count();
-    let limit = at_once + span_ms / PROBATION_MS;
+    let limit = AT_ONCE + span_ms / PROBATION_MS;
     assert!(on_bad as u64 <= limit, "{on_bad} starts, limit {limit}");
     assert_eq!(world.judge.violations, Vec::<String>::new());
 }
 
+/// Guards against stalls that only the planner that saw them counts, so that each of its successors
+/// fills a worker on which everything hangs with tasks again.
+#[rstest]
+fn stalls_counted(
+    #[values(12, 18, 24)] tasks: u32,
+    #[values(2300, 2500, 2700)] kill_after_ms: u64,
+) {
+    let mut world = bad_world(Trouble::Hangs);
+    world.task_ms = Some(700);
+    let begin = world.now();
+    let jobs: Vec<_> = (0..KILLS * 3).map(JobId).collect();
+    for batch in jobs.chunks(3) {
+        kill_planner(&mut world);
+        while world.planner_host().is_none() {
+            world.run(5);
+        }
+        for job in batch {
+            world.submit(*job, work_job(tasks));
+        }
+        world.run(kill_after_ms);
+    }
+    world.run(40_000);
+    for job in jobs {
+        assert_eq!(world.phase(job), Some(JobPhase::Completed));
+    }
+    let on_bad = world.judge.starts.iter();
+    let on_bad: Vec<_> = on_bad.filter(|start| start.host == BAD).collect();
+    let span_ms = on_bad.last().map_or(0, |start| start.at - begin);
+    let limit = AT_ONCE + span_ms / (STALL_MS + PROBATION_MS);
+    let count = on_bad.len() as u64;
+    assert!(count <= limit, "{count} starts, limit {limit}");
+    assert_eq!(world.judge.violations, Vec::<String>::new());
+}
+
 /// Lasting tasks whose images make the bad worker attractive run elsewhere soon after the last loss
 /// of a planner.
 #[rstest]
--- a/crates/hornbeamlead_jobs/tests/failure_records.rs
+++ b/crates/hornbeamlead_jobs/tests/failure_records.rs
@@ -43,7 +43,7 @@
     }
 }
 
-fn run_on(ledger: &mut JobLedger, number: u32, host: HostName, born: u64, end: RunEnd) {
+fn begin_run(ledger: &mut JobLedger, number: u32, host: HostName, born: u64) -> RunName {
     let run = RunName {
         task: task(),
         run: RunNumber(number),
@@ -54,6 +54,11 @@
         host,
         incarnation,
     });
+    run
+}
+
+fn run_on(ledger: &mut JobLedger, number: u32, host: HostName, born: u64, end: RunEnd) {
+    let run = begin_run(ledger, number, host, born);
     let saved = None;
     ledger.apply(&PlanRecord::Ended { run, end, saved });
 }
@@ -94,6 +99,22 @@
     assert_eq!(ledger.failed_hosts.get(&task()), None);
 }
 
+#[test]
+fn stalls_replayed() {
+    let mut ledger = failed_ledger();
+    run_on(&mut ledger, 7, host(6), 7, RunEnd::Stopped);
+    assert_eq!(count(&ledger, 6, 7), None);
+    let run = begin_run(&mut ledger, 8, host(6), 7);
+    ledger.apply(&PlanRecord::Stalled { run });
+    assert_eq!(count(&ledger, 6, 7), Some(1));
+    let hosts = ledger.failed_hosts.get(&task()).expect("the task stalled");
+    assert_eq!(*hosts, [4, 5, 5, 6].map(host));
+    let (end, saved) = (RunEnd::Stopped, None);
+    ledger.apply(&PlanRecord::Ended { run, end, saved });
+    ledger.apply(&PlanRecord::Stalled { run });
+    assert_eq!(count(&ledger, 6, 7), Some(1));
+}
+
 /// What is kept of workers that run nothing and of jobs that have ended does not pile up.
 #[test]
 fn failures_forgotten() {
