[jobs] Keep the time without progress of attempts across planners

What callers saw: tasks on a worker that hangs stayed there for as long as planners changed faster than the stall timeouts (2 s, 3 s for long-running tasks). Emulated platform, 6 hosts: after 8 planners that were active for 0.6 to 1.5 s each, the job with 12 tasks still ran.

Cause: only the planner measured how long an attempt makes no progress, from the first report that it got. Class of: a clock that starts anew with each planner.

Ruled out: rows behind heartbeats. They cost four writes a second of what only agents observe, planners that live for less than a heartbeat keep nothing, and the state grows with the fleet. So this one is not kept in the plan.

Change: the agent notes when the worker's lists first showed an attempt's progress, and its reports name attempts without progress for 0.5 s or more, at 3 to 4 bytes each. A planner takes the time over when an attempt is first listed to it. If more than 1 s passes between two lists, the agent starts anew, since the worker may have stood still itself. The rows stand last in a report: the version before ignores them, and reports without them decode. The report is boxed in its message, which leaves its encoding as it is.

Evidence: `stalls_end` failed in 3 of 3 cases before (at its check of the job; that of the long-running tasks was not reached), in none after. `idle_reports` checks both directions of the encoding. Limit: an agent that restarts begins anew for its own worker.

Why it works: agents live through changes of the planner, so the time runs on.

--- a/crates/hornbeamlead_jobs/src/message.rs
+++ b/crates/hornbeamlead_jobs/src/message.rs
@@ -2,8 +2,9 @@
 
 use crate::ids::{HostName, PlannerEpoch, RunName, WorkerIncarnation};
 use crate::worker::{EndedRow, RunningRow, WorkerFacts, WorkerRefusal};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Reading of an agent's monotonic clock, in microseconds; opaque to other processes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -34,6 +35,38 @@
     pub ended: Vec<EndedRow>,
     /// Attempts with an order in flight, or with one that the lists may not reflect yet.
     pub in_flight: Vec<RunName>,
+    /// Running attempts that make no progress.
+    pub idle: IdleRuns,
+}
+
+/// Running attempts without progress. Stands last in a report: versions that do not know it ignore it,
+/// and it is empty in reports that lack it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct IdleRuns(pub Vec<IdleRow>);
+
+/// Running attempt that has made no progress for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct IdleRow {
+    /// Index in the report's list of running attempts.
+    pub row: u16,
+    /// Time without progress, in milliseconds, while the worker answered.
+    pub idle_ms: u32,
+}
+
+impl IdleRuns {
+    /// Returns the time without progress of a row of the report's list of running attempts.
+    #[must_use]
+    pub fn idle_span(&self, row: usize) -> Duration {
+        let idle = self.0.iter().find(|idle| usize::from(idle.row) == row);
+        Duration::from_millis(idle.map_or(0, |idle| idle.idle_ms.into()))
+    }
+}
+
+impl<'de> Deserialize<'de> for IdleRuns {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let rows = Vec::deserialize(deserializer);
+        Ok(rows.map(Self).unwrap_or_default())
+    }
 }
 
 /// Message from an agent to the planner.
@@ -49,7 +82,7 @@
         epoch: PlannerEpoch,
     },
     /// State of the host.
-    Report(HostReport),
+    Report(Box<HostReport>),
     /// An attempt did not start and will not start later.
     NotStarted {
         /// Attempt that was ordered.
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -38,7 +38,7 @@
                 address,
                 epoch,
             } => self.handle_hello(now, link, host, address, epoch),
-            AgentMessage::Report(report) => self.handle_report(now, link, report),
+            AgentMessage::Report(report) => self.handle_report(now, link, &report),
             AgentMessage::NotStarted {
                 run,
                 incarnation,
@@ -123,11 +123,11 @@
         self.log("host_disconnected", &host, String::new());
     }
 
-    fn handle_report(&mut self, now: MonoTime, link: LinkId, report: HostReport) {
+    fn handle_report(&mut self, now: MonoTime, link: LinkId, report: &HostReport) {
         let Some(host) = self.links.get(&link).cloned() else {
             return;
         };
-        self.answer_report(now, link, &host, &report);
+        self.answer_report(now, link, &host, report);
         if self.recovery.is_some() {
             return;
         }
@@ -159,11 +159,11 @@
         if first {
             self.send_traits(link, &host);
         }
-        self.end_past_incarnations(now, &host, &report);
-        self.process_ended(now, &host, &report);
-        self.process_running(now, &host, &report);
-        self.stop_missing(&host, &report);
-        self.learn_interference(now, &host, &report);
+        self.end_past_incarnations(now, &host, report);
+        self.process_ended(now, &host, report);
+        self.process_running(now, &host, report);
+        self.stop_missing(&host, report);
+        self.learn_interference(now, &host, report);
     }
 
     /// Ends attempts of worker incarnations that are known to have ended.
@@ -231,7 +231,7 @@
     }
 
     fn process_running(&mut self, now: MonoTime, host: &HostName, report: &HostReport) {
-        for row in &report.running {
+        for (index, row) in report.running.iter().enumerate() {
             let placed = self.ledger.placement(row.run);
             if placed.is_none_or(|placement| placement.host != *host) {
                 if report.listed && !report.in_flight.contains(&row.run) {
@@ -248,7 +248,8 @@
                 .or_insert_with(|| RunView::new(now));
             if !run_view.listed {
                 run_view.listed = true;
-                run_view.progressed_at = now;
+                run_view.percent = row.percent;
+                run_view.progressed_at = now.minus(report.idle.idle_span(index));
             }
             let stop_sent = run_view.stop_number.is_some();
             if row.percent > run_view.percent {
--- a/crates/hornbeamlead_jobs/src/supervisor.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor.rs
@@ -4,6 +4,7 @@
 //! certain never to be carried out, only once lists that were read after it confirm this.
 
 mod calls;
+mod progress;
 mod throttle;
 
 pub use throttle::{BestEffortThrottle, ThrottlePolicy};
@@ -17,6 +18,7 @@
 };
 use calls::answer_due;
 use hornbeamlead_core::clock::MonoTime;
+use progress::ProgressWatch;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -148,6 +150,7 @@
     runs: BTreeMap<RunName, RunStage>,
     traits: BTreeMap<RunName, RunTraits>,
     throttle: BestEffortThrottle,
+    progress: ProgressWatch,
     report_due: bool,
     reported: MonoTime,
     effects: Vec<Effect>,
@@ -169,6 +172,7 @@
             newest_seen: MonoTime(0),
             runs: BTreeMap::new(),
             traits: BTreeMap::new(),
+            progress: ProgressWatch::default(),
             report_due: false,
             reported: MonoTime(0),
             effects: Vec::new(),
@@ -306,6 +310,7 @@
         self.runs.clear();
         self.traits.clear();
         self.throttle.clear();
+        self.progress.clear();
         self.report_due = true;
     }
 
@@ -428,7 +433,7 @@
         self.report_due = false;
         self.reported = now;
         let report = self.report(now);
-        self.send(AgentMessage::Report(report));
+        self.send(AgentMessage::Report(Box::new(report)));
     }
 
     fn report(&self, now: MonoTime) -> HostReport {
@@ -448,6 +453,7 @@
             worker: facts,
             dead: self.dead.clone(),
             listed: worker.is_some_and(|worker| worker.listed == Some(self.epoch)),
+            idle: self.progress.idle(&lists.running),
             running: lists.running,
             ended: lists.ended,
             in_flight: self.runs.iter().filter_map(unconfirmed).collect(),
--- a/crates/hornbeamlead_jobs/src/supervisor/calls.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/calls.rs
@@ -259,6 +259,7 @@
                 != worker.lists.ended.last().map(|end| end.number);
         let first = worker.listed != Some(worker.hold_epoch);
         worker.listed = Some(worker.hold_epoch);
+        self.progress.note(now, &lists.running);
         worker.lists = lists;
         worker.answer_due = answer_due(worker.hold_at);
         let was_silent = std::mem::take(&mut worker.silent);
--- a/crates/hornbeamlead_jobs/tests/arbitrary_messages.rs
+++ b/crates/hornbeamlead_jobs/tests/arbitrary_messages.rs
@@ -13,7 +13,7 @@
 };
 use hornbeamlead_jobs::job::{JobBody, JobRecord, JobSchedule, QueueTerms, RunEnd, StepSpec};
 use hornbeamlead_jobs::message::{
-    AgentMessage, AgentStamp, HostReport, PlannerMessage, StartOrder,
+    AgentMessage, AgentStamp, HostReport, IdleRow, IdleRuns, PlannerMessage, StartOrder,
 };
 use hornbeamlead_jobs::planner::PlannerEvent;
 use hornbeamlead_jobs::record::{PlanRecord, encode};
@@ -113,17 +113,21 @@
 }
 
 fn agent_message() -> impl Strategy<Value = AgentMessage> {
-    let report = (number(), number(), prop::option::of(facts()), rows());
-    let report = report.prop_map(|(stamp, orders_seen, worker, (running, ended))| {
-        AgentMessage::Report(HostReport {
+    let idle = prop::collection::vec((any::<u16>(), any::<u32>()), 0..3);
+    let report = (number(), number(), prop::option::of(facts()), rows(), idle);
+    let report = report.prop_map(|(stamp, orders_seen, worker, (running, ended), idle)| {
+        let idle = idle.into_iter();
+        let idle = idle.map(|(row, idle_ms)| IdleRow { row, idle_ms });
+        AgentMessage::Report(Box::new(HostReport {
             stamp: AgentStamp(stamp),
             orders_seen,
             worker,
             listed: true,
             running,
             ended,
+            idle: IdleRuns(idle.collect()),
             ..HostReport::default()
-        })
+        }))
     });
     let not_started = (run_name(), incarnation());
     prop_oneof![
--- a/crates/hornbeamlead_jobs/tests/bad_worker.rs
+++ b/crates/hornbeamlead_jobs/tests/bad_worker.rs
@@ -73,6 +73,13 @@
     }
 }
 
+fn replace_planner(world: &mut World) {
+    kill_planner(world);
+    while world.planner_host().is_none() {
+        world.run(5);
+    }
+}
+
 /// Guards against failure counts that start anew with each planner, each of which then fills a
 /// worker that is known to fail with tasks.
 #[rstest]
@@ -116,10 +123,7 @@
     let begin = world.now();
     let jobs: Vec<_> = (0..KILLS * 3).map(JobId).collect();
     for batch in jobs.chunks(3) {
-        kill_planner(&mut world);
-        while world.planner_host().is_none() {
-            world.run(5);
-        }
+        replace_planner(&mut world);
         for job in batch {
             world.submit(*job, work_job(tasks));
         }
@@ -138,6 +142,27 @@
     assert_eq!(world.judge.violations, Vec::<String>::new());
 }
 
+/// Guards against stall times that start anew with each planner, which leave tasks on a worker that
+/// hangs for as long as planners change faster than the timeouts.
+#[rstest]
+fn stalls_end(#[values(600, 1000, 1500)] kill_after_ms: u64) {
+    let mut world = bad_world(Trouble::Hangs);
+    world.task_ms = Some(700);
+    let (work, lasting) = (JobId(1), JobId(2));
+    world.submit(work, work_job(2 * TASKS));
+    world.submit(lasting, World::long_running_job(2 * TASKS));
+    world.run(1000);
+    assert!(world.running_on(BAD, work) > 0 && world.running_on(BAD, lasting) > 0);
+    for _ in 0..KILLS {
+        replace_planner(&mut world);
+        world.run(kill_after_ms);
+    }
+    assert_eq!(world.phase(work), Some(JobPhase::Completed));
+    let elsewhere = world.running(lasting).len() - world.running_on(BAD, lasting);
+    assert_eq!(elsewhere, 2 * TASKS as usize);
+    assert_eq!(world.judge.violations, Vec::<String>::new());
+}
+
 /// Lasting tasks whose images make the bad worker attractive run elsewhere soon after the last loss
 /// of a planner.
 #[rstest]
--- a/crates/hornbeamlead_jobs/tests/recovery_grants.rs
+++ b/crates/hornbeamlead_jobs/tests/recovery_grants.rs
@@ -78,7 +78,7 @@
             };
             events.push(PlannerEvent::Agent {
                 link: LINK,
-                message: AgentMessage::Report(report),
+                message: AgentMessage::Report(Box::new(report)),
             });
         }
         events.push(PlannerEvent::Tick);
