[schedule] Repeat reads and reports whose answers are lost

What callers saw: after answers of the log and of the worker were dropped for 3 s, jobs that were declared later never ran (0 of 40 tasks in 60 s). Virtual time, 4 hosts.

Cause: a poller and a report each waited for their answer without a deadline. The daemon drops and counts an answer if the ring to the decision thread has no room for a second; such a poller never read again, and an agent without a first report sends no heartbeats. Besides, a new address of the worker forgot the report in flight, so that the list of the former worker counted as the answer to the next request; read from the code, not shown by a test.

Ruled out: a deadline alone for reports. A late answer would count as read after the newer request, and attempts that were started between the two as gone.

Change: a read counts as lost after 5 s, a report after 8 s, both stored as deadlines. Reports carry a number by which the answer to the latest request is known; others are ignored. A late read does no harm, as records are taken once by offset; the time of the tail never goes back. The number is not sent to the worker.

`cargo test -p hornbeamlead_schedule -p hornbeamlead_agent -p hornbeamlead_core`: all passed.

Why it works: each wait ends at a deadline that the agent keeps itself.

--- a/crates/hornbeamlead_agent/tests/first_view.rs
+++ b/crates/hornbeamlead_agent/tests/first_view.rs
@@ -98,7 +98,10 @@
         effect: AgentEffect,
     ) -> Option<(u16, AgentEvent)> {
         match effect {
-            AgentEffect::CallWorker { call, .. } if call == WorkerCall::Report => {
+            AgentEffect::CallWorker {
+                call: call @ WorkerCall::Report { .. },
+                ..
+            } => {
                 let report = WorkerReport {
                     tasks: Vec::new(),
                     service_p99_us: None,
--- a/crates/hornbeamlead_core/src/task.rs
+++ b/crates/hornbeamlead_core/src/task.rs
@@ -112,7 +112,10 @@
         attempt: AttemptId,
     },
     /// Requests the status of all attempts and the usage of the worker.
-    Report,
+    Report {
+        /// Number by which the caller knows the answer to its latest request.
+        number: u64,
+    },
 }
 
 /// Error of a call to a worker.
--- a/crates/hornbeamlead_daemon/src/platform/worker.rs
+++ b/crates/hornbeamlead_daemon/src/platform/worker.rs
@@ -74,7 +74,7 @@
         | WorkerCall::Stop { attempt, .. }
         | WorkerCall::Forget { attempt } => WorkerLane::Attempt(attempt.clone()),
         WorkerCall::Renew { .. } => WorkerLane::Renewals,
-        WorkerCall::Report => WorkerLane::Reports,
+        WorkerCall::Report { .. } => WorkerLane::Reports,
     }
 }
 
--- a/crates/hornbeamlead_measure/src/capacity/model_worker.rs
+++ b/crates/hornbeamlead_measure/src/capacity/model_worker.rs
@@ -34,7 +34,7 @@
                 }
             }
             WorkerCall::Forget { attempt } => drop(self.tasks.remove(attempt)),
-            WorkerCall::Report => return WorkerAnswer::Report(self.report()),
+            WorkerCall::Report { .. } => return WorkerAnswer::Report(self.report()),
             WorkerCall::Renew { .. }
             | WorkerCall::Checkpoint { .. }
             | WorkerCall::Throttle { .. } => {}
--- a/crates/hornbeamlead_platform/src/worker.rs
+++ b/crates/hornbeamlead_platform/src/worker.rs
@@ -59,12 +59,13 @@
         now: MonoTime,
     ) -> Result<WorkerAnswer, WorkerError> {
         if has_deadline(call) && self.worker_clocks.lower_bound_at(address, now).is_none() {
-            self.exchange(address, &WorkerCall::Report, now).await?;
+            let report = WorkerCall::Report { number: 0 };
+            self.exchange(address, &report, now).await?;
         }
         check_start_deadline(call, now)?;
         let answer = self.exchange(address, call, now).await?;
         match answer.status {
-            StatusCode::OK if *call == WorkerCall::Report => read_report(&answer),
+            StatusCode::OK if matches!(call, WorkerCall::Report { .. }) => read_report(&answer),
             StatusCode::OK | StatusCode::NO_CONTENT => Ok(WorkerAnswer::Done),
             StatusCode::CONFLICT => Err(read_refusal(&answer)),
             _ => Err(WorkerError::NoAnswer),
@@ -165,7 +166,7 @@
             let attempt = AttemptWire::from(attempt);
             post(address, "forget", &AttemptCall { attempt })
         }
-        WorkerCall::Report => {
+        WorkerCall::Report { .. } => {
             let uri = format!("http://{address}/tasks").parse().ok()?;
             Some(build_request(
                 Method::GET,
--- a/crates/hornbeamlead_platform/tests/worker_client.rs
+++ b/crates/hornbeamlead_platform/tests/worker_client.rs
@@ -56,7 +56,7 @@
 }
 
 fn report(worker: &WorkerStandin) -> Vec<TaskStatus> {
-    match call(worker.addr(), &WorkerCall::Report) {
+    match call(worker.addr(), &WorkerCall::Report { number: 1 }) {
         Ok(WorkerAnswer::Report(report)) => report.tasks,
         other => panic!("expected a report, got {other:?}"),
     }
@@ -159,7 +159,8 @@
 fn call_frozen(worker: &WorkerStandin, call: &WorkerCall, freeze: Duration) -> u64 {
     let client = WorkerClient::new(|| NOW);
     block_on(async {
-        let report = client.call(worker.addr(), &WorkerCall::Report, NOW).await;
+        let report = WorkerCall::Report { number: 1 };
+        let report = client.call(worker.addr(), &report, NOW).await;
         assert!(report.is_ok());
         worker.control(|control| control.frozen = true);
         let sent = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
--- a/crates/hornbeamlead_schedule/src/machine.rs
+++ b/crates/hornbeamlead_schedule/src/machine.rs
@@ -353,7 +353,7 @@
     fn due(&self, now: MonoTime) -> MonoTime {
         let reads = [self.cell_poller.due(), self.notes_poller.due()];
         let active = self.planner.is_some() || self.is_following_log(now);
-        let reads = reads.into_iter().flatten().filter(|_| active);
+        let reads = reads.into_iter().filter(|_| active);
         let planner = self.planner.as_ref().map(|planner| planner.due());
         let due_times = reads.chain(planner).chain([self.supervisor.due()]);
         match due_times.min() {
--- a/crates/hornbeamlead_schedule/src/planner.rs
+++ b/crates/hornbeamlead_schedule/src/planner.rs
@@ -293,7 +293,7 @@
 
     /// Returns when work is due next.
     pub(crate) fn due(&self) -> MonoTime {
-        let read = self.jobs_poller.due().unwrap_or(MonoTime::MAX);
+        let read = self.jobs_poller.due();
         read.min(self.next_batch).min(self.next_promise_request)
     }
 
--- a/crates/hornbeamlead_schedule/src/stream_poller.rs
+++ b/crates/hornbeamlead_schedule/src/stream_poller.rs
@@ -7,12 +7,17 @@
 use hornbeamlead_core::record::StreamName;
 use std::time::Duration;
 
+/// Time after which a read counts as lost: the timeout of the call and the longest wait for the
+/// decision thread, with a margin. A late answer does no harm, as records are taken once.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Schedule of the reads of one stream.
 #[derive(Clone, Debug)]
 pub(crate) struct StreamPoller {
     stream: StreamName,
     due: MonoTime,
-    in_flight: bool,
+    /// Time at which the read in flight counts as lost.
+    lost_at: Option<MonoTime>,
     /// Whether to read again as soon as the read in flight completes.
     repoll: bool,
     /// Start of the newest read that reached the tail without a gap.
@@ -26,7 +31,7 @@
         Self {
             stream,
             due: MonoTime(0),
-            in_flight: false,
+            lost_at: None,
             repoll: false,
             tail_read_at: None,
             available: false,
@@ -43,23 +48,23 @@
         self.available
     }
 
-    /// Returns when the next read is due; `None` while one is in flight.
-    pub(crate) fn due(&self) -> Option<MonoTime> {
-        (!self.in_flight).then_some(self.due)
+    /// Returns when the next read is due, at the latest.
+    pub(crate) fn due(&self) -> MonoTime {
+        self.lost_at.unwrap_or(self.due)
     }
 
     /// Makes the next read due immediately.
     pub(crate) fn poll_now(&mut self) {
         self.due = MonoTime(0);
-        self.repoll = self.in_flight;
+        self.repoll = self.lost_at.is_some();
     }
 
     /// Issues a read if one is due.
     pub(crate) fn start(&mut self, from: LogOffset, context: &mut EventContext<'_>) {
-        if self.in_flight || context.mono() < self.due {
+        if context.mono() < self.due() {
             return;
         }
-        self.in_flight = true;
+        self.lost_at = Some(context.mono().plus(READ_TIMEOUT));
         context.emit(AgentEffect::ReadLog {
             stream: self.stream.clone(),
             from,
@@ -74,10 +79,10 @@
         now: MonoTime,
         interval: Duration,
     ) {
-        self.in_flight = false;
+        self.lost_at = None;
         self.available = true;
         if at_tail {
-            self.tail_read_at = Some(began);
+            self.tail_read_at = self.tail_read_at.max(Some(began));
         }
         let repoll = std::mem::take(&mut self.repoll);
         self.due = match at_tail && !repoll {
@@ -88,7 +93,7 @@
 
     /// Records a read that the log did not answer.
     pub(crate) fn fail(&mut self, now: MonoTime, interval: Duration) {
-        self.in_flight = false;
+        self.lost_at = None;
         self.available = false;
         self.due = now.plus(interval);
     }
--- a/crates/hornbeamlead_schedule/src/supervisor.rs
+++ b/crates/hornbeamlead_schedule/src/supervisor.rs
@@ -23,6 +23,10 @@
 /// Time after which an unanswered stop request is retried.
 const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(1500);
 
+/// Time after which a report counts as lost: the timeouts of the call and the longest wait for the
+/// decision thread, with a margin.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// One in this many heartbeats carries the full table even if its digest is acknowledged, since
 /// usage readings do not change the digest.
 const FULL_TABLE_EVERY: u64 = 8;
@@ -39,6 +43,14 @@
     pub(crate) address: SocketAddr,
 }
 
+/// Latest request for the worker's report, until it is answered or counts as lost.
+#[derive(Clone, Copy, Debug)]
+struct ReportRequest {
+    number: u64,
+    requested_at: MonoTime,
+    lost_at: MonoTime,
+}
+
 /// Supervisor of the tasks on one worker.
 #[derive(Debug)]
 pub(crate) struct TaskSupervisor {
@@ -55,7 +67,9 @@
     sequence: u64,
     next_heartbeat: MonoTime,
     acknowledged: u64,
-    report_requested_at: Option<MonoTime>,
+    /// Number of the latest request for a report.
+    last_report: u64,
+    report_request: Option<ReportRequest>,
     report_received: bool,
     service_p99_us: Option<u64>,
     /// Latest expiry of any lease that may have been passed to the worker.
@@ -80,7 +94,8 @@
             sequence: first_sequence,
             next_heartbeat: MonoTime(0),
             acknowledged: 0,
-            report_requested_at: None,
+            last_report: 0,
+            report_request: None,
             report_received: false,
             service_p99_us: None,
             worker_lease_until: MonoTime(0),
@@ -129,7 +144,7 @@
         }
         self.worker = Some(address);
         self.report_received = false;
-        self.report_requested_at = None;
+        self.report_request = None;
     }
 
     /// Follows a planner learned from the log or from a reply, if its epoch is newer.
@@ -162,11 +177,19 @@
     }
 
     fn request_report(&mut self, context: &mut EventContext<'_>) {
-        if self.report_requested_at.is_some() || self.worker.is_none() {
+        let now = context.mono();
+        let pending = self.report_request.filter(|request| now < request.lost_at);
+        if pending.is_some() || self.worker.is_none() {
             return;
         }
-        self.report_requested_at = Some(context.mono());
-        self.call(WorkerCall::Report, context);
+        self.last_report += 1;
+        let number = self.last_report;
+        self.report_request = Some(ReportRequest {
+            number,
+            requested_at: now,
+            lost_at: now.plus(REPORT_TIMEOUT),
+        });
+        self.call(WorkerCall::Report { number }, context);
     }
 
     fn heartbeat(&mut self, context: &EventContext<'_>) -> HostHeartbeat {
@@ -323,8 +346,13 @@
             context.count_retry(RetryReason::WorkerCall);
         }
         match (call, result) {
-            (WorkerCall::Report, Ok(WorkerAnswer::Report(report))) => self.apply_report(report),
-            (WorkerCall::Report, _) => self.report_requested_at = None,
+            (WorkerCall::Report { number }, result) => {
+                let answered = |request: &mut ReportRequest| request.number == *number;
+                let request = self.report_request.take_if(answered);
+                if let (Some(request), Ok(WorkerAnswer::Report(report))) = (request, result) {
+                    self.apply_report(report, request.requested_at);
+                }
+            }
             (WorkerCall::Start { order, .. }, Ok(_)) => {
                 self.table.mark_confirmed(&order.attempt, context.mono());
                 self.next_heartbeat = context.mono();
@@ -349,10 +377,7 @@
         }
     }
 
-    fn apply_report(&mut self, report: &WorkerReport) {
-        let Some(requested_at) = self.report_requested_at.take() else {
-            return;
-        };
+    fn apply_report(&mut self, report: &WorkerReport, requested_at: MonoTime) {
         let before = self.table.digest();
         self.table.apply_report(&report.tasks, requested_at);
         self.service_p99_us = report.service_p99_us;
--- a/crates/hornbeamlead_schedule/tests/common/drive.rs
+++ b/crates/hornbeamlead_schedule/tests/common/drive.rs
@@ -33,8 +33,17 @@
         self.hosts[index].incarnation == incarnation && self.hosts[index].machine.is_some()
     }
 
+    fn is_lost(&self, index: usize, event: &AgentEvent) -> bool {
+        let answer = matches!(
+            event,
+            AgentEvent::LogRead { .. } | AgentEvent::WorkerDone { .. }
+        );
+        answer && self.hosts[index].answers_lost
+    }
+
     pub(super) fn step(&mut self, sim_event: SimEvent) {
         match sim_event {
+            SimEvent::Agent(index, _, event) if self.is_lost(index, &event) => {}
             SimEvent::Agent(index, incarnation, event) if self.is_live(index, incarnation) => {
                 let paused_until = self.hosts[index].paused_until;
                 if paused_until > self.now {
--- a/crates/hornbeamlead_schedule/tests/common/mod.rs
+++ b/crates/hornbeamlead_schedule/tests/common/mod.rs
@@ -47,6 +47,8 @@
     pub(crate) replica: NotesReplica,
     pub(crate) paused_until: u64,
     pub(crate) log_unreachable: bool,
+    /// Whether answers of the log and of the worker are lost before the agent sees them.
+    pub(crate) answers_lost: bool,
     pub(crate) partition: u8,
     incarnation: u64,
     clock_offset: u64,
@@ -200,6 +202,7 @@
             replica: NotesReplica::default(),
             paused_until: 0,
             log_unreachable: false,
+            answers_lost: false,
             partition: 0,
             incarnation: 0,
             clock_offset,
--- a/crates/hornbeamlead_schedule/tests/common/worker.rs
+++ b/crates/hornbeamlead_schedule/tests/common/worker.rs
@@ -75,7 +75,7 @@
                 }
             }
             WorkerCall::Forget { attempt } => drop(self.tasks.remove(attempt)),
-            WorkerCall::Report => return (Ok(self.report()), None),
+            WorkerCall::Report { .. } => return (Ok(self.report()), None),
             WorkerCall::Checkpoint { .. } => {}
         }
         (Ok(WorkerAnswer::Done), None)
