--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -22,6 +22,7 @@
 mod ready;
 mod rebalance;
 mod recovery;
+mod refusals;
 mod reports;
 pub mod run_times;
 mod schedule;
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -10,20 +10,9 @@
 use crate::message::{AgentMessage, HostReport, PlannerMessage};
 use crate::operators::OperatorFormat;
 use crate::record::PlanRecord;
-use crate::worker::WorkerRefusal;
 use hornbeamlead_core::clock::MonoTime;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::time::Duration;
-
-/// Pause before the next task for a worker that refused one for lack of resources.
-const NO_ROOM_BACKOFF: Duration = Duration::from_millis(300);
-
-/// Pause before the next task for a worker whose agent dropped an order.
-const DROPPED_BACKOFF: Duration = Duration::from_millis(150);
-
-/// Pause before the next task for a worker that refused one as unhealthy.
-const UNHEALTHY_BACKOFF: Duration = Duration::from_millis(1000);
 
 impl<F: OperatorFormat> PlannerMachine<F> {
     pub(super) fn handle_agent_message(
@@ -331,41 +320,6 @@
         }
     }
 
-    fn handle_not_started(
-        &mut self,
-        now: MonoTime,
-        run: RunName,
-        incarnation: &WorkerIncarnation,
-        refusal: Option<WorkerRefusal>,
-    ) {
-        if self.recovery.is_some() {
-            return;
-        }
-        let Some(placement) = self.ledger.placement(run) else {
-            return;
-        };
-        if placement.incarnation != *incarnation {
-            return;
-        }
-        let host = placement.host.clone();
-        self.log(
-            "not_started",
-            run,
-            format!("host={host} refusal={refusal:?}"),
-        );
-        self.end_run(now, run, RunEnd::NotStarted, None);
-        let pause = match refusal {
-            Some(WorkerRefusal::NoRoom) => NO_ROOM_BACKOFF,
-            Some(WorkerRefusal::Unhealthy) => UNHEALTHY_BACKOFF,
-            // The agent could not carry out the order, or cancelled it.
-            None => DROPPED_BACKOFF,
-            _ => return,
-        };
-        if let Some(view) = self.hosts.get_mut(&host) {
-            view.not_before = view.not_before.max(now.plus(pause));
-        }
-    }
-
     /// Adopts the attempts that earlier planners recorded.
     pub(super) fn adopt_placements(&mut self, now: MonoTime) {
         let mut adopted = Vec::new();
