--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -23,6 +23,7 @@
 mod ready;
 mod rebalance;
 mod recovery;
+mod refusals;
 mod reports;
 pub mod run_times;
 mod schedule;
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -10,20 +10,9 @@
 use crate::message::{AgentMessage, HostReport, PlannerMessage};
 use crate::operators::OperatorFormat;
 use crate::record::PlanRecord;
-use crate::worker::WorkerRefusal;
 use hornbeamlead_core::clock::MonoTime;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::time::Duration;
-
-/// Pause before the next task for a worker that refused one for lack of resources.
-const NO_ROOM_BACKOFF: Duration = Duration::from_millis(300);
-
-/// Pause before the next task for a worker whose agent dropped an order.
-const DROPPED_BACKOFF: Duration = Duration::from_millis(150);
-
-/// Pause before the next task for a worker that refused one as unhealthy.
-const UNHEALTHY_BACKOFF: Duration = Duration::from_millis(1000);
 
 impl<F: OperatorFormat> PlannerMachine<F> {
     pub(super) fn handle_agent_message(
@@ -38,7 +27,7 @@
                 address,
                 epoch,
             } => self.handle_hello(now, link, host, address, epoch),
-            AgentMessage::Report(report) => self.handle_report(now, link, report),
+            AgentMessage::Report(report) => self.handle_report(now, link, &report),
             AgentMessage::NotStarted {
                 run,
                 incarnation,
@@ -123,11 +112,11 @@
         self.log("host_disconnected", &host, String::new());
     }
 
-    fn handle_report(&mut self, now: MonoTime, link: LinkId, report: HostReport) {
+    fn handle_report(&mut self, now: MonoTime, link: LinkId, report: &HostReport) {
         let Some(host) = self.links.get(&link).cloned() else {
             return;
         };
-        self.answer_report(now, link, &host, &report);
+        self.answer_report(now, link, &host, report);
         if self.recovery.is_some() {
             return;
         }
@@ -159,12 +148,12 @@
         if first {
             self.send_traits(link, &host);
         }
-        self.note_begun(&report);
-        self.end_past_incarnations(now, &host, &report);
-        self.process_ended(now, &host, &report);
-        self.process_running(now, &host, &report);
-        self.stop_missing(&host, &report);
-        self.learn_interference(now, &host, &report);
+        self.note_begun(report);
+        self.end_past_incarnations(now, &host, report);
+        self.process_ended(now, &host, report);
+        self.process_running(now, &host, report);
+        self.stop_missing(&host, report);
+        self.learn_interference(now, &host, report);
     }
 
     /// Ends attempts of worker incarnations that are known to have ended.
@@ -232,7 +221,7 @@
     }
 
     fn process_running(&mut self, now: MonoTime, host: &HostName, report: &HostReport) {
-        for row in &report.running {
+        for (index, row) in report.running.iter().enumerate() {
             let placed = self.ledger.placement(row.run);
             if placed.is_none_or(|placement| placement.host != *host) {
                 if report.listed && !report.in_flight.contains(&row.run) {
@@ -249,7 +238,8 @@
                 .or_insert_with(|| RunView::new(now));
             if !run_view.listed {
                 run_view.listed = true;
-                run_view.progressed_at = now;
+                run_view.percent = row.percent;
+                run_view.progressed_at = now.minus(report.idle.idle_span(index));
             }
             let stop_sent = run_view.stop_number.is_some();
             if row.percent > run_view.percent {
@@ -331,41 +321,6 @@
         }
     }
 
-    fn handle_not_started(
-        &mut self,
-        now: MonoTime,
-        run: RunName,
-        incarnation: &WorkerIncarnation,
-        refusal: Option<WorkerRefusal>,
-    ) {
-        if self.recovery.is_some() {
-            return;
-        }
-        let Some(placement) = self.ledger.placement(run) else {
-            return;
-        };
-        if placement.incarnation != *incarnation {
-            return;
-        }
-        let host = placement.host.clone();
-        self.log(
-            "not_started",
-            run,
-            format!("host={host} refusal={refusal:?}"),
-        );
-        self.end_run(now, run, RunEnd::NotStarted, None);
-        let pause = match refusal {
-            Some(WorkerRefusal::NoRoom) => NO_ROOM_BACKOFF,
-            Some(WorkerRefusal::Unhealthy) => UNHEALTHY_BACKOFF,
-            // The agent could not carry out the order, or cancelled it.
-            None => DROPPED_BACKOFF,
-            _ => return,
-        };
-        if let Some(view) = self.hosts.get_mut(&host) {
-            view.not_before = view.not_before.max(now.plus(pause));
-        }
-    }
-
     /// Adopts the attempts that earlier planners recorded.
     pub(super) fn adopt_placements(&mut self, now: MonoTime) {
         let mut adopted = Vec::new();
--- a/crates/hornbeamlead_jobs/tests/reconnected_hosts.rs
+++ b/crates/hornbeamlead_jobs/tests/reconnected_hosts.rs
@@ -62,7 +62,7 @@
 }
 
 fn report(planner: &mut LonePlanner, link: LinkId) {
-    let message = AgentMessage::Report(HostReport {
+    let message = AgentMessage::Report(Box::new(HostReport {
         stamp: AgentStamp(planner.now_ms),
         worker: Some(WorkerFacts {
             service: "s".into(),
@@ -71,7 +71,7 @@
         }),
         listed: true,
         ..HostReport::default()
-    });
+    }));
     planner.handle(PlannerEvent::Agent { link, message });
 }
 
