[jobs] Repeat swallowed reads of the plan's end, to date it only

What callers see: the store answers no host for 1.1 s, the planner's host is lost for good 0.5 s before the end of that, and its long-running tasks start 10.05 s after the outage; the users' rule allows 10 s (LOST).

Cause: a read of the plan's end that the store swallows holds the election up until its deadline of 0.7 s and a pause of up to 0.4 s. The wait for leases, 9.256 s, counts from the first answered read.

Fix: a host that hears no planner reads the end again 0.4 s after a read that has no answer. Such an answer only dates the end; the election makes the calls that it made before, at the same times. That the date stays an upper bound of the last successful append is proved at `PlanEnd`. While the planner is heard nothing is read more often. Cost, read from the code: about three reads in place of one in each cycle of 0.85 to 1.1 s, on hosts that hear no planner while the store is silent. A repeated read without an answer counts as a failed direct call for the relay route, as other calls do.

Tests of the feature: repetition_dates_end, older_end_ignored, claim_not_earlier, heard_planner_spared.

--- a/crates/hornbeamlead_daemon/src/fleet/agent.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/agent.rs
@@ -261,7 +261,7 @@
     fn handle_stored(&mut self, result: StoreResult) {
         let StoreResult { caller, outcome } = result;
         match caller {
-            StoreCaller::Locator(_) | StoreCaller::Claim(_) => {
+            StoreCaller::Locator(_) | StoreCaller::Claim(_) | StoreCaller::PlanEnd => {
                 self.locator.stored(BootClock.mono(), caller, outcome);
                 self.drain_locator();
             }
--- a/crates/hornbeamlead_jobs/src/locator.rs
+++ b/crates/hornbeamlead_jobs/src/locator.rs
@@ -8,6 +8,7 @@
 mod address;
 mod claim;
 mod link;
+mod plan_end;
 
 use crate::effect::{Effect, LinkId};
 use crate::follow::StreamFollower;
@@ -16,6 +17,7 @@
 use address::{AddressStage, follower, newest};
 use hornbeamlead_core::clock::MonoTime;
 use link::LinkStage;
+use plan_end::{EndSightings, PlanEnd};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use serde::{Deserialize, Serialize};
@@ -30,6 +32,9 @@
 /// Time for which the plan must not grow before a claim, if the planner's host does not answer.
 const SILENT_ELECTION_TIMEOUT: Duration = Duration::from_millis(750);
 
+/// Timeout of a call to the store during an election.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Key of the planner's address.
 pub const PLANNER_KEY: &str = "planner";
 
@@ -77,14 +82,6 @@
     pub plan_ended_at: MonoTime,
 }
 
-/// End of the plan, as read from the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct PlanEnd {
-    offset: StreamOffset,
-    /// When the answer of the first read that showed this end arrived.
-    seen_at: MonoTime,
-}
-
 /// Stage of the election of a new planner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ElectionStage {
@@ -122,11 +119,12 @@
     link: LinkStage,
     last_link: u64,
     election: ElectionStage,
-    /// Last call of an election, the only one whose outcome counts.
+    /// Last call of an election, the only one whose outcome advances it.
     last_call: CallNumber,
     election_timeout: Duration,
     degraded: bool,
     plan_end: StreamOffset,
+    sightings: EndSightings,
     /// Time of the first failed call of an election since the last successful read.
     calls_failing_since: Option<MonoTime>,
     /// Time before which this process claims nothing.
@@ -156,6 +154,7 @@
             election_timeout: SILENT_ELECTION_TIMEOUT,
             degraded: false,
             plan_end: 0,
+            sightings: EndSightings::default(),
             calls_failing_since: None,
             claims_not_before: MonoTime(0),
             events: Vec::new(),
@@ -222,6 +221,7 @@
         self.poll_address(now);
         self.poll_link(now);
         self.poll_election(now);
+        self.repeat_read(now);
     }
 
     /// Handles the outcome of a call to the store.
@@ -233,6 +233,7 @@
             StoreCaller::Claim(call) if call == self.last_call => {
                 self.handle_claim_outcome(now, outcome)
             }
+            StoreCaller::PlanEnd => self.handle_repeated_read(now, outcome),
             _ => {}
         }
     }
--- a/crates/hornbeamlead_jobs/src/locator/claim.rs
+++ b/crates/hornbeamlead_jobs/src/locator/claim.rs
@@ -1,8 +1,9 @@
 //! Claims the planner role once the plan has not grown for the election timeout.
 
 use super::link::DIAL_PAUSE;
+use super::plan_end::PlanEnd;
 use super::{
-    ElectionStage, LocatorEvent, PlanEnd, PlannerAddress, PlannerElection, PlannerLocator,
+    CLAIM_TIMEOUT, ElectionStage, LocatorEvent, PlannerAddress, PlannerElection, PlannerLocator,
     REFUSED_ELECTION_TIMEOUT,
 };
 use crate::effect::Effect;
@@ -16,9 +17,6 @@
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
 
-/// Timeout of a call to the store during an election.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Maximum random delay of a claim, which makes concurrent claims less likely.
 const MAX_CLAIM_DELAY: Duration = Duration::from_millis(250);
 
@@ -56,6 +54,7 @@
     }
 
     fn read_end(&mut self, now: MonoTime) {
+        self.sightings.expect_answer(now);
         let caller = self.next_claim_caller();
         self.effects.push(Effect::Store(StoreCall {
             caller,
@@ -142,10 +141,7 @@
         let span = self.election_timeout + self.random_delay();
         // Only the first planner of a platform is elected without a timeout.
         self.election_timeout = self.election_timeout.max(REFUSED_ELECTION_TIMEOUT);
-        let seen = PlanEnd {
-            offset,
-            seen_at: now,
-        };
+        let seen = self.sightings.see(now, offset);
         self.election = ElectionStage::Waiting {
             seen,
             until: now.plus(span).max(self.claims_not_before),
--- a/crates/hornbeamlead_jobs/src/locator/link.rs
+++ b/crates/hornbeamlead_jobs/src/locator/link.rs
@@ -46,6 +46,12 @@
         }
     }
 
+    /// Returns whether the planner has sent a message so recently that it is not suspected.
+    pub(super) fn hears_planner(&self, now: MonoTime) -> bool {
+        matches!(self.link, LinkStage::Up { last_message_at, .. }
+            if now.since(last_message_at) <= SUSPICION_TIMEOUT)
+    }
+
     /// Handles the opening of a link that this process dialed.
     pub fn link_opened(&mut self, now: MonoTime, link: LinkId) {
         if self.link == (LinkStage::Dialing { link }) {
--- a/crates/hornbeamlead_jobs/src/store.rs
+++ b/crates/hornbeamlead_jobs/src/store.rs
@@ -135,6 +135,8 @@
     /// Election, which ignores outcomes of all calls but the last: a call of an abandoned election
     /// may still be in flight.
     Claim(CallNumber),
+    /// Repeated read of the plan's end, whose answer is valid in any election.
+    PlanEnd,
     /// Planner, which ignores outcomes of another epoch: a process that is elected again may still
     /// have calls of its earlier planner in flight.
     Planner {
--- a/crates/hornbeamlead_jobs/tests/claim_outcomes.rs
+++ b/crates/hornbeamlead_jobs/tests/claim_outcomes.rs
@@ -1,10 +1,10 @@
 //! Outcomes of the calls of an election that arrive after the next election has begun.
 
 use hornbeamlead_core::clock::MonoTime;
-use hornbeamlead_jobs::effect::Effect;
+use hornbeamlead_jobs::effect::{Effect, LinkId};
 use hornbeamlead_jobs::ids::PlannerEpoch;
 use hornbeamlead_jobs::locator::{LocatorEvent, LocatorPolicy, PlannerAddress, PlannerLocator};
-use hornbeamlead_jobs::store::{StoreCall, StoreOperation, StoreOutcome, StreamName};
+use hornbeamlead_jobs::store::{StoreCall, StoreCaller, StoreOperation, StoreOutcome, StreamName};
 use std::net::SocketAddr;
 
 /// Time in which a locator makes the next call of an election, in milliseconds. Longer than the
@@ -25,6 +25,8 @@
     effects: Vec<Effect>,
     /// Offsets of the claims with which the locator was elected.
     elected: Vec<u64>,
+    /// Times in milliseconds by which the plan had ended, of each election.
+    ended_ms: Vec<u64>,
 }
 
 impl TestLocator {
@@ -42,10 +44,11 @@
             planner_epoch: 0,
             effects: Vec::new(),
             elected: Vec::new(),
+            ended_ms: Vec::new(),
         };
-        let address = locator.await_call(|operation| {
-            matches!(operation, StoreOperation::Newest { stream, .. }
-                if *stream == StreamName::Planner)
+        let address = locator.await_call(|call| {
+            matches!(call.operation, StoreOperation::Newest { stream, .. }
+                if stream == StreamName::Planner)
         });
         let outcome = StoreOutcome::Page {
             records: Vec::new(),
@@ -72,6 +75,7 @@
         for event in events {
             if let LocatorEvent::Elected(election) = event {
                 self.elected.push(election.claim);
+                self.ended_ms.push(election.plan_ended_at.0 / 1000);
             }
         }
     }
@@ -81,12 +85,12 @@
         self.drain();
     }
 
-    fn await_call(&mut self, is_awaited: fn(&StoreOperation) -> bool) -> StoreCall {
+    fn await_call(&mut self, is_awaited: fn(&StoreCall) -> bool) -> StoreCall {
         for _ in 0..CALL_MS / STEP_MS {
             self.tick();
             for effect in std::mem::take(&mut self.effects) {
                 match effect {
-                    Effect::Store(call) if is_awaited(&call.operation) => return call,
+                    Effect::Store(call) if is_awaited(&call) => return call,
                     _ => {}
                 }
             }
@@ -96,6 +100,13 @@
 
     /// Ends the election in progress by a planner of a later epoch, which then refuses connections.
     fn lose_planner(&mut self) {
+        let link = self.dial_planner();
+        self.locator.link_closed(self.now(), link, true);
+        self.drain();
+    }
+
+    /// Has the locator find a planner of a later epoch and dial it.
+    fn dial_planner(&mut self) -> LinkId {
         self.planner_epoch += 1;
         let planner = PlannerAddress {
             epoch: PlannerEpoch(self.planner_epoch),
@@ -107,9 +118,7 @@
             Effect::Dial { link, .. } => Some(*link),
             _ => None,
         });
-        let link = dialed.expect("the locator dials the planner");
-        self.locator.link_closed(self.now(), link, true);
-        self.drain();
+        dialed.expect("the locator dials the planner")
     }
 
     /// Answers the reads of an election, in which the plan does not grow, and returns the claim.
@@ -122,12 +131,17 @@
     }
 }
 
-fn is_end_read(operation: &StoreOperation) -> bool {
-    matches!(operation, StoreOperation::Read { end_only: true, .. })
+fn is_end_read(call: &StoreCall) -> bool {
+    let is_read = matches!(call.operation, StoreOperation::Read { end_only: true, .. });
+    is_read && call.caller != StoreCaller::PlanEnd
+}
+
+fn is_repetition(call: &StoreCall) -> bool {
+    call.caller == StoreCaller::PlanEnd
 }
 
-fn is_claim(operation: &StoreOperation) -> bool {
-    matches!(operation, StoreOperation::Append { .. })
+fn is_claim(call: &StoreCall) -> bool {
+    matches!(call.operation, StoreOperation::Append { .. })
 }
 
 fn plan_end(end: u64) -> StoreOutcome {
@@ -162,3 +176,82 @@
     locator.deliver(&claim, StoreOutcome::Appended { offset });
     assert_eq!(locator.elected, [offset]);
 }
+
+/// Leaves the first read of an election without an answer. Its repetition shows `repeated`, if given,
+/// and later reads show `END`. Returns the locator, when the repetition was answered and when the
+/// claim was made.
+fn claim_after_silence(repeated: Option<u64>) -> (TestLocator, u64, u64) {
+    let mut locator = TestLocator::new();
+    let first = locator.await_call(is_end_read);
+    let repetition = locator.await_call(is_repetition);
+    let repeated_ms = locator.now_ms;
+    if let Some(end) = repeated {
+        locator.deliver(&repetition, plan_end(end));
+    }
+    while locator.now() < first.deadline {
+        locator.tick();
+    }
+    locator.effects.clear();
+    let cause = "silent".into();
+    locator.deliver(&first, StoreOutcome::Unanswered { cause });
+    let claim = locator.await_claim(END);
+    let claim_ms = locator.now_ms;
+    locator.deliver(&claim, StoreOutcome::Appended { offset: END });
+    (locator, repeated_ms, claim_ms)
+}
+
+/// Guards against a wait for leases that begins late, because a read that was swallowed holds the
+/// next one up.
+#[test]
+fn repetition_dates_end() {
+    let (locator, repeated_ms, _) = claim_after_silence(Some(END));
+    assert_eq!(locator.ended_ms, [repeated_ms]);
+}
+
+/// Guards against leases that are taken for expired although a planner appended after the repetition.
+#[test]
+fn older_end_ignored() {
+    let (locator, repeated_ms, _) = claim_after_silence(Some(END - 1));
+    assert!(locator.ended_ms[0] > repeated_ms);
+}
+
+/// Guards against a claim that comes earlier, before a planner that has survived an outage appends.
+#[test]
+fn claim_not_earlier() {
+    let (_, _, claim_ms) = claim_after_silence(None);
+    for end in [END - 1, END] {
+        let (_, _, with_answer_ms) = claim_after_silence(Some(end));
+        assert_eq!(with_answer_ms, claim_ms);
+    }
+}
+
+/// Guards against more calls during an outage that the planner survives.
+#[test]
+fn heard_planner_spared() {
+    let mut locator = TestLocator::new();
+    let link = locator.dial_planner();
+    locator.locator.link_opened(locator.now(), link);
+    locator.locator.on_planner_message(locator.now(), true);
+    let first = locator.await_call(is_end_read);
+    while locator.now() < first.deadline {
+        locator.locator.on_planner_message(locator.now(), true);
+        locator.tick();
+    }
+    let calls = locator.effects.iter();
+    assert!(
+        !calls
+            .into_iter()
+            .any(|effect| matches!(effect, Effect::Store(_)))
+    );
+}
+
+/// Guards against a claim that is stored but abandoned, because the address of the planner that it
+/// replaces was read after the claim was sent.
+#[test]
+fn replaced_planner_found() {
+    let mut locator = TestLocator::new();
+    let claim = locator.await_claim(END);
+    locator.dial_planner();
+    locator.deliver(&claim, StoreOutcome::Appended { offset: END });
+    assert_eq!(locator.elected, [END]);
+}
--- a/crates/hornbeamlead_jobs/tests/world/processes.rs
+++ b/crates/hornbeamlead_jobs/tests/world/processes.rs
@@ -28,7 +28,7 @@
             }
             WorldEvent::Stored(host, incarnation, caller, outcome) => {
                 self.with_agent(host, incarnation, |agent, now| match caller {
-                    StoreCaller::Locator(_) | StoreCaller::Claim(_) => {
+                    StoreCaller::Locator(_) | StoreCaller::Claim(_) | StoreCaller::PlanEnd => {
                         agent.locator.stored(now.mono, caller, outcome);
                         Vec::new()
                     }
