--- a/crates/hornbeamlead_jobs/tests/refusals_true.rs
+++ b/crates/hornbeamlead_jobs/tests/refusals_true.rs
@@ -86,6 +86,18 @@
     assert!(is_refused(&entry, again));
 }
 
+/// Guards against a false refusal at an entry that was not told of the first append, as when the first
+/// entry was killed before it told anybody.
+#[test]
+fn refused_untold() {
+    let mut first = TestEntry::ready();
+    submit_unknown(&mut first);
+    let mut second = TestEntry::ready();
+    second.stored(StoreCaller::Plan, refused());
+    let again = second.submit();
+    assert!(!is_refused(&second, again));
+}
+
 /// The caller comes again at another entry, which cannot know of the first append unless it is told.
 #[test]
 fn refused_elsewhere() {
