[jobs, docs] Log crashes of workers with the attempts that may have caused them

The planner now logs worker_crashed or worker_left once for each incarnation that has ended, with its attempts by the time for which reports have listed them, and counts crashes. No decision depends on it yet.

--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -7,6 +7,7 @@
 mod batch;
 mod consolidate;
 mod copies;
+mod crashes;
 mod health;
 pub mod host_speeds;
 mod hosts;
@@ -124,6 +125,8 @@
     created_at: MonoTime,
     /// Whether the worker has listed the attempt as running.
     listed: bool,
+    /// When the first and the latest report arrived that listed the attempt as running.
+    seen: Option<(MonoTime, MonoTime)>,
     /// Progress in percent.
     percent: u8,
     /// When the progress last increased.
@@ -145,6 +148,7 @@
             stop_number: None,
             created_at: now,
             listed: false,
+            seen: None,
             percent: 0,
             progressed_at: now,
             cpu_rate: 1.0,
@@ -154,6 +158,18 @@
         }
     }
 
+    /// Notes a report that lists the attempt as running.
+    fn note_seen(&mut self, now: MonoTime) {
+        let first = self.seen.map_or(now, |(first, _)| first);
+        self.seen = Some((first, now));
+    }
+
+    /// Returns how long the attempt is known to have run.
+    fn seen_for(&self) -> Duration {
+        self.seen
+            .map_or(Duration::ZERO, |(first, latest)| latest.since(first))
+    }
+
     /// Returns whether a long-running attempt has completed its startup.
     fn is_operational(&self) -> bool {
         self.listed && self.percent >= 100
--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -92,6 +92,8 @@
     pub(super) earlier_leases_end: Option<MonoTime>,
     /// Whether the wait for these leases has been logged since the latest report with a worker.
     pub(super) lease_awaited: bool,
+    /// Latest incarnation that was reported as draining, whose end is no crash.
+    pub(super) drained: Option<WorkerIncarnation>,
     /// Whether the lists in the latest report were read from the worker in this epoch.
     pub listed: bool,
     /// Stamp of the latest report.
@@ -146,6 +148,7 @@
             leases_end,
             earlier_leases_end: None,
             lease_awaited: false,
+            drained: None,
             listed: false,
             stamp: AgentStamp(0),
             not_before: MonoTime(0),
@@ -176,6 +179,9 @@
     /// was reported last; one that was only not reported for a while is not.
     pub(super) fn set_worker(&mut self, worker: Option<&WorkerFacts>) -> bool {
         self.worker = worker.cloned();
+        if let Some(draining) = worker.filter(|worker| worker.draining) {
+            self.drained = Some(draining.incarnation.clone());
+        }
         let incarnation = worker.map(|worker| &worker.incarnation);
         let is_other = incarnation.is_some() && incarnation != self.last_incarnation.as_ref();
         if is_other {
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -11,7 +11,7 @@
 use crate::operators::OperatorFormat;
 use crate::record::PlanRecord;
 use hornbeamlead_core::clock::MonoTime;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 impl<F: OperatorFormat> PlannerMachine<F> {
@@ -166,9 +166,17 @@
                 .as_ref()
                 .is_some_and(|dead| incarnation.born <= dead.born),
         };
+        let mut lost = BTreeMap::<WorkerIncarnation, Vec<RunName>>::new();
         for run in self.runs_on(host) {
             let placement = self.ledger.placement(run);
-            if placement.is_some_and(|placement| has_ended(&placement.incarnation)) {
+            let incarnation = placement.map(|placement| placement.incarnation.clone());
+            if let Some(incarnation) = incarnation.filter(has_ended) {
+                lost.entry(incarnation).or_default().push(run);
+            }
+        }
+        for (incarnation, runs) in lost {
+            self.note_worker_end(host, &incarnation, &runs);
+            for run in runs {
                 self.end_run(now, run, RunEnd::Lost, None);
             }
         }
@@ -236,6 +244,7 @@
                 .runs
                 .entry(row.run)
                 .or_insert_with(|| RunView::new(now));
+            run_view.note_seen(now);
             if !run_view.listed {
                 run_view.listed = true;
                 run_view.percent = row.percent;
