[tests] Reproduce tasks that crash workers, and starts in rooms that have shrunk

The emulator learns both: a task can crash each worker that starts it 10 ms later, the worker is back after 3 s, and the judge counts crashes and starts of each task; a worker's capacity can change while it runs, and the judge checks each start against it, with 3 s and a heartbeat of grace after it has shrunk. All emulated worlds check rooms now.

--- a/crates/hornbeamlead_jobs/src/ids.rs
+++ b/crates/hornbeamlead_jobs/src/ids.rs
@@ -109,6 +109,29 @@
     }
 }
 
+/// Task of a job in whichever occurrence: all occurrences of a job run the same tasks.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
+)]
+pub struct TaskSlot {
+    /// Job to which the task belongs.
+    pub job: JobId,
+    /// Index of the step in the job, from 0.
+    pub step: u16,
+    /// Index within the step, from 0.
+    pub index: u32,
+}
+
+impl From<TaskName> for TaskSlot {
+    fn from(task: TaskName) -> Self {
+        Self {
+            job: task.step.job,
+            step: task.step.step,
+            index: task.index,
+        }
+    }
+}
+
 /// Number of an attempt of a task; starts at 1 and increases with each attempt.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
--- a/crates/hornbeamlead_jobs/tests/world/faults.rs
+++ b/crates/hornbeamlead_jobs/tests/world/faults.rs
@@ -154,6 +154,25 @@
         }
     }
 
+    /// Notes that a task has crashed the worker of a host, of which another incarnation starts later.
+    pub(super) fn note_fallen(&mut self, host: usize) {
+        if !self.hosts[host].worker.alive && self.hosts[host].worker_back_at < self.now {
+            self.disturb(CRASH_DOWN_MS);
+            self.hosts[host].worker_back_at = self.now + CRASH_DOWN_MS;
+        }
+    }
+
+    /// Has a task of a job crash each worker that starts it.
+    pub(crate) fn make_deadly(&mut self, job: JobId, step: u16, index: u32) {
+        self.judge.deadly.mark(TaskSlot { job, step, index });
+    }
+
+    /// Sets the capacity of the worker of a host, which its next announcement tells.
+    pub(crate) fn set_room(&mut self, host: usize, room: WorkerRoom) {
+        self.hosts[host].room = room;
+        self.judge.rooms.set(self.now, host, room);
+    }
+
     /// Has the worker of a host announce that it drains, so that its long-running tasks are stopped.
     pub(crate) fn drain(&mut self, host: usize) {
         self.hosts[host].draining = true;
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -13,13 +13,15 @@
 
 use hornbeamlead_core::clock::{ClockReading, MonoTime, WallTime};
 use hornbeamlead_core::policy::ServiceOrder;
+use hornbeamlead_emulator::deadly::CRASH_DOWN_MS;
 use hornbeamlead_emulator::judge::JobJudge;
+use hornbeamlead_emulator::rooms::WorkerRoom;
 use hornbeamlead_emulator::store::EmulatedStore;
 use hornbeamlead_emulator::worker::{EmulatedRun, EmulatedWorker};
 use hornbeamlead_jobs::config::{ConfigChange, FleetConfig, QueueRoute};
 use hornbeamlead_jobs::effect::{CallerReply, Effect, LinkId};
 use hornbeamlead_jobs::entry::{CallerOperation, CallerRequest, EntryEvent, EntryMachine};
-use hornbeamlead_jobs::ids::{JobId, PlannerEpoch, RunName, TaskName};
+use hornbeamlead_jobs::ids::{JobId, PlannerEpoch, RunName, TaskName, TaskSlot};
 use hornbeamlead_jobs::job::{JobBody, JobPhase, QueueTerms, RunEnd, StepSpec};
 use hornbeamlead_jobs::locator::{
     LocatorEvent, LocatorPolicy, PLANNER_KEY, PlannerAddress, PlannerElection, PlannerLocator,
@@ -54,6 +56,12 @@
 /// Usual round trip of a call to the store, in milliseconds.
 const STORE_MS: u64 = 10;
 
+/// Capacity of a worker until a test changes it.
+const WORKER_ROOM: WorkerRoom = WorkerRoom {
+    cpu: 8000,
+    memory: 16_000,
+};
+
 /// First reading of the virtual clock, in milliseconds; not 0, so that no reading is 0.
 const START_MS: u64 = 10_000;
 
@@ -96,6 +104,7 @@
     announce_at: u64,
     draining: bool,
     sequence: u64,
+    room: WorkerRoom,
 }
 
 /// Event that is due at a certain time.
@@ -202,6 +211,7 @@
             announce_at: START_MS,
             draining: false,
             sequence: 0,
+            room: WORKER_ROOM,
         };
         let mut store = EmulatedStore::default();
         let config = NewRecord {
@@ -214,6 +224,8 @@
             &[config],
             AppendCondition::Always,
         );
+        let mut judge = JobJudge::default();
+        (0..hosts).for_each(|host| judge.rooms.set(START_MS, host, WORKER_ROOM));
         Self {
             now: START_MS,
             random: SmallRng::seed_from_u64(seed),
@@ -250,7 +262,7 @@
             worker_clock_percent: 100,
             watch: None,
             accepted: Vec::new(),
-            judge: JobJudge::default(),
+            judge,
         }
     }
 
@@ -337,6 +349,7 @@
             let host = &mut self.hosts[index];
             if host.worker.alive {
                 host.worker.tick(worker_now);
+                self.note_fallen(index);
             } else if now >= host.worker_back_at {
                 let run_events = std::mem::take(&mut host.worker.run_events);
                 host.worker = EmulatedWorker::new(&format!("w-{index}-{now}"), now);
--- a/crates/hornbeamlead_jobs/tests/world/patterns.rs
+++ b/crates/hornbeamlead_jobs/tests/world/patterns.rs
@@ -57,6 +57,7 @@
             reading: step.map_or(0, |step| steady_reading(step, best_effort_rate)),
             began: now,
             stop_at: None,
+            crash_at: self.judge.deadly.crash_at(now, run),
             end: if fails { RunEnd::Failed } else { RunEnd::Done },
         }
     }
--- a/crates/hornbeamlead_jobs/tests/world/processes.rs
+++ b/crates/hornbeamlead_jobs/tests/world/processes.rs
@@ -220,8 +220,8 @@
                 machine: None,
                 service: "s".into(),
                 data_centre: format!("z{}", host % 3).into(),
-                cpu: 8000,
-                memory: 16_000,
+                cpu: world_host.room.cpu,
+                memory: world_host.room.memory,
                 accelerators: 0,
                 labels: vec![format!("r{}", host % 2).into()],
                 draining: world_host.draining,
@@ -377,6 +377,7 @@
         let now = self.worker_clock_ms();
         let planned = self.planned_run(now, host, call);
         let answer = self.hosts[host].worker.call(now, call, |_| planned);
+        self.note_fallen(host);
         self.observe_run_events(host, late);
         answer
     }
