[jobs] Check a worker's capacity again when a start order is sent

Callers saw: tasks started on a worker that had told seconds before that its capacity had shrunk.

Cause: a placement is checked against the capacity when it is made, and its order is sent when its record is stored. While the store refuses records that takes seconds. Draining, evacuation, the worker's incarnation and cancellations are checked again at that point; the capacity was not, since it could not change.

Ruled out: stale capacities in reports. starts_fit shrinks and grows the rooms of busy workers and passed before.

An order is withdrawn when all attempts on the host, those being stopped among them, exceed what the worker last told, so the task is placed anew. Agents report a change of what their worker announces at once instead of with the next regular report.

--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -1,7 +1,7 @@
 //! The planner's view of each host.
 
 use super::interference::{InterferenceModel, InterferenceSample, ServingGroup};
-use super::placement::{ImageId, TaskDemand};
+use super::placement::{HostLoad, ImageId, TaskDemand};
 use crate::effect::LinkId;
 use crate::ids::{HostName, RunName, WorkerIncarnation};
 use crate::message::AgentStamp;
@@ -192,6 +192,12 @@
         is_other
     }
 
+    /// Returns whether the worker has the capacity for all attempts on the host.
+    pub(super) fn fits_runs(&self) -> bool {
+        let worker = self.worker.as_ref();
+        worker.is_some_and(|worker| HostLoad::of(&self.runs).fits_within(worker))
+    }
+
     /// Returns whether the worker is draining, that is, about to shut down.
     #[must_use]
     pub fn is_draining(&self) -> bool {
--- a/crates/hornbeamlead_jobs/src/planner/orders.rs
+++ b/crates/hornbeamlead_jobs/src/planner/orders.rs
@@ -25,13 +25,15 @@
                 && view.incarnation() == Some(&order.incarnation)
                 && !view.is_draining()
         });
+        // The capacity may have shrunk since the attempt was placed.
+        let fits = view.as_ref().is_some_and(|view| view.fits_runs());
         let evacuated = view.as_ref().is_some_and(|view| {
             let data_centre = view.worker.as_ref().map(|worker| &worker.data_centre);
             data_centre.is_some_and(|data_centre| self.operators.is_evacuated(data_centre))
         });
         let link = view.as_ref().and_then(|view| view.link);
         match (view, link) {
-            (Some(view), Some(link)) if usable && current && !evacuated && !ended => {
+            (Some(view), Some(link)) if usable && fits && current && !evacuated && !ended => {
                 let number = view.next_order_number();
                 let run_view = self.runs.entry(run).or_insert_with(|| RunView::new(now));
                 run_view.order_number = Some(number);
@@ -39,8 +41,9 @@
                 self.effects.push(Effect::ToAgent { link, message });
             }
             _ => {
-                let detail =
-                    format!("host={host} ended={ended} evacuated={evacuated} current={current}");
+                let detail = format!(
+                    "host={host} ended={ended} evacuated={evacuated} current={current} fits={fits}"
+                );
                 self.log("start_withdrawn", run, detail);
                 self.end_run(now, run, RunEnd::NotStarted, None);
             }
--- a/crates/hornbeamlead_jobs/src/planner/placement.rs
+++ b/crates/hornbeamlead_jobs/src/planner/placement.rs
@@ -151,13 +151,17 @@
     }
 
     fn fits(&self, demand: &TaskDemand, worker: &WorkerFacts) -> bool {
-        let cpu = if demand.best_effort { 0 } else { demand.cpu };
-        let fits = |used: u32, demanded: u32, capacity: u32| {
-            u64::from(used) + u64::from(demanded) <= u64::from(capacity)
-        };
-        fits(self.cpu, cpu, worker.cpu)
-            && fits(self.memory, demand.memory, worker.memory)
-            && fits(self.accelerators, demand.accelerators, worker.accelerators)
+        let mut total = *self;
+        total.add(demand);
+        total.fits_within(worker)
+    }
+
+    /// Returns whether a worker has the capacity for the load. Best-effort tasks use the processor
+    /// time that others leave.
+    pub(super) fn fits_within(&self, worker: &WorkerFacts) -> bool {
+        self.cpu <= worker.cpu
+            && self.memory <= worker.memory
+            && self.accelerators <= worker.accelerators
     }
 }
 
--- a/crates/hornbeamlead_jobs/src/supervisor.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor.rs
@@ -234,7 +234,12 @@
                 if announcement.sequence > worker.sequence {
                     worker.sequence = announcement.sequence;
                     worker.leaves_at = leaves_at;
-                    self.report_due |= worker.facts.draining != announcement.facts.draining;
+                    // The time until a draining worker leaves changes with each announcement.
+                    let known = WorkerFacts {
+                        leaves_in_ms: announcement.facts.leaves_in_ms,
+                        ..worker.facts.clone()
+                    };
+                    self.report_due |= known != announcement.facts;
                     worker.facts = announcement.facts;
                     worker.address = announcement.address;
                 }
