[jobs] Give up tasks that crash the workers that start them

Callers saw: one task crashed worker after worker, up to 41 times, and took all that ran there with it.

Cause: only attempts that a worker lists as failed count against a task. An attempt that is lost with its worker left nothing in the plan, so its task started again at once, on any other worker, without an end.

Change: the plan records under which attempts a worker has crashed, so successors, retries and all occurrences of a job know. A crash takes 2 to 26 attempts with it that have just started, so its number alone tells nothing. It is attributed to a task if no other attempt on the worker can account for it: none but this one had just started. After two crashes, or one attributed, a task is isolated: it starts where nothing else has just started, and nothing else starts there until it has been seen running for 0.6 s. With three crashes of which two are attributed its job fails. Other tasks keep running on the worker, so isolation costs little while many workers crash by themselves. A task that succeeds or runs for 5 s is cleared. A start that found its worker gone counts as not started. Suspects get no copies.

--- a/crates/hornbeamlead_jobs/src/journal.rs
+++ b/crates/hornbeamlead_jobs/src/journal.rs
@@ -48,6 +48,8 @@
             | PlanRecord::Takeover(_)
             | PlanRecord::Accepted { .. }
             | PlanRecord::GrantsConfirmed
+            | PlanRecord::Crashed { .. }
+            | PlanRecord::Sound { .. }
             | PlanRecord::LeaseBound {
                 remaining_ms: Some(_),
                 ..
--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -1,12 +1,14 @@
 //! State of all jobs, which results from applying the records of the plan stream.
 
 mod body;
+mod crashes;
 mod health;
 
+pub use crashes::TaskCrashes;
 pub use health::WorkerFailures;
 
 use crate::ids::{
-    HostName, JobId, PlannerEpoch, RunName, RunNumber, StepName, StreamOffset, TaskName,
+    HostName, JobId, PlannerEpoch, RunName, RunNumber, StepName, StreamOffset, TaskName, TaskSlot,
     WorkerIncarnation,
 };
 use crate::job::{JobPhase, JobRecord, MAX_STEP_TASKS, MAX_STEPS, RunEnd, StepSpec};
@@ -274,6 +276,8 @@
     /// Hosts on which an unfinished task has failed, stalled or was slow. Of the latter only
     /// snapshots tell, no record.
     pub failed_hosts: BTreeMap<TaskName, Vec<HostName>>,
+    /// Crashes of workers under tasks.
+    pub crashes: BTreeMap<TaskSlot, TaskCrashes>,
     /// Epoch of the planner that wrote the snapshot, if it writes a journal. Only snapshots contain
     /// it, no record.
     pub journaled: Option<PlannerEpoch>,
@@ -321,12 +325,15 @@
             } => self.begin_run(*run, host, incarnation),
             PlanRecord::Ended { run, end, saved } => {
                 self.note_end(*run, *end);
+                self.clear_crashes(*run, *end);
                 if let Some(job) = self.jobs.get_mut(&run.task.step.job) {
                     job.end_run(*run, *end, saved.clone());
                 }
                 self.remove_if_idle(run.task.step.job);
             }
             PlanRecord::Stalled { run } => self.note_stall(*run),
+            PlanRecord::Crashed { run, attributed } => self.note_crash(*run, *attributed),
+            PlanRecord::Sound { run } => self.note_sound(*run),
             PlanRecord::Closed { job, phase } => {
                 if let Some(state) = self.jobs.get_mut(job) {
                     state.phase = *phase;
@@ -371,6 +378,7 @@
         if self.jobs.get(&job).is_some_and(idle) {
             self.jobs.remove(&job);
             self.forget_tasks(job);
+            self.forget_crashes(job);
         }
     }
 
--- /dev/null
+++ b/crates/hornbeamlead_jobs/src/ledger/crashes.rs
@@ -0,0 +1,125 @@
+//! Crashes of workers under tasks, which follow from the plan's records, so that the next planner
+//! knows them.
+//!
+//! A crash has one cause, but takes all attempts on the worker with it. So a task is not given up by
+//! the number of crashes alone: some of them have to be attributed to it, which the planner does if
+//! no other attempt can account for the crash.
+
+use super::JobLedger;
+use crate::ids::{JobId, RunName, TaskSlot};
+use crate::job::RunEnd;
+use serde::{Deserialize, Serialize};
+use std::ops::RangeInclusive;
+
+/// Crashes under a task after which it starts apart from others only.
+const ISOLATED_CRASHES: u16 = 2;
+
+/// Least number of crashes under a task that is given up.
+const MIN_CRASHES: u16 = 3;
+
+/// Least number of crashes attributed to a task that is given up. A worker may crash by itself just
+/// after a task has started there apart from others, but hardly twice.
+const MIN_ATTRIBUTED: u16 = 2;
+
+/// Most tasks of which crashes are known.
+const MAX_TASKS: usize = 10_000;
+
+/// Crashes of workers under a task since it last succeeded or ran for long.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TaskCrashes {
+    /// Crashes that no other attempt can account for.
+    pub attributed: u16,
+    /// All crashes, of which others may be the cause.
+    pub count: u16,
+}
+
+impl TaskCrashes {
+    /// Returns whether the task starts apart from others only, so that the next crash can be
+    /// attributed.
+    #[must_use]
+    pub fn is_isolated(self) -> bool {
+        self.attributed > 0 || self.count >= ISOLATED_CRASHES
+    }
+
+    /// Returns whether so many workers have crashed that the task may crash them some time after its
+    /// start.
+    #[must_use]
+    pub fn is_repeated(self) -> bool {
+        self.count >= MIN_CRASHES
+    }
+
+    /// Returns whether the task crashes its workers beyond reasonable doubt.
+    #[must_use]
+    pub fn is_conclusive(self) -> bool {
+        self.attributed >= MIN_ATTRIBUTED && self.count >= MIN_CRASHES
+    }
+}
+
+fn slots_of(job: JobId) -> RangeInclusive<TaskSlot> {
+    let slot = |step, index| TaskSlot { job, step, index };
+    slot(0, 0)..=slot(u16::MAX, u32::MAX)
+}
+
+impl JobLedger {
+    /// Returns the crashes under a task, in all occurrences of its job.
+    #[must_use]
+    pub fn crashes_under(&self, slot: TaskSlot) -> TaskCrashes {
+        self.crashes.get(&slot).copied().unwrap_or_default()
+    }
+
+    /// Returns a task of a job that crashes its workers beyond reasonable doubt.
+    #[must_use]
+    pub fn conclusive_crashes(&self, job: JobId) -> Option<(TaskSlot, TaskCrashes)> {
+        let mut crashes = self.crashes.range(slots_of(job));
+        let conclusive = crashes.find(|(_, crashes)| crashes.is_conclusive());
+        conclusive.map(|(slot, crashes)| (*slot, *crashes))
+    }
+
+    /// Counts a crash under an attempt, which is still placed unless its end was recorded before.
+    pub(super) fn note_crash(&mut self, run: RunName, attributed: bool) {
+        let Some(placement) = self.placement(run) else {
+            return;
+        };
+        let host = placement.host.clone();
+        self.avoid_host(run.task, host);
+        let slot = TaskSlot::from(run.task);
+        if !self.crashes.contains_key(&slot) {
+            self.limit_crashes();
+        }
+        let crashes = self.crashes.entry(slot).or_default();
+        crashes.count = crashes.count.saturating_add(1);
+        let attributed = u16::from(attributed);
+        crashes.attributed = crashes.attributed.saturating_add(attributed);
+    }
+
+    /// Forgets the task with the fewest crashes if there are too many.
+    fn limit_crashes(&mut self) {
+        if self.crashes.len() < MAX_TASKS {
+            return;
+        }
+        let fewest = self.crashes.iter().min_by_key(|(_, crashes)| **crashes);
+        if let Some(slot) = fewest.map(|(slot, _)| *slot) {
+            self.crashes.remove(&slot);
+        }
+    }
+
+    /// Forgets the crashes under a task that has run for long.
+    pub(super) fn note_sound(&mut self, run: RunName) {
+        self.crashes.remove(&run.task.into());
+    }
+
+    /// Forgets the crashes under a task that has succeeded.
+    pub(super) fn clear_crashes(&mut self, run: RunName, end: RunEnd) {
+        if end == RunEnd::Done {
+            self.crashes.remove(&run.task.into());
+        }
+    }
+
+    /// Forgets the crashes under the tasks of a job.
+    pub(super) fn forget_crashes(&mut self, job: JobId) {
+        let slots: Vec<_> = self.crashes.range(slots_of(job)).map(|it| *it.0).collect();
+        for slot in slots {
+            self.crashes.remove(&slot);
+        }
+    }
+}
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -13,6 +13,7 @@
 mod hosts;
 mod intake;
 pub mod interference;
+mod isolation;
 mod journal;
 mod leases;
 mod load_report;
--- a/crates/hornbeamlead_jobs/src/planner/copies.rs
+++ b/crates/hornbeamlead_jobs/src/planner/copies.rs
@@ -7,6 +7,7 @@
 
 use super::PlannerMachine;
 use super::batch::DeferredAction;
+use super::isolation::HostAccess;
 use super::placement::{Candidate, TaskDemand};
 use super::ready::ReadyStep;
 use super::schedule::PlacementChoice;
@@ -71,7 +72,10 @@
         let mut outcomes = Vec::new();
         for straggler in stragglers {
             let is_move = straggler.remedy == StragglerRemedy::Move;
+            // A copy of a task that crashes its workers would crash another at the same time.
+            let suspect = self.ledger.crashes_under(straggler.run.task.into()).count > 0;
             let outcome = match is_move || budget.admits(&straggler.demand) {
+                _ if suspect && !is_move => Err("worker_crashed"),
                 true => self.place_copy(&straggler, &waiting, &mut candidates),
                 false => Err("budget"),
             };
@@ -128,6 +132,7 @@
             .iter_mut()
             .filter(|candidate| candidate.view.host != straggler.host)
             .filter(|candidate| failed.is_none_or(|hosts| !hosts.contains(&candidate.view.host)))
+            .filter(|candidate| candidate.access == HostAccess::Open)
             .filter(|candidate| candidate.admits(demand, spec, service) && idle(candidate.worker))
             .map(|candidate| (self.interference_on(candidate, demand), candidate))
             .filter(|(interference, candidate)| {
--- a/crates/hornbeamlead_jobs/src/planner/crashes.rs
+++ b/crates/hornbeamlead_jobs/src/planner/crashes.rs
@@ -3,7 +3,10 @@
 use super::{PlannerMachine, RunView};
 use crate::effect::Effect;
 use crate::ids::{HostName, RunName, WorkerIncarnation};
+use crate::ledger::TaskCrashes;
 use crate::operators::OperatorFormat;
+use crate::record::PlanRecord;
+use hornbeamlead_core::clock::MonoTime;
 use std::time::Duration;
 
 /// Time for which an attempt has to be seen running before a crash is put down to attempts that
@@ -35,10 +38,21 @@
     }
 }
 
+/// Attempt that was on a worker when it crashed.
+#[derive(Clone, Copy, Debug)]
+struct CrashedRun {
+    run: RunName,
+    maturity: RunMaturity,
+    /// Crashes under the task before.
+    crashes: TaskCrashes,
+    gang: bool,
+}
+
 impl<F: OperatorFormat> PlannerMachine<F> {
-    /// Logs how a worker has ended, and with which attempts on it.
+    /// Records under which attempts a worker has crashed, before their ends are recorded.
     pub(super) fn note_worker_end(
         &mut self,
+        now: MonoTime,
         host: &HostName,
         incarnation: &WorkerIncarnation,
         runs: &[RunName],
@@ -48,13 +62,12 @@
             let detail = format!("host={host} attempts={}", runs.len());
             return self.log("worker_left", incarnation, detail);
         }
-        // An attempt whose order was not sent cannot have begun.
-        let views = runs.iter().filter_map(|run| self.runs.get(run));
-        let begun = views.filter(|view| view.order_number.is_some());
-        let maturities: Vec<_> = begun.map(RunView::maturity).collect();
-        let count = |maturity| maturities.iter().filter(|it| **it == maturity).count();
+        let crashed = self.crashed_runs(runs);
+        let culprit = find_culprit(&crashed);
+        let count = |maturity| crashed.iter().filter(|it| it.maturity == maturity).count();
+        let attributed = culprit.map_or("none".into(), |run| run.to_string());
         let detail = format!(
-            "host={host} attempts={} fresh={} young={} sound={}",
+            "host={host} attempts={} fresh={} young={} sound={} attributed={attributed}",
             runs.len(),
             count(RunMaturity::Fresh),
             count(RunMaturity::Young),
@@ -62,5 +75,91 @@
         );
         self.log("worker_crashed", incarnation, detail);
         self.effects.push(Effect::Count("worker_crashed"));
+        let suspects = crashed
+            .iter()
+            .filter(|it| it.maturity != RunMaturity::Sound);
+        for suspect in suspects.map(|it| it.run) {
+            self.record_crash(now, host, suspect, culprit == Some(suspect));
+        }
+    }
+
+    /// Records that the worker of attempts was lost while its agent went on. It may have crashed.
+    pub(super) fn note_worker_lost(&mut self, now: MonoTime, host: &HostName, runs: &[RunName]) {
+        let crashed = self.crashed_runs(runs);
+        let suspects = crashed
+            .iter()
+            .filter(|it| it.maturity != RunMaturity::Sound);
+        for suspect in suspects {
+            self.record_crash(now, host, suspect.run, false);
+        }
+    }
+
+    /// Returns how far an attempt has got.
+    pub(super) fn maturity_of(&self, run: RunName) -> Option<RunMaturity> {
+        self.runs.get(&run).map(RunView::maturity)
+    }
+
+    fn record_crash(&mut self, now: MonoTime, host: &HostName, run: RunName, attributed: bool) {
+        self.record(now, PlanRecord::Crashed { run, attributed });
+        let crashes = self.ledger.crashes_under(run.task.into());
+        let detail = format!(
+            "host={host} crashes={} attributed={} isolated={}",
+            crashes.count,
+            crashes.attributed,
+            crashes.is_isolated()
+        );
+        self.log("crash_counted", run, detail);
+        if attributed {
+            self.effects.push(Effect::Count("crash_attributed"));
+        }
+    }
+
+    /// Returns the attempts that may have begun: those whose orders were sent.
+    fn crashed_runs(&self, runs: &[RunName]) -> Vec<CrashedRun> {
+        let crashed = |run: &RunName| {
+            let run_view = self.runs.get(run)?;
+            let spec = self.ledger.task(run.task)?.0.spec(run.task.step);
+            run_view.order_number.map(|_| CrashedRun {
+                run: *run,
+                maturity: run_view.maturity(),
+                crashes: self.ledger.crashes_under(run.task.into()),
+                gang: spec.is_some_and(|spec| spec.gang),
+            })
+        };
+        runs.iter().filter_map(crashed).collect()
+    }
+
+    /// Records that an attempt has run for long if crashes under its task are known.
+    pub(super) fn check_soundness(&mut self, now: MonoTime, run: RunName) {
+        let is_sound = self.maturity_of(run) == Some(RunMaturity::Sound);
+        if is_sound && self.ledger.crashes_under(run.task.into()).count > 0 {
+            self.log("crashes_forgotten", run, String::new());
+            self.record(now, PlanRecord::Sound { run });
+        }
     }
 }
+
+/// Returns the attempt that has caused a crash if no other can have: the only one that had just
+/// started, or the only one if none had. Members of a gang always start together, so of these it is
+/// the one under which more workers have crashed than under the others.
+fn find_culprit(crashed: &[CrashedRun]) -> Option<RunName> {
+    let latest = crashed.iter().map(|it| it.maturity).min()?;
+    let suspects = crashed.iter().filter(|it| it.maturity == latest);
+    let suspects: Vec<_> = suspects.collect();
+    match *suspects {
+        _ if latest == RunMaturity::Sound => None,
+        [only] => Some(only.run),
+        [first, ..] if first.gang && suspects.iter().all(|it| is_beside(it, first)) => {
+            let most = suspects.iter().map(|it| it.crashes.count).max()?;
+            let mut prime = suspects.iter().filter(|it| it.crashes.count == most);
+            let culprit = prime.next().map(|it| it.run);
+            culprit.filter(|_| most > 0 && prime.next().is_none())
+        }
+        _ => None,
+    }
+}
+
+/// Returns whether two attempts are members of the same gang.
+fn is_beside(one: &CrashedRun, other: &CrashedRun) -> bool {
+    one.run.task.step == other.run.task.step
+}
--- a/crates/hornbeamlead_jobs/src/planner/intake.rs
+++ b/crates/hornbeamlead_jobs/src/planner/intake.rs
@@ -2,6 +2,7 @@
 
 use super::PlannerMachine;
 use super::batch::DeferredAction;
+use crate::effect::Effect;
 use crate::entry::{CANCEL_PREFIX, JOB_PREFIX};
 use crate::follow::FollowOutcome;
 use crate::ids::{JobId, RunName};
@@ -133,7 +134,8 @@
         }
     }
 
-    /// Closes a job if all its tasks are done, or if a task has used up its attempts.
+    /// Closes a job if all its tasks are done, or if a task has used up its attempts or crashes its
+    /// workers.
     pub(super) fn check_job_outcome(&mut self, now: MonoTime, job: JobId) {
         let Some(state) = self.ledger.jobs.get(&job) else {
             return;
@@ -148,14 +150,21 @@
             let exhausted = |task: &TaskState| !task.done && task.failures >= attempts;
             bounded.any(|(tasks, _)| tasks.iter().any(exhausted))
         });
-        let outcome = match () {
-            () if attempts_exhausted => Some(JobPhase::Failed),
-            () if state.is_done() => Some(JobPhase::Completed),
-            () => None,
+        let crashed = self.ledger.conclusive_crashes(job);
+        let (phase, cause) = match crashed {
+            _ if attempts_exhausted => (JobPhase::Failed, String::new()),
+            _ if state.is_done() => (JobPhase::Completed, String::new()),
+            Some((slot, crashes)) => {
+                let cause = format!(
+                    " cause=crashed_workers step={} index={} crashes={} attributed={}",
+                    slot.step, slot.index, crashes.count, crashes.attributed
+                );
+                self.effects.push(Effect::Count("job_given_up"));
+                (JobPhase::Failed, cause)
+            }
+            None => return,
         };
-        if let Some(phase) = outcome {
-            self.log("job_ended", job, format!("phase={phase}"));
-            self.close_job(now, job, phase);
-        }
+        self.log("job_ended", job, format!("phase={phase}{cause}"));
+        self.close_job(now, job, phase);
     }
 }
--- /dev/null
+++ b/crates/hornbeamlead_jobs/src/planner/isolation.rs
@@ -0,0 +1,175 @@
+//! Isolation: a task under which workers have crashed starts where nothing else has just started, and
+//! nothing else starts there until it has run for a while. If the worker crashes again, the cause is
+//! certain.
+//!
+//! It is isolated in time, not in space: what runs on the worker stays there, so that isolation costs
+//! the fleet little while many workers crash by themselves.
+
+use super::PlannerMachine;
+use super::crashes::RunMaturity;
+use super::hosts::HostView;
+use super::placement::{Candidate, TaskDemand};
+use super::ready::ReadyStep;
+use crate::effect::Effect;
+use crate::ids::{RunName, TaskName};
+use crate::job::StepSpec;
+use crate::operators::OperatorFormat;
+
+/// Share of the hosts on which isolated tasks may start at the same time.
+const MAX_ISOLATED_SHARE: f64 = 1.0 / 3.0;
+
+/// Which tasks may start on a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HostAccess {
+    /// All that are not isolated.
+    Open,
+    /// None, as an isolated task has started there.
+    Closed,
+    /// An isolated task, and other members of its gang.
+    Reserved(TaskName),
+}
+
+/// Where a task may start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum StartScope {
+    /// On open hosts, and on those that are reserved for other members of its gang.
+    Shared,
+    /// On the host that is reserved for it.
+    Reserved,
+    /// Nowhere, as long as no host is reserved for it.
+    Nowhere,
+}
+
+impl Candidate<'_> {
+    /// Returns whether isolation lets a task start on the host.
+    pub(super) fn accepts(&self, task: TaskName, spec: &StepSpec, scope: StartScope) -> bool {
+        match (self.access, scope) {
+            (HostAccess::Reserved(owner), StartScope::Reserved) => owner == task && self.fresh == 0,
+            (HostAccess::Reserved(owner), StartScope::Shared) => {
+                spec.gang && owner.step == task.step
+            }
+            (HostAccess::Open, StartScope::Shared) => true,
+            _ => false,
+        }
+    }
+}
+
+impl<F: OperatorFormat> PlannerMachine<F> {
+    /// Returns which tasks may start on a host, and the number of attempts that have just started
+    /// there.
+    pub(super) fn access_to(&self, view: &HostView) -> (HostAccess, u32) {
+        if self.ledger.crashes.is_empty() {
+            return (HostAccess::Open, 0);
+        }
+        let is_trial = |run: &RunName| {
+            let crashes = self.ledger.crashes_under(run.task.into());
+            match self.maturity_of(*run) {
+                Some(RunMaturity::Fresh) => crashes.is_isolated(),
+                Some(RunMaturity::Young) => crashes.is_repeated(),
+                _ => false,
+            }
+        };
+        let access = match view.runs.keys().any(is_trial) {
+            true => HostAccess::Closed,
+            false => HostAccess::Open,
+        };
+        let fresh = view.runs.keys().filter(|run| self.is_fresh(**run));
+        (access, fresh.count() as u32)
+    }
+
+    fn is_fresh(&self, run: RunName) -> bool {
+        self.maturity_of(run) == Some(RunMaturity::Fresh)
+    }
+
+    /// Reserves hosts for the isolated tasks of the steps, in their order.
+    pub(super) fn reserve_hosts(&self, steps: &[ReadyStep], candidates: &mut [Candidate<'_>]) {
+        if self.ledger.crashes.is_empty() {
+            return;
+        }
+        let most = (candidates.len() as f64 * MAX_ISOLATED_SHARE).ceil() as usize;
+        for step in steps {
+            let Some(spec) = step.record.step(step.name) else {
+                continue;
+            };
+            let demand = TaskDemand::new(step.name, spec);
+            for &index in &step.tasks {
+                let task = TaskName {
+                    step: step.name,
+                    index,
+                };
+                if !self.is_isolated(task) || self.has_fresh_attempt(task) {
+                    continue;
+                }
+                let is_open = |candidate: &&mut Candidate<'_>| candidate.access == HostAccess::Open;
+                let in_use = candidates.len() - candidates.iter_mut().filter(is_open).count();
+                // All members of a gang start at the same time.
+                if in_use >= most && !spec.gang {
+                    return;
+                }
+                let service = &*step.record.terms.service;
+                let failed = self.ledger.failed_hosts.get(&task);
+                let best = candidates
+                    .iter_mut()
+                    .filter(is_open)
+                    .filter(|candidate| candidate.suits(&demand, spec, service))
+                    .min_by_key(|candidate| {
+                        let has_room = candidate.admits(&demand, spec, service);
+                        let host = &candidate.view.host;
+                        let failed = failed.is_some_and(|hosts| hosts.contains(host));
+                        (!has_room, candidate.fresh, failed, candidate.load.count)
+                    });
+                if let Some(candidate) = best {
+                    candidate.access = HostAccess::Reserved(task);
+                }
+            }
+        }
+    }
+
+    /// Returns where a task may start. Members of a gang that find no host for themselves start beside
+    /// others, as the gang would not start otherwise.
+    pub(super) fn scope_of(
+        &self,
+        task: TaskName,
+        spec: &StepSpec,
+        candidates: &[Candidate<'_>],
+    ) -> StartScope {
+        let reserved = HostAccess::Reserved(task);
+        match self.is_isolated(task) {
+            false => StartScope::Shared,
+            true if candidates.iter().any(|it| it.access == reserved) => StartScope::Reserved,
+            true if spec.gang && !self.has_fresh_attempt(task) => StartScope::Shared,
+            true => StartScope::Nowhere,
+        }
+    }
+
+    fn is_isolated(&self, task: TaskName) -> bool {
+        self.ledger.crashes_under(task.into()).is_isolated()
+    }
+
+    /// Returns whether an attempt of the same task has just started in another occurrence of its job.
+    fn has_fresh_attempt(&self, task: TaskName) -> bool {
+        let Some(job) = self.ledger.jobs.get(&task.step.job) else {
+            return false;
+        };
+        let mut tasks = job.occurrences.keys().filter_map(|&occurrence| {
+            let mut task = task;
+            task.step.occurrence = occurrence;
+            Some((task, job.task(task)?))
+        });
+        tasks.any(|(task, state)| {
+            let mut runs = state.placements.iter().map(|placement| placement.run);
+            runs.any(|run| self.is_fresh(RunName { task, run }))
+        })
+    }
+
+    /// Logs the start of an isolated task.
+    pub(super) fn log_isolated(&mut self, run: RunName, host: &str) {
+        let crashes = self.ledger.crashes_under(run.task.into());
+        if crashes.is_isolated() {
+            let (count, attributed) = (crashes.count, crashes.attributed);
+            let detail = format!("host={host} crashes={count} attributed={attributed}");
+            self.log("task_isolated", run, detail);
+            self.effects.push(Effect::Count("task_isolated"));
+        }
+    }
+}
--- a/crates/hornbeamlead_jobs/src/planner/leases.rs
+++ b/crates/hornbeamlead_jobs/src/planner/leases.rs
@@ -161,7 +161,16 @@
             .map(|view| (view.host.clone(), now.since(view.worker_seen_at)))
             .collect();
         for (host, silence) in silent {
-            for run in self.runs_on(&host) {
+            let runs = self.runs_on(&host);
+            // A worker that is gone while its agent reports may have crashed.
+            if self
+                .hosts
+                .get(&host)
+                .is_some_and(|view| view.is_reachable(now))
+            {
+                self.note_worker_lost(now, &host, &runs);
+            }
+            for run in runs {
                 let detail = format!("host={host} silent_ms={}", silence.as_millis());
                 self.log("lease_lapsed", run, detail);
                 self.end_run(now, run, RunEnd::Lost, None);
--- a/crates/hornbeamlead_jobs/src/planner/placement.rs
+++ b/crates/hornbeamlead_jobs/src/planner/placement.rs
@@ -3,6 +3,7 @@
 use super::hosts::HostView;
 use super::hosts::UNMEASURED_LOG_LATENCY;
 use super::interference::{FULL_THROTTLE_COEFFICIENT, InterferenceModel, ServingGroup};
+use super::isolation::HostAccess;
 use crate::ids::{RunName, StepName};
 use crate::job::StepSpec;
 use crate::worker::WorkerFacts;
@@ -38,6 +39,9 @@
     pub remote_data: f64,
     /// Cost of a worker on which the task has failed before.
     pub previous_failure: f64,
+    /// Tasks under which a worker has crashed: cost of each attempt that has just started on the
+    /// worker, up to four. Attempts that start together cannot be told apart if the worker crashes.
+    pub crash_suspect: f64,
 }
 
 impl Default for PlacementPolicy {
@@ -54,6 +58,7 @@
             long_running_per_host: 8,
             remote_data: 1.0,
             previous_failure: 2.0,
+            crash_suspect: 0.5,
         }
     }
 }
@@ -177,6 +182,10 @@
     pub(super) failure_cost: f64,
     /// Most tasks that may run on the worker.
     pub(super) max_tasks: u32,
+    /// Which tasks may start on the host.
+    pub(super) access: HostAccess,
+    /// Number of attempts that had just started when the pass began.
+    pub(super) fresh: u32,
     /// Serving tasks by image, including those placed in this pass.
     pub(super) serving: BTreeMap<ImageId, ServingGroup>,
 }
@@ -268,8 +277,8 @@
         f64::from(self.worker.cpu) - f64::from(self.load.cpu) * USED_CPU_SHARE
     }
 
-    /// Returns whether the worker has the service, labels and free resources that a task needs.
-    pub(super) fn admits(&self, demand: &TaskDemand, spec: &StepSpec, service: &str) -> bool {
+    /// Returns whether the worker has the service, labels and capacity that a task needs.
+    pub(super) fn suits(&self, demand: &TaskDemand, spec: &StepSpec, service: &str) -> bool {
         let labelled = spec
             .label
             .as_ref()
@@ -277,9 +286,26 @@
         let spread = spec.spread_limit;
         *self.worker.service == *service
             && labelled
+            && HostLoad::default().fits(demand, self.worker)
+            && spread.is_none_or(|limit| self.step_count(demand.step) < limit)
+    }
+
+    /// Returns whether the worker suits a task and has the free resources that it needs.
+    pub(super) fn admits(&self, demand: &TaskDemand, spec: &StepSpec, service: &str) -> bool {
+        self.suits(demand, spec, service)
             && self.load.count < self.max_tasks
             && self.load.fits(demand, self.worker)
-            && spread.is_none_or(|limit| self.step_count(demand.step) < limit)
+    }
+
+    /// Returns the cost of starting a task under which a worker has crashed beside attempts that have
+    /// just started.
+    pub(super) fn suspect_cost(&self, policy: &PlacementPolicy) -> f64 {
+        let placed: u32 = self.placed.values().sum();
+        let neighbours = self
+            .fresh
+            .saturating_add(placed)
+            .min(MAX_SUSPECT_NEIGHBOURS);
+        policy.crash_suspect * f64::from(neighbours)
     }
 
     /// Returns whether a best-effort task would get CPU on the host and leave the serving tasks
@@ -380,6 +406,9 @@
 /// it, more tasks would only delay all of them.
 const MIN_BEST_EFFORT_RATE: f64 = 0.5;
 
+/// Number of attempts that have just started up to which each counts in the cost of a suspect.
+const MAX_SUSPECT_NEIGHBOURS: u32 = 4;
+
 /// Share of their requested CPU that tasks other than best-effort ones typically use.
 const USED_CPU_SHARE: f64 = 0.5;
 
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -175,7 +175,7 @@
             }
         }
         for (incarnation, runs) in lost {
-            self.note_worker_end(host, &incarnation, &runs);
+            self.note_worker_end(now, host, &incarnation, &runs);
             for run in runs {
                 self.end_run(now, run, RunEnd::Lost, None);
             }
@@ -256,6 +256,7 @@
                 run_view.percent = row.percent;
             }
             self.learn_progress(now, row);
+            self.check_soundness(now, row.run);
             let phase = self.ledger.phase(row.run.task.step.job);
             // Members of a gang that has completed end by themselves.
             let completed = phase == Some(JobPhase::Completed);
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -2,6 +2,7 @@
 
 use super::batch::DeferredAction;
 use super::hosts::HostView;
+use super::isolation::StartScope;
 use super::placement::{Candidate, HostInterference, HostLoad, TaskDemand};
 use super::ready::ReadyStep;
 use super::{PlannerMachine, RunView};
@@ -181,6 +182,7 @@
         }
         steps.sort_by_key(|step| step.sort_key);
         let mut candidates = self.candidates(now.mono);
+        self.reserve_hosts(&steps, &mut candidates);
         let mut placed = Vec::new();
         let mut short_of_room = BTreeSet::new();
         for step in steps {
@@ -212,8 +214,11 @@
         let views = self.hosts.values().filter(|view| candidate(view).is_some());
         views
             .filter_map(|view| {
+                let (access, fresh) = self.access_to(view);
                 Some(Candidate {
                     view,
+                    access,
+                    fresh,
                     worker: view.worker.as_ref()?,
                     load: HostLoad::of(&view.runs),
                     placed: BTreeMap::new(),
@@ -264,6 +269,8 @@
                 step: step.name,
                 index,
             };
+            let scope = self.scope_of(task, spec, candidates);
+            let suspect = self.ledger.crashes_under(task.into()).count > 0;
             let cost =
                 |(candidate, host_interference): &(&mut Candidate<'_>, &HostInterference)| {
                     let failed = self.ledger.failed_hosts.get(&task);
@@ -275,12 +282,18 @@
                     };
                     candidate.cost(&self.policy.placement, &demand, spec, host_interference)
                         + repeat_cost
+                        + match suspect {
+                            true => candidate.suspect_cost(&self.policy.placement),
+                            false => 0.0,
+                        }
                 };
             let any_room = choices.len() < step.unconditional;
             let best = candidates
                 .iter_mut()
                 .zip(&interferences)
-                .filter(|(candidate, _)| candidate.admits(&demand, spec, service))
+                .filter(|(candidate, _)| {
+                    candidate.accepts(task, spec, scope) && candidate.admits(&demand, spec, service)
+                })
                 .map(|row| {
                     let headroom = row.0.has_best_effort_headroom(&demand, row.1);
                     (!headroom, row)
@@ -301,6 +314,8 @@
                         incarnation: candidate.worker.incarnation.clone(),
                     });
                 }
+                // Other tasks of the step may start where this one must not.
+                None if scope != StartScope::Shared && !spec.gang => {}
                 // All tasks of a step have the same demand: if one fits nowhere, none does.
                 None => break,
             }
@@ -332,6 +347,7 @@
             let run = RunName { task, run: number };
             let detail = format!("host={} slack_ms={}", choice.host, step.slack_ms);
             self.log("task_placed", run, detail);
+            self.log_isolated(run, &choice.host);
             self.start_attempt(now, run, &step.record, choice);
         }
         self.pass_needed = false;
--- a/crates/hornbeamlead_jobs/src/record.rs
+++ b/crates/hornbeamlead_jobs/src/record.rs
@@ -196,6 +196,20 @@
         /// Attempt that stalled.
         run: RunName,
     },
+    /// The worker of an attempt has crashed, and the attempt may be the cause. Precedes the end of the
+    /// attempt. Versions that do not know this record ignore it.
+    Crashed {
+        /// Attempt that was on the worker.
+        run: RunName,
+        /// Whether no other attempt can account for the crash.
+        attributed: bool,
+    },
+    /// An attempt has run for so long that its task does not crash its workers. Versions that do not
+    /// know this record ignore it.
+    Sound {
+        /// Attempt that runs.
+        run: RunName,
+    },
 }
 
 impl PlanRecord {
@@ -203,9 +217,11 @@
     #[must_use]
     pub fn task(&self) -> Option<TaskName> {
         match self {
-            Self::Started { run, .. } | Self::Ended { run, .. } | Self::Stalled { run } => {
-                Some(run.task)
-            }
+            Self::Started { run, .. }
+            | Self::Ended { run, .. }
+            | Self::Stalled { run }
+            | Self::Crashed { run, .. }
+            | Self::Sound { run } => Some(run.task),
             _ => None,
         }
     }
--- a/crates/hornbeamlead_jobs/src/snapshot.rs
+++ b/crates/hornbeamlead_jobs/src/snapshot.rs
@@ -1,12 +1,12 @@
 //! Snapshots of the ledger in the store, split into parts of one record each.
 
 use crate::ids::{
-    HostName, JobId, PlannerEpoch, RunNumber, StreamOffset, TaskName, WorkerIncarnation,
+    HostName, JobId, PlannerEpoch, RunNumber, StreamOffset, TaskName, TaskSlot, WorkerIncarnation,
 };
 use crate::job::JobPhase;
 use crate::ledger::{
-    JobLedger, JobState, LearnedInterference, OccurrenceState, TaskPlacement, TaskState,
-    WorkerFailures,
+    JobLedger, JobState, LearnedInterference, OccurrenceState, TaskCrashes, TaskPlacement,
+    TaskState, WorkerFailures,
 };
 use crate::placed::PlacedReport;
 use crate::record::{DecodeError, decode, decode_first, encode};
@@ -138,6 +138,12 @@
     report: Option<PlacedReport>,
 }
 
+/// Crashes of workers under tasks. Follow the placed jobs, since earlier versions ignore what does.
+#[derive(Default, Serialize, Deserialize)]
+struct StoredCrashes {
+    tasks: BTreeMap<TaskSlot, TaskCrashes>,
+}
+
 impl From<&JobLedger> for StoredFailures {
     fn from(ledger: &JobLedger) -> Self {
         Self {
@@ -266,20 +272,7 @@
 ) -> Vec<NewRecord> {
     let mut content = encode(&StoredLedger::from(ledger)).to_vec();
     content.extend(encode(&StoredLeases::from(ledger)));
-    let failures = StoredFailures::from(ledger);
-    let has_placed = ledger.placed.is_some();
-    let has_failures = failures != StoredFailures::default() || has_placed;
-    if ledger.journaled.is_some() || has_failures {
-        let journaled = ledger.journaled;
-        content.extend(encode(&StoredOrigin { journaled }));
-    }
-    if has_failures {
-        content.extend(encode(&failures));
-    }
-    if has_placed {
-        let report = ledger.placed.clone();
-        content.extend(encode(&StoredPlaced { report }));
-    }
+    content.extend(encode_optional(ledger));
     let parts = content.chunks(PART_BYTES);
     let count = parts.len() as u32;
     let record = |(number, content): (usize, &[u8])| NewRecord {
@@ -294,6 +287,28 @@
     parts.enumerate().map(record).collect()
 }
 
+/// Encodes what snapshots of earlier versions lack, up to the last part that is not empty: each
+/// is known by its position.
+fn encode_optional(ledger: &JobLedger) -> Vec<u8> {
+    let (journaled, report) = (ledger.journaled, ledger.placed.clone());
+    let (failures, tasks) = (StoredFailures::from(ledger), ledger.crashes.clone());
+    let present = [
+        journaled.is_some(),
+        failures != StoredFailures::default(),
+        report.is_some(),
+        !tasks.is_empty(),
+    ];
+    let parts = [
+        encode(&StoredOrigin { journaled }),
+        encode(&failures),
+        encode(&StoredPlaced { report }),
+        encode(&StoredCrashes { tasks }),
+    ];
+    let count = present.iter().rposition(|present| *present);
+    let count = count.map_or(0, |last| last + 1);
+    parts[..count].concat()
+}
+
 /// Returns the parts of the newest complete snapshot in order, and their set.
 fn newest_parts(
     records: &[ReadRecord],
@@ -338,7 +353,8 @@
     let (leases, rest) = decode_optional::<StoredLeases>(rest)?;
     let (origin, rest) = decode_optional::<StoredOrigin>(rest)?;
     let (failures, rest) = decode_optional::<StoredFailures>(rest)?;
-    let (placed, _) = decode_optional::<StoredPlaced>(rest)?;
+    let (placed, rest) = decode_optional::<StoredPlaced>(rest)?;
+    let (crashes, _) = decode_optional::<StoredCrashes>(rest)?;
     let bounds = leases.lease_bounds.into_iter();
     let ledger = JobLedger {
         confirmed_grants: leases.confirmed_grants,
@@ -349,6 +365,7 @@
         worker_failures: failures.workers,
         failed_hosts: failures.tasks,
         placed: placed.report,
+        crashes: crashes.tasks,
         ..stored.into()
     };
     Ok(Some((ledger, newest)))
--- a/crates/hornbeamlead_jobs/src/supervisor/calls.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/calls.rs
@@ -163,6 +163,7 @@
                 worker.clock = Some(clock);
             }
         }
+        self.drop_unsent_start(tag, &reply.answer);
         match reply.answer {
             WorkerAnswer::Gone => self.end_incarnation(incarnation.clone(), "connection_refused"),
             WorkerAnswer::Refused(WorkerRefusal::OtherLife) => {
@@ -177,6 +178,22 @@
         }
     }
 
+    /// Reports an attempt whose only call found that the worker was gone: it has not started, so it
+    /// cannot be the cause.
+    fn drop_unsent_start(&mut self, tag: WorkerTag, answer: &WorkerAnswer) {
+        let WorkerTag::Start(run) = tag else {
+            return;
+        };
+        let unsent = |stage: &RunStage| matches!(stage, RunStage::Starting { tries: 1, .. });
+        if *answer == WorkerAnswer::Gone
+            && self.runs.get(&run).is_some_and(unsent)
+            && let Some(RunStage::Starting { order, .. }) = self.runs.remove(&run)
+        {
+            let refusal = Some(WorkerRefusal::OtherLife);
+            self.report_not_started(run, order.incarnation, refusal);
+        }
+    }
+
     fn on_start_answered(&mut self, now: MonoTime, run: RunName, answer: WorkerAnswer) {
         let Some(RunStage::Starting {
             order,
