[jobs] Isolate the likely causes of a crash at once

Cause: all tasks on a crashed worker were suspected alike and isolated after their second crash.

Change: a crash is most likely due to what had started last, so attempts that were ordered within the last 100 ms are isolated after one crash (up to eight; more are not told apart sooner that way), attempts that had just started after two, and others after three. Attempts whose orders had not reached the agent cannot have begun. Suspects spread over hosts, and other tasks avoid hosts on which one has just started. Isolated tasks wait while a third of the workers is down or in use for them, so that their crashes do not take the room of all others.

--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -4,7 +4,7 @@
 mod crashes;
 mod health;
 
-pub use crashes::TaskCrashes;
+pub use crashes::{CrashSuspicion, TaskCrashes};
 pub use health::WorkerFailures;
 
 use crate::ids::{
@@ -332,7 +332,7 @@
                 self.remove_if_idle(run.task.step.job);
             }
             PlanRecord::Stalled { run } => self.note_stall(*run),
-            PlanRecord::Crashed { run, attributed } => self.note_crash(*run, *attributed),
+            PlanRecord::Crashed { run, suspicion } => self.note_crash(*run, *suspicion),
             PlanRecord::Sound { run } => self.note_sound(*run),
             PlanRecord::Closed { job, phase } => {
                 if let Some(state) = self.jobs.get_mut(job) {
--- a/crates/hornbeamlead_jobs/src/ledger/crashes.rs
+++ b/crates/hornbeamlead_jobs/src/ledger/crashes.rs
@@ -9,10 +9,11 @@
 use crate::ids::{JobId, RunName, TaskSlot};
 use crate::job::RunEnd;
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::ops::RangeInclusive;
 
-/// Crashes under a task after which it starts apart from others only.
-const ISOLATED_CRASHES: u16 = 2;
+/// Weight of crashes under a task from which on it starts apart from others only.
+const ISOLATED_WEIGHT: u16 = 2;
 
 /// Least number of crashes under a task that is given up.
 const MIN_CRASHES: u16 = 3;
@@ -24,6 +25,40 @@
 /// Most tasks of which crashes are known.
 const MAX_TASKS: usize = 10_000;
 
+/// How likely an attempt has caused a crash of its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum CrashSuspicion {
+    /// Others had started after it.
+    Unlikely,
+    /// It had just started, as others had.
+    Possible,
+    /// It was among the few that had started last.
+    Likely,
+    /// No other attempt can account for the crash.
+    Certain,
+}
+
+impl fmt::Display for CrashSuspicion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Unlikely => "unlikely",
+            Self::Possible => "possible",
+            Self::Likely => "likely",
+            Self::Certain => "certain",
+        })
+    }
+}
+
+impl CrashSuspicion {
+    fn weight(self) -> u16 {
+        match self {
+            Self::Unlikely => 0,
+            Self::Possible => 1,
+            Self::Likely | Self::Certain => ISOLATED_WEIGHT,
+        }
+    }
+}
+
 /// Crashes of workers under a task since it last succeeded or ran for long.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TaskCrashes {
@@ -31,6 +66,8 @@
     pub attributed: u16,
     /// All crashes, of which others may be the cause.
     pub count: u16,
+    /// Sum of the weights of the crashes.
+    pub weight: u16,
 }
 
 impl TaskCrashes {
@@ -38,7 +75,7 @@
     /// attributed.
     #[must_use]
     pub fn is_isolated(self) -> bool {
-        self.attributed > 0 || self.count >= ISOLATED_CRASHES
+        self.weight >= ISOLATED_WEIGHT || self.is_repeated()
     }
 
     /// Returns whether so many workers have crashed that the task may crash them some time after its
@@ -76,7 +113,7 @@
     }
 
     /// Counts a crash under an attempt, which is still placed unless its end was recorded before.
-    pub(super) fn note_crash(&mut self, run: RunName, attributed: bool) {
+    pub(super) fn note_crash(&mut self, run: RunName, suspicion: CrashSuspicion) {
         let Some(placement) = self.placement(run) else {
             return;
         };
@@ -88,7 +125,8 @@
         }
         let crashes = self.crashes.entry(slot).or_default();
         crashes.count = crashes.count.saturating_add(1);
-        let attributed = u16::from(attributed);
+        crashes.weight = crashes.weight.saturating_add(suspicion.weight());
+        let attributed = u16::from(suspicion == CrashSuspicion::Certain);
         crashes.attributed = crashes.attributed.saturating_add(attributed);
     }
 
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -120,6 +120,8 @@
     /// Number of the first order for the attempt on the host's current link, as a rule its start.
     /// `None` until an order is sent; 0 if one may have been sent on an earlier link.
     order_number: Option<u64>,
+    /// When the start order was sent, if this planner has sent it.
+    ordered_at: Option<MonoTime>,
     /// Number of the latest stop order on the current link.
     stop_number: Option<u64>,
     /// When the planner placed the attempt, or first learned of it.
@@ -146,6 +148,7 @@
     fn new(now: MonoTime) -> Self {
         Self {
             order_number: None,
+            ordered_at: None,
             stop_number: None,
             created_at: now,
             listed: false,
--- a/crates/hornbeamlead_jobs/src/planner/crashes.rs
+++ b/crates/hornbeamlead_jobs/src/planner/crashes.rs
@@ -3,16 +3,21 @@
 use super::{PlannerMachine, RunView};
 use crate::effect::Effect;
 use crate::ids::{HostName, RunName, WorkerIncarnation};
-use crate::ledger::TaskCrashes;
+use crate::ledger::{CrashSuspicion, TaskCrashes};
 use crate::operators::OperatorFormat;
 use crate::record::PlanRecord;
 use hornbeamlead_core::clock::MonoTime;
 use std::time::Duration;
 
 /// Time for which an attempt has to be seen running before a crash is put down to attempts that
-/// started after it. Hosts report every 300 ms, and the lists may be 500 ms old when a worker has
-/// crashed without closing its connections.
-const FRESH_TIME: Duration = Duration::from_millis(600);
+/// started after it. Hosts report every 300 ms, so two reports have to list it.
+const FRESH_TIME: Duration = Duration::from_millis(250);
+
+/// Time before the last start on a worker within which starts count as the last ones.
+const LATEST_TIME: Duration = Duration::from_millis(100);
+
+/// Most attempts that are likely causes of a crash. More than these cannot be isolated soon.
+const MAX_LIKELY: usize = 8;
 
 /// Time for which an attempt has to be seen running to show that its task does not crash workers.
 const SOUND_TIME: Duration = Duration::from_secs(5);
@@ -43,6 +48,7 @@
 struct CrashedRun {
     run: RunName,
     maturity: RunMaturity,
+    ordered_at: Option<MonoTime>,
     /// Crashes under the task before.
     crashes: TaskCrashes,
     gang: bool,
@@ -50,10 +56,12 @@
 
 impl<F: OperatorFormat> PlannerMachine<F> {
     /// Records under which attempts a worker has crashed, before their ends are recorded.
+    ///
+    /// Only orders up to `orders_seen` had reached the worker's agent.
     pub(super) fn note_worker_end(
         &mut self,
         now: MonoTime,
-        host: &HostName,
+        (host, orders_seen): (&HostName, u64),
         incarnation: &WorkerIncarnation,
         runs: &[RunName],
     ) {
@@ -62,7 +70,7 @@
             let detail = format!("host={host} attempts={}", runs.len());
             return self.log("worker_left", incarnation, detail);
         }
-        let crashed = self.crashed_runs(runs);
+        let crashed = self.crashed_runs(runs, orders_seen);
         let culprit = find_culprit(&crashed);
         let count = |maturity| crashed.iter().filter(|it| it.maturity == maturity).count();
         let attributed = culprit.map_or("none".into(), |run| run.to_string());
@@ -75,22 +83,19 @@
         );
         self.log("worker_crashed", incarnation, detail);
         self.effects.push(Effect::Count("worker_crashed"));
-        let suspects = crashed
-            .iter()
-            .filter(|it| it.maturity != RunMaturity::Sound);
-        for suspect in suspects.map(|it| it.run) {
-            self.record_crash(now, host, suspect, culprit == Some(suspect));
+        for (run, suspicion) in suspicions(&crashed, culprit) {
+            self.record_crash(now, host, run, suspicion);
         }
     }
 
     /// Records that the worker of attempts was lost while its agent went on. It may have crashed.
     pub(super) fn note_worker_lost(&mut self, now: MonoTime, host: &HostName, runs: &[RunName]) {
-        let crashed = self.crashed_runs(runs);
+        let crashed = self.crashed_runs(runs, u64::MAX);
         let suspects = crashed
             .iter()
             .filter(|it| it.maturity != RunMaturity::Sound);
         for suspect in suspects {
-            self.record_crash(now, host, suspect.run, false);
+            self.record_crash(now, host, suspect.run, CrashSuspicion::Possible);
         }
     }
 
@@ -99,29 +104,37 @@
         self.runs.get(&run).map(RunView::maturity)
     }
 
-    fn record_crash(&mut self, now: MonoTime, host: &HostName, run: RunName, attributed: bool) {
-        self.record(now, PlanRecord::Crashed { run, attributed });
+    fn record_crash(
+        &mut self,
+        now: MonoTime,
+        host: &HostName,
+        run: RunName,
+        suspicion: CrashSuspicion,
+    ) {
+        self.record(now, PlanRecord::Crashed { run, suspicion });
         let crashes = self.ledger.crashes_under(run.task.into());
         let detail = format!(
-            "host={host} crashes={} attributed={} isolated={}",
+            "host={host} suspicion={suspicion} crashes={} attributed={} isolated={}",
             crashes.count,
             crashes.attributed,
             crashes.is_isolated()
         );
         self.log("crash_counted", run, detail);
-        if attributed {
+        if suspicion == CrashSuspicion::Certain {
             self.effects.push(Effect::Count("crash_attributed"));
         }
     }
 
-    /// Returns the attempts that may have begun: those whose orders were sent.
-    fn crashed_runs(&self, runs: &[RunName]) -> Vec<CrashedRun> {
+    /// Returns the attempts that may have begun: those whose orders have reached the agent.
+    fn crashed_runs(&self, runs: &[RunName], orders_seen: u64) -> Vec<CrashedRun> {
         let crashed = |run: &RunName| {
             let run_view = self.runs.get(run)?;
             let spec = self.ledger.task(run.task)?.0.spec(run.task.step);
-            run_view.order_number.map(|_| CrashedRun {
+            let number = run_view.order_number.filter(|it| *it <= orders_seen);
+            number.map(|_| CrashedRun {
                 run: *run,
                 maturity: run_view.maturity(),
+                ordered_at: run_view.ordered_at,
                 crashes: self.ledger.crashes_under(run.task.into()),
                 gang: spec.is_some_and(|spec| spec.gang),
             })
@@ -159,6 +172,28 @@
     }
 }
 
+/// Returns how likely each attempt has caused a crash, except for those that are ruled out.
+fn suspicions(crashed: &[CrashedRun], culprit: Option<RunName>) -> Vec<(RunName, CrashSuspicion)> {
+    let last_start = crashed.iter().filter_map(|it| it.ordered_at).max();
+    let is_latest = |it: &&CrashedRun| {
+        let starts = it.ordered_at.zip(last_start);
+        it.maturity == RunMaturity::Fresh
+            && starts.is_some_and(|(at, last)| last.since(at) <= LATEST_TIME)
+    };
+    let few_latest = crashed.iter().filter(is_latest).count() <= MAX_LIKELY;
+    let suspects = crashed
+        .iter()
+        .filter(|it| it.maturity != RunMaturity::Sound);
+    let suspicion = |it: &CrashedRun| match it {
+        _ if culprit == Some(it.run) => CrashSuspicion::Certain,
+        _ if culprit.is_some() => CrashSuspicion::Unlikely,
+        _ if few_latest && is_latest(&it) => CrashSuspicion::Likely,
+        _ if it.maturity == RunMaturity::Fresh => CrashSuspicion::Possible,
+        _ => CrashSuspicion::Unlikely,
+    };
+    suspects.map(|it| (it.run, suspicion(it))).collect()
+}
+
 /// Returns whether two attempts are members of the same gang.
 fn is_beside(one: &CrashedRun, other: &CrashedRun) -> bool {
     one.run.task.step == other.run.task.step
--- a/crates/hornbeamlead_jobs/src/planner/isolation.rs
+++ b/crates/hornbeamlead_jobs/src/planner/isolation.rs
@@ -14,10 +14,16 @@
 use crate::ids::{RunName, TaskName};
 use crate::job::StepSpec;
 use crate::operators::OperatorFormat;
+use hornbeamlead_core::clock::MonoTime;
+use std::time::Duration;
 
-/// Share of the hosts on which isolated tasks may start at the same time.
+/// Share of the hosts that may be in use for isolated tasks, those among them whose workers have just
+/// crashed: the next crashes must not take the room of all others.
 const MAX_ISOLATED_SHARE: f64 = 1.0 / 3.0;
 
+/// Time after a crash within which a worker usually comes back.
+const RETURN_TIME: Duration = Duration::from_secs(5);
+
 /// Which tasks may start on a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum HostAccess {
@@ -55,11 +61,11 @@
 }
 
 impl<F: OperatorFormat> PlannerMachine<F> {
-    /// Returns which tasks may start on a host, and the number of attempts that have just started
-    /// there.
-    pub(super) fn access_to(&self, view: &HostView) -> (HostAccess, u32) {
+    /// Returns which tasks may start on a host, the number of attempts that have just started there,
+    /// and the number of those under whose tasks workers have crashed.
+    pub(super) fn access_to(&self, view: &HostView) -> (HostAccess, u32, u32) {
         if self.ledger.crashes.is_empty() {
-            return (HostAccess::Open, 0);
+            return (HostAccess::Open, 0, 0);
         }
         let is_trial = |run: &RunName| {
             let crashes = self.ledger.crashes_under(run.task.into());
@@ -74,7 +80,10 @@
             false => HostAccess::Open,
         };
         let fresh = view.runs.keys().filter(|run| self.is_fresh(**run));
-        (access, fresh.count() as u32)
+        let fresh: Vec<_> = fresh.collect();
+        let is_suspect = |run: &&&RunName| self.ledger.crashes_under(run.task.into()).count > 0;
+        let suspects = fresh.iter().filter(is_suspect).count();
+        (access, fresh.len() as u32, suspects as u32)
     }
 
     fn is_fresh(&self, run: RunName) -> bool {
@@ -82,11 +91,21 @@
     }
 
     /// Reserves hosts for the isolated tasks of the steps, in their order.
-    pub(super) fn reserve_hosts(&self, steps: &[ReadyStep], candidates: &mut [Candidate<'_>]) {
+    pub(super) fn reserve_hosts(
+        &self,
+        now: MonoTime,
+        steps: &[ReadyStep],
+        candidates: &mut [Candidate<'_>],
+    ) {
         if self.ledger.crashes.is_empty() {
             return;
         }
-        let most = (candidates.len() as f64 * MAX_ISOLATED_SHARE).ceil() as usize;
+        let down = self.hosts.values().filter(|view| {
+            let seen = view.worker_seen && now.since(view.worker_seen_at) <= RETURN_TIME;
+            view.worker.is_none() && seen
+        });
+        let down = down.count();
+        let most = ((candidates.len() + down) as f64 * MAX_ISOLATED_SHARE).ceil() as usize;
         for step in steps {
             let Some(spec) = step.record.step(step.name) else {
                 continue;
@@ -101,9 +120,9 @@
                     continue;
                 }
                 let is_open = |candidate: &&mut Candidate<'_>| candidate.access == HostAccess::Open;
-                let in_use = candidates.len() - candidates.iter_mut().filter(is_open).count();
-                // All members of a gang start at the same time.
-                if in_use >= most && !spec.gang {
+                let closed = candidates.len() - candidates.iter_mut().filter(is_open).count();
+                // All members of a gang start at the same time, and long-running tasks must not wait.
+                if down + closed >= most && !spec.gang && !spec.long_running {
                     return;
                 }
                 let service = &*step.record.terms.service;
--- a/crates/hornbeamlead_jobs/src/planner/orders.rs
+++ b/crates/hornbeamlead_jobs/src/planner/orders.rs
@@ -37,6 +37,7 @@
                 let number = view.next_order_number();
                 let run_view = self.runs.entry(run).or_insert_with(|| RunView::new(now));
                 run_view.order_number = Some(number);
+                run_view.ordered_at = Some(now);
                 let message = PlannerMessage::Start { number, order };
                 self.effects.push(Effect::ToAgent { link, message });
             }
--- a/crates/hornbeamlead_jobs/src/planner/placement.rs
+++ b/crates/hornbeamlead_jobs/src/planner/placement.rs
@@ -39,8 +39,9 @@
     pub remote_data: f64,
     /// Cost of a worker on which the task has failed before.
     pub previous_failure: f64,
-    /// Tasks under which a worker has crashed: cost of each attempt that has just started on the
-    /// worker, up to four. Attempts that start together cannot be told apart if the worker crashes.
+    /// Cost of each task that has just started on the worker and under which another has crashed;
+    /// for such a task, cost of each that has just started. Tasks that start together cannot be told
+    /// apart if the worker crashes.
     pub crash_suspect: f64,
 }
 
@@ -186,6 +187,8 @@
     pub(super) access: HostAccess,
     /// Number of attempts that had just started when the pass began.
     pub(super) fresh: u32,
+    /// Number of those under whose tasks workers have crashed, including those placed in this pass.
+    pub(super) suspects: u32,
     /// Serving tasks by image, including those placed in this pass.
     pub(super) serving: BTreeMap<ImageId, ServingGroup>,
 }
@@ -297,14 +300,13 @@
             && self.load.fits(demand, self.worker)
     }
 
-    /// Returns the cost of starting a task under which a worker has crashed beside attempts that have
-    /// just started.
-    pub(super) fn suspect_cost(&self, policy: &PlacementPolicy) -> f64 {
-        let placed: u32 = self.placed.values().sum();
-        let neighbours = self
-            .fresh
-            .saturating_add(placed)
-            .min(MAX_SUSPECT_NEIGHBOURS);
+    /// Returns the cost of starting a task beside others that have just started, if a worker has crashed
+    /// under it or them.
+    pub(super) fn suspect_cost(&self, policy: &PlacementPolicy, is_suspect: bool) -> f64 {
+        let neighbours = match is_suspect {
+            true => self.fresh.saturating_add(self.placed.values().sum()),
+            false => self.suspects,
+        };
         policy.crash_suspect * f64::from(neighbours)
     }
 
@@ -406,9 +408,6 @@
 /// it, more tasks would only delay all of them.
 const MIN_BEST_EFFORT_RATE: f64 = 0.5;
 
-/// Number of attempts that have just started up to which each counts in the cost of a suspect.
-const MAX_SUSPECT_NEIGHBOURS: u32 = 4;
-
 /// Share of their requested CPU that tasks other than best-effort ones typically use.
 const USED_CPU_SHARE: f64 = 0.5;
 
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -182,7 +182,7 @@
         }
         steps.sort_by_key(|step| step.sort_key);
         let mut candidates = self.candidates(now.mono);
-        self.reserve_hosts(&steps, &mut candidates);
+        self.reserve_hosts(now.mono, &steps, &mut candidates);
         let mut placed = Vec::new();
         let mut short_of_room = BTreeSet::new();
         for step in steps {
@@ -214,11 +214,12 @@
         let views = self.hosts.values().filter(|view| candidate(view).is_some());
         views
             .filter_map(|view| {
-                let (access, fresh) = self.access_to(view);
+                let (access, fresh, suspects) = self.access_to(view);
                 Some(Candidate {
                     view,
                     access,
                     fresh,
+                    suspects,
                     worker: view.worker.as_ref()?,
                     load: HostLoad::of(&view.runs),
                     placed: BTreeMap::new(),
@@ -270,7 +271,7 @@
                 index,
             };
             let scope = self.scope_of(task, spec, candidates);
-            let suspect = self.ledger.crashes_under(task.into()).count > 0;
+            let is_suspect = self.ledger.crashes_under(task.into()).count > 0;
             let cost =
                 |(candidate, host_interference): &(&mut Candidate<'_>, &HostInterference)| {
                     let failed = self.ledger.failed_hosts.get(&task);
@@ -282,10 +283,7 @@
                     };
                     candidate.cost(&self.policy.placement, &demand, spec, host_interference)
                         + repeat_cost
-                        + match suspect {
-                            true => candidate.suspect_cost(&self.policy.placement),
-                            false => 0.0,
-                        }
+                        + candidate.suspect_cost(&self.policy.placement, is_suspect)
                 };
             let any_room = choices.len() < step.unconditional;
             let best = candidates
@@ -308,6 +306,7 @@
             match best {
                 Some((candidate, host_interference)) => {
                     candidate.assign(&demand, host_interference);
+                    candidate.suspects += u32::from(is_suspect);
                     choices.push(PlacementChoice {
                         index,
                         host: candidate.view.host.clone(),
--- a/crates/hornbeamlead_jobs/src/record.rs
+++ b/crates/hornbeamlead_jobs/src/record.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{HostName, JobId, RunName, StreamOffset, TaskName, WorkerIncarnation};
 use crate::job::{JobPhase, RunEnd};
+use crate::ledger::CrashSuspicion;
 use crate::load::LoadReport;
 use crate::placed::PlacedReport;
 use bytes::Bytes;
@@ -201,8 +202,8 @@
     Crashed {
         /// Attempt that was on the worker.
         run: RunName,
-        /// Whether no other attempt can account for the crash.
-        attributed: bool,
+        /// How likely the attempt is the cause.
+        suspicion: CrashSuspicion,
     },
     /// An attempt has run for so long that its task does not crash its workers. Versions that do not
     /// know this record ignore it.
