[jobs] Tell tasks that crash workers from workers that crash by themselves

Callers saw (in the emulated world, before any landing): jobs shown as failed, a long-running one among them, although no task crashed anything: eight workers crashed by themselves every few seconds, and three crashes just after a start were enough. Besides, no task at all started any more once tasks without a reserved host came before those with one in a step, and 40 members of a gang started a sixth time.

Cause: an attempt that was alone on its worker was taken for the cause however long after its start the crash came, and whatever else crashed. A step was left at its first task that fits nowhere, although hosts were reserved for later ones. Half of the isolated members of a large gang found no host, in the order of their indices.

Change: a crash is certain evidence if it is noticed within 0.3 s of the start of the only fresh attempt. Two such among three crashes suffice while no worker crashes by itself, three otherwise; four crashes with the attempt alone on its worker also suffice while it is calm, for those noticed late. A worker counts as crashing by itself for 20 s after a crash with nothing on it, or with nothing that had just started and no only suspect. Hosts with few crashes are tried first, tasks with the most crashes too, and a gang reserves at most half of the hosts.

--- a/crates/hornbeamlead_jobs/src/ledger/crashes.rs
+++ b/crates/hornbeamlead_jobs/src/ledger/crashes.rs
@@ -15,12 +15,19 @@
 /// Weight of crashes under a task from which on it starts apart from others only.
 const ISOLATED_WEIGHT: u16 = 2;
 
-/// Least number of crashes under a task that is given up.
-const MIN_CRASHES: u16 = 3;
+/// Crashes under a task after which it may crash its workers some time after its start.
+const REPEATED_CRASHES: u16 = 3;
 
-/// Least number of crashes attributed to a task that is given up. A worker may crash by itself just
-/// after a task has started there apart from others, but hardly twice.
-const MIN_ATTRIBUTED: u16 = 2;
+/// Crashes attributed to a task after which it is given up while workers crash by themselves. One
+/// may do so just after a task has started there apart from others, but hardly three times.
+const MIN_CERTAIN: u16 = 3;
+
+/// The same while no worker crashes by itself, given [`REPEATED_CRASHES`] in all.
+const MIN_CERTAIN_CALM: u16 = 2;
+
+/// Crashes that no other attempt can account for, but that were noticed late, after which a task is
+/// given up while no worker crashes by itself.
+const MIN_ALONE: u16 = 4;
 
 /// Most tasks of which crashes are known.
 const MAX_TASKS: usize = 10_000;
@@ -34,7 +41,9 @@
     Possible,
     /// It was among the few that had started last.
     Likely,
-    /// No other attempt can account for the crash.
+    /// No other attempt can account for the crash, but it was noticed some time after the start.
+    Alone,
+    /// No other attempt can account for the crash, which followed the start at once.
     Certain,
 }
 
@@ -44,6 +53,7 @@
             Self::Unlikely => "unlikely",
             Self::Possible => "possible",
             Self::Likely => "likely",
+            Self::Alone => "alone",
             Self::Certain => "certain",
         })
     }
@@ -54,7 +64,7 @@
         match self {
             Self::Unlikely => 0,
             Self::Possible => 1,
-            Self::Likely | Self::Certain => ISOLATED_WEIGHT,
+            Self::Likely | Self::Alone | Self::Certain => ISOLATED_WEIGHT,
         }
     }
 }
@@ -62,8 +72,10 @@
 /// Crashes of workers under a task since it last succeeded or ran for long.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TaskCrashes {
+    /// Crashes that followed a start at once and that no other attempt can account for.
+    pub certain: u16,
     /// Crashes that no other attempt can account for.
-    pub attributed: u16,
+    pub alone: u16,
     /// All crashes, of which others may be the cause.
     pub count: u16,
     /// Sum of the weights of the crashes.
@@ -82,13 +94,18 @@
     /// start.
     #[must_use]
     pub fn is_repeated(self) -> bool {
-        self.count >= MIN_CRASHES
+        self.count >= REPEATED_CRASHES
     }
 
-    /// Returns whether the task crashes its workers beyond reasonable doubt.
+    /// Returns whether the task crashes its workers beyond reasonable doubt. `calm` tells that no
+    /// worker has crashed by itself lately.
     #[must_use]
-    pub fn is_conclusive(self) -> bool {
-        self.attributed >= MIN_ATTRIBUTED && self.count >= MIN_CRASHES
+    pub fn is_conclusive(self, calm: bool) -> bool {
+        let repeated = self.certain >= MIN_CERTAIN_CALM && self.is_repeated();
+        match calm {
+            true => repeated || self.alone >= MIN_ALONE,
+            false => self.certain >= MIN_CERTAIN,
+        }
     }
 }
 
@@ -104,11 +121,12 @@
         self.crashes.get(&slot).copied().unwrap_or_default()
     }
 
-    /// Returns a task of a job that crashes its workers beyond reasonable doubt.
+    /// Returns a task of a job that crashes its workers beyond reasonable doubt. `calm` tells that no
+    /// worker has crashed by itself lately.
     #[must_use]
-    pub fn conclusive_crashes(&self, job: JobId) -> Option<(TaskSlot, TaskCrashes)> {
+    pub fn conclusive_crashes(&self, job: JobId, calm: bool) -> Option<(TaskSlot, TaskCrashes)> {
         let mut crashes = self.crashes.range(slots_of(job));
-        let conclusive = crashes.find(|(_, crashes)| crashes.is_conclusive());
+        let conclusive = crashes.find(|(_, crashes)| crashes.is_conclusive(calm));
         conclusive.map(|(slot, crashes)| (*slot, *crashes))
     }
 
@@ -126,8 +144,10 @@
         let crashes = self.crashes.entry(slot).or_default();
         crashes.count = crashes.count.saturating_add(1);
         crashes.weight = crashes.weight.saturating_add(suspicion.weight());
-        let attributed = u16::from(suspicion == CrashSuspicion::Certain);
-        crashes.attributed = crashes.attributed.saturating_add(attributed);
+        let certain = u16::from(suspicion == CrashSuspicion::Certain);
+        let alone = u16::from(suspicion >= CrashSuspicion::Alone);
+        crashes.certain = crashes.certain.saturating_add(certain);
+        crashes.alone = crashes.alone.saturating_add(alone);
     }
 
     /// Forgets the task with the fewest crashes if there are too many.
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -205,6 +205,8 @@
     upkeep: UpkeepState,
     load: LoadTracker,
     placed: PlacedTracker,
+    /// Until when workers count as crashing by themselves.
+    unrest_until: MonoTime,
     /// Occurrences that wait until earlier ones of their job have progressed.
     deferred_occurrences: BTreeMap<JobId, u32>,
     pass_needed: bool,
@@ -254,6 +256,7 @@
             upkeep: UpkeepState::new(now),
             load: LoadTracker::default(),
             placed: PlacedTracker::default(),
+            unrest_until: MonoTime(0),
             deferred_occurrences: BTreeMap::new(),
             pass_needed: false,
             overload: OverloadState::default(),
--- a/crates/hornbeamlead_jobs/src/planner/crashes.rs
+++ b/crates/hornbeamlead_jobs/src/planner/crashes.rs
@@ -16,6 +16,12 @@
 /// Time before the last start on a worker within which starts count as the last ones.
 const LATEST_TIME: Duration = Duration::from_millis(100);
 
+/// Time from a start within which a crash that it causes is usually noticed.
+const PROMPT_TIME: Duration = Duration::from_millis(300);
+
+/// Time for which a crash that no start preceded counts as a sign that workers crash by themselves.
+const UNREST_TIME: Duration = Duration::from_secs(20);
+
 /// Most attempts that are likely causes of a crash. More than these cannot be isolated soon.
 const MAX_LIKELY: usize = 8;
 
@@ -83,11 +89,42 @@
         );
         self.log("worker_crashed", incarnation, detail);
         self.effects.push(Effect::Count("worker_crashed"));
+        if let Some(view) = self.hosts.get_mut(host) {
+            view.crashed = Some(incarnation.clone());
+            view.crashes += 1;
+        }
+        let is_prompt = |it: &CrashedRun| {
+            let ordered_at = it.ordered_at;
+            ordered_at.is_some_and(|at| now.since(at) <= PROMPT_TIME)
+        };
+        if culprit.is_none() && !crashed.iter().any(is_prompt) {
+            self.unrest_until = now.plus(UNREST_TIME);
+        }
+        let certain =
+            culprit.filter(|run| crashed.iter().any(|it| it.run == *run && is_prompt(it)));
         for (run, suspicion) in suspicions(&crashed, culprit) {
+            let suspicion = match suspicion {
+                CrashSuspicion::Alone if certain == Some(run) => CrashSuspicion::Certain,
+                suspicion => suspicion,
+            };
             self.record_crash(now, host, run, suspicion);
         }
     }
 
+    /// Notes that another worker runs on a host. If nothing ran on the one before, it has crashed by
+    /// itself, unless it had left.
+    pub(super) fn note_replaced_worker(&mut self, now: MonoTime, host: &HostName) {
+        let Some(view) = self.hosts.get_mut(host) else {
+            return;
+        };
+        let earlier = view.earlier_incarnation.as_ref();
+        if earlier.is_some() && earlier != view.crashed.as_ref() && earlier != view.drained.as_ref()
+        {
+            view.crashes += 1;
+            self.unrest_until = now.plus(UNREST_TIME);
+        }
+    }
+
     /// Records that the worker of attempts was lost while its agent went on. It may have crashed.
     pub(super) fn note_worker_lost(&mut self, now: MonoTime, host: &HostName, runs: &[RunName]) {
         let crashed = self.crashed_runs(runs, u64::MAX);
@@ -99,6 +136,11 @@
         }
     }
 
+    /// Returns whether no worker has crashed by itself lately.
+    pub(super) fn is_calm(&self, now: MonoTime) -> bool {
+        now > self.unrest_until
+    }
+
     /// Returns how far an attempt has got.
     pub(super) fn maturity_of(&self, run: RunName) -> Option<RunMaturity> {
         self.runs.get(&run).map(RunView::maturity)
@@ -114,9 +156,9 @@
         self.record(now, PlanRecord::Crashed { run, suspicion });
         let crashes = self.ledger.crashes_under(run.task.into());
         let detail = format!(
-            "host={host} suspicion={suspicion} crashes={} attributed={} isolated={}",
+            "host={host} suspicion={suspicion} crashes={} certain={} isolated={}",
             crashes.count,
-            crashes.attributed,
+            crashes.certain,
             crashes.is_isolated()
         );
         self.log("crash_counted", run, detail);
@@ -185,7 +227,7 @@
         .iter()
         .filter(|it| it.maturity != RunMaturity::Sound);
     let suspicion = |it: &CrashedRun| match it {
-        _ if culprit == Some(it.run) => CrashSuspicion::Certain,
+        _ if culprit == Some(it.run) => CrashSuspicion::Alone,
         _ if culprit.is_some() => CrashSuspicion::Unlikely,
         _ if few_latest && is_latest(&it) => CrashSuspicion::Likely,
         _ if it.maturity == RunMaturity::Fresh => CrashSuspicion::Possible,
--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -92,8 +92,14 @@
     pub(super) earlier_leases_end: Option<MonoTime>,
     /// Whether the wait for these leases has been logged since the latest report with a worker.
     pub(super) lease_awaited: bool,
+    /// Incarnation before the last one that was reported.
+    pub(super) earlier_incarnation: Option<WorkerIncarnation>,
     /// Latest incarnation that was reported as draining, whose end is no crash.
     pub(super) drained: Option<WorkerIncarnation>,
+    /// Latest incarnation whose end this planner has put down to a crash.
+    pub(super) crashed: Option<WorkerIncarnation>,
+    /// Number of crashes on the host that this planner has seen.
+    pub(super) crashes: u32,
     /// Whether the lists in the latest report were read from the worker in this epoch.
     pub listed: bool,
     /// Stamp of the latest report.
@@ -148,7 +154,10 @@
             leases_end,
             earlier_leases_end: None,
             lease_awaited: false,
+            earlier_incarnation: None,
             drained: None,
+            crashed: None,
+            crashes: 0,
             listed: false,
             stamp: AgentStamp(0),
             not_before: MonoTime(0),
@@ -185,6 +194,7 @@
         let incarnation = worker.map(|worker| &worker.incarnation);
         let is_other = incarnation.is_some() && incarnation != self.last_incarnation.as_ref();
         if is_other {
+            self.earlier_incarnation = self.last_incarnation.take();
             self.last_incarnation = incarnation.cloned();
             // The agent renews leases of one incarnation only.
             self.earlier_leases_end = self.earlier_leases_end.max(Some(self.leases_end));
--- a/crates/hornbeamlead_jobs/src/planner/intake.rs
+++ b/crates/hornbeamlead_jobs/src/planner/intake.rs
@@ -150,14 +150,14 @@
             let exhausted = |task: &TaskState| !task.done && task.failures >= attempts;
             bounded.any(|(tasks, _)| tasks.iter().any(exhausted))
         });
-        let crashed = self.ledger.conclusive_crashes(job);
+        let crashed = self.ledger.conclusive_crashes(job, self.is_calm(now));
         let (phase, cause) = match crashed {
             _ if attempts_exhausted => (JobPhase::Failed, String::new()),
             _ if state.is_done() => (JobPhase::Completed, String::new()),
             Some((slot, crashes)) => {
                 let cause = format!(
-                    " cause=crashed_workers step={} index={} crashes={} attributed={}",
-                    slot.step, slot.index, crashes.count, crashes.attributed
+                    " cause=crashed_workers step={} index={} crashes={} certain={}",
+                    slot.step, slot.index, crashes.count, crashes.certain
                 );
                 self.effects.push(Effect::Count("job_given_up"));
                 (JobPhase::Failed, cause)
--- a/crates/hornbeamlead_jobs/src/planner/isolation.rs
+++ b/crates/hornbeamlead_jobs/src/planner/isolation.rs
@@ -15,6 +15,7 @@
 use crate::job::StepSpec;
 use crate::operators::OperatorFormat;
 use hornbeamlead_core::clock::MonoTime;
+use std::cmp::Reverse;
 use std::time::Duration;
 
 /// Share of the hosts that may be in use for isolated tasks, those among them whose workers have just
@@ -111,19 +112,21 @@
                 continue;
             };
             let demand = TaskDemand::new(step.name, spec);
-            for &index in &step.tasks {
-                let task = TaskName {
-                    step: step.name,
-                    index,
-                };
-                if !self.is_isolated(task) || self.has_fresh_attempt(task) {
+            for task in self.isolated_tasks(step) {
+                if self.has_fresh_attempt(task) {
                     continue;
                 }
                 let is_open = |candidate: &&mut Candidate<'_>| candidate.access == HostAccess::Open;
                 let closed = candidates.len() - candidates.iter_mut().filter(is_open).count();
-                // All members of a gang start at the same time, and long-running tasks must not wait.
-                if down + closed >= most && !spec.gang && !spec.long_running {
-                    return;
+                let is_exhausted = match spec {
+                    // All members of a gang start at the same time.
+                    spec if spec.gang => closed >= candidates.len().div_ceil(2),
+                    // Long-running tasks must not wait for other workers.
+                    spec if spec.long_running => closed >= most,
+                    _ => closed + down >= most,
+                };
+                if is_exhausted {
+                    break;
                 }
                 let service = &*step.record.terms.service;
                 let failed = self.ledger.failed_hosts.get(&task);
@@ -135,7 +138,14 @@
                         let has_room = candidate.admits(&demand, spec, service);
                         let host = &candidate.view.host;
                         let failed = failed.is_some_and(|hosts| hosts.contains(host));
-                        (!has_room, candidate.fresh, failed, candidate.load.count)
+                        let crashes = candidate.view.crashes;
+                        (
+                            !has_room,
+                            candidate.fresh,
+                            failed,
+                            crashes,
+                            candidate.load.count,
+                        )
                     });
                 if let Some(candidate) = best {
                     candidate.access = HostAccess::Reserved(task);
@@ -161,6 +171,18 @@
         }
     }
 
+    /// Returns the waiting tasks of a step that are isolated, first those with the most crashes.
+    fn isolated_tasks(&self, step: &ReadyStep) -> Vec<TaskName> {
+        let name = |&index: &u32| TaskName {
+            step: step.name,
+            index,
+        };
+        let tasks = step.tasks.iter().map(name);
+        let mut tasks: Vec<_> = tasks.filter(|task| self.is_isolated(*task)).collect();
+        tasks.sort_by_key(|task| Reverse(self.ledger.crashes_under((*task).into())));
+        tasks
+    }
+
     fn is_isolated(&self, task: TaskName) -> bool {
         self.ledger.crashes_under(task.into()).is_isolated()
     }
@@ -185,8 +207,8 @@
     pub(super) fn log_isolated(&mut self, run: RunName, host: &str) {
         let crashes = self.ledger.crashes_under(run.task.into());
         if crashes.is_isolated() {
-            let (count, attributed) = (crashes.count, crashes.attributed);
-            let detail = format!("host={host} crashes={count} attributed={attributed}");
+            let (count, certain) = (crashes.count, crashes.certain);
+            let detail = format!("host={host} crashes={count} certain={certain}");
             self.log("task_isolated", run, detail);
             self.effects.push(Effect::Count("task_isolated"));
         }
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -150,6 +150,9 @@
         }
         self.note_begun(report);
         self.end_past_incarnations(now, &host, report);
+        if other_incarnation {
+            self.note_replaced_worker(now, &host);
+        }
         self.process_ended(now, &host, report);
         self.process_running(now, &host, report);
         self.stop_missing(&host, report);
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -265,12 +265,16 @@
             .map(|candidate| self.interference_on(candidate, &demand))
             .collect();
         let mut choices = Vec::new();
+        let mut is_full = false;
         for &index in &step.tasks {
             let task = TaskName {
                 step: step.name,
                 index,
             };
             let scope = self.scope_of(task, spec, candidates);
+            if is_full && scope != StartScope::Reserved {
+                continue;
+            }
             let is_suspect = self.ledger.crashes_under(task.into()).count > 0;
             let cost =
                 |(candidate, host_interference): &(&mut Candidate<'_>, &HostInterference)| {
@@ -313,10 +317,10 @@
                         incarnation: candidate.worker.incarnation.clone(),
                     });
                 }
-                // Other tasks of the step may start where this one must not.
-                None if scope != StartScope::Shared && !spec.gang => {}
-                // All tasks of a step have the same demand: if one fits nowhere, none does.
-                None => break,
+                None if spec.gang => break,
+                // All tasks of a step have the same demand: if one fits nowhere, none does, unless a
+                // host is reserved for it.
+                None => is_full |= scope == StartScope::Shared,
             }
         }
         if spec.gang && choices.len() < step.tasks.len() {
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -17,7 +17,7 @@
 use hornbeamlead_emulator::judge::JobJudge;
 use hornbeamlead_emulator::rooms::WorkerRoom;
 use hornbeamlead_emulator::store::EmulatedStore;
-use hornbeamlead_emulator::worker::{EmulatedRun, EmulatedWorker};
+use hornbeamlead_emulator::worker::{EmulatedRun, EmulatedWorker, RunEvent};
 use hornbeamlead_jobs::config::{ConfigChange, FleetConfig, QueueRoute};
 use hornbeamlead_jobs::effect::{CallerReply, Effect, LinkId};
 use hornbeamlead_jobs::entry::{CallerOperation, CallerRequest, EntryEvent, EntryMachine};
@@ -380,6 +380,9 @@
 
     fn observe_run_events(&mut self, host: usize, late: bool) {
         for event in std::mem::take(&mut self.hosts[host].worker.run_events) {
+            if let RunEvent::Crashed(run) = &event {
+                self.break_gang(*run);
+            }
             self.judge.observe(self.now, host, &event, late);
         }
     }
--- a/crates/hornbeamlead_jobs/tests/world/watch.rs
+++ b/crates/hornbeamlead_jobs/tests/world/watch.rs
@@ -93,7 +93,8 @@
         self.watch = Some(watch);
     }
 
-    /// Returns the long-running tasks of accepted jobs that no caller has cancelled.
+    /// Returns the long-running tasks of accepted jobs that no caller has cancelled and that may not
+    /// have been given up.
     fn lasting_tasks(&self) -> Vec<(TaskName, StepSpec)> {
         let mut tasks = Vec::new();
         for &job in &self.accepted {
@@ -101,6 +102,7 @@
                 .cancel_tickets
                 .values()
                 .any(|cancelled| *cancelled == job)
+                || self.judge.deadly.may_fail(job)
             {
                 continue;
             }
