[jobs, ctl, tests] Explain crashes under a job's tasks, and check what the plan keeps of them

hornbeamctl explain names for each task of a job the hosts whose workers crashed under it, how many of these crashes are certainly due to it, whether it was isolated or cleared, and why a job was given up; worker_crashed lines are shown among the shared events.

--- a/crates/hornbeamlead_ctl/src/job_timeline.rs
+++ b/crates/hornbeamlead_ctl/src/job_timeline.rs
@@ -1,5 +1,6 @@
 //! `explain --log`: reconstructs a job's outcome and its causes from log files.
 
+use crate::crash_story::explain_crashes;
 use crate::log_lines::EventLine;
 use crate::report::{ExitStatus, ToolReport};
 use serde::Serialize;
@@ -10,7 +11,7 @@
 const CONTEXT_WINDOW_S: f64 = 2.0;
 
 /// Events that may affect several jobs.
-const SHARED_EVENTS: [&str; 9] = [
+const SHARED_EVENTS: [&str; 10] = [
     "store_lost",
     "store_regained",
     "planner_claimed",
@@ -19,6 +20,7 @@
     "planner_deposed",
     "planner_troubled",
     "worker_on_probation",
+    "worker_crashed",
     "host_disconnected",
 ];
 
@@ -106,11 +108,12 @@
         let shown = lines
             .iter()
             .filter(|line| concerns_job(line, subject) || is_nearby(line));
-        let causes = match outcome {
+        let mut causes = match outcome {
             JobOutcome::Refused | JobOutcome::Unknown => explain_refusals(&job_lines, &lines),
             JobOutcome::Failed => explain_failure(&job_lines),
             _ => explain_duration(subject, &job_lines, &lines),
         };
+        causes.extend(explain_crashes(subject, &job_lines));
         let entry = |line: &EventLine| TimelineEntry {
             after_s: line.at - first,
             host: line.host.clone(),
@@ -173,6 +176,15 @@
 }
 
 fn explain_failure(job_lines: &[&EventLine]) -> Vec<String> {
+    let end_line = job_lines.iter().rfind(|line| &*line.event == "job_ended");
+    if let Some(line) = end_line.filter(|line| is_given_up(line)) {
+        let field = |name| line.field(name).unwrap_or_default();
+        return vec![format!(
+            "given up, as task {}.{} crashes its workers",
+            field("step"),
+            field("index")
+        )];
+    }
     let mut tasks = BTreeMap::<&str, Vec<Box<str>>>::new();
     for line in job_lines.iter().filter(|line| &*line.event == "task_ended") {
         if line.field("end").as_deref() == Some("failed") {
@@ -196,6 +208,10 @@
     )]
 }
 
+fn is_given_up(end_line: &EventLine) -> bool {
+    end_line.field("cause").as_deref() == Some("crashed_workers")
+}
+
 /// Breaks down the duration of a job into its steps.
 fn explain_duration(
     subject: &str,
--- a/crates/hornbeamlead_ctl/src/lib.rs
+++ b/crates/hornbeamlead_ctl/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod report;
 
 mod config_command;
+mod crash_story;
 mod explain;
 mod failure;
 mod files;
--- a/crates/hornbeamlead_ctl/tests/job_story.rs
+++ b/crates/hornbeamlead_ctl/tests/job_story.rs
@@ -24,6 +24,16 @@
   6.0000 side-3 level=INFO host=side-3 role=agent detail="over=true of_target=3.22 share=1.00" id=side-3 event=serving_latency
   9.5000 side-1 level=INFO host=side-1 role=agent detail="end=done host=side-3" id="282abd318d00899e.0.0.0#1" event=task_ended
   9.5000 side-1 level=INFO host=side-1 role=agent detail="phase=completed" id=282abd318d00899e event=job_ended
+  6.0000 entry-2 level=INFO host=entry-2 role=entry detail="offset=152" id=97f0a5f9441bf00c event=job_accepted
+  6.0100 side-1 level=INFO host=side-1 role=agent detail="host=side-2 slack_ms=900" id="97f0a5f9441bf00c.0.1.4#1" event=task_placed
+  6.1000 side-1 level=INFO host=side-1 role=agent detail="host=side-2 attempts=9 fresh=3 young=2 sound=4 attributed=none" id=i-0b46@1773952091666 event=worker_crashed
+  6.1001 side-1 level=INFO host=side-1 role=agent detail="host=side-2 suspicion=likely crashes=1 certain=0 isolated=true" id="97f0a5f9441bf00c.0.1.4#1" event=crash_counted
+  6.3000 side-1 level=INFO host=side-1 role=agent detail="host=side-3 suspicion=certain crashes=2 certain=1 isolated=true" id="97f0a5f9441bf00c.0.1.4#2" event=crash_counted
+  6.5000 side-1 level=INFO host=side-1 role=agent detail="host=side-4 suspicion=certain crashes=3 certain=2 isolated=true" id="97f0a5f9441bf00c.0.1.4#3" event=crash_counted
+  6.5001 side-1 level=INFO host=side-1 role=agent detail="phase=failed cause=crashed_workers step=1 index=4 crashes=3 certain=2" id=97f0a5f9441bf00c event=job_ended
+  7.0000 side-1 level=INFO host=side-1 role=agent detail="host=side-2 suspicion=unlikely crashes=1 certain=0 isolated=false" id="5d4640b1dbc4a529.2.0.1#1" event=crash_counted
+  7.0001 side-1 level=INFO host=side-1 role=agent detail="queue=q steps=1" id=5d4640b1dbc4a529 event=job_taken
+  9.0000 side-1 level=INFO host=side-1 role=agent detail="" id="5d4640b1dbc4a529.2.0.1#2" event=crashes_forgotten
 "#;
 
 fn explain(args: &[&str], logs: &str) -> ToolRun {
@@ -55,6 +65,26 @@
     "completed",
     "paced down to 30 % for a serving task at 3.2"
 )]
+#[case::given_up(
+    "97f0a5f9441bf00c",
+    "failed",
+    "given up, as task 1.4 crashes its workers"
+)]
+#[case::crashes_counted(
+    "97f0a5f9441bf00c",
+    "failed",
+    "task 1.4: 3 workers crashed under it (side-2, side-3, side-4), 2 certainly through it, so it started apart"
+)]
+#[case::crash_shown(
+    "97f0a5f9441bf00c",
+    "failed",
+    "i-0b46@1773952091666 host=side-2 attempts=9"
+)]
+#[case::neighbour(
+    "5d4640b1dbc4a529",
+    "unfinished",
+    "task 0.1: 1 workers crashed under it (side-2), 0 certainly through it, then it ran for long"
+)]
 fn cause_reported(#[case] job: &str, #[case] outcome: &str, #[case] cause: &str) {
     let run = explain(&[job], LOGS);
     assert_eq!(run.status, 0, "{run:?}");
