[jobs, emulator] Count a crash as prompt if the worker never listed the attempt

Callers saw (in the soak, before any landing): tasks that crash their workers started up to nine times if the crash closed no connection: it is noticed only when the next worker announces itself, 3 s later.

Cause: evidence was certain if the crash was noticed within 0.3 s of the start. What counts is when it happened: the worker is asked for its lists every 0.3 s, so one that never listed the attempt was gone by then.

--- a/crates/hornbeamlead_daemon/tests/fleet_soak.rs
+++ b/crates/hornbeamlead_daemon/tests/fleet_soak.rs
@@ -11,6 +11,7 @@
 #[case::faults_2(SoakKind::Faults, 2, 4, 8)]
 // On a starved machine, emulated workers kept attempts whose lease had lapsed.
 #[case::faults_34013(SoakKind::Faults, 34013, 5, 12)]
+#[case::deadly(SoakKind::Deadly, 1, 5, 8)]
 #[case::removals(SoakKind::Removals(1), 1, 6, 6)]
 #[case::stops(SoakKind::Stops(1), 1, 4, 4)]
 #[case::outage(SoakKind::Outage(Duration::from_secs(20)), 1, 4, 4)]
--- a/crates/hornbeamlead_jobs/src/ledger/crashes.rs
+++ b/crates/hornbeamlead_jobs/src/ledger/crashes.rs
@@ -25,8 +25,8 @@
 /// The same while no worker crashes by itself, given [`REPEATED_CRASHES`] in all.
 const MIN_CERTAIN_CALM: u16 = 2;
 
-/// Crashes that no other attempt can account for, but that were noticed late, after which a task is
-/// given up while no worker crashes by itself.
+/// Crashes that no other attempt can account for, at once or not, after which a task is given up
+/// while no worker crashes by itself.
 const MIN_ALONE: u16 = 4;
 
 /// Most tasks of which crashes are known.
@@ -41,9 +41,9 @@
     Possible,
     /// It was among the few that had started last.
     Likely,
-    /// No other attempt can account for the crash, but it was noticed some time after the start.
+    /// No other attempt can account for the crash, but the worker had listed it as running.
     Alone,
-    /// No other attempt can account for the crash, which followed the start at once.
+    /// No other attempt can account for the crash, which came before the worker listed it.
     Certain,
 }
 
@@ -72,7 +72,7 @@
 /// Crashes of workers under a task since it last succeeded or ran for long.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TaskCrashes {
-    /// Crashes that followed a start at once and that no other attempt can account for.
+    /// Crashes right after a start that no other attempt can account for.
     pub certain: u16,
     /// Crashes that no other attempt can account for.
     pub alone: u16,
--- a/crates/hornbeamlead_jobs/src/planner/crashes.rs
+++ b/crates/hornbeamlead_jobs/src/planner/crashes.rs
@@ -16,9 +16,6 @@
 /// Time before the last start on a worker within which starts count as the last ones.
 const LATEST_TIME: Duration = Duration::from_millis(100);
 
-/// Time from a start within which a crash that it causes is usually noticed.
-const PROMPT_TIME: Duration = Duration::from_millis(300);
-
 /// Time for which a crash that no start preceded counts as a sign that workers crash by themselves.
 const UNREST_TIME: Duration = Duration::from_secs(20);
 
@@ -54,12 +51,23 @@
 struct CrashedRun {
     run: RunName,
     maturity: RunMaturity,
+    /// When this planner sent the order, if it has.
     ordered_at: Option<MonoTime>,
+    /// Whether a report has listed the attempt as running.
+    listed: bool,
     /// Crashes under the task before.
     crashes: TaskCrashes,
     gang: bool,
 }
 
+impl CrashedRun {
+    /// Returns whether the worker was gone before it listed the attempt, however late that was noticed.
+    /// Workers are asked for their lists every 300 ms.
+    fn is_prompt(&self) -> bool {
+        self.ordered_at.is_some() && !self.listed
+    }
+}
+
 impl<F: OperatorFormat> PlannerMachine<F> {
     /// Records under which attempts a worker has crashed, before their ends are recorded.
     ///
@@ -93,20 +101,10 @@
             view.crashed = Some(incarnation.clone());
             view.crashes += 1;
         }
-        let is_prompt = |it: &CrashedRun| {
-            let ordered_at = it.ordered_at;
-            ordered_at.is_some_and(|at| now.since(at) <= PROMPT_TIME)
-        };
-        if culprit.is_none() && !crashed.iter().any(is_prompt) {
+        if culprit.is_none() && !crashed.iter().any(CrashedRun::is_prompt) {
             self.unrest_until = now.plus(UNREST_TIME);
         }
-        let certain =
-            culprit.filter(|run| crashed.iter().any(|it| it.run == *run && is_prompt(it)));
         for (run, suspicion) in suspicions(&crashed, culprit) {
-            let suspicion = match suspicion {
-                CrashSuspicion::Alone if certain == Some(run) => CrashSuspicion::Certain,
-                suspicion => suspicion,
-            };
             self.record_crash(now, host, run, suspicion);
         }
     }
@@ -177,6 +175,7 @@
                 run: *run,
                 maturity: run_view.maturity(),
                 ordered_at: run_view.ordered_at,
+                listed: run_view.listed,
                 crashes: self.ledger.crashes_under(run.task.into()),
                 gang: spec.is_some_and(|spec| spec.gang),
             })
@@ -227,6 +226,7 @@
         .iter()
         .filter(|it| it.maturity != RunMaturity::Sound);
     let suspicion = |it: &CrashedRun| match it {
+        _ if culprit == Some(it.run) && it.is_prompt() => CrashSuspicion::Certain,
         _ if culprit == Some(it.run) => CrashSuspicion::Alone,
         _ if culprit.is_some() => CrashSuspicion::Unlikely,
         _ if few_latest && is_latest(&it) => CrashSuspicion::Likely,
