[jobs] Ask for more evidence with more unrest, and place suspects like other tasks

Change: suspects that are not isolated are placed like other tasks. Certain crashes needed: two in calm, three if some workers crash by themselves, four if as many as half of the hosts do; five starts are permitted.

Failed try, reverted: to count a crash that is noticed at once as certain only within 150 ms of the order.

--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -4,7 +4,7 @@
 mod crashes;
 mod health;
 
-pub use crashes::{CrashSuspicion, TaskCrashes};
+pub use crashes::{CrashSuspicion, FleetUnrest, TaskCrashes};
 pub use health::WorkerFailures;
 
 use crate::ids::{
--- a/crates/hornbeamlead_jobs/src/ledger/crashes.rs
+++ b/crates/hornbeamlead_jobs/src/ledger/crashes.rs
@@ -18,13 +18,6 @@
 /// Crashes under a task after which it may crash its workers some time after its start.
 const REPEATED_CRASHES: u16 = 3;
 
-/// Crashes attributed to a task after which it is given up while workers crash by themselves. One
-/// may do so just after a task has started there apart from others, but hardly three times.
-const MIN_CERTAIN: u16 = 3;
-
-/// The same while no worker crashes by itself, given [`REPEATED_CRASHES`] in all.
-const MIN_CERTAIN_CALM: u16 = 2;
-
 /// Crashes that no other attempt can account for, at once or not, after which a task is given up
 /// while no worker crashes by itself.
 const MIN_ALONE: u16 = 4;
@@ -97,14 +90,34 @@
         self.count >= REPEATED_CRASHES
     }
 
-    /// Returns whether the task crashes its workers beyond reasonable doubt. `calm` tells that no
-    /// worker has crashed by itself lately.
+    /// Returns whether the task crashes its workers beyond reasonable doubt.
     #[must_use]
-    pub fn is_conclusive(self, calm: bool) -> bool {
-        let repeated = self.certain >= MIN_CERTAIN_CALM && self.is_repeated();
-        match calm {
-            true => repeated || self.alone >= MIN_ALONE,
-            false => self.certain >= MIN_CERTAIN,
+    pub fn is_conclusive(self, unrest: FleetUnrest) -> bool {
+        let certain = self.is_repeated() && self.certain >= unrest.min_certain();
+        certain || unrest == FleetUnrest::Calm && self.alone >= MIN_ALONE
+    }
+}
+
+/// How often workers crash by themselves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FleetUnrest {
+    /// None has lately.
+    Calm,
+    /// Some have.
+    Some,
+    /// As many as half of the hosts have, or more.
+    Severe,
+}
+
+impl FleetUnrest {
+    /// Returns the number of certain crashes after which a task is given up. A worker may crash by
+    /// itself just after a task has started there apart from others, the more so with more unrest. The
+    /// platform permits five starts.
+    fn min_certain(self) -> u16 {
+        match self {
+            Self::Calm => 2,
+            Self::Some => 3,
+            Self::Severe => 4,
         }
     }
 }
@@ -121,12 +134,15 @@
         self.crashes.get(&slot).copied().unwrap_or_default()
     }
 
-    /// Returns a task of a job that crashes its workers beyond reasonable doubt. `calm` tells that no
-    /// worker has crashed by itself lately.
+    /// Returns a task of a job that crashes its workers beyond reasonable doubt.
     #[must_use]
-    pub fn conclusive_crashes(&self, job: JobId, calm: bool) -> Option<(TaskSlot, TaskCrashes)> {
+    pub fn conclusive_crashes(
+        &self,
+        job: JobId,
+        unrest: FleetUnrest,
+    ) -> Option<(TaskSlot, TaskCrashes)> {
         let mut crashes = self.crashes.range(slots_of(job));
-        let conclusive = crashes.find(|(_, crashes)| crashes.is_conclusive(calm));
+        let conclusive = crashes.find(|(_, crashes)| crashes.is_conclusive(unrest));
         conclusive.map(|(slot, crashes)| (*slot, *crashes))
     }
 
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -59,7 +59,7 @@
 use recovery::RecoveryState;
 use run_times::{RunTimes, RunWork};
 use serving_level::ServingLevels;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 use upkeep::UpkeepState;
@@ -205,8 +205,8 @@
     upkeep: UpkeepState,
     load: LoadTracker,
     placed: PlacedTracker,
-    /// Until when workers count as crashing by themselves.
-    unrest_until: MonoTime,
+    /// When workers have crashed by themselves lately.
+    self_crashes: VecDeque<MonoTime>,
     /// Occurrences that wait until earlier ones of their job have progressed.
     deferred_occurrences: BTreeMap<JobId, u32>,
     pass_needed: bool,
@@ -256,7 +256,7 @@
             upkeep: UpkeepState::new(now),
             load: LoadTracker::default(),
             placed: PlacedTracker::default(),
-            unrest_until: MonoTime(0),
+            self_crashes: VecDeque::new(),
             deferred_occurrences: BTreeMap::new(),
             pass_needed: false,
             overload: OverloadState::default(),
--- a/crates/hornbeamlead_jobs/src/planner/crashes.rs
+++ b/crates/hornbeamlead_jobs/src/planner/crashes.rs
@@ -3,7 +3,8 @@
 use super::{PlannerMachine, RunView};
 use crate::effect::Effect;
 use crate::ids::{HostName, RunName, WorkerIncarnation};
-use crate::ledger::{CrashSuspicion, TaskCrashes};
+use crate::ledger::{CrashSuspicion, FleetUnrest, TaskCrashes};
+use crate::message::HostReport;
 use crate::operators::OperatorFormat;
 use crate::record::PlanRecord;
 use hornbeamlead_core::clock::MonoTime;
@@ -19,6 +20,9 @@
 /// Time for which a crash that no start preceded counts as a sign that workers crash by themselves.
 const UNREST_TIME: Duration = Duration::from_secs(20);
 
+/// Most crashes that are counted.
+const MAX_SELF_CRASHES: usize = 1000;
+
 /// Most attempts that are likely causes of a crash. More than these cannot be isolated soon.
 const MAX_LIKELY: usize = 8;
 
@@ -53,29 +57,20 @@
     maturity: RunMaturity,
     /// When this planner sent the order, if it has.
     ordered_at: Option<MonoTime>,
-    /// Whether a report has listed the attempt as running.
-    listed: bool,
+    /// Whether the worker was gone before it listed the attempt, which takes 300 ms, however late that
+    /// was noticed.
+    prompt: bool,
     /// Crashes under the task before.
     crashes: TaskCrashes,
     gang: bool,
 }
 
-impl CrashedRun {
-    /// Returns whether the worker was gone before it listed the attempt, however late that was noticed.
-    /// Workers are asked for their lists every 300 ms.
-    fn is_prompt(&self) -> bool {
-        self.ordered_at.is_some() && !self.listed
-    }
-}
-
 impl<F: OperatorFormat> PlannerMachine<F> {
-    /// Records under which attempts a worker has crashed, before their ends are recorded.
-    ///
-    /// Only orders up to `orders_seen` had reached the worker's agent.
+    /// Records under which attempts a worker has crashed by a report, before their ends are recorded.
     pub(super) fn note_worker_end(
         &mut self,
         now: MonoTime,
-        (host, orders_seen): (&HostName, u64),
+        (host, report): (&HostName, &HostReport),
         incarnation: &WorkerIncarnation,
         runs: &[RunName],
     ) {
@@ -84,7 +79,7 @@
             let detail = format!("host={host} attempts={}", runs.len());
             return self.log("worker_left", incarnation, detail);
         }
-        let crashed = self.crashed_runs(runs, orders_seen);
+        let crashed = self.crashed_runs(runs, report.orders_seen);
         let culprit = find_culprit(&crashed);
         let count = |maturity| crashed.iter().filter(|it| it.maturity == maturity).count();
         let attributed = culprit.map_or("none".into(), |run| run.to_string());
@@ -101,8 +96,8 @@
             view.crashed = Some(incarnation.clone());
             view.crashes += 1;
         }
-        if culprit.is_none() && !crashed.iter().any(CrashedRun::is_prompt) {
-            self.unrest_until = now.plus(UNREST_TIME);
+        if culprit.is_none() && !crashed.iter().any(|it| it.prompt) {
+            self.note_self_crash(now);
         }
         for (run, suspicion) in suspicions(&crashed, culprit) {
             self.record_crash(now, host, run, suspicion);
@@ -119,7 +114,7 @@
         if earlier.is_some() && earlier != view.crashed.as_ref() && earlier != view.drained.as_ref()
         {
             view.crashes += 1;
-            self.unrest_until = now.plus(UNREST_TIME);
+            self.note_self_crash(now);
         }
     }
 
@@ -134,9 +129,20 @@
         }
     }
 
-    /// Returns whether no worker has crashed by itself lately.
-    pub(super) fn is_calm(&self, now: MonoTime) -> bool {
-        now > self.unrest_until
+    fn note_self_crash(&mut self, now: MonoTime) {
+        self.self_crashes.push_back(now);
+        self.self_crashes.truncate(MAX_SELF_CRASHES);
+    }
+
+    /// Returns how often workers have crashed by themselves lately.
+    pub(super) fn unrest(&mut self, now: MonoTime) -> FleetUnrest {
+        let is_old = |at: &MonoTime| now.since(*at) > UNREST_TIME;
+        while self.self_crashes.pop_front_if(|at| is_old(at)).is_some() {}
+        match self.self_crashes.len() {
+            0 => FleetUnrest::Calm,
+            count if count * 2 < self.hosts.len() => FleetUnrest::Some,
+            _ => FleetUnrest::Severe,
+        }
     }
 
     /// Returns how far an attempt has got.
@@ -175,7 +181,7 @@
                 run: *run,
                 maturity: run_view.maturity(),
                 ordered_at: run_view.ordered_at,
-                listed: run_view.listed,
+                prompt: !run_view.listed && run_view.ordered_at.is_some(),
                 crashes: self.ledger.crashes_under(run.task.into()),
                 gang: spec.is_some_and(|spec| spec.gang),
             })
@@ -185,8 +191,8 @@
 
     /// Records that an attempt has run for long if crashes under its task are known.
     pub(super) fn check_soundness(&mut self, now: MonoTime, run: RunName) {
-        let is_sound = self.maturity_of(run) == Some(RunMaturity::Sound);
-        if is_sound && self.ledger.crashes_under(run.task.into()).count > 0 {
+        let is_suspect = self.ledger.crashes_under(run.task.into()).count > 0;
+        if is_suspect && self.maturity_of(run) == Some(RunMaturity::Sound) {
             self.log("crashes_forgotten", run, String::new());
             self.record(now, PlanRecord::Sound { run });
         }
@@ -226,7 +232,7 @@
         .iter()
         .filter(|it| it.maturity != RunMaturity::Sound);
     let suspicion = |it: &CrashedRun| match it {
-        _ if culprit == Some(it.run) && it.is_prompt() => CrashSuspicion::Certain,
+        _ if culprit == Some(it.run) && it.prompt => CrashSuspicion::Certain,
         _ if culprit == Some(it.run) => CrashSuspicion::Alone,
         _ if culprit.is_some() => CrashSuspicion::Unlikely,
         _ if few_latest && is_latest(&it) => CrashSuspicion::Likely,
--- a/crates/hornbeamlead_jobs/src/planner/intake.rs
+++ b/crates/hornbeamlead_jobs/src/planner/intake.rs
@@ -137,6 +137,7 @@
     /// Closes a job if all its tasks are done, or if a task has used up its attempts or crashes its
     /// workers.
     pub(super) fn check_job_outcome(&mut self, now: MonoTime, job: JobId) {
+        let unrest = self.unrest(now);
         let Some(state) = self.ledger.jobs.get(&job) else {
             return;
         };
@@ -150,7 +151,7 @@
             let exhausted = |task: &TaskState| !task.done && task.failures >= attempts;
             bounded.any(|(tasks, _)| tasks.iter().any(exhausted))
         });
-        let crashed = self.ledger.conclusive_crashes(job, self.is_calm(now));
+        let crashed = self.ledger.conclusive_crashes(job, unrest);
         let (phase, cause) = match crashed {
             _ if attempts_exhausted => (JobPhase::Failed, String::new()),
             _ if state.is_done() => (JobPhase::Completed, String::new()),
--- a/crates/hornbeamlead_jobs/src/planner/isolation.rs
+++ b/crates/hornbeamlead_jobs/src/planner/isolation.rs
@@ -62,11 +62,11 @@
 }
 
 impl<F: OperatorFormat> PlannerMachine<F> {
-    /// Returns which tasks may start on a host, the number of attempts that have just started there,
-    /// and the number of those under whose tasks workers have crashed.
-    pub(super) fn access_to(&self, view: &HostView) -> (HostAccess, u32, u32) {
+    /// Returns which tasks may start on a host, and the number of attempts that have just started
+    /// there.
+    pub(super) fn access_to(&self, view: &HostView) -> (HostAccess, u32) {
         if self.ledger.crashes.is_empty() {
-            return (HostAccess::Open, 0, 0);
+            return (HostAccess::Open, 0);
         }
         let is_trial = |run: &RunName| {
             let crashes = self.ledger.crashes_under(run.task.into());
@@ -81,10 +81,7 @@
             false => HostAccess::Open,
         };
         let fresh = view.runs.keys().filter(|run| self.is_fresh(**run));
-        let fresh: Vec<_> = fresh.collect();
-        let is_suspect = |run: &&&RunName| self.ledger.crashes_under(run.task.into()).count > 0;
-        let suspects = fresh.iter().filter(is_suspect).count();
-        (access, fresh.len() as u32, suspects as u32)
+        (access, fresh.count() as u32)
     }
 
     fn is_fresh(&self, run: RunName) -> bool {
--- a/crates/hornbeamlead_jobs/src/planner/placement.rs
+++ b/crates/hornbeamlead_jobs/src/planner/placement.rs
@@ -39,10 +39,6 @@
     pub remote_data: f64,
     /// Cost of a worker on which the task has failed before.
     pub previous_failure: f64,
-    /// Cost of each task that has just started on the worker and under which another has crashed;
-    /// for such a task, cost of each that has just started. Tasks that start together cannot be told
-    /// apart if the worker crashes.
-    pub crash_suspect: f64,
 }
 
 impl Default for PlacementPolicy {
@@ -59,7 +55,6 @@
             long_running_per_host: 8,
             remote_data: 1.0,
             previous_failure: 2.0,
-            crash_suspect: 0.5,
         }
     }
 }
@@ -187,8 +182,6 @@
     pub(super) access: HostAccess,
     /// Number of attempts that had just started when the pass began.
     pub(super) fresh: u32,
-    /// Number of those under whose tasks workers have crashed, including those placed in this pass.
-    pub(super) suspects: u32,
     /// Serving tasks by image, including those placed in this pass.
     pub(super) serving: BTreeMap<ImageId, ServingGroup>,
 }
@@ -300,16 +293,6 @@
             && self.load.fits(demand, self.worker)
     }
 
-    /// Returns the cost of starting a task beside others that have just started, if a worker has crashed
-    /// under it or them.
-    pub(super) fn suspect_cost(&self, policy: &PlacementPolicy, is_suspect: bool) -> f64 {
-        let neighbours = match is_suspect {
-            true => self.fresh.saturating_add(self.placed.values().sum()),
-            false => self.suspects,
-        };
-        policy.crash_suspect * f64::from(neighbours)
-    }
-
     /// Returns whether a best-effort task would get CPU on the host and leave the serving tasks
     /// below their targets. Queueing the task is better than sharing too little CPU: it runs at
     /// full speed later, whereas many at once all finish late.
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -178,7 +178,7 @@
             }
         }
         for (incarnation, runs) in lost {
-            self.note_worker_end(now, (host, report.orders_seen), &incarnation, &runs);
+            self.note_worker_end(now, (host, report), &incarnation, &runs);
             for run in runs {
                 self.end_run(now, run, RunEnd::Lost, None);
             }
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -214,12 +214,11 @@
         let views = self.hosts.values().filter(|view| candidate(view).is_some());
         views
             .filter_map(|view| {
-                let (access, fresh, suspects) = self.access_to(view);
+                let (access, fresh) = self.access_to(view);
                 Some(Candidate {
                     view,
                     access,
                     fresh,
-                    suspects,
                     worker: view.worker.as_ref()?,
                     load: HostLoad::of(&view.runs),
                     placed: BTreeMap::new(),
@@ -275,7 +274,6 @@
             if is_full && scope != StartScope::Reserved {
                 continue;
             }
-            let is_suspect = self.ledger.crashes_under(task.into()).count > 0;
             let cost =
                 |(candidate, host_interference): &(&mut Candidate<'_>, &HostInterference)| {
                     let failed = self.ledger.failed_hosts.get(&task);
@@ -287,7 +285,6 @@
                     };
                     candidate.cost(&self.policy.placement, &demand, spec, host_interference)
                         + repeat_cost
-                        + candidate.suspect_cost(&self.policy.placement, is_suspect)
                 };
             let any_room = choices.len() < step.unconditional;
             let best = candidates
@@ -310,7 +307,6 @@
             match best {
                 Some((candidate, host_interference)) => {
                     candidate.assign(&demand, host_interference);
-                    candidate.suspects += u32::from(is_suspect);
                     choices.push(PlacementChoice {
                         index,
                         host: candidate.view.host.clone(),
--- a/crates/hornbeamlead_jobs/tests/crash_records.rs
+++ b/crates/hornbeamlead_jobs/tests/crash_records.rs
@@ -5,7 +5,7 @@
 };
 use hornbeamlead_jobs::job::{JobPhase, RunEnd};
 use hornbeamlead_jobs::journal::CopyTerm;
-use hornbeamlead_jobs::ledger::{CrashSuspicion, JobLedger, TaskCrashes};
+use hornbeamlead_jobs::ledger::{CrashSuspicion, FleetUnrest, JobLedger, TaskCrashes};
 use hornbeamlead_jobs::record::PlanRecord;
 use hornbeamlead_jobs::snapshot::{SnapshotSet, read_snapshot, snapshot_records};
 use hornbeamlead_jobs::store::ReadRecord;
@@ -75,7 +75,7 @@
     crash(&mut ledger, run_of(0, 3, 3), Likely);
     assert!(crashes(&ledger).is_isolated());
     for (number, suspicion) in [(4, Certain), (5, Alone), (6, Certain)] {
-        assert!(!crashes(&ledger).is_conclusive(true));
+        assert!(!crashes(&ledger).is_conclusive(FleetUnrest::Calm));
         crash(&mut ledger, run_of(0, 3, number), suspicion);
     }
     let expected = TaskCrashes {
@@ -85,14 +85,23 @@
         weight: 9,
     };
     assert_eq!(crashes(&ledger), expected);
-    assert!(crashes(&ledger).is_conclusive(true));
-    assert!(!crashes(&ledger).is_conclusive(false));
-    let found = ledger.conclusive_crashes(JOB, true).map(|found| found.0);
+    assert!(crashes(&ledger).is_conclusive(FleetUnrest::Calm));
+    assert!(!crashes(&ledger).is_conclusive(FleetUnrest::Some));
+    let found = ledger
+        .conclusive_crashes(JOB, FleetUnrest::Calm)
+        .map(|found| found.0);
     assert_eq!(found, Some(TaskSlot::from(run_of(0, 3, 1).task)));
-    assert_eq!(ledger.conclusive_crashes(JobId(20), true), None);
-    assert_eq!(ledger.conclusive_crashes(JobId(22), true), None);
+    assert_eq!(
+        ledger.conclusive_crashes(JobId(20), FleetUnrest::Calm),
+        None
+    );
+    assert_eq!(
+        ledger.conclusive_crashes(JobId(22), FleetUnrest::Calm),
+        None
+    );
     crash(&mut ledger, run_of(0, 3, 7), Certain);
-    assert!(crashes(&ledger).is_conclusive(false));
+    assert!(crashes(&ledger).is_conclusive(FleetUnrest::Some));
+    assert!(!crashes(&ledger).is_conclusive(FleetUnrest::Severe));
     // A record of an attempt that is not placed, as after a repeated append.
     let run = run_of(0, 3, 7);
     ledger.apply(&PlanRecord::Crashed {
--- a/crates/hornbeamlead_jobs/tests/failure_size.rs
+++ b/crates/hornbeamlead_jobs/tests/failure_size.rs
@@ -1,7 +1,7 @@
 //! Size of what snapshots keep of failures, at the size of two years; prints its figures.
 
-use hornbeamlead_jobs::ids::{HostName, JobId, StepName, TaskName, WorkerIncarnation};
-use hornbeamlead_jobs::ledger::{JobLedger, WorkerFailures};
+use hornbeamlead_jobs::ids::{HostName, JobId, StepName, TaskName, TaskSlot, WorkerIncarnation};
+use hornbeamlead_jobs::ledger::{JobLedger, TaskCrashes, WorkerFailures};
 use hornbeamlead_jobs::snapshot::{SnapshotSet, snapshot_records};
 use rstest::rstest;
 
@@ -12,6 +12,12 @@
     format!("side-kalutara-yard-{number}").into()
 }
 
+fn snapshot_bytes(ledger: &JobLedger) -> usize {
+    let records = snapshot_records(ledger, 0, SnapshotSet::First).into_iter();
+    let values = records.filter_map(|record| record.value);
+    values.map(|value| value.len()).sum()
+}
+
 /// Returns what snapshots take more than without failures, in bytes.
 fn failure_bytes(workers: u32, tasks: u32, hosts_each: u32) -> usize {
     let mut ledger = JobLedger::default();
@@ -37,12 +43,37 @@
         let task = TaskName { step, index: 0 };
         ledger.failed_hosts.insert(task, hosts.collect());
     }
-    let size = |ledger: &JobLedger| {
-        let records = snapshot_records(ledger, 0, SnapshotSet::First).into_iter();
-        let values = records.filter_map(|record| record.value);
-        values.map(|value| value.len()).sum::<usize>()
-    };
-    size(&ledger) - size(&JobLedger::default())
+    snapshot_bytes(&ledger) - snapshot_bytes(&JobLedger::default())
+}
+
+/// Returns what snapshots take more if workers have crashed under tasks, in bytes.
+fn crash_bytes(tasks: u32) -> usize {
+    let mut ledger = JobLedger::default();
+    for number in 0..tasks {
+        let slot = TaskSlot {
+            job: JobId(u64::MAX - u64::from(number)),
+            step: 1,
+            index: number % 1000,
+        };
+        let crashes = TaskCrashes {
+            certain: 1,
+            alone: 1,
+            count: 2,
+            weight: 3,
+        };
+        ledger.crashes.insert(slot, crashes);
+    }
+    snapshot_bytes(&ledger) - snapshot_bytes(&JobLedger::default())
+}
+
+/// The worst case is that workers have crashed under all tasks of a cell; more than 10,000 are not kept.
+#[rstest]
+#[case::cell(823)]
+#[case::most(10_000)]
+fn crash_size(#[case] tasks: u32) {
+    let bytes = crash_bytes(tasks);
+    println!("{tasks} tasks: {bytes} B");
+    assert!(tasks > 823 || bytes <= PLANNER_BYTES, "{bytes} B");
 }
 
 /// One task in twenty fails on a sound worker. The worst case is that all tasks have failed on four
