[jobs] Take attempts on a worker for started until lists are certainly newer

Cause: the worker's last lists were read in the 10 ms between the start and the crash, and the crash closed no connection, so for 500 ms the agent reported the attempt as running. After 250 ms of that it counted as having run for a while: its host was opened to other tasks, and the crash was put down to these.

Ruled out: faults beside it; no process was harmed between the starts of the task.

--- a/crates/hornbeamlead_jobs/src/planner/crashes.rs
+++ b/crates/hornbeamlead_jobs/src/planner/crashes.rs
@@ -11,8 +11,9 @@
 use std::time::Duration;
 
 /// Time for which an attempt has to be seen running before a crash is put down to attempts that
-/// started after it. Hosts report every 300 ms, so two reports have to list it.
-const FRESH_TIME: Duration = Duration::from_millis(250);
+/// started after it. Lists are up to 500 ms old when a worker has crashed without closing its
+/// connections.
+const FRESH_TIME: Duration = Duration::from_millis(600);
 
 /// Time before the last start on a worker within which starts count as the last ones.
 const LATEST_TIME: Duration = Duration::from_millis(100);
--- a/crates/hornbeamlead_jobs/tests/deadly_tasks.rs
+++ b/crates/hornbeamlead_jobs/tests/deadly_tasks.rs
@@ -218,3 +218,16 @@
     world.run(SETTLE_MS);
     check_outcomes(&mut world, deadly);
 }
+
+/// Guards against a worker that has crashed without closing its connections: its agent reports its
+/// last lists for a while, as if what they show ran on.
+#[rstest]
+fn dark_crashes(#[values(1, 2, 3, 4, 5, 6, 36)] seed: u64) {
+    let deadly = |number: u64| number.is_multiple_of(10).then_some(number as u32 % 4);
+    let mut world = World::new(seed, HOSTS, WorldFaults::default(), 0);
+    world.dark_crashes = true;
+    world.run(3000);
+    submit_all(&mut world, deadly);
+    world.run(2 * SETTLE_MS);
+    check_outcomes(&mut world, deadly);
+}
--- a/crates/hornbeamlead_jobs/tests/world/faults.rs
+++ b/crates/hornbeamlead_jobs/tests/world/faults.rs
@@ -159,6 +159,9 @@
         if !self.hosts[host].worker.alive && self.hosts[host].worker_back_at < self.now {
             self.disturb(CRASH_DOWN_MS);
             self.hosts[host].worker_back_at = self.now + CRASH_DOWN_MS;
+            if self.dark_crashes {
+                self.hosts[host].worker_hangs_until = self.now + CRASH_DOWN_MS;
+            }
         }
     }
 
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -177,6 +177,8 @@
     pub(crate) failing_host: Option<(usize, u64)>,
     /// Host on which no attempt makes progress.
     pub(crate) hung_host: Option<usize>,
+    /// Whether workers that tasks crash leave calls without an answer instead of refusing connections.
+    pub(crate) dark_crashes: bool,
     /// Whether stragglers get copies, in planners from now on.
     pub(crate) copies: bool,
     /// Rate of the workers' clocks in percent of true time.
@@ -258,6 +260,7 @@
             slow_tasks_on: None,
             failing_host: None,
             hung_host: None,
+            dark_crashes: false,
             copies: true,
             worker_clock_percent: 100,
             watch: None,
