--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -9,6 +9,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -93,9 +94,19 @@
     folder: PathBuf,
 }
 
+/// Returns addresses with free ports, below those that outgoing connections use.
 fn free_addresses<const N: usize>() -> [SocketAddr; N] {
-    let listeners = [(); N].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
-    listeners.map(|listener| listener.local_addr().expect("an address"))
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = (std::process::id() % 997) as u16 * 17;
+    [(); N].map(|()| {
+        loop {
+            let port = 11_000 + (first + NEXT.fetch_add(1, Ordering::Relaxed)) % 18_000;
+            let address = SocketAddr::from(([127, 0, 0, 1], port));
+            if TcpListener::bind(address).is_ok() {
+                return address;
+            }
+        }
+    })
 }
 
 impl Fleet {
