[jobs, emulator] Show that heartbeats and lives under one id make tasks run twice

The emulated worker now refuses calls by their id alone, as the platform's workers do: compared by the whole incarnation, a call for an earlier life under the same id could not reach the next one, which is why no test, soak or random schedule found this. Clocks of workers start anew with each life, and only the worker's address is listened at.

--- a/crates/hornbeamlead_jobs/tests/world/calls.rs
+++ b/crates/hornbeamlead_jobs/tests/world/calls.rs
@@ -133,6 +133,14 @@
 
     pub(super) fn call_worker(&mut self, host: usize, incarnation: u64, call: WorkerCall) {
         match &call.operation {
+            // Nobody listens at any other address.
+            _ if call.address != address(host) => {
+                let answer = WorkerAnswer::Gone;
+                self.after(
+                    2,
+                    WorldEvent::WorkerReplied(host, incarnation, call, answer),
+                );
+            }
             WorkerOperation::Hold { .. } => self.holds.push(PendingHold {
                 host,
                 incarnation,
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod calls;
 mod faults;
+mod lives;
 pub(crate) mod lone;
 mod patterns;
 mod processes;
@@ -98,6 +99,12 @@
     route: RelayRoute,
     worker: EmulatedWorker,
     worker_back_at: u64,
+    /// Whether the next life of the worker gets the id of this one.
+    keeps_id: bool,
+    /// Time before which the next life does not announce itself.
+    silent_until: u64,
+    /// Reading of the virtual clock at which the worker's clock began, and its first reading.
+    clock_origin: (u64, u64),
     worker_hangs_until: u64,
     worker_fails_until: u64,
     crash_at: VecDeque<u64>,
@@ -207,6 +214,9 @@
             route: RelayRoute::default(),
             worker: EmulatedWorker::new(&format!("w-{index}"), START_MS),
             worker_back_at: 0,
+            keeps_id: false,
+            silent_until: 0,
+            clock_origin: (START_MS, START_MS),
             worker_hangs_until: 0,
             worker_fails_until: 0,
             crash_at: VecDeque::new(),
@@ -279,9 +289,10 @@
         1_000_000_000 + now
     }
 
-    /// Returns the reading of the workers' clocks in milliseconds.
-    fn worker_clock_ms(&self) -> u64 {
-        START_MS + (self.now - START_MS) * self.worker_clock_percent / 100
+    /// Returns the reading of a worker's clock in milliseconds.
+    fn worker_clock_ms(&self, host: usize) -> u64 {
+        let (began_at, first) = self.hosts[host].clock_origin;
+        first + (self.now - began_at) * self.worker_clock_percent / 100
     }
 
     fn clock(&self) -> ClockReading {
@@ -348,17 +359,13 @@
 
     fn step_workers(&mut self) {
         for index in 0..self.hosts.len() {
-            let (now, worker_now) = (self.now, self.worker_clock_ms());
+            let (now, worker_now) = (self.now, self.worker_clock_ms(index));
             let host = &mut self.hosts[index];
             if host.worker.alive {
                 host.worker.tick(worker_now);
                 self.note_fallen(index);
             } else if now >= host.worker_back_at {
-                let run_events = std::mem::take(&mut host.worker.run_events);
-                host.worker = EmulatedWorker::new(&format!("w-{index}-{now}"), now);
-                host.worker.run_events = run_events;
-                host.announce_at = now;
-                host.sequence = 0;
+                self.begin_life(index);
             }
             self.observe_run_events(index, false);
         }
--- a/crates/hornbeamlead_jobs/tests/world/patterns.rs
+++ b/crates/hornbeamlead_jobs/tests/world/patterns.rs
@@ -74,15 +74,14 @@
 
     /// Ends the other members of a gang one of whose members has crashed its worker.
     pub(super) fn break_gang(&mut self, crashed: RunName) {
-        let end = self.worker_clock_ms();
-        let runs = self
-            .hosts
-            .iter_mut()
-            .flat_map(|host| &mut host.worker.running);
         let same = |run: &RunName| run.task.step == crashed.task.step && run.run == crashed.run;
-        for (_, state) in runs.filter(|(run, state)| same(run) && state.end == RunEnd::Alone) {
-            state.done_at = Some(end);
-            state.end = RunEnd::Broken;
+        for host in 0..self.hosts.len() {
+            let end = self.worker_clock_ms(host);
+            let runs = self.hosts[host].worker.running.iter_mut();
+            for (_, state) in runs.filter(|(run, state)| same(run) && state.end == RunEnd::Alone) {
+                state.done_at = Some(end);
+                state.end = RunEnd::Broken;
+            }
         }
     }
 
@@ -98,9 +97,9 @@
 
     /// Has attempts end in a given time.
     pub(crate) fn end_in(&mut self, span_ms: u64, ending: &[RunName]) {
-        let end = self.worker_clock_ms() + span_ms;
-        for host in &mut self.hosts {
-            let runs = host.worker.running.iter_mut();
+        for host in 0..self.hosts.len() {
+            let end = self.worker_clock_ms(host) + span_ms;
+            let runs = self.hosts[host].worker.running.iter_mut();
             for (_, state) in runs.filter(|(run, _)| ending.contains(run)) {
                 state.done_at = Some(end);
             }
--- a/crates/hornbeamlead_jobs/tests/world/processes.rs
+++ b/crates/hornbeamlead_jobs/tests/world/processes.rs
@@ -41,7 +41,7 @@
                 });
             }
             WorldEvent::WorkerReplied(host, incarnation, call, answer) => {
-                let clock_ms = Some(self.worker_clock_ms());
+                let clock_ms = Some(self.worker_clock_ms(host));
                 let reply = WorkerReply {
                     answer,
                     clock_ms,
@@ -374,7 +374,7 @@
         call: &WorkerCall,
         late: bool,
     ) -> WorkerAnswer {
-        let now = self.worker_clock_ms();
+        let now = self.worker_clock_ms(host);
         let planned = self.planned_run(now, host, call);
         let answer = self.hosts[host].worker.call(now, call, |_| planned);
         self.note_fallen(host);
