--- a/crates/hornbeamlead_jobs/src/supervisor.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor.rs
@@ -251,7 +251,13 @@
                 self.log(
                     "worker_found",
                     &incarnation,
-                    format!("address={}", announcement.address),
+                    format!(
+                        "address={} service={} data_centre={} sequence={}",
+                        announcement.address,
+                        announcement.facts.service,
+                        announcement.facts.data_centre,
+                        announcement.sequence
+                    ),
                 );
                 self.worker = Some(SupervisedWorker {
                     facts: announcement.facts,
--- a/crates/hornbeamlead_jobs/src/supervisor/calls.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/calls.rs
@@ -262,6 +262,13 @@
             worker.hold_at = now.plus(HOLD_PAUSE);
             return;
         };
+        let known = worker.facts.incarnation.clone();
+        if let Some(born) = lists.born.filter(|born| *born != known.born) {
+            let detail = format!("born={born} listed={}", lists.running.len());
+            self.effects
+                .push(Effect::log("other_life_listed", &known, detail));
+            self.effects.push(Effect::Count("other_life_listed"));
+        }
         let unacknowledged = lists
             .ended
             .iter()
