[jobs, settings, deploy] Know the life of a worker by its lists, not by announcements

Cause: one class, two appearances.

The fix: an announcement only names a candidate. A look at its address, which changes nothing on the worker, shows by id and `born` of the lists whether it exists; until then the known life stays. Lists with another `born` end a life at once. The next life under the id is used once it has announced itself; starts which may have reached it are stopped there and reported as in flight until the lists settle them, and the planner takes no attempt for lost that a report still accounts for. After a call without an answer no lease and no acknowledgement goes out until the lists have confirmed the life.

--- a/crates/hornbeamlead_daemon/src/fleet/agent.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/agent.rs
@@ -22,7 +22,7 @@
 use hornbeamlead_jobs::planner::{PlacementPolicy, PlannerEvent, PlannerMachine, PlannerPolicy};
 use hornbeamlead_jobs::store::StoreCaller;
 use hornbeamlead_jobs::supervisor::{
-    SupervisorEvent, SupervisorMachine, SupervisorPolicy, ThrottlePolicy,
+    ExpectedWorker, SupervisorEvent, SupervisorMachine, SupervisorPolicy, ThrottlePolicy,
 };
 use hornbeamlead_jobs::worker::{WorkerAnswer, WorkerCall, WorkerReply};
 use hornbeamlead_settings::{FleetRole, FleetSettings};
@@ -78,6 +78,8 @@
 ) -> Result<(), FleetError> {
     let FleetRole::Agent {
         local,
+        worker_address,
+        ref worker_service,
         lease,
         hold_max,
         throttle_grace,
@@ -108,6 +110,10 @@
         address,
         lease_span: lease,
         hold_max,
+        worker: ExpectedWorker {
+            address: worker_address,
+            service: worker_service.clone(),
+        },
         throttle: ThrottlePolicy {
             grace_period: throttle_grace,
             step: throttle_step,
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -169,17 +169,23 @@
                 .as_ref()
                 .is_some_and(|dead| incarnation.born <= dead.born),
         };
-        let mut lost = BTreeMap::<WorkerIncarnation, Vec<RunName>>::new();
+        // A start may have reached the next life of a worker, if that has the same id.
+        let accounted_for = accounted_for(report);
+        let mut past = BTreeMap::<WorkerIncarnation, Vec<RunName>>::new();
         for run in self.runs_on(host) {
             let placement = self.ledger.placement(run);
             let incarnation = placement.map(|placement| placement.incarnation.clone());
             if let Some(incarnation) = incarnation.filter(has_ended) {
-                lost.entry(incarnation).or_default().push(run);
+                past.entry(incarnation).or_default().push(run);
             }
         }
-        for (incarnation, runs) in lost {
-            self.note_worker_end(now, (host, report), &incarnation, &runs);
-            for run in runs {
+        for (incarnation, runs) in past {
+            let view = self.hosts.get(host);
+            // The crash is explained once, with all attempts that were on the worker.
+            if view.is_some_and(|view| view.crashed.as_ref() != Some(&incarnation)) {
+                self.note_worker_end(now, (host, report), &incarnation, &runs);
+            }
+            for run in runs.into_iter().filter(|run| !accounted_for.contains(run)) {
                 self.end_run(now, run, RunEnd::Lost, None);
             }
         }
@@ -195,7 +201,10 @@
         };
         for row in &report.ended {
             match self.ledger.placement(row.run) {
-                Some(placement) if placement.incarnation == incarnation => {
+                // A start that was meant for the life before may have reached this one.
+                Some(placement)
+                    if placement.host == *host && placement.incarnation.id == incarnation.id =>
+                {
                     self.end_run(now, row.run, row.end, row.saved.clone());
                 }
                 Some(_) => {}
@@ -240,6 +249,14 @@
                 }
                 continue;
             }
+            // It was meant for the life before, whose worker may have been another one.
+            let current = report.worker.as_ref().map(|worker| &worker.incarnation);
+            if placed.map(|placement| &placement.incarnation) != current {
+                if report.listed && !report.in_flight.contains(&row.run) {
+                    self.stop_unrecorded(host, row.run, report);
+                }
+                continue;
+            }
             if let Some(saved) = &row.saved {
                 self.ledger.record_checkpoint(row.run, saved);
             }
@@ -315,10 +332,7 @@
         if !report.listed {
             return;
         }
-        let running = report.running.iter().map(|row| row.run);
-        let ended = report.ended.iter().map(|row| row.run);
-        let in_flight = report.in_flight.iter().copied();
-        let accounted_for: BTreeSet<RunName> = running.chain(ended).chain(in_flight).collect();
+        let accounted_for = accounted_for(report);
         for run in self.runs_on(host) {
             let Some(run_view) = self.runs.get(&run) else {
                 continue;
@@ -363,3 +377,11 @@
         self.adopt_lease_bounds();
     }
 }
+
+/// Returns the attempts that a host reports as running, as ended, or as not settled yet.
+fn accounted_for(report: &HostReport) -> BTreeSet<RunName> {
+    let running = report.running.iter().map(|row| row.run);
+    let ended = report.ended.iter().map(|row| row.run);
+    let in_flight = report.in_flight.iter().copied();
+    running.chain(ended).chain(in_flight).collect()
+}
--- a/crates/hornbeamlead_jobs/src/supervisor.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor.rs
@@ -4,9 +4,11 @@
 //! certain never to be carried out, only once lists that were read after it confirm this.
 
 mod calls;
+mod lives;
 mod progress;
 mod throttle;
 
+pub use lives::ExpectedWorker;
 pub use throttle::{BestEffortThrottle, ThrottlePolicy};
 
 use crate::effect::{Effect, LinkId};
@@ -16,8 +18,8 @@
     CLOCK_SKEW_FACTOR, WorkerAnnouncement, WorkerFacts, WorkerLists, WorkerRefusal, WorkerReply,
     WorkerTag,
 };
-use calls::answer_due;
 use hornbeamlead_core::clock::MonoTime;
+use lives::SequenceWatch;
 use progress::ProgressWatch;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -42,6 +44,8 @@
     pub lease_span: Duration,
     /// Longest lease that the worker grants.
     pub hold_max: Duration,
+    /// What is known of the worker beforehand.
+    pub worker: ExpectedWorker,
     /// Limits of the throttling of best-effort tasks.
     pub throttle: ThrottlePolicy,
 }
@@ -79,20 +83,29 @@
     Confirming { after: u64, stopped: bool },
     /// The worker listed the attempt as running.
     Listed,
+    /// The life for which the start was meant has ended. A later one under the same id may have
+    /// carried it out.
+    Doubtful {
+        /// Number of calls for the start, while the last one is in flight.
+        call: Option<u32>,
+        /// Time until which it is looked whether there is such a life.
+        until: MonoTime,
+    },
 }
 
-/// Worker on the supervisor's host.
-#[derive(Debug)]
+/// Life of a worker on the supervisor's host.
+#[derive(Clone, Debug)]
 struct SupervisedWorker {
     facts: WorkerFacts,
     address: SocketAddr,
-    sequence: u64,
+    sequence: SequenceWatch,
     clock: Option<WorkerClock>,
     /// Number of the last hold.
     hold: u64,
     hold_in_flight: bool,
     hold_at: MonoTime,
     hold_epoch: PlannerEpoch,
+    /// Number up to which ends are recorded in the plan.
     acknowledged: u64,
     lists: WorkerLists,
     /// Time by which the worker has to answer a hold.
@@ -103,6 +116,13 @@
     listed: Option<PlannerEpoch>,
     /// Earliest time at which a draining worker shuts down.
     leaves_at: Option<MonoTime>,
+    /// Whether the life has announced itself; if not, its facts are those of the life before.
+    announced: bool,
+    /// Whether its lists have shown that it exists.
+    verified: bool,
+    /// Whether its lists have arrived since the last call without an answer. If not, calls may reach
+    /// another life, which must not get leases and acknowledgements of this one.
+    confirmed: bool,
 }
 
 /// Event of a supervisor.
@@ -139,6 +159,10 @@
 pub struct SupervisorMachine {
     policy: SupervisorPolicy,
     worker: Option<SupervisedWorker>,
+    /// Life that was announced beside the known one and has not answered yet.
+    candidate: Option<SupervisedWorker>,
+    /// Life that has ended, while it is looked whether another one has its id.
+    former: Option<SupervisedWorker>,
     dead: Option<WorkerIncarnation>,
     link: Option<LinkId>,
     epoch: PlannerEpoch,
@@ -148,6 +172,8 @@
     /// Newest stamp that the planner had seen when it sent its last grant.
     newest_seen: MonoTime,
     runs: BTreeMap<RunName, RunStage>,
+    /// Starts for ended lives that a later one under the same id may still carry out, each until when.
+    doubts: BTreeMap<RunName, MonoTime>,
     traits: BTreeMap<RunName, RunTraits>,
     throttle: BestEffortThrottle,
     progress: ProgressWatch,
@@ -164,6 +190,8 @@
             throttle: BestEffortThrottle::new(policy.throttle.clone()),
             policy,
             worker: None,
+            candidate: None,
+            former: None,
             dead: None,
             link: None,
             epoch: PlannerEpoch(0),
@@ -171,6 +199,7 @@
             granted: None,
             newest_seen: MonoTime(0),
             runs: BTreeMap::new(),
+            doubts: BTreeMap::new(),
             traits: BTreeMap::new(),
             progress: ProgressWatch::default(),
             report_due: false,
@@ -202,129 +231,13 @@
         }
         self.advance_runs(now);
         self.poll_hold(now);
+        self.poll_looks(now);
+        self.expire_doubts(now);
         self.check_silence(now);
         self.poll_report(now);
         std::mem::take(&mut self.effects)
     }
 
-    fn handle_announcement(&mut self, now: MonoTime, announcement: WorkerAnnouncement) {
-        let incarnation = announcement.facts.incarnation.clone();
-        if self.is_stale(&incarnation) {
-            self.log(
-                "announcement_ignored",
-                &incarnation,
-                "cause=ended_life".into(),
-            );
-            return;
-        }
-        if self.is_other_machine(announcement.facts.machine.as_deref()) {
-            self.effects.push(Effect::Count("foreign_worker"));
-            self.log(
-                "announcement_ignored",
-                &incarnation,
-                format!("cause=other_machine address={}", announcement.address),
-            );
-            return;
-        }
-        let leaves_in = announcement.facts.leaves_in_ms;
-        let leaves_at =
-            leaves_in.map(|remaining_ms| now.plus(Duration::from_millis(remaining_ms.into())));
-        match &mut self.worker {
-            Some(worker) if worker.facts.incarnation == incarnation => {
-                if announcement.sequence > worker.sequence {
-                    worker.sequence = announcement.sequence;
-                    worker.leaves_at = leaves_at;
-                    // The time until a draining worker leaves changes with each announcement.
-                    let known = WorkerFacts {
-                        leaves_in_ms: announcement.facts.leaves_in_ms,
-                        ..worker.facts.clone()
-                    };
-                    self.report_due |= known != announcement.facts;
-                    worker.facts = announcement.facts;
-                    worker.address = announcement.address;
-                }
-            }
-            _ => {
-                if let Some(old) = self.worker.take() {
-                    self.end_incarnation(old.facts.incarnation, "newer_life_announced");
-                }
-                self.log(
-                    "worker_found",
-                    &incarnation,
-                    format!(
-                        "address={} service={} data_centre={} sequence={}",
-                        announcement.address,
-                        announcement.facts.service,
-                        announcement.facts.data_centre,
-                        announcement.sequence
-                    ),
-                );
-                self.worker = Some(SupervisedWorker {
-                    facts: announcement.facts,
-                    address: announcement.address,
-                    sequence: announcement.sequence,
-                    clock: None,
-                    hold: 0,
-                    hold_in_flight: false,
-                    hold_at: now,
-                    hold_epoch: PlannerEpoch(0),
-                    acknowledged: 0,
-                    lists: WorkerLists::default(),
-                    answer_due: answer_due(now),
-                    silent: false,
-                    listed: None,
-                    leaves_at,
-                });
-                self.report_due = true;
-            }
-        }
-    }
-
-    /// Returns whether an incarnation has ended, or is older than the current one.
-    fn is_stale(&self, incarnation: &WorkerIncarnation) -> bool {
-        let is_older = |known: &WorkerIncarnation| incarnation.born < known.born;
-        let dead = self
-            .dead
-            .as_ref()
-            .is_some_and(|dead| dead == incarnation || is_older(dead));
-        let current = self.worker.as_ref().map(|worker| &worker.facts.incarnation);
-        dead || current.is_some_and(is_older)
-    }
-
-    /// Returns whether a machine is certainly not that of the known worker.
-    fn is_other_machine(&self, announced: Option<&str>) -> bool {
-        let worker = self.worker.as_ref();
-        let known = worker.and_then(|worker| worker.facts.machine.as_deref());
-        known.is_some() && announced.is_some() && known != announced
-    }
-
-    fn handle_leave(&mut self, id: &str) {
-        if self
-            .worker
-            .as_ref()
-            .is_some_and(|worker| &*worker.facts.incarnation.id == id)
-            && let Some(worker) = self.worker.as_mut()
-        {
-            worker.facts.draining = true;
-            self.report_due = true;
-        }
-    }
-
-    fn end_incarnation(&mut self, incarnation: WorkerIncarnation, cause: &str) {
-        self.log(
-            "worker_lost",
-            &incarnation,
-            format!("cause={cause} runs={}", self.runs.len()),
-        );
-        self.dead = Some(incarnation);
-        self.worker = None;
-        self.runs.clear();
-        self.traits.clear();
-        self.throttle.clear();
-        self.progress.clear();
-        self.report_due = true;
-    }
-
     fn open_link(&mut self, link: LinkId) {
         self.link = Some(link);
         self.orders_seen = 0;
@@ -388,6 +301,7 @@
             }
             Some(worker) if worker.facts.draining => Some((None, "worker_draining")),
             Some(worker) if worker.silent => Some((None, "worker_silent")),
+            Some(worker) if !worker.is_usable() => Some((None, "worker_not_announced")),
             Some(_) if age > MAX_ORDER_AGE => Some((None, "order_too_old")),
             Some(_) if self.runs.contains_key(&run) => return,
             Some(_) => None,
@@ -450,7 +364,7 @@
     fn report(&self, now: MonoTime) -> HostReport {
         let unconfirmed =
             |(run, stage): (&RunName, &RunStage)| (*stage != RunStage::Listed).then_some(*run);
-        let worker = self.worker.as_ref().filter(|worker| !worker.silent);
+        let worker = self.worker.as_ref().filter(|worker| worker.is_usable());
         let lists = worker
             .map(|worker| worker.lists.clone())
             .unwrap_or_default();
--- a/crates/hornbeamlead_jobs/src/supervisor/calls.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/calls.rs
@@ -1,8 +1,9 @@
 //! Calls to the worker, and the handling of their outcomes.
 
+use super::lives::{LifeEnd, names_other_life};
 use super::{RunStage, SupervisedWorker, SupervisorMachine, WorkerClock};
 use crate::effect::Effect;
-use crate::ids::{RunName, WorkerIncarnation};
+use crate::ids::{PlannerEpoch, RunName, WorkerIncarnation};
 use crate::worker::{
     WorkerAnswer, WorkerCall, WorkerLists, WorkerOperation, WorkerRefusal, WorkerReply, WorkerTag,
 };
@@ -34,7 +35,7 @@
 const MAX_ANSWER_DELAY: Duration = Duration::from_millis(200);
 
 /// Pause after a hold that was refused or not answered.
-const HOLD_PAUSE: Duration = Duration::from_millis(150);
+pub(super) const HOLD_PAUSE: Duration = Duration::from_millis(150);
 
 /// Pause between holds while the list has ends that the planner has not acknowledged; such holds
 /// are answered without a wait.
@@ -43,6 +44,49 @@
 /// Length at which the worker truncates its list of ended attempts.
 const MAX_LISTED_ENDS: usize = 500;
 
+impl SupervisedWorker {
+    fn call(
+        &self,
+        epoch: PlannerEpoch,
+        tag: WorkerTag,
+        operation: WorkerOperation,
+        deadline: MonoTime,
+    ) -> WorkerCall {
+        WorkerCall {
+            tag,
+            address: self.address,
+            incarnation: self.facts.incarnation.clone(),
+            epoch,
+            operation,
+            deadline,
+        }
+    }
+
+    fn hold(
+        &mut self,
+        now: MonoTime,
+        epoch: PlannerEpoch,
+        lease_until_ms: Option<u64>,
+        acknowledged: u64,
+        wait: Duration,
+    ) -> WorkerCall {
+        self.hold_in_flight = true;
+        self.hold += 1;
+        let operation = WorkerOperation::Hold {
+            lease_until_ms,
+            acknowledged,
+            wait_until: now.plus(wait),
+        };
+        let deadline = now.plus(wait + HOLD_MARGIN);
+        self.call(epoch, WorkerTag::Hold(self.hold), operation, deadline)
+    }
+
+    /// Returns a hold that changes nothing on the worker, whichever life it reaches.
+    fn look(&mut self, now: MonoTime, epoch: PlannerEpoch) -> WorkerCall {
+        self.hold(now, epoch, None, 0, Duration::ZERO)
+    }
+}
+
 impl SupervisorMachine {
     pub(super) fn call_start(&mut self, now: MonoTime, run: RunName) {
         let lease_until_ms = self.lease_until(now, START_LEASE);
@@ -88,14 +132,8 @@
         let Some(worker) = &self.worker else {
             return;
         };
-        self.effects.push(Effect::Worker(WorkerCall {
-            tag,
-            address: worker.address,
-            incarnation: worker.facts.incarnation.clone(),
-            epoch: self.epoch,
-            operation,
-            deadline: now.plus(timeout),
-        }));
+        let call = worker.call(self.epoch, tag, operation, now.plus(timeout));
+        self.effects.push(Effect::Worker(call));
     }
 
     pub(super) fn advance_runs(&mut self, now: MonoTime) {
@@ -117,27 +155,36 @@
         let hold_max = self.policy.hold_max;
         let lease_until_ms = self.lease_until(now, hold_max);
         let epoch = self.epoch;
+        let follows_another = self.dead.is_some();
         let Some(worker) = &mut self.worker else {
             return;
         };
         if worker.hold_in_flight || now < worker.hold_at {
             return;
         }
-        worker.hold_in_flight = true;
-        worker.hold += 1;
         worker.hold_epoch = epoch;
-        let number = worker.hold;
-        let operation = WorkerOperation::Hold {
-            lease_until_ms,
-            acknowledged: worker.acknowledged,
-            wait_until: now.plus(HOLD_WAIT),
+        let call = match worker.confirmed {
+            true => {
+                let lease_until_ms = lease_until_ms.filter(|_| worker.is_usable());
+                let acknowledged = worker.acknowledged;
+                worker.hold(now, epoch, lease_until_ms, acknowledged, HOLD_WAIT)
+            }
+            // A worker that crashes again and again is not used the moment it is back.
+            false if !worker.verified && follows_another => {
+                worker.hold(now, epoch, None, 0, HOLD_WAIT)
+            }
+            false => worker.look(now, epoch),
         };
-        self.call(
-            now,
-            WorkerTag::Hold(number),
-            operation,
-            HOLD_WAIT + HOLD_MARGIN,
-        );
+        self.effects.push(Effect::Worker(call));
+    }
+
+    /// Looks at the address of an announced life and of one that has ended.
+    pub(super) fn poll_looks(&mut self, now: MonoTime) {
+        let epoch = self.epoch;
+        let looks = self.candidate.iter_mut().chain(&mut self.former);
+        let due = looks.filter(|worker| !worker.hold_in_flight && now >= worker.hold_at);
+        let calls = due.map(|worker| Effect::Worker(worker.look(now, epoch)));
+        self.effects.extend(calls);
     }
 
     pub(super) fn handle_reply(
@@ -147,34 +194,77 @@
         incarnation: &WorkerIncarnation,
         reply: WorkerReply,
     ) {
-        let Some(worker) = self
-            .worker
-            .as_mut()
-            .filter(|worker| worker.facts.incarnation == *incarnation)
-        else {
-            return;
+        let is_meant = |worker: &Option<SupervisedWorker>| {
+            worker.as_ref().is_some_and(|worker| {
+                let number = WorkerTag::Hold(worker.hold);
+                worker.facts.incarnation == *incarnation
+                    && (tag == number || !matches!(tag, WorkerTag::Hold(_)))
+            })
         };
-        if let Some(ms) = reply.clock_ms {
-            let clock = WorkerClock { ms, read: now };
-            let newer = worker
-                .clock
-                .is_none_or(|known| known.at(now).is_none_or(|at| clock.ms >= at));
-            if newer {
-                worker.clock = Some(clock);
+        match tag {
+            _ if is_meant(&self.worker) => self.on_worker_reply(now, tag, reply),
+            WorkerTag::Hold(_) if is_meant(&self.candidate) => {
+                self.on_candidate_answered(now, reply);
             }
+            WorkerTag::Hold(_) if is_meant(&self.former) => self.on_former_answered(now, reply),
+            WorkerTag::Start(run) => self.on_late_start(run, incarnation, &reply.answer),
+            _ => {}
         }
+    }
+
+    fn on_worker_reply(&mut self, now: MonoTime, tag: WorkerTag, reply: WorkerReply) {
         self.drop_unsent_start(tag, &reply.answer);
-        match reply.answer {
-            WorkerAnswer::Gone => self.end_incarnation(incarnation.clone(), "connection_refused"),
+        let end = match reply.answer {
+            WorkerAnswer::Gone => Some((LifeEnd::Gone, "connection_refused")),
             WorkerAnswer::Refused(WorkerRefusal::OtherLife) => {
-                self.end_incarnation(incarnation.clone(), "other_life_answers");
+                Some((LifeEnd::OtherId, "other_life_answers"))
+            }
+            _ => None,
+        };
+        match (end, tag) {
+            (Some((end, cause)), _) => self.lose_worker(now, end, cause),
+            (None, WorkerTag::Hold(number)) => self.on_hold_answered(now, number, reply),
+            (None, tag) => {
+                self.note_unanswered(&reply.answer);
+                match tag {
+                    WorkerTag::Start(run) => self.on_start_answered(now, run, reply.answer),
+                    WorkerTag::Stop(run) => self.on_stop_answered(now, run, &reply.answer),
+                    WorkerTag::Throttle(run) => self.on_throttle_answered(run, &reply.answer),
+                    WorkerTag::Hold(_) => {}
+                }
             }
-            answer => match tag {
-                WorkerTag::Start(run) => self.on_start_answered(now, run, answer),
-                WorkerTag::Stop(run) => self.on_stop_answered(now, run, &answer),
-                WorkerTag::Hold(number) => self.on_hold_answered(now, number, answer),
-                WorkerTag::Throttle(run) => self.on_throttle_answered(run, &answer),
-            },
+        }
+    }
+
+    fn lose_worker(&mut self, now: MonoTime, end: LifeEnd, cause: &str) {
+        match self.worker.take() {
+            Some(worker) if worker.verified => self.end_life(now, worker, end, cause),
+            // It may never have existed.
+            Some(worker) => self.log(
+                "announcement_refuted",
+                &worker.facts.incarnation,
+                format!("cause={cause}"),
+            ),
+            None => {}
+        }
+    }
+
+    /// Notes that a call had no answer, so that the worker may have ended and started again since.
+    fn note_unanswered(&mut self, answer: &WorkerAnswer) {
+        let unanswered = *answer == WorkerAnswer::Unanswered;
+        if let Some(worker) = self.worker.as_mut().filter(|_| unanswered) {
+            worker.confirmed = false;
+        }
+    }
+
+    fn note_clock(&mut self, now: MonoTime, clock_ms: Option<u64>) {
+        let (Some(worker), Some(ms)) = (&mut self.worker, clock_ms) else {
+            return;
+        };
+        let clock = WorkerClock { ms, read: now };
+        let is_newer = |known: &WorkerClock| known.at(now).is_none_or(|at| clock.ms >= at);
+        if worker.clock.as_ref().is_none_or(is_newer) {
+            worker.clock = Some(clock);
         }
     }
 
@@ -250,25 +340,29 @@
         self.log("task_stopped", run, format!("answer={answer:?}"));
     }
 
-    fn on_hold_answered(&mut self, now: MonoTime, number: u64, answer: WorkerAnswer) {
+    /// Handles the answer to the worker's last hold. The time on the worker's clock counts only with
+    /// lists, which show whose clock it is.
+    pub(super) fn on_hold_answered(&mut self, now: MonoTime, number: u64, reply: WorkerReply) {
+        self.note_unanswered(&reply.answer);
         let Some(worker) = &mut self.worker else {
             return;
         };
-        if number != worker.hold {
-            return;
-        }
         worker.hold_in_flight = false;
-        let WorkerAnswer::Lists(lists) = answer else {
+        let WorkerAnswer::Lists(lists) = reply.answer else {
             worker.hold_at = now.plus(HOLD_PAUSE);
             return;
         };
         let known = worker.facts.incarnation.clone();
-        if let Some(born) = lists.born.filter(|born| *born != known.born) {
-            let detail = format!("born={born} listed={}", lists.running.len());
-            self.effects
-                .push(Effect::log("other_life_listed", &known, detail));
+        if let Some(born) = lists.born.filter(|_| names_other_life(&lists, &known)) {
             self.effects.push(Effect::Count("other_life_listed"));
+            return self.on_other_life(now, born);
         }
+        self.note_clock(now, reply.clock_ms);
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        let is_new = !std::mem::replace(&mut worker.verified, true);
+        worker.confirmed = true;
         let unacknowledged = lists
             .ended
             .iter()
@@ -291,7 +385,7 @@
         if was_silent {
             self.log("worker_answers", incarnation, String::new());
         }
-        self.report_due |= changed || first || was_silent;
+        self.report_due |= changed || first || was_silent || is_new;
         self.note_starts();
         self.confirm_orders(number);
         self.adjust_throttling(now);
@@ -327,7 +421,8 @@
 
     /// Updates the stages of attempts whose orders were answered before the lists were read.
     fn confirm_orders(&mut self, number: u64) {
-        let Some(worker) = &self.worker else {
+        // Before a life has announced itself, reports do not name what it has ended.
+        let Some(worker) = self.worker.as_ref().filter(|worker| worker.announced) else {
             return;
         };
         let incarnation = worker.facts.incarnation.clone();
--- a/crates/hornbeamlead_jobs/tests/agent/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/agent/mod.rs
@@ -7,7 +7,7 @@
 use hornbeamlead_jobs::ids::{PlannerEpoch, RunName, WorkerIncarnation};
 use hornbeamlead_jobs::message::{AgentMessage, AgentStamp, PlannerMessage};
 use hornbeamlead_jobs::supervisor::{
-    SupervisorEvent, SupervisorMachine, SupervisorPolicy, ThrottlePolicy,
+    ExpectedWorker, SupervisorEvent, SupervisorMachine, SupervisorPolicy, ThrottlePolicy,
 };
 use hornbeamlead_jobs::worker::{
     RunningRow, WorkerAnnouncement, WorkerAnswer, WorkerCall, WorkerFacts, WorkerLists,
@@ -25,6 +25,7 @@
         address: SocketAddr::from(([10, 0, 0, 1], 7000)),
         lease_span: Duration::from_millis(8500),
         hold_max: Duration::from_secs(6),
+        worker: ExpectedWorker::default(),
         throttle: ThrottlePolicy {
             grace_period: Duration::ZERO,
             step: Duration::from_millis(500),
@@ -54,8 +55,14 @@
 impl TestAgent {
     /// Starts a supervisor that has a link to its planner.
     pub(crate) fn new(now: MonoTime) -> Self {
+        Self::expecting(now, ExpectedWorker::default())
+    }
+
+    /// The same, with what is known of the worker beforehand.
+    pub(crate) fn expecting(now: MonoTime, worker: ExpectedWorker) -> Self {
+        let policy = SupervisorPolicy { worker, ..policy() };
         let mut agent = Self {
-            supervisor: SupervisorMachine::new(policy()),
+            supervisor: SupervisorMachine::new(policy),
             now,
             hold: None,
             calls: Vec::new(),
--- a/crates/hornbeamlead_jobs/tests/stray_announcements.rs
+++ b/crates/hornbeamlead_jobs/tests/stray_announcements.rs
@@ -6,7 +6,7 @@
 use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_jobs::ids::{RunName, WorkerIncarnation};
 use hornbeamlead_jobs::message::{AgentStamp, PlannerMessage};
-use hornbeamlead_jobs::supervisor::SupervisorEvent;
+use hornbeamlead_jobs::supervisor::{ExpectedWorker, SupervisorEvent};
 use hornbeamlead_jobs::worker::{WorkerAnnouncement, WorkerFacts};
 use rstest::rstest;
 use std::net::SocketAddr;
@@ -63,3 +63,31 @@
     assert!(!obeys_for(&mut agent, &worker));
     assert!(obeys_for(&mut agent, &restarted));
 }
+
+/// Guards against a first announcement that comes from another writer: it names no worker to use.
+#[rstest]
+#[case::other_address("10.0.0.2:8000", "s", false)]
+#[case::other_service("10.0.0.1:8000", "unknown", false)]
+#[case::own("10.0.0.1:8000", "s", true)]
+fn configured_only(#[case] address: &str, #[case] service: &str, #[case] taken: bool) {
+    let expected = ExpectedWorker {
+        address: Some(SocketAddr::from(([10, 0, 0, 1], 8000))),
+        service: Some("s".into()),
+    };
+    let mut agent = TestAgent::expecting(NOW, expected);
+    let incarnation = WorkerIncarnation {
+        id: "w-1".into(),
+        born: 7,
+    };
+    let facts = WorkerFacts {
+        incarnation: incarnation.clone(),
+        service: service.into(),
+        ..WorkerFacts::default()
+    };
+    agent.handle(SupervisorEvent::Announced(WorkerAnnouncement {
+        facts,
+        address: address.parse().expect("an address"),
+        sequence: 1,
+    }));
+    assert_eq!(obeys_for(&mut agent, &incarnation), taken);
+}
--- a/crates/hornbeamlead_jobs/tests/world/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/world/mod.rs
@@ -36,7 +36,7 @@
     AppendCondition, NewRecord, StoreCall, StoreCaller, StoreOperation, StoreOutcome, StreamName,
 };
 use hornbeamlead_jobs::supervisor::{
-    SupervisorEvent, SupervisorMachine, SupervisorPolicy, ThrottlePolicy,
+    ExpectedWorker, SupervisorEvent, SupervisorMachine, SupervisorPolicy, ThrottlePolicy,
 };
 use hornbeamlead_jobs::worker::{
     WorkerAnnouncement, WorkerAnswer, WorkerCall, WorkerFacts, WorkerOperation, WorkerReply,
--- a/crates/hornbeamlead_jobs/tests/world/processes.rs
+++ b/crates/hornbeamlead_jobs/tests/world/processes.rs
@@ -239,6 +239,7 @@
             address: address(host),
             lease_span: Duration::from_millis(8500),
             hold_max: Duration::from_secs(6),
+            worker: ExpectedWorker::default(),
             throttle: ThrottlePolicy {
                 grace_period: Duration::ZERO,
                 step: Duration::from_millis(500),
--- a/crates/hornbeamlead_settings/src/fleet.rs
+++ b/crates/hornbeamlead_settings/src/fleet.rs
@@ -49,6 +49,10 @@
     Agent {
         /// Listen address on which the worker registers.
         local: SocketAddr,
+        /// Address at which the worker takes calls, if it is known beforehand.
+        worker_address: Option<SocketAddr>,
+        /// Service to which the worker belongs, if it is known beforehand.
+        worker_service: Option<Box<str>>,
         /// How long task leases remain valid without contact with the planner.
         lease: Duration,
         /// Longest lease that a worker grants.
@@ -127,7 +131,7 @@
         Some(RoleName::Entry) => read_entry(&mut section, parsed.as_ref(), log),
         Some(RoleName::Agent) => read_agent(&mut section, parsed.as_ref(), log),
         None => {
-            section.allow(&["stop_after", "requests", "schedule"]);
+            section.allow(&["stop_after", "requests", "schedule", "worker"]);
             None
         }
     };
@@ -191,6 +195,7 @@
 ) -> Option<FleetRole> {
     let stop_after = section.or_default("stop_after", DEFAULT_STOP_AFTER, log);
     section.forbid("schedule", "only an agent maintains leases", log);
+    section.forbid("worker", "only an agent has a worker", log);
     let admission = section
         .section("requests", log)
         .is_some_and(|mut requests| {
@@ -218,6 +223,12 @@
         log,
     );
     parent.forbid("requests", "only an entry admits jobs", log);
+    let (mut worker_address, mut worker_service) = (None, None);
+    if let Some(mut section) = parent.section("worker", log) {
+        worker_address = section.optional("address", log);
+        worker_service = section.optional("service", log);
+        section.finish(log);
+    }
     let section = parent.section("schedule", log);
     let mut order = ServiceOrder::default();
     let mut durations = [
@@ -248,6 +259,8 @@
     let [lease, hold_max, throttle_grace, throttle_step] = durations;
     Some(FleetRole::Agent {
         local: addresses?.local?,
+        worker_address,
+        worker_service,
         lease,
         hold_max,
         throttle_grace,
--- a/crates/hornbeamlead_settings/tests/fleet_settings.rs
+++ b/crates/hornbeamlead_settings/tests/fleet_settings.rs
@@ -20,6 +20,12 @@
         ("{{listenAddrs.control}}", "10.1.0.14:8166"),
         ("{{platform.address}}", "10.200.1.7:8169"),
         ("{{bounds.holdMaxMs}}", "6000"),
+        ("{{app}}", "10.1.0.14:8165"),
+        ("{{service}}", "desk"),
+        ("{{#app}}", ""),
+        ("{{/app}}", ""),
+        ("{{#service}}", ""),
+        ("{{/service}}", ""),
     ]
     .iter()
     .fold(template, |text, (name, value)| text.replace(name, value))
@@ -39,6 +45,22 @@
     }
 }
 
+/// An agent may know its worker beforehand; an entry has none.
+#[rstest]
+#[case(r#""worker": {"address": "10.0.0.1:8165", "service": "desk"}, "#, true)]
+#[case(r#""worker": {"address": "10.0.0.1:99999"}, "#, false)]
+#[case(r#""worker": {"port": 8165}, "#, false)]
+fn worker_setting(#[case] worker: &str, #[case] is_valid: bool) {
+    let agent = r#"{"role": "agent", "host": "h1", "data_centre": "z1", "addresses":
+        {"inner": "127.0.0.1:0", "metrics": "127.0.0.1:0", "local": "127.0.0.1:0"}, "store": "#;
+    let text = format!("{agent}{{\"address\": \"127.0.0.1:7000\"}}, {worker}}}");
+    let settings = read_fleet_settings("agent.json", &text);
+    assert_eq!(settings.is_ok(), is_valid, "{settings:?}");
+    let entry = filled_template("entry.json");
+    let text = entry.replace("\"store\"", &format!("{worker}\"store\""));
+    assert!(read_fleet_settings("entry.json", &text).is_err());
+}
+
 /// Admission is off unless the settings of an entry turn it on; an agent has no such setting.
 #[rstest]
 #[case("", false)]
