[jobs] Take nothing for absent because of lists with unreadable rows

Seen by callers: a task can run twice. The adapter leaves out rows of a worker's lists that it cannot read and counts them in `WorkerLists::unreadable`, which nothing read. An attempt whose row was among them counted as one that has not started (`task_absent`), and the planner started its task elsewhere while it ran. Reports of such lists also had the planner stop a running attempt (`attempt_missing`).

Cause: `confirm_orders` and the planner's `stop_missing` conclude from the absence of a row, and took lists that were partly decoded for whole ones.

Change: lists with an unreadable row prove the presence of what they name, and the absence of nothing. The supervisor keeps attempts that they lack, and its reports are not `listed`, so the planner neither stops attempts that they lack nor places new ones on the worker. The change between readable and unreadable is logged as `worker_lists` with the number of unreadable rows.

An attempt whose row stays unreadable is neither given up nor started again for as long.

--- a/crates/hornbeamlead_jobs/src/message.rs
+++ b/crates/hornbeamlead_jobs/src/message.rs
@@ -27,7 +27,7 @@
     pub worker: Option<WorkerFacts>,
     /// Last incarnation of the worker that has certainly ended.
     pub dead: Option<WorkerIncarnation>,
-    /// Whether the lists below were read from the worker under this link's epoch.
+    /// Whether the lists below were read from the worker as a whole, under this link's epoch.
     pub listed: bool,
     /// Running attempts.
     pub running: Vec<RunningRow>,
--- a/crates/hornbeamlead_jobs/src/supervisor.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor.rs
@@ -457,7 +457,8 @@
             orders_seen: self.orders_seen,
             worker: facts,
             dead: self.dead.clone(),
-            listed: worker.is_some_and(|worker| worker.listed == Some(self.epoch)),
+            listed: worker
+                .is_some_and(|worker| worker.listed == Some(self.epoch) && lists.is_whole()),
             idle: self.progress.idle(&lists.running),
             running: lists.running,
             ended: lists.ended,
--- a/crates/hornbeamlead_jobs/src/supervisor/calls.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/calls.rs
@@ -274,6 +274,8 @@
         let changed = !runs_of(&worker.lists).is_subset(&runs_of(&lists))
             || lists.ended.last().map(|end| end.number)
                 != worker.lists.ended.last().map(|end| end.number);
+        let unreadable = lists.unreadable;
+        let whole_changed = lists.is_whole() != worker.lists.is_whole();
         let first = worker.listed != Some(worker.hold_epoch);
         worker.listed = Some(worker.hold_epoch);
         self.progress.note(now, &lists.running);
@@ -282,9 +284,16 @@
         let was_silent = std::mem::take(&mut worker.silent);
         let incarnation = worker.facts.incarnation.clone();
         if was_silent {
-            self.log("worker_answers", incarnation, String::new());
+            self.log("worker_answers", &incarnation, String::new());
         }
-        self.report_due |= changed || first || was_silent;
+        if whole_changed {
+            self.log(
+                "worker_lists",
+                incarnation,
+                format!("unreadable={unreadable}"),
+            );
+        }
+        self.report_due |= changed || first || was_silent || whole_changed;
         self.note_starts();
         self.confirm_orders(number);
         self.adjust_throttling(now);
@@ -326,7 +335,7 @@
         let incarnation = worker.facts.incarnation.clone();
         let running = runs_of(&worker.lists);
         let ended: BTreeSet<_> = worker.lists.ended.iter().map(|end| end.run).collect();
-        let complete = worker.lists.ended.len() < MAX_LISTED_ENDS;
+        let complete = worker.lists.is_whole() && worker.lists.ended.len() < MAX_LISTED_ENDS;
         let mut absent = Vec::new();
         self.runs.retain(|run, stage| {
             let is_running = running.contains(run);
--- a/crates/hornbeamlead_jobs/src/worker.rs
+++ b/crates/hornbeamlead_jobs/src/worker.rs
@@ -82,10 +82,19 @@
     pub running: Vec<RunningRow>,
     /// Ended attempts that are not acknowledged yet.
     pub ended: Vec<EndedRow>,
-    /// Number of entries that could not be decoded.
+    /// Number of entries and lists that could not be decoded.
     pub unreadable: u32,
 }
 
+impl WorkerLists {
+    /// Returns whether the lists name all attempts of the worker. Lists that do not prove the presence
+    /// of what they name, and the absence of nothing.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        self.unreadable == 0
+    }
+}
+
 /// Operation that a worker has to perform.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WorkerOperation {
--- a/crates/hornbeamlead_jobs/tests/agent/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/agent/mod.rs
@@ -134,15 +134,24 @@
 
     /// Answers the hold in flight some time later with a list of running attempts.
     pub(crate) fn answer_hold(&mut self, running: &[RunningRow]) {
-        self.now = self.now.plus(HOLD_INTERVAL);
-        let call = self.hold.take().expect("a hold is in flight");
-        let lists = WorkerLists {
+        self.answer_lists(WorkerLists {
             running: running.to_vec(),
             ..WorkerLists::default()
-        };
+        });
+    }
+
+    /// Answers the hold in flight some time later.
+    pub(crate) fn answer_lists(&mut self, lists: WorkerLists) {
+        self.now = self.now.plus(HOLD_INTERVAL);
+        let call = self.hold.take().expect("a hold is in flight");
         self.answer(call, WorkerAnswer::Lists(lists));
     }
 
+    /// Returns the stamp of a report of now.
+    pub(crate) fn stamp(&self) -> AgentStamp {
+        AgentStamp(self.now.0)
+    }
+
     /// Answers all throttling calls and returns them.
     pub(crate) fn answer_throttling(&mut self, answer: &WorkerAnswer) -> Vec<(RunName, u8)> {
         let mut shares = Vec::new();
