[adapter, jobs] Acknowledge no end beyond one that was not read

Seen by callers: a task that was done can run again. The planner acknowledges ends up to the last one in a report, and the worker forgets all up to there. An end whose row could not be read was forgotten with those that followed it. Its attempt then counted as one that has never started. An impossible number (2^64 - 1) acknowledged all ends that were still to come.

Cause: one number acknowledges all ends up to it, and rows that cannot be read leave no gap in what is reported.

Change: ends that follow an unreadable one are reported, so that the planner records them, but with a number that acknowledges nothing; an agent that is told to acknowledge it does nothing, whatever the planner's version. The planner acknowledges the highest number of a report. As a worker answers holds at once while it lists ends, the agent pauses between holds whenever lists are not whole.

--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -203,11 +203,12 @@
                 None => {}
             }
         }
-        if let Some(last) = report.ended.last() {
+        // Ends that must not be acknowledged yet have the lowest number.
+        if let Some(through) = report.ended.iter().map(|row| row.number).max() {
             self.batch.defer(DeferredAction::Acknowledge {
                 host: host.clone(),
                 incarnation,
-                through: last.number,
+                through,
             });
         }
     }
--- a/crates/hornbeamlead_jobs/src/supervisor/calls.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/calls.rs
@@ -262,10 +262,8 @@
             worker.hold_at = now.plus(HOLD_PAUSE);
             return;
         };
-        let unacknowledged = lists
-            .ended
-            .iter()
-            .any(|end| end.number > worker.acknowledged);
+        let mut ended = lists.ended.iter();
+        let unacknowledged = !lists.is_whole() || ended.any(|end| end.number > worker.acknowledged);
         worker.hold_at = match unacknowledged {
             true => now.plus(UNACKNOWLEDGED_PAUSE),
             false => now,
--- a/crates/hornbeamlead_jobs/src/worker.rs
+++ b/crates/hornbeamlead_jobs/src/worker.rs
@@ -63,7 +63,7 @@
 /// Entry of a worker's list of ended attempts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedRow {
-    /// Number of the end in this incarnation, from 1.
+    /// Number of the end in this incarnation, from 1, or [`Self::UNACKNOWLEDGEABLE`].
     pub number: u64,
     /// Attempt that ended.
     pub run: RunName,
@@ -73,6 +73,12 @@
     pub saved: Option<Box<str>>,
 }
 
+impl EndedRow {
+    /// Number of an end that follows one that could not be decoded. The worker drops all ends up to
+    /// the one that is acknowledged, so this one has to wait.
+    pub const UNACKNOWLEDGEABLE: u64 = 0;
+}
+
 /// Lists of a worker's running and ended attempts.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WorkerLists {
--- a/crates/hornbeamlead_jobs/tests/agent/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/agent/mod.rs
@@ -143,6 +143,9 @@
     /// Answers the hold in flight some time later.
     pub(crate) fn answer_lists(&mut self, lists: WorkerLists) {
         self.now = self.now.plus(HOLD_INTERVAL);
+        if self.hold.is_none() {
+            self.handle(SupervisorEvent::Tick);
+        }
         let call = self.hold.take().expect("a hold is in flight");
         self.answer(call, WorkerAnswer::Lists(lists));
     }
