[jobs] Tell a worker once, and late, which ends it may drop

What callers would have seen: a task that is done runs once more. The agent repeated the number of the last recorded end in each call that reads the lists. A worker that is back under its id within the pause between two such calls counts its ends anew, so it dropped the first ends of its new life before anybody had seen them.

The fix: a number is sent until one call with it was answered, not for ever, and it waits up to 400 ms while a start is not listed yet: the ends that a new life could have are those of such starts. What remains: a life that ends and begins between two calls, carries a start out and ends it, while an acknowledgement has been waiting for 400 ms.

--- a/crates/hornbeamlead_jobs/src/supervisor.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor.rs
@@ -107,6 +107,11 @@
     hold_epoch: PlannerEpoch,
     /// Number up to which ends are recorded in the plan.
     acknowledged: u64,
+    /// Number up to which the worker has been told so, and that in the hold in flight.
+    released: u64,
+    hold_release: u64,
+    /// Time by which the worker is told.
+    release_by: Option<MonoTime>,
     lists: WorkerLists,
     /// Time by which the worker has to answer a hold.
     answer_due: MonoTime,
--- a/crates/hornbeamlead_jobs/src/supervisor/calls.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/calls.rs
@@ -41,6 +41,9 @@
 /// are answered without a wait.
 const UNACKNOWLEDGED_PAUSE: Duration = Duration::from_millis(60);
 
+/// Time for which an acknowledgement waits for starts that the worker has not listed.
+const MAX_RELEASE_DELAY: Duration = Duration::from_millis(400);
+
 /// Length at which the worker truncates its list of ended attempts.
 const MAX_LISTED_ENDS: usize = 500;
 
@@ -72,6 +75,7 @@
     ) -> WorkerCall {
         self.hold_in_flight = true;
         self.hold += 1;
+        self.hold_release = acknowledged;
         let operation = WorkerOperation::Hold {
             lease_until_ms,
             acknowledged,
@@ -81,6 +85,20 @@
         self.call(epoch, WorkerTag::Hold(self.hold), operation, deadline)
     }
 
+    /// Returns the number up to which the worker may drop ends, or 0 if it has been told before. A later
+    /// life under the same id would drop ends that nobody has seen, so this waits until the worker has
+    /// listed all starts: the ends of these would be the first ones of that life.
+    fn due_acknowledgement(&mut self, now: MonoTime, has_unlisted: bool) -> u64 {
+        if self.acknowledged <= self.released {
+            return 0;
+        }
+        let due = *self.release_by.get_or_insert(now.plus(MAX_RELEASE_DELAY));
+        match has_unlisted && now < due {
+            true => 0,
+            false => self.acknowledged,
+        }
+    }
+
     /// Returns a hold that changes nothing on the worker, whichever life it reaches.
     fn look(&mut self, now: MonoTime, epoch: PlannerEpoch) -> WorkerCall {
         self.hold(now, epoch, None, 0, Duration::ZERO)
@@ -155,6 +173,12 @@
         let hold_max = self.policy.hold_max;
         let lease_until_ms = self.lease_until(now, hold_max);
         let epoch = self.epoch;
+        let is_unlisted = |stage: &RunStage| match stage {
+            RunStage::Starting { .. } | RunStage::Confirming { stopped: false, .. } => true,
+            RunStage::Stopping { .. } | RunStage::Confirming { .. } => false,
+            RunStage::Listed | RunStage::Doubtful { .. } => false,
+        };
+        let has_unlisted = self.runs.values().any(is_unlisted);
         let follows_another = self.dead.is_some();
         let Some(worker) = &mut self.worker else {
             return;
@@ -166,7 +190,7 @@
         let call = match worker.confirmed {
             true => {
                 let lease_until_ms = lease_until_ms.filter(|_| worker.is_usable());
-                let acknowledged = worker.acknowledged;
+                let acknowledged = worker.due_acknowledgement(now, has_unlisted);
                 worker.hold(now, epoch, lease_until_ms, acknowledged, HOLD_WAIT)
             }
             // A worker that crashes again and again is not used the moment it is back.
@@ -363,8 +387,13 @@
         };
         let is_new = !std::mem::replace(&mut worker.verified, true);
         worker.confirmed = true;
+        if worker.hold_release > worker.released {
+            worker.released = worker.hold_release;
+            worker.release_by = None;
+        }
+        // The worker answers at once while it lists ends.
         let mut ended = lists.ended.iter();
-        let unacknowledged = !lists.is_whole() || ended.any(|end| end.number > worker.acknowledged);
+        let unacknowledged = !lists.is_whole() || ended.any(|end| end.number > worker.released);
         worker.hold_at = match unacknowledged {
             true => now.plus(UNACKNOWLEDGED_PAUSE),
             false => now,
