[jobs] Store cancellations of jobs that an entry does not know

The window is some 100 ms in calm, and seconds while there is no planner.

Cause: an entry answered from the plan, which lags the jobs stream, and stored nothing for a job that it did not find. A planner that read a cancellation before its job dropped it, so a job whose append was carried out late ran as well. A cancellation stored after the body of an ended job was removed stayed in the store for good.

Now each cancellation is stored before it is acknowledged, known job or not. A planner keeps one of an unknown job for 60 s after it read it, 8,192 at most, and closes the job as cancelled if it comes. The jobs stream keeps the key meanwhile, so the next planner reads it; no plan record tells of it, as nobody may have submitted the job. When it is forgotten the key is removed.

--- a/crates/hornbeamlead_jobs/src/entry/append.rs
+++ b/crates/hornbeamlead_jobs/src/entry/append.rs
@@ -126,6 +126,8 @@
         self.pending.values().filter(of_job).count()
     }
 
+    /// Stores a cancellation, also of a job that is not known here: another entry may have accepted it
+    /// a moment ago, or an append of it may still be carried out.
     pub(super) fn cancel(
         &mut self,
         now: MonoTime,
@@ -136,13 +138,11 @@
     ) {
         match self.phase(job) {
             Some(phase) if phase.is_final() => self.reply(ticket, CallerReply::Cancelled),
-            None if self.is_plan_fresh(now) => self.reply(ticket, CallerReply::NoJob),
-            None => self.refuse(ticket, "plan_too_old"),
-            Some(_) if self.store_watch.is_unavailable(now) => {
+            _ if self.store_watch.is_unavailable(now) => {
                 self.log("cancel_refused", job, "reason=store_away".into());
                 self.refuse(ticket, "store_away");
             }
-            Some(_) => {
+            _ => {
                 let record = NewRecord {
                     key: Some(format!("{CANCEL_PREFIX}{job}").into()),
                     value: Some(encode(&())),
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -8,6 +8,7 @@
 mod consolidate;
 mod copies;
 mod crashes;
+mod early_cancels;
 mod health;
 pub mod host_speeds;
 mod hosts;
@@ -48,6 +49,7 @@
 use crate::record::PlanRecord;
 use crate::store::{PlannerComponent, StoreCaller, StoreOutcome, StreamName};
 use batch::RecordBatch;
+use early_cancels::EarlyCancels;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
 use hornbeamlead_core::policy::ServiceOrder;
 use host_speeds::HostSpeeds;
@@ -203,6 +205,7 @@
     batch: RecordBatch,
     journal: JournalWriter,
     upkeep: UpkeepState,
+    early_cancels: EarlyCancels,
     load: LoadTracker,
     placed: PlacedTracker,
     /// When workers have crashed by themselves lately.
@@ -254,6 +257,7 @@
             batch: RecordBatch::new(epoch, claim, now),
             journal: JournalWriter::new(epoch, claim),
             upkeep: UpkeepState::new(now),
+            early_cancels: EarlyCancels::default(),
             load: LoadTracker::default(),
             placed: PlacedTracker::default(),
             self_crashes: VecDeque::new(),
--- a/crates/hornbeamlead_jobs/src/planner/intake.rs
+++ b/crates/hornbeamlead_jobs/src/planner/intake.rs
@@ -76,7 +76,10 @@
                     self.record(now, PlanRecord::Accepted { job, queue });
                 }
                 self.ledger.set_record(job, Arc::new(record));
-                self.open_occurrences(job);
+                match self.early_cancels.take(job) {
+                    true => self.cancel_job(now, job),
+                    false => self.open_occurrences(job),
+                }
             }
             Err(error) => {
                 let cause = error.to_string();
@@ -105,8 +108,12 @@
                 self.log("job_cancelled", job, format!("phase={phase}"));
                 self.close_job(now, job, JobPhase::Cancelled);
             }
-            Some(_) => {}
-            None => self.log("cancel_unknown", job, String::new()),
+            // The body may have been removed before the cancellation was stored.
+            Some(_) => self.upkeep.remove_body(job),
+            None => {
+                self.log("cancel_unknown", job, String::new());
+                self.early_cancels.keep(now, job);
+            }
         }
     }
 
--- a/crates/hornbeamlead_jobs/src/planner/upkeep.rs
+++ b/crates/hornbeamlead_jobs/src/planner/upkeep.rs
@@ -34,9 +34,12 @@
 /// Pause after a failed call.
 const UPKEEP_BACKOFF: Duration = Duration::from_millis(100);
 
-/// Most bodies removed in one call.
+/// Most jobs whose bodies are removed with one snapshot.
 const MAX_REMOVALS: usize = 200;
 
+/// Most keys removed in one call.
+const MAX_REMOVED_KEYS: usize = 400;
+
 /// Snapshot that is not stored yet.
 #[derive(Debug)]
 struct PendingSnapshot {
@@ -52,7 +55,7 @@
 enum UpkeepJob {
     Publish,
     Snapshot(PendingSnapshot),
-    Remove(Vec<JobId>),
+    Remove(Vec<Box<str>>),
 }
 
 impl UpkeepJob {
@@ -73,8 +76,8 @@
     published_at: MonoTime,
     /// Newest snapshot, unless it is in flight or stored.
     snapshot: Option<PendingSnapshot>,
-    /// Jobs whose bodies can be removed now.
-    removals: Vec<JobId>,
+    /// Keys of the jobs stream that can be removed now.
+    removals: Vec<Box<str>>,
     in_flight: Option<UpkeepJob>,
     not_before: MonoTime,
     snapshot_at: MonoTime,
@@ -105,9 +108,9 @@
         if let Some(snapshot) = self.snapshot.take() {
             return Some(UpkeepJob::Snapshot(snapshot));
         }
-        let count = self.removals.len().min(MAX_REMOVALS);
-        let jobs: Vec<_> = self.removals.drain(..count).collect();
-        (!jobs.is_empty()).then_some(UpkeepJob::Remove(jobs))
+        let count = self.removals.len().min(MAX_REMOVED_KEYS);
+        let keys: Vec<_> = self.removals.drain(..count).collect();
+        (!keys.is_empty()).then_some(UpkeepJob::Remove(keys))
     }
 
     /// Queues a snapshot in place of an earlier one. The plan records after a snapshot expire, so
@@ -126,7 +129,7 @@
             (UpkeepJob::Publish, _) => self.publish_due = true,
             (UpkeepJob::Snapshot(failed), Some(newer)) => newer.ended.extend(failed.ended),
             (UpkeepJob::Snapshot(failed), None) => self.snapshot = Some(failed),
-            (UpkeepJob::Remove(jobs), _) => self.removals.extend(jobs),
+            (UpkeepJob::Remove(keys), _) => self.removals.extend(keys),
         }
     }
 
@@ -170,7 +173,7 @@
         let (stream, records) = match &job {
             UpkeepJob::Publish => (StreamName::Planner, vec![self.address_record()]),
             UpkeepJob::Snapshot(snapshot) => (StreamName::Snapshots, snapshot.records.clone()),
-            UpkeepJob::Remove(jobs) => (StreamName::Jobs, removal_records(jobs)),
+            UpkeepJob::Remove(keys) => (StreamName::Jobs, removal_records(keys)),
         };
         self.effects.push(Effect::Store(StoreCall {
             caller: PlannerComponent::Upkeep.caller(self.epoch),
@@ -213,7 +216,8 @@
         match (outcome, job) {
             (StoreOutcome::Appended { .. }, UpkeepJob::Snapshot(snapshot)) => {
                 self.journal.release(snapshot.end);
-                self.upkeep.removals.extend(snapshot.ended);
+                let keys = snapshot.ended.into_iter().flat_map(job_keys);
+                self.upkeep.removals.extend(keys);
             }
             (StoreOutcome::Appended { .. }, _) => {}
             (other, job) => {
@@ -235,6 +239,8 @@
     ) {
         self.upkeep.snapshot_at = now.plus(SNAPSHOT_INTERVAL);
         self.republish(now);
+        let expired = self.early_cancels.expire(now).into_iter().map(cancel_key);
+        self.upkeep.removals.extend(expired);
         let records = snapshot_records(ledger, end, self.upkeep.snapshot_set);
         self.log("impact_learned", end, self.interference.describe());
         self.upkeep.add_snapshot(PendingSnapshot {
@@ -245,17 +251,20 @@
     }
 }
 
-/// Returns the records that remove the bodies and cancellations of jobs.
-fn removal_records(jobs: &[JobId]) -> Vec<NewRecord> {
-    let keys = |job: &JobId| {
-        [
-            format!("{JOB_PREFIX}{job}"),
-            format!("{CANCEL_PREFIX}{job}"),
-        ]
-    };
-    let record = |key: String| NewRecord {
-        key: Some(key.into()),
+/// Returns the keys of the body and of the cancellation of a job.
+fn job_keys(job: JobId) -> [Box<str>; 2] {
+    [format!("{JOB_PREFIX}{job}").into(), cancel_key(job)]
+}
+
+fn cancel_key(job: JobId) -> Box<str> {
+    format!("{CANCEL_PREFIX}{job}").into()
+}
+
+/// Returns the records that remove keys of the jobs stream.
+fn removal_records(keys: &[Box<str>]) -> Vec<NewRecord> {
+    let record = |key| NewRecord {
+        key: Some(key),
         value: None,
     };
-    jobs.iter().flat_map(keys).map(record).collect()
+    keys.iter().cloned().map(record).collect()
 }
