[jobs] Deny a job only when the planner has read all that are stored

Callers saw: an entry that had just started, or that followed a plan without a planner, answered 410 to a GET of an accepted job, and reported lengths of queues without it.

Cause: the age of the planner's heartbeat was counted from the moment at which it was read, so old heartbeats passed for fresh ones for 1.5 s. And a fresh heartbeat proves less than was concluded: its position in the jobs stream may be 2 s old when it is appended, and the append may be carried out late.

A GET that finds no job now reads the end of the jobs stream and waits for a heartbeat whose planner has read so far, for 700 ms at most; if the plan is old, or the store away, it is refused at once. Requests that come together share the read. The age of a heartbeat is counted from the read before that which returned it.

absent_needs_heartbeat expected a 410 without a read of the end, which is the fault; the test now answers that read, and the ages and outcomes that it checks are the same. A test entry counts as ready once its first heartbeat has an age: a read that returned nothing precedes it.

--- a/crates/hornbeamlead_jobs/src/entry.rs
+++ b/crates/hornbeamlead_jobs/src/entry.rs
@@ -4,6 +4,7 @@
 //! it. Jobs are therefore accepted even while there is no planner. With agents, an entry only
 //! exchanges notices of jobs that may be stored; it works without them.
 
+mod absence;
 pub mod admission;
 mod append;
 mod event;
@@ -18,7 +19,7 @@
 
 use crate::effect::{CallerReply, Effect};
 use crate::follow::{FollowOutcome, NewestReader, StreamFollower};
-use crate::ids::JobId;
+use crate::ids::{JobId, StreamOffset};
 use crate::index::PhaseIndex;
 use crate::job::JobPhase;
 use crate::notice::LateJob;
@@ -27,6 +28,7 @@
 use crate::snapshot::read_snapshot;
 use crate::snapshot_retry::{SnapshotRetry, snapshot_reader};
 use crate::store::{ReadRecord, StoreCaller, StoreOutcome, StreamName};
+use absence::AbsenceChecks;
 use append::PendingAppend;
 pub use event::{CallerOperation, CallerRequest, EntryEvent};
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
@@ -49,8 +51,7 @@
 /// interval at which callers poll.
 const PLAN_READ_PAUSE: Duration = Duration::from_millis(100);
 
-/// Age of the planner's last heartbeat beyond which a job is not reported as absent. Callers may
-/// rely on an accepted job being known after 3 s.
+/// Age of the planner's last heartbeat beyond which the plan does not show what is stored.
 const MAX_PLAN_AGE: Duration = Duration::from_millis(1500);
 
 /// Prefix of the key of a cancellation; the job id follows.
@@ -88,11 +89,15 @@
     plan_caught_up: bool,
     /// Whether the last answered read returned all records of the plan.
     plan_current: bool,
-    /// Time at which the planner's last heartbeat was read.
-    last_heartbeat: Option<MonoTime>,
+    /// Time after which the planner's last heartbeat was stored. Heartbeats of which that is not
+    /// known may be of any age.
+    heartbeat_after: Option<MonoTime>,
+    /// Offset up to which the planner has read the jobs, as of the records that were read.
+    jobs_read: StreamOffset,
     /// Jobs accepted by this entry that the plan does not contain yet, with their queue.
     accepted: HashMap<JobId, Box<str>>,
     pending: BTreeMap<u64, PendingAppend>,
+    absences: AbsenceChecks,
     store_watch: StoreWatch,
     uncertain: UncertainJobs,
     rendezvous: RendezvousLinks,
@@ -127,9 +132,11 @@
             plan_follower: plan,
             plan_caught_up: false,
             plan_current: false,
-            last_heartbeat: None,
+            heartbeat_after: None,
+            jobs_read: 0,
             accepted: HashMap::new(),
             pending: BTreeMap::new(),
+            absences: AbsenceChecks::default(),
             store_watch: StoreWatch::default(),
             uncertain: UncertainJobs::default(),
             rendezvous: RendezvousLinks::default(),
@@ -156,7 +163,7 @@
     /// Returns the number of requests that are waiting for the store.
     #[must_use]
     pub fn in_progress(&self) -> usize {
-        self.pending.len()
+        self.pending.len() + self.absences.len()
     }
 
     /// Returns the number of open links to agents, through which other entries are told of jobs that
@@ -192,6 +199,7 @@
             EntryEvent::Tick => {}
         }
         self.repeat_appends(now.mono);
+        self.settle_absences(now.mono);
         if is_tick {
             self.exchange_notices(now.mono);
         }
@@ -223,7 +231,9 @@
                 self.read_queue(now.mono, request.ticket, &terms.queue);
             }
             (_, Err(_)) => self.reply(request.ticket, CallerReply::NoQueue),
-            (CallerOperation::Read, Ok(job)) => self.read_job(now.mono, request.ticket, job),
+            (CallerOperation::Read, Ok(job)) => {
+                self.read_job(now.mono, request.ticket, job, request.deadline);
+            }
             (CallerOperation::Submit(Err(cause)), Ok(_)) => {
                 self.reply(request.ticket, CallerReply::Invalid(cause));
             }
@@ -236,23 +246,14 @@
         }
     }
 
-    fn read_job(&mut self, now: MonoTime, ticket: u64, job: JobId) {
-        match self.phase(job) {
-            Some(phase) => self.reply(ticket, CallerReply::Phase(phase)),
-            None if self.is_plan_fresh(now) => self.reply(ticket, CallerReply::NoJob),
-            None => self.refuse(ticket, "plan_too_old"),
-        }
-    }
-
     fn phase(&self, job: JobId) -> Option<JobPhase> {
         let accepted = self.accepted.contains_key(&job).then_some(JobPhase::Queued);
         self.index.phase(job).or(accepted)
     }
 
     fn is_plan_fresh(&self, now: MonoTime) -> bool {
-        let heartbeat = self.last_heartbeat;
-        self.plan_caught_up
-            && heartbeat.is_some_and(|heartbeat| now.since(heartbeat) <= MAX_PLAN_AGE)
+        let stored_after = self.heartbeat_after;
+        self.plan_caught_up && stored_after.is_some_and(|at| now.since(at) <= MAX_PLAN_AGE)
     }
 
     fn handle_outcome(&mut self, now: MonoTime, caller: StoreCaller, outcome: StoreOutcome) {
@@ -261,6 +262,7 @@
             StoreCaller::Operators => self.effects.extend(self.operators.take(now, outcome)),
             StoreCaller::Plan => self.handle_plan_outcome(now, outcome),
             StoreCaller::Ticket(ticket) => self.handle_append_outcome(now, ticket, outcome),
+            StoreCaller::JobsEnd => self.take_jobs_end(now, outcome),
             _ => {}
         }
     }
@@ -287,9 +289,7 @@
                 self.apply_plan(now, stored_after, &records);
                 self.plan_caught_up |= caught_up;
                 self.plan_current = caught_up;
-                // A heartbeat that was read late may have been stored before an outage.
-                let recent = |at: MonoTime| now.since(at) <= MAX_PLAN_AGE;
-                if caught_up && stored_after.is_some_and(recent) && self.is_plan_fresh(now) {
+                if caught_up && self.is_plan_fresh(now) {
                     self.uncertain.prune(now);
                 }
             }
@@ -308,6 +308,7 @@
         match read_snapshot(records) {
             Ok(Some((ledger, offset))) => {
                 self.index = PhaseIndex::from(&ledger);
+                self.jobs_read = ledger.jobs_read;
                 for address in ledger.hosts.values() {
                     self.add_agent(*address);
                 }
@@ -346,8 +347,9 @@
             match decode_heartbeat(bytes) {
                 Ok((record, reports)) => {
                     match record {
-                        PlanRecord::Tick { .. } => {
-                            self.last_heartbeat = Some(now);
+                        PlanRecord::Tick { jobs_read } => {
+                            self.heartbeat_after = stored_after.or(self.heartbeat_after);
+                            self.jobs_read = self.jobs_read.max(jobs_read);
                             if self.placed.take(now, reports.placed) {
                                 self.index.forget_placed();
                             }
--- a/crates/hornbeamlead_jobs/src/entry/queue_length.rs
+++ b/crates/hornbeamlead_jobs/src/entry/queue_length.rs
@@ -55,7 +55,7 @@
 
 impl<F: OperatorFormat> EntryMachine<F> {
     pub(super) fn read_queue(&mut self, now: MonoTime, ticket: u64, queue: &str) {
-        let age = self.last_heartbeat.map(|heartbeat| now.since(heartbeat));
+        let age = self.heartbeat_after.map(|at| now.since(at));
         match age {
             Some(age) if age <= MAX_QUEUE_LENGTH_AGE => {
                 let unplanned = self
--- a/crates/hornbeamlead_jobs/src/store.rs
+++ b/crates/hornbeamlead_jobs/src/store.rs
@@ -147,6 +147,8 @@
     },
     /// Request of a caller, by its number.
     Ticket(u64),
+    /// Reader of the end of the jobs stream.
+    JobsEnd,
     /// Another host, for which this one makes the call.
     Relay,
 }
--- a/crates/hornbeamlead_jobs/tests/entry/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/entry/mod.rs
@@ -31,9 +31,19 @@
         Self::with_policy(EntryPolicy::default())
     }
 
-    /// Creates an entry with settings that has read its configuration and an empty plan with a
+    /// Creates an entry with settings that has read its configuration and an empty plan, and then a
     /// heartbeat.
     pub(crate) fn with_policy(policy: EntryPolicy) -> Self {
+        let mut entry = Self::started(policy);
+        let (end, records) = (0, Vec::new());
+        entry.stored(StoreCaller::Plan, StoreOutcome::Records { end, records });
+        entry.planner_heartbeat(0);
+        assert!(entry.machine.is_ready());
+        entry
+    }
+
+    /// Creates an entry that has read its configuration and no records of the plan.
+    pub(crate) fn started(policy: EntryPolicy) -> Self {
         let mut entry = Self {
             machine: EntryMachine::with_policy(policy, WorldFormat),
             now_ms: 10_000,
@@ -44,8 +54,6 @@
         let config = record("config", b"1");
         entry.stored(StoreCaller::Operators, page(vec![config]));
         entry.stored(StoreCaller::Plan, page(Vec::new()));
-        entry.planner_heartbeat(0);
-        assert!(entry.machine.is_ready());
         entry
     }
 
@@ -66,7 +74,12 @@
     }
 
     pub(crate) fn planner_heartbeat(&mut self, offset: u64) {
-        self.plan_record(offset, encode(&PlanRecord::Tick { jobs_read: 0 }));
+        self.planner_position(offset, 0);
+    }
+
+    /// Delivers a heartbeat of a planner that has read the jobs up to an offset.
+    pub(crate) fn planner_position(&mut self, offset: u64, jobs_read: u64) {
+        self.plan_record(offset, encode(&PlanRecord::Tick { jobs_read }));
     }
 
     /// Delivers a record of the plan, after which the entry has read all of it.
--- a/crates/hornbeamlead_jobs/tests/entry_replies.rs
+++ b/crates/hornbeamlead_jobs/tests/entry_replies.rs
@@ -73,8 +73,7 @@
     assert_eq!(entry.reply(ticket), Some(&CallerReply::Accepted));
 }
 
-/// A job is reported as absent only after a recent heartbeat of the planner, which reads new jobs
-/// within milliseconds.
+/// A job is reported as absent only after a recent heartbeat of the planner, which has read all jobs.
 #[rstest]
 #[case(500, true)]
 #[case(5000, false)]
@@ -82,6 +81,8 @@
     let mut entry = TestEntry::ready();
     entry.now_ms += age_ms;
     let ticket = entry.send_request(JOB, CallerOperation::Read);
+    let (end, records) = (0, Vec::new());
+    entry.stored(StoreCaller::JobsEnd, StoreOutcome::Records { end, records });
     let absent = entry.reply(ticket) == Some(&CallerReply::NoJob);
     assert_eq!(absent, expected);
 }
