[jobs] Count accepted jobs once after a gap in the plan

Callers saw: a queue's length that stayed too high at one entry, for good.

Cause: an entry keeps the jobs that it has accepted until the plan's record names them.

Evidence: waiting_again of expired_unseen failed before (1 waiting in place of 0) and passes now.

--- a/crates/hornbeamlead_jobs/src/entry.rs
+++ b/crates/hornbeamlead_jobs/src/entry.rs
@@ -309,6 +309,9 @@
             Ok(Some((ledger, offset))) => {
                 self.index = PhaseIndex::from(&ledger);
                 self.jobs_read = ledger.jobs_read;
+                // The records that told of them may have expired.
+                let index = &self.index;
+                self.accepted.retain(|job, _| index.phase(*job).is_none());
                 for address in ledger.hosts.values() {
                     self.add_agent(*address);
                 }
