[emulator] Let workers come back under their ids, others write, and callers cancel at once

New kinds of soak, each beside deaths and freezes of agents, entries and planners: - lives: workers are down for 20 ms to 5 s (connections closed, hanging or refused), back under their ids, several times in a row; heartbeats lost for up to 5 s more. - foreign: heartbeats with another id, service, address, born, sequence, capacity, nested or cut off; deregistrations; odd rows and odd records of operators. Each entry has to follow a configuration at the end. - cancels: most jobs are cancelled at once, also at another entry. - mixed: series of signals below open connections, and all of the above. The proxy of a worker can refuse connections.

--- a/crates/hornbeamlead_daemon/tests/fleet_soak.rs
+++ b/crates/hornbeamlead_daemon/tests/fleet_soak.rs
@@ -1,6 +1,6 @@
 //! Real entry and agent processes on an emulated platform with injected faults.
 
-use hornbeamlead_emulator::soak::{SoakKind, SoakPlan, run_soak};
+use hornbeamlead_emulator::soak::{CALLERS, SoakKind, SoakPlan, run_soak};
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +15,14 @@
 #[case::removals(SoakKind::Removals(1), 1, 6, 6)]
 #[case::stops(SoakKind::Stops(1), 1, 4, 4)]
 #[case::outage(SoakKind::Outage(Duration::from_secs(20)), 1, 4, 4)]
+// Tasks ran twice on workers that had started again under their ids before their first heartbeat.
+#[case::lives(SoakKind::Lives, 1, 4, 8)]
+// A heartbeat of another writer ended the life of a worker in the system's eyes.
+#[case::foreign(SoakKind::Foreign, 2, 4, 8)]
+// An entry that did not know a job yet acknowledged its cancellation, and the job ran.
+#[case::cancels(SoakKind::Cancels, 3, 4, 8)]
+// All three causes at once, with series of signals.
+#[case::mixed(SoakKind::Mixed, 2, 4, 8)]
 fn guarantees_hold(
     #[case] kind: SoakKind,
     #[case] seed: u64,
@@ -27,6 +35,7 @@
         seed,
         hosts,
         entries: 2,
+        callers: CALLERS,
         span: Duration::from_secs(span_s),
         daemon: env!("CARGO_BIN_EXE_hornbeamd").into(),
         directory: directory.path().into(),
--- a/crates/hornbeamlead_standin/src/proxy/faults.rs
+++ b/crates/hornbeamlead_standin/src/proxy/faults.rs
@@ -44,6 +44,8 @@
 pub struct ProxyFaults {
     /// Whether open and new connections are reset and all datagrams dropped.
     pub cut: bool,
+    /// Whether open connections are reset and new ones refused, as by a process that has ended.
+    pub refuse: bool,
     /// Whether all traffic is held back until the pause ends.
     pub pause: bool,
     /// Clients whose datagrams are dropped in both directions.
--- a/crates/hornbeamlead_standin/src/proxy/streams.rs
+++ b/crates/hornbeamlead_standin/src/proxy/streams.rs
@@ -2,10 +2,12 @@
 
 use super::ProxyShared;
 use super::faults::{Direction, ProxyFaults};
+use crate::http::bind;
 use bytes::Bytes;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -20,34 +22,70 @@
 /// Maximum number of delayed chunks in one direction of a connection.
 const MAX_QUEUED_CHUNKS: usize = 256;
 
+/// Time in which the port of a proxy that refused connections has to be free again.
+const REBIND_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Pause between two attempts to bind it.
+const REBIND_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Seed of the jitter in each direction of each connection.
 const JITTER_SEED: u64 = 17;
 
 /// Chunk with the time at which it is forwarded.
 type TimedChunk = (Instant, Bytes);
 
-/// Forwards connections forever.
+/// Forwards connections forever. The listener is closed while connections are refused.
 pub(crate) async fn run(
     listener: std::net::TcpListener,
     shared: Arc<ProxyShared>,
 ) -> io::Result<()> {
-    let listener = TcpListener::from_std(listener)?;
+    let address = listener.local_addr()?;
+    let mut listener = TcpListener::from_std(listener)?;
+    let mut faults = shared.faults.subscribe();
     loop {
-        let Ok((client, _)) = listener.accept().await else {
-            continue;
-        };
-        let shared = Arc::clone(&shared);
-        tokio::spawn(async move {
-            // An error on one side closes the connection on both sides.
-            let _ = forward(client, shared).await;
-        });
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((client, _)) = accepted {
+                    spawn_forward(client, &shared);
+                }
+            }
+            () = wait_refusal(&mut faults, true) => {
+                drop(listener);
+                wait_refusal(&mut faults, false).await;
+                listener = listen_again(address).await?;
+            }
+        }
     }
 }
 
+async fn wait_refusal(faults: &mut watch::Receiver<ProxyFaults>, refuse: bool) {
+    // Fails only if the proxy has been dropped.
+    let _ = faults.wait_for(|it| it.refuse == refuse).await;
+}
+
+async fn listen_again(address: SocketAddr) -> io::Result<TcpListener> {
+    let deadline = Instant::now() + REBIND_TIMEOUT;
+    loop {
+        match bind(address) {
+            Ok(listener) => return TcpListener::from_std(listener),
+            Err(error) if Instant::now() > deadline => return Err(error),
+            Err(_) => tokio::time::sleep(REBIND_INTERVAL).await,
+        }
+    }
+}
+
+fn spawn_forward(client: TcpStream, shared: &Arc<ProxyShared>) {
+    let shared = Arc::clone(shared);
+    tokio::spawn(async move {
+        // An error on one side closes the connection on both sides.
+        let _ = forward(client, shared).await;
+    });
+}
+
 /// Forwards one connection until it ends or is cut.
 async fn forward(client: TcpStream, shared: Arc<ProxyShared>) -> io::Result<()> {
     let mut faults = shared.faults.subscribe();
-    if faults.borrow().cut {
+    if faults.borrow().cut || faults.borrow().refuse {
         return reset(&client);
     }
     client.set_nodelay(true)?;
@@ -58,7 +96,7 @@
     let (mut server_read, server_write) = server.into_split();
     let subscribe = || shared.faults.subscribe();
     tokio::select! {
-        _ = faults.wait_for(|it| it.cut) => {
+        _ = faults.wait_for(|it| it.cut || it.refuse) => {
             reset(client_read.as_ref())?;
             reset(server_read.as_ref())
         }
--- a/crates/hornbeamlead_standin/tests/proxy_faults.rs
+++ b/crates/hornbeamlead_standin/tests/proxy_faults.rs
@@ -75,6 +75,33 @@
     }
 }
 
+#[test]
+fn refuses_and_returns() {
+    let proxy = echoing_proxy();
+    let mut stream = connect(&proxy);
+    assert_eq!(exchange(&mut stream).unwrap(), *b"ping");
+    proxy.control(|faults| faults.refuse = true);
+    assert!(exchange(&mut stream).is_err());
+    let until = Instant::now() + RECEIVE_TIMEOUT;
+    let refused = || {
+        TcpStream::connect(proxy.addr()).is_err_and(|it| it.kind() == ErrorKind::ConnectionRefused)
+    };
+    while !refused() {
+        assert!(
+            Instant::now() < until,
+            "the proxy still accepts connections"
+        );
+    }
+    proxy.control(|faults| faults.refuse = false);
+    while TcpStream::connect(proxy.addr()).is_err() {
+        assert!(
+            Instant::now() < until,
+            "the proxy still refuses connections"
+        );
+    }
+    assert_eq!(exchange(&mut connect(&proxy)).unwrap(), *b"ping");
+}
+
 #[test]
 fn stream_passes() {
     let proxy = echoing_proxy();
