--- a/crates/hornbeamlead_jobs/src/supervisor.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor.rs
@@ -107,6 +107,11 @@
     hold_epoch: PlannerEpoch,
     /// Number up to which ends are recorded in the plan.
     acknowledged: u64,
+    /// Number up to which the worker has been told so, and that in the hold in flight.
+    released: u64,
+    hold_release: u64,
+    /// Time by which the worker is told.
+    release_by: Option<MonoTime>,
     lists: WorkerLists,
     /// Time by which the worker has to answer a hold.
     answer_due: MonoTime,
@@ -377,7 +382,8 @@
             orders_seen: self.orders_seen,
             worker: facts,
             dead: self.dead.clone(),
-            listed: worker.is_some_and(|worker| worker.listed == Some(self.epoch)),
+            listed: worker
+                .is_some_and(|worker| worker.listed == Some(self.epoch) && lists.is_whole()),
             idle: self.progress.idle(&lists.running),
             running: lists.running,
             ended: lists.ended,
