--- a/crates/hornbeamlead_daemon/src/fleet/agent/threads.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/agent/threads.rs
@@ -12,6 +12,7 @@
 use slog::Logger;
 use snafu::ResultExt;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use tokio::sync::mpsc;
 
 pub(super) fn start_local(
@@ -25,6 +26,7 @@
         inbox: inbox.clone(),
         metrics: metrics.clone(),
         log: log.clone(),
+        next_line_at: AtomicU64::new(0),
     });
     let handler = move || {
         let context = Arc::clone(&context);
--- a/crates/hornbeamlead_daemon/src/fleet/local.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/local.rs
@@ -2,6 +2,7 @@
 
 use super::agent::AgentInput;
 use super::metrics::FleetMetrics;
+use crate::clock::BootClock;
 use crate::ring::RingSender;
 use crate::web::plain;
 use bytes::Bytes;
@@ -9,22 +10,33 @@
 use gotham::handler::HandlerFuture;
 use gotham::helpers::http::Body;
 use gotham::state::{FromState, State};
-use hornbeamlead_adapter::{InstancePath, decode_heartbeat, parse_instance_path};
+use hornbeamlead_adapter::{AdapterError, InstancePath, decode_heartbeat, parse_instance_path};
+use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_jobs::supervisor::SupervisorEvent;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, StatusCode, Uri};
 use slog::{Logger, warn};
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 /// Maximum heartbeat body, in bytes; the platform's longest is 4 MiB.
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
+/// Minimum interval between lines on unreadable heartbeats; others can be sent at any rate.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Maximum length of a worker's id in these lines, in characters.
+const MAX_LOGGED_ID: usize = 64;
+
 /// State shared by the handlers of the local listener.
 pub(super) struct LocalContext {
     pub(super) inbox: RingSender<AgentInput>,
     pub(super) metrics: FleetMetrics,
     pub(super) log: Logger,
+    /// Earliest time of the next line on an unreadable heartbeat, in microseconds.
+    pub(super) next_line_at: AtomicU64,
 }
 
 pub(super) fn handle_local(context: Arc<LocalContext>, state: State) -> Pin<Box<HandlerFuture>> {
@@ -55,9 +67,7 @@
             InstancePath::Heartbeat(id) => {
                 let body = body.map_err(|_| StatusCode::BAD_REQUEST)?.to_bytes();
                 let announcement = decode_heartbeat(&id, &body).map_err(|error| {
-                    self.metrics.count("heartbeat_unreadable");
-                    warn!(self.log, ""; "event" => "heartbeat_unreadable", "id" => &*id,
-                        "cause" => error.to_string());
+                    self.note_unreadable(&id, &error);
                     StatusCode::BAD_REQUEST
                 })?;
                 SupervisorEvent::Announced(announcement)
@@ -70,4 +80,20 @@
                 StatusCode::SERVICE_UNAVAILABLE
             })
     }
+    /// Counts an unreadable heartbeat, and logs it unless another was logged a moment ago.
+    fn note_unreadable(&self, id: &str, error: &AdapterError) {
+        self.metrics.count("heartbeat_unreadable");
+        let now = BootClock.mono();
+        let due = |at: u64| (now >= MonoTime(at)).then(|| now.plus(LOG_INTERVAL).0);
+        let relaxed = Ordering::Relaxed;
+        if self
+            .next_line_at
+            .fetch_update(relaxed, relaxed, due)
+            .is_ok()
+        {
+            let id: String = id.chars().take(MAX_LOGGED_ID).collect();
+            warn!(self.log, ""; "event" => "heartbeat_unreadable", "id" => id,
+                "cause" => error.to_string());
+        }
+    }
 }
