--- a/crates/hornbeamlead_jobs/src/snapshot.rs
+++ b/crates/hornbeamlead_jobs/src/snapshot.rs
@@ -44,17 +44,14 @@
     /// Returns the set of the newest snapshot that [`read_snapshot`] finds in the records.
     #[must_use]
     pub fn of_newest(records: &[ReadRecord]) -> Self {
-        match newest_parts(records) {
-            Ok(Some((set, _))) => set,
-            _ => Self::default(),
-        }
+        let (complete, _) = complete_snapshots(records);
+        complete.first().map_or(Self::default(), |(set, _)| *set)
     }
 
-    fn of_key(key: &str) -> Self {
-        match key.starts_with(Self::Second.prefix()) {
-            true => Self::Second,
-            false => Self::First,
-        }
+    /// Returns the set of a key; `None` for a key of another writer.
+    fn of_key(key: &str) -> Option<Self> {
+        let sets = [Self::First, Self::Second];
+        sets.into_iter().find(|set| key.starts_with(set.prefix()))
     }
 
     fn prefix(self) -> &'static str {
@@ -309,44 +306,60 @@
     parts[..count].concat()
 }
 
-/// Returns the parts of the newest complete snapshot in order, and their set.
-fn newest_parts(
+/// Returns the parts of all complete snapshots in order, with their sets, and the error of a part that
+/// cannot be decoded. The newest snapshot is the first.
+fn complete_snapshots(
     records: &[ReadRecord],
-) -> Result<Option<(SnapshotSet, Vec<SnapshotPart>)>, DecodeError> {
+) -> (Vec<(SnapshotSet, Vec<SnapshotPart>)>, Option<DecodeError>) {
     let mut snapshots = BTreeMap::<StreamOffset, (SnapshotSet, Vec<SnapshotPart>)>::new();
+    let mut unreadable = None;
     for record in records {
-        let Some(value) = &record.value else {
+        let (Some(value), Some(set)) = (&record.value, SnapshotSet::of_key(&record.key)) else {
             continue;
         };
-        let part = decode::<SnapshotPart>(value)?;
-        let set = SnapshotSet::of_key(&record.key);
-        let snapshot = snapshots.entry(part.plan_offset);
-        let (_, parts) = snapshot.or_insert_with(|| (set, Vec::new()));
-        parts.push(part);
+        match decode::<SnapshotPart>(value) {
+            Ok(part) => {
+                let snapshot = snapshots.entry(part.plan_offset);
+                let (_, parts) = snapshot.or_insert_with(|| (set, Vec::new()));
+                parts.push(part);
+            }
+            Err(error) => unreadable = Some(error),
+        }
     }
     let is_complete = |parts: &[SnapshotPart]| {
         let expected = parts.first().map(|part| part.parts as usize);
         expected == Some(parts.len())
     };
-    let mut newest_first = snapshots.into_values().rev();
-    let newest = newest_first.find(|(_, parts)| is_complete(parts));
-    Ok(newest.map(|(set, mut parts)| {
+    let newest_first = snapshots.into_values().rev();
+    let mut complete: Vec<_> = newest_first
+        .filter(|(_, parts)| is_complete(parts))
+        .collect();
+    for (_, parts) in &mut complete {
         parts.sort_by_key(|part| part.number);
-        (set, parts)
-    }))
+    }
+    (complete, unreadable)
 }
 
-/// Assembles the newest complete snapshot and returns it with its plan offset. Returns `None` if no
-/// snapshot is complete, as when parts of it were replaced by those of another.
+/// Assembles the newest complete snapshot that can be decoded and returns it with its plan offset.
+/// Returns `None` if no snapshot is complete, as when parts of it were replaced by those of another.
 ///
 /// # Errors
-/// Returns [`DecodeError`] if a part or the ledger has another version or is malformed.
+/// Returns [`DecodeError`] if no snapshot can be decoded, because a part or a ledger has another version
+/// or is malformed.
 pub fn read_snapshot(
     records: &[ReadRecord],
 ) -> Result<Option<(JobLedger, StreamOffset)>, DecodeError> {
-    let Some((_, parts)) = newest_parts(records)? else {
-        return Ok(None);
-    };
+    let (complete, mut unreadable) = complete_snapshots(records);
+    for (_, parts) in complete {
+        match assemble(parts) {
+            Ok(snapshot) => return Ok(Some(snapshot)),
+            Err(error) => unreadable = Some(error),
+        }
+    }
+    unreadable.map_or(Ok(None), Err)
+}
+
+fn assemble(parts: Vec<SnapshotPart>) -> Result<(JobLedger, StreamOffset), DecodeError> {
     let newest = parts.first().map_or(0, |part| part.plan_offset);
     let content: Vec<u8> = parts.into_iter().flat_map(|part| part.content).collect();
     let (stored, rest) = decode_first::<StoredLedger>(&content)?;
@@ -368,7 +381,7 @@
         crashes: crashes.tasks,
         ..stored.into()
     };
-    Ok(Some((ledger, newest)))
+    Ok((ledger, newest))
 }
 
 /// Decodes a value that snapshots of earlier versions lack.
--- a/crates/hornbeamlead_jobs/tests/snapshot_sets.rs
+++ b/crates/hornbeamlead_jobs/tests/snapshot_sets.rs
@@ -2,6 +2,7 @@
 
 mod world;
 
+use bytes::Bytes;
 use hornbeamlead_emulator::store::EmulatedStore;
 use hornbeamlead_jobs::ids::JobId;
 use hornbeamlead_jobs::job::JobPhase;
@@ -84,6 +85,38 @@
     assert_eq!(stream.read(), Some((small, 15)));
 }
 
+/// Guards against a record of another writer that no planner and no entry gets past.
+#[rstest]
+#[case("part/7", b"\x09")]
+#[case("part/0", b"")]
+#[case(
+    "part/0",
+    b"\x01\xff\xff\xff\xff\xff\xff\xff\xff\xff\x01\x00\x01\x02\xff\xff"
+)]
+#[case("other", b"odd")]
+#[case("", b"\x01")]
+fn odd_record(#[case] key: &str, #[case] value: &'static [u8]) {
+    let set = SnapshotSet::default();
+    let mut stream = SnapshotStream::default();
+    stream.append(snapshot_records(&ledger(LARGE), 10, set.next()));
+    stream.append(vec![NewRecord {
+        key: Some(key.into()),
+        value: Some(Bytes::from_static(value)),
+    }]);
+    assert_eq!(stream.read(), Some((ledger(LARGE), 10)));
+}
+
+/// Guards against a planner that starts without the state that it cannot read.
+#[test]
+fn all_unreadable() {
+    let mut stream = SnapshotStream::default();
+    stream.append(vec![NewRecord {
+        key: Some("part/0".into()),
+        value: Some(Bytes::from_static(b"odd")),
+    }]);
+    assert!(read_snapshot(&stream.records()).is_err());
+}
+
 /// Guards against parts that the version before cannot read: it takes the parts with the highest
 /// plan offset under any keys, and writes its own under `part/0` and so on.
 #[test]
