--- a/crates/hornbeamlead_jobs/src/journal.rs
+++ b/crates/hornbeamlead_jobs/src/journal.rs
@@ -153,7 +153,11 @@
     records: &[ReadRecord],
     snapshot: SnapshotOrigin,
 ) -> Result<Vec<CopiedRecord>, JournalGap> {
-    let values = records.iter().filter_map(|record| record.value.as_deref());
+    // The keys of entries are numbers; others are not those of a planner.
+    let slots = records
+        .iter()
+        .filter(|record| record.key.parse::<usize>().is_ok());
+    let values = slots.filter_map(|record| record.value.as_deref());
     let mut entries = values
         .map(decode::<JournalEntry>)
         .collect::<Result<Vec<_>, _>>()?;
--- a/crates/hornbeamlead_jobs/tests/plan_journal.rs
+++ b/crates/hornbeamlead_jobs/tests/plan_journal.rs
@@ -108,6 +108,31 @@
     assert!(matches!(gap, Err(JournalGap::Unreadable { .. })), "{gap:?}");
 }
 
+/// Guards against a record of another writer after which no planner becomes active. What stands under
+/// the key of an entry may be one.
+#[rstest]
+#[case("odd")]
+#[case("")]
+#[case("-1")]
+#[case("0x")]
+fn other_key(#[case] key: &str) {
+    let entries = two_planners();
+    let records = entries.iter().enumerate();
+    let mut records = read(records.map(|(slot, entry)| entry.to_record(slot)).collect());
+    let origin = SnapshotOrigin {
+        offset: 45,
+        writer: Some(PlannerEpoch(1)),
+    };
+    let whole = read_journal(&records, origin);
+    assert!(whole.is_ok());
+    records.push(ReadRecord {
+        offset: 99,
+        key: key.into(),
+        value: Some(Bytes::from_static(b"odd")),
+    });
+    assert_eq!(read_journal(&records, origin), whole);
+}
+
 /// What a planner finds at its start can be larger than a record of the store.
 #[rstest]
 #[case(300, 4000)]
