--- a/crates/hornbeamlead_jobs/tests/world/faults.rs
+++ b/crates/hornbeamlead_jobs/tests/world/faults.rs
@@ -170,6 +170,12 @@
         self.judge.deadly.mark(TaskSlot { job, step, index });
     }
 
+    /// Has a task of a job crash each worker that starts it after a time in milliseconds, unless it ends
+    /// earlier.
+    pub(crate) fn make_deadly_late(&mut self, slot: TaskSlot, delay_ms: u64) {
+        self.judge.deadly.mark_late(slot, delay_ms);
+    }
+
     /// Sets the capacity of the worker of a host, which its next announcement tells.
     pub(crate) fn set_room(&mut self, host: usize, room: WorkerRoom) {
         self.hosts[host].room = room;
