[jobs] Stop starts without an answer on each later life of a worker

What callers would have seen: a task that is done starts once more (TWICE). A start had no answer, was stopped, and its task was done elsewhere. Then the worker started again under its id and forgot the stop, and the call, carried out seconds late, started the task.

The fix: the agent remembers each start without an answer for 15 s, longer than calls are late, and stops it on every life that it finds under the id, also on one that it finds by an announcement. What remains: a call that a new life carries out before the agent has found that life, and an agent that has restarted since the call.

--- a/crates/hornbeamlead_jobs/src/supervisor/calls.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/calls.rs
@@ -231,7 +231,10 @@
                 self.on_candidate_answered(now, reply);
             }
             WorkerTag::Hold(_) if is_meant(&self.former) => self.on_former_answered(now, reply),
-            WorkerTag::Start(run) => self.on_late_start(run, incarnation, &reply.answer),
+            WorkerTag::Start(run) => {
+                self.doubt_unanswered(now, tag, &reply.answer);
+                self.on_late_start(run, incarnation, &reply.answer);
+            }
             _ => {}
         }
     }
@@ -250,6 +253,7 @@
             (None, WorkerTag::Hold(number)) => self.on_hold_answered(now, number, reply),
             (None, tag) => {
                 self.note_unanswered(&reply.answer);
+                self.doubt_unanswered(now, tag, &reply.answer);
                 match tag {
                     WorkerTag::Start(run) => self.on_start_answered(now, run, reply.answer),
                     WorkerTag::Stop(run) => self.on_stop_answered(now, run, &reply.answer),
@@ -422,6 +426,9 @@
             );
         }
         self.report_due |= changed || first || was_silent || is_new || whole_changed;
+        if is_new {
+            self.stop_doubtful(now, &known.id);
+        }
         self.note_starts();
         self.confirm_orders(number);
         self.adjust_throttling(now);
--- a/crates/hornbeamlead_jobs/src/supervisor/lives.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/lives.rs
@@ -7,9 +7,10 @@
 use super::calls::answer_due;
 use super::{RunStage, SupervisedWorker, SupervisorMachine};
 use crate::effect::Effect;
-use crate::ids::WorkerIncarnation;
+use crate::ids::{RunName, WorkerIncarnation};
 use crate::worker::{
     WorkerAnnouncement, WorkerAnswer, WorkerFacts, WorkerLists, WorkerRefusal, WorkerReply,
+    WorkerTag,
 };
 use hornbeamlead_core::clock::MonoTime;
 use std::net::SocketAddr;
@@ -27,7 +28,7 @@
 const MAX_DOUBT_TIME: Duration = Duration::from_millis(2000);
 
 /// Time after which no call without an answer is carried out any more.
-pub(super) const LATE_CALL_TIME: Duration = Duration::from_secs(15);
+const LATE_CALL_TIME: Duration = Duration::from_secs(15);
 
 /// What the settings tell of the worker. An announcement that differs comes from another writer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -429,30 +430,40 @@
     }
 
     /// Stops all starts that may have reached a life with the given id.
-    fn stop_doubtful(&mut self, now: MonoTime, id: &str) {
-        let is_same = self.dead.as_ref().is_some_and(|dead| &*dead.id == id);
-        let doubts = std::mem::take(&mut self.doubts);
-        if !is_same {
-            self.runs.clear();
+    pub(super) fn stop_doubtful(&mut self, now: MonoTime, id: &str) {
+        if self.dead.as_ref().is_none_or(|dead| &*dead.id != id) {
             return;
         }
         let retry_at = Some(now);
+        let stop = RunStage::Stopping { retry_at };
         for stage in self.runs.values_mut() {
-            *stage = RunStage::Stopping { retry_at };
+            *stage = stop.clone();
         }
-        for (run, until) in doubts {
-            if now < until {
-                self.runs
-                    .entry(run)
-                    .or_insert(RunStage::Stopping { retry_at });
+        for run in self.doubts.keys() {
+            self.runs.entry(*run).or_insert_with(|| stop.clone());
+        }
+    }
+
+    /// Remembers a start without an answer: it may be carried out seconds later, also by a life that
+    /// knows nothing of a stop.
+    pub(super) fn doubt_unanswered(
+        &mut self,
+        now: MonoTime,
+        tag: WorkerTag,
+        answer: &WorkerAnswer,
+    ) {
+        match tag {
+            WorkerTag::Start(run) if *answer == WorkerAnswer::Unanswered => {
+                self.doubts.insert(run, now.plus(LATE_CALL_TIME));
             }
+            _ => {}
         }
     }
 
     /// Notes the outcome of a start that was in flight when the life ended.
     pub(super) fn on_late_start(
         &mut self,
-        run: crate::ids::RunName,
+        run: RunName,
         incarnation: &WorkerIncarnation,
         answer: &WorkerAnswer,
     ) {
--- a/crates/hornbeamlead_jobs/tests/worker_lives.rs
+++ b/crates/hornbeamlead_jobs/tests/worker_lives.rs
@@ -110,6 +110,21 @@
     assert_settled(&mut world);
 }
 
+/// Guards against starts that had no answer and are carried out by the next life, seconds after they
+/// were given up.
+#[rstest]
+fn late_on_next(#[values(1, 2, 3, 4)] seed: u64, #[values(200, 800, 1500)] down_ms: u64) {
+    let mut world = busy_world(seed, 900);
+    for host in 0..3 {
+        let first = 1000 * (host as u64 + 1);
+        world.delay_orders(300);
+        submit_for(&mut world, first, 300);
+        world.restart_same_id(host, down_ms, 0);
+        submit_for(&mut world, first + 500, 9000);
+    }
+    assert_settled(&mut world);
+}
+
 /// Guards against the same if the agent restarts with its worker, so that nobody on the host knows of
 /// the life before.
 #[rstest]
--- a/crates/hornbeamlead_jobs/tests/world/lives.rs
+++ b/crates/hornbeamlead_jobs/tests/world/lives.rs
@@ -30,6 +30,11 @@
         self.hosts[host].silent_until = self.now + down_ms + silent_ms;
     }
 
+    /// Has workers carry some orders of the next time out late.
+    pub(crate) fn delay_orders(&mut self, span_ms: u64) {
+        self.apply(&troubles::Trouble::DelayOrders(span_ms));
+    }
+
     /// Ends the holds in flight at a worker with its connections.
     fn break_holds(&mut self, host: usize) {
         let (broken, kept) = std::mem::take(&mut self.holds)
