[jobs, deploy] Move no suspect before its trial ends

Cause: a suspect starts on the host with the least on it, whatever images that host serves. Consolidation takes it for a foreign image and stops it 1.2 to 2.5 s later. A trial of a task with three crashes takes 5 s, so the task is a suspect still, is isolated on the same host again, and so on. Its host stays closed, and at most a third of the hosts are used for suspects.

Moves of stragglers need none: a task under which a worker has crashed moves no more. Evacuations, drains, stalls and cancellations stop a suspect as before.

Not mended: suspects with three crashes have their trials one after another, three at a time on 8 hosts and each 5.4 s long, so that the last of 18 waits half a minute.

--- a/crates/hornbeamlead_jobs/src/planner/isolation.rs
+++ b/crates/hornbeamlead_jobs/src/planner/isolation.rs
@@ -180,7 +180,9 @@
         tasks
     }
 
-    fn is_isolated(&self, task: TaskName) -> bool {
+    /// Returns whether a task starts apart from others only. The system itself does not move its
+    /// attempt: that would end the trial, and the next one would be a trial as well.
+    pub(super) fn is_isolated(&self, task: TaskName) -> bool {
         self.ledger.crashes_under(task.into()).is_isolated()
     }
 
--- a/crates/hornbeamlead_jobs/src/planner/rebalance.rs
+++ b/crates/hornbeamlead_jobs/src/planner/rebalance.rs
@@ -171,7 +171,8 @@
         best_effort.filter_map(move |(&run, demand)| {
             let run_view = self.runs.get(&run)?;
             let settled = now.since(run_view.created_at) >= MIN_RUN_TIME
-                && run_view.percent < MAX_MOVE_PERCENT;
+                && run_view.percent < MAX_MOVE_PERCENT
+                && !self.is_isolated(run.task);
             let (job, _) = self.ledger.task(run.task)?;
             let spec = job.spec(run.task.step)?;
             let left = f64::from(100 - run_view.percent.min(100)) / 100.0;
