[jobs] Show that suspects wait too long for one another

Seen: after workers have crashed by themselves again and again, lasting tasks that have lost three workers each are started one after another.

Cause: the worker of such a task admits nothing for 5.4 s, and at most a third of the workers may be used so. The tasks of this test were never the likely cause of a crash at first: three crashes of any kind make a trial last 5 s.

Not tried: to shorten trials while many workers crash by themselves. That weakens the proof against tasks that crash their workers some seconds after the start.

--- a/crates/hornbeamlead_jobs/tests/isolated_trials.rs
+++ b/crates/hornbeamlead_jobs/tests/isolated_trials.rs
@@ -21,6 +21,12 @@
 /// Time for which nothing moves after that, in milliseconds.
 const CALM_MS: u64 = 10_000;
 
+/// Hosts, workers that crash at once, how often they do, and the interval in milliseconds.
+const CRASHING_HOSTS: usize = 8;
+const AT_ONCE: usize = 3;
+const ROUNDS: usize = 20;
+const ROUND_MS: u64 = 1200;
+
 fn start_services(seed: u64, hosts: usize) -> World {
     let mut world = World::new(seed, hosts, WorldFaults::default(), 0);
     world.run(3000);
@@ -69,3 +75,18 @@
     world.run(CALM_MS);
     assert_eq!(running(&world), settled);
 }
+
+/// Guards against suspects that have their trials one after another for so long that the last of
+/// them are lost, after workers have crashed by themselves again and again.
+#[test]
+fn suspects_return() {
+    let mut world = start_services(1, CRASHING_HOSTS);
+    for round in 0..ROUNDS {
+        let first = round * AT_ONCE + 1;
+        (first..first + AT_ONCE).for_each(|host| world.crash(host % CRASHING_HOSTS));
+        world.run(ROUND_MS);
+    }
+    world.run(SETTLE_MS);
+    assert_eq!(world.judge.violations, Vec::<String>::new());
+    assert_eq!(running(&world).len() as u64, SERVICES * u64::from(TASKS));
+}
