[jobs] Take no crash under a new gang for one of the worker's own

What the platform would have seen: a task of a gang that crashes its workers started more than three times after the third crash (BUDGET). A crash under members that have just started has no single culprit the first time, and counted as one that the worker had by itself once it had listed the members. With such crashes about, more certain ones are asked for before a task is given up.

--- a/crates/hornbeamlead_jobs/src/planner/crashes.rs
+++ b/crates/hornbeamlead_jobs/src/planner/crashes.rs
@@ -97,7 +97,10 @@
             view.crashed = Some(incarnation.clone());
             view.crashes += 1;
         }
-        if culprit.is_none() && !crashed.iter().any(|it| it.prompt) {
+        // The members of a gang that has just started are suspects together.
+        let is_member = |it: &CrashedRun| it.gang && it.maturity == RunMaturity::Fresh;
+        let by_gang = !crashed.is_empty() && crashed.iter().all(is_member);
+        if culprit.is_none() && !by_gang && !crashed.iter().any(|it| it.prompt) {
             self.note_self_crash(now);
         }
         for (run, suspicion) in suspicions(&crashed, culprit) {
