[jobs] End no life but the one that has ended

The planner now ends the attempts of the dead life, and of earlier ones if that cannot be the life in use. - A life that never existed was reported as ended, if the worker answered before another writer's announcement was refuted. unverified_not_ended failed before. Only lives that have answered are ended now; a life that answers again is not dead any more. - A crash could count with each report while starts of two lives were in doubt. Read in the code; crash_counted_once (16 cases) passed before as well. Each attempt is now explained once. Besides: a start whose own call found the worker gone is not in doubt, and announcements of a life that has not answered yet are taken in order.

--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -144,6 +144,8 @@
     work: Option<RunWork>,
     /// Whether it was logged that the attempt gets no copy.
     copy_withheld: bool,
+    /// Whether the attempt was on a worker whose crash has been explained.
+    crash_noted: bool,
 }
 
 impl RunView {
@@ -161,6 +163,7 @@
             slow_since: None,
             work: None,
             copy_withheld: false,
+            crash_noted: false,
         }
     }
 
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -162,12 +162,19 @@
     /// Ends attempts of worker incarnations that are known to have ended.
     fn end_past_incarnations(&mut self, now: MonoTime, host: &HostName, report: &HostReport) {
         let current = report.worker.as_ref().map(|worker| &worker.incarnation);
+        let dead = report.dead.as_ref();
+        let last = self
+            .hosts
+            .get(host)
+            .map(|view| view.last_incarnation.clone());
+        let last = last.flatten();
+        // If the clock was set back, the life after the dead one has an earlier start.
         let has_ended = |incarnation: &WorkerIncarnation| match current {
-            Some(current) => incarnation != current && incarnation.born <= current.born,
-            None => report
-                .dead
-                .as_ref()
-                .is_some_and(|dead| incarnation.born <= dead.born),
+            Some(current) if incarnation == current => false,
+            _ if dead == Some(incarnation) => true,
+            Some(current) => incarnation.born <= current.born,
+            None if last.as_ref().is_none_or(|last| incarnation == last) => false,
+            None => dead.is_some_and(|dead| incarnation.born < dead.born),
         };
         // A start may have reached the next life of a worker, if that has the same id.
         let accounted_for = accounted_for(report);
@@ -180,9 +187,8 @@
             }
         }
         for (incarnation, runs) in past {
-            let view = self.hosts.get(host);
             // The crash is explained once, with all attempts that were on the worker.
-            if view.is_some_and(|view| view.crashed.as_ref() != Some(&incarnation)) {
+            if self.mark_crashed(&runs) {
                 self.note_worker_end(now, (host, report), &incarnation, &runs);
             }
             for run in runs.into_iter().filter(|run| !accounted_for.contains(run)) {
@@ -191,6 +197,17 @@
         }
     }
 
+    /// Marks attempts as explained by a crash; returns whether any was not.
+    fn mark_crashed(&mut self, runs: &[RunName]) -> bool {
+        let mut is_new = false;
+        for run in runs {
+            if let Some(run_view) = self.runs.get_mut(run) {
+                is_new |= !std::mem::replace(&mut run_view.crash_noted, true);
+            }
+        }
+        is_new
+    }
+
     fn process_ended(&mut self, now: MonoTime, host: &HostName, report: &HostReport) {
         let Some(incarnation) = report
             .worker
--- a/crates/hornbeamlead_jobs/src/supervisor.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor.rs
@@ -110,8 +110,8 @@
     /// Number up to which the worker has been told so, and that in the hold in flight.
     released: u64,
     hold_release: u64,
-    /// Time by which the worker is told.
-    release_by: Option<MonoTime>,
+    /// Whether a start was sent since the last lists arrived.
+    started: bool,
     lists: WorkerLists,
     /// Time by which the worker has to answer a hold.
     answer_due: MonoTime,
--- a/crates/hornbeamlead_jobs/src/supervisor/calls.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/calls.rs
@@ -41,9 +41,6 @@
 /// are answered without a wait.
 const UNACKNOWLEDGED_PAUSE: Duration = Duration::from_millis(60);
 
-/// Time for which an acknowledgement waits for starts that the worker has not listed.
-const MAX_RELEASE_DELAY: Duration = Duration::from_millis(400);
-
 /// Length at which the worker truncates its list of ended attempts.
 const MAX_LISTED_ENDS: usize = 500;
 
@@ -86,19 +83,19 @@
     }
 
     /// Returns the number up to which the worker may drop ends, or 0 if it has been told before. A later
-    /// life under the same id would drop ends that nobody has seen, so this waits until the worker has
-    /// listed all starts: the ends of these would be the first ones of that life.
-    fn due_acknowledgement(&mut self, now: MonoTime, has_unlisted: bool) -> u64 {
-        if self.acknowledged <= self.released {
-            return 0;
-        }
-        let due = *self.release_by.get_or_insert(now.plus(MAX_RELEASE_DELAY));
-        match has_unlisted && now < due {
-            true => 0,
-            false => self.acknowledged,
+    /// life under the same id would drop ends that nobody has seen. These can only be ends of starts
+    /// since the last lists, so new lists come first after a start.
+    fn due_acknowledgement(&self) -> u64 {
+        match self.has_acknowledgement() && !self.started {
+            true => self.acknowledged,
+            false => 0,
         }
     }
 
+    fn has_acknowledgement(&self) -> bool {
+        self.acknowledged > self.released
+    }
+
     /// Returns a hold that changes nothing on the worker, whichever life it reaches.
     fn look(&mut self, now: MonoTime, epoch: PlannerEpoch) -> WorkerCall {
         self.hold(now, epoch, None, 0, Duration::ZERO)
@@ -119,7 +116,12 @@
             lease_until_ms: lease_until_ms.unwrap_or_default(),
         };
         match lease_until_ms {
-            Some(_) => self.call(now, WorkerTag::Start(run), operation, ORDER_TIMEOUT),
+            Some(_) => {
+                self.worker
+                    .iter_mut()
+                    .for_each(|worker| worker.started = true);
+                self.call(now, WorkerTag::Start(run), operation, ORDER_TIMEOUT);
+            }
             None => {
                 // A lease needs a reading of the worker's clock and a grant that permits it.
                 let Some(RunStage::Starting { order, .. }) = self.runs.remove(&run) else {
@@ -173,12 +175,6 @@
         let hold_max = self.policy.hold_max;
         let lease_until_ms = self.lease_until(now, hold_max);
         let epoch = self.epoch;
-        let is_unlisted = |stage: &RunStage| match stage {
-            RunStage::Starting { .. } | RunStage::Confirming { stopped: false, .. } => true,
-            RunStage::Stopping { .. } | RunStage::Confirming { .. } => false,
-            RunStage::Listed | RunStage::Doubtful { .. } => false,
-        };
-        let has_unlisted = self.runs.values().any(is_unlisted);
         let follows_another = self.dead.is_some();
         let Some(worker) = &mut self.worker else {
             return;
@@ -190,7 +186,7 @@
         let call = match worker.confirmed {
             true => {
                 let lease_until_ms = lease_until_ms.filter(|_| worker.is_usable());
-                let acknowledged = worker.due_acknowledgement(now, has_unlisted);
+                let acknowledged = worker.due_acknowledgement();
                 worker.hold(now, epoch, lease_until_ms, acknowledged, HOLD_WAIT)
             }
             // A worker that crashes again and again is not used the moment it is back.
@@ -249,7 +245,10 @@
             _ => None,
         };
         match (end, tag) {
-            (Some((end, cause)), _) => self.lose_worker(now, end, cause),
+            (Some((end, cause)), tag) => {
+                self.settle_call(tag);
+                self.lose_worker(now, end, cause);
+            }
             (None, WorkerTag::Hold(number)) => self.on_hold_answered(now, number, reply),
             (None, tag) => {
                 self.note_unanswered(&reply.answer);
@@ -264,6 +263,15 @@
         }
     }
 
+    /// Notes that the call of a start was answered by the end of the worker.
+    fn settle_call(&mut self, tag: WorkerTag) {
+        if let WorkerTag::Start(run) = tag
+            && let Some(stage @ RunStage::Starting { .. }) = self.runs.get_mut(&run)
+        {
+            *stage = RunStage::Stopping { retry_at: None };
+        }
+    }
+
     fn lose_worker(&mut self, now: MonoTime, end: LifeEnd, cause: &str) {
         match self.worker.take() {
             Some(worker) if worker.verified => self.end_life(now, worker, end, cause),
@@ -393,12 +401,12 @@
         worker.confirmed = true;
         if worker.hold_release > worker.released {
             worker.released = worker.hold_release;
-            worker.release_by = None;
         }
+        worker.started = false;
         // The worker answers at once while it lists ends.
         let mut ended = lists.ended.iter();
         let unacknowledged = !lists.is_whole() || ended.any(|end| end.number > worker.released);
-        worker.hold_at = match unacknowledged {
+        worker.hold_at = match unacknowledged && !worker.has_acknowledgement() {
             true => now.plus(UNACKNOWLEDGED_PAUSE),
             false => now,
         };
@@ -429,6 +437,8 @@
         if is_new {
             self.stop_doubtful(now, &known.id);
         }
+        // A refused connection was no proof.
+        self.dead.take_if(|dead| *dead == known);
         self.note_starts();
         self.confirm_orders(number);
         self.adjust_throttling(now);
--- a/crates/hornbeamlead_jobs/src/supervisor/lives.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/lives.rs
@@ -118,7 +118,7 @@
             acknowledged: 0,
             released: 0,
             hold_release: 0,
-            release_by: None,
+            started: false,
             lists: WorkerLists::default(),
             answer_due: answer_due(now),
             silent: false,
@@ -152,6 +152,16 @@
         }
     }
 
+    /// Takes over an announcement of the same life before it has answered.
+    fn renew(&mut self, now: MonoTime, announcement: WorkerAnnouncement) {
+        let is_own = self.address == announcement.address;
+        if is_own && self.sequence.take(now, announcement.sequence) {
+            let leaves_in = announcement.facts.leaves_in_ms;
+            self.leaves_at = leaves_in.map(|ms| now.plus(Duration::from_millis(ms.into())));
+            self.facts = announcement.facts;
+        }
+    }
+
     /// Returns whether the worker can be used: it has announced itself and answers.
     pub(super) fn is_usable(&self) -> bool {
         self.announced && self.verified && !self.silent
@@ -181,7 +191,7 @@
             None if self.former.is_none() => self.accept_first(now, announcement),
             _ => match &mut self.candidate {
                 Some(candidate) if candidate.facts.incarnation == incarnation => {
-                    candidate.facts = announcement.facts;
+                    candidate.renew(now, announcement);
                 }
                 _ => self.candidate = Some(SupervisedWorker::new(now, announcement)),
             },
@@ -290,11 +300,13 @@
             Some(worker) if worker.facts.incarnation == incarnation => {
                 worker.announced = true;
                 worker.facts = candidate.facts;
+                worker.leaves_at = candidate.leaves_at;
                 worker.sequence = candidate.sequence;
                 self.report_due = true;
             }
             worker => {
                 let before = worker.take().or_else(|| self.former.take());
+                let before = before.filter(|before| before.verified);
                 if let Some(before) = before {
                     let end = match before.facts.incarnation.id == incarnation.id {
                         true => LifeEnd::SameId,
--- a/crates/hornbeamlead_jobs/tests/stray_announcements.rs
+++ b/crates/hornbeamlead_jobs/tests/stray_announcements.rs
@@ -5,7 +5,7 @@
 use agent::TestAgent;
 use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_jobs::ids::{RunName, WorkerIncarnation};
-use hornbeamlead_jobs::message::{AgentStamp, PlannerMessage};
+use hornbeamlead_jobs::message::{AgentMessage, AgentStamp, PlannerMessage};
 use hornbeamlead_jobs::supervisor::{ExpectedWorker, SupervisorEvent};
 use hornbeamlead_jobs::worker::{WorkerAnnouncement, WorkerFacts};
 use rstest::rstest;
@@ -91,3 +91,18 @@
     }));
     assert_eq!(obeys_for(&mut agent, &incarnation), taken);
 }
+
+/// Guards against a life that never existed and is reported as ended: another writer's first
+/// announcement was taken, and the worker answered before it was refuted.
+#[test]
+fn unverified_not_ended() {
+    let mut agent = TestAgent::new(NOW);
+    announce(&mut agent, "w-9", 9, "m-1");
+    announce(&mut agent, "w-1", 7, "m-1");
+    agent.answer_hold(&[]);
+    let ended = agent.messages.iter().find_map(|message| match message {
+        AgentMessage::Report(report) => report.dead.clone(),
+        _ => None,
+    });
+    assert_eq!(ended, None);
+}
--- a/crates/hornbeamlead_jobs/tests/worker_lives.rs
+++ b/crates/hornbeamlead_jobs/tests/worker_lives.rs
@@ -125,6 +125,39 @@
     assert_settled(&mut world);
 }
 
+/// Guards against a worker whose attempts are taken for lost when it is silent for a moment, because the
+/// life before has a later start: the clock was set back between them.
+#[rstest]
+fn silent_after_set_back(#[values(1, 2, 3)] seed: u64, #[values(700, 1500, 3000)] hangs_ms: u64) {
+    let mut world = busy_world(seed, 900);
+    for host in 0..3 {
+        let first = 1000 * (host as u64 + 1);
+        world.set_worker_back(host);
+        submit_for(&mut world, first, 3000);
+        world.silence_worker(host, hangs_ms);
+        submit_for(&mut world, first + 500, 5000);
+    }
+    assert_settled(&mut world);
+}
+
+/// Guards against one crash that counts with each report while starts of two lives are in doubt.
+#[rstest]
+fn crash_counted_once(#[values(1, 2, 3, 4)] seed: u64, #[values(40, 80, 150, 300)] pause_ms: u64) {
+    let mut world = busy_world(seed, 900);
+    for host in 0..3 {
+        let first = 1000 * (host as u64 + 1);
+        world.delay_orders(1000);
+        submit_for(&mut world, first, 300);
+        world.restart_same_id(host, 5, 0);
+        world.run(pause_ms);
+        submit_for(&mut world, first + 200, 100);
+        world.restart_same_id(host, 5, 0);
+        submit_for(&mut world, first + 500, 3000);
+    }
+    let most = world.crash_records().into_values().max();
+    assert_eq!(most, Some(1), "records of crashes by attempt");
+}
+
 /// Guards against the same if the agent restarts with its worker, so that nobody on the host knows of
 /// the life before.
 #[rstest]
--- a/crates/hornbeamlead_jobs/tests/world/lives.rs
+++ b/crates/hornbeamlead_jobs/tests/world/lives.rs
@@ -2,6 +2,7 @@
 //! elsewhere.
 
 use super::*;
+use hornbeamlead_jobs::record::decode;
 
 impl World {
     /// Starts the next life of a worker that has ended.
@@ -35,6 +36,32 @@
         self.apply(&troubles::Trouble::DelayOrders(span_ms));
     }
 
+    /// Returns how many records of a crash the plan holds for each attempt.
+    pub(crate) fn crash_records(&self) -> BTreeMap<RunName, usize> {
+        let read = |from| {
+            self.store.read(&StoreOperation::Read {
+                stream: StreamName::Plan,
+                from,
+                wait_until: MonoTime(0),
+                end_only: false,
+            })
+        };
+        let outcome = match read(0) {
+            Some(StoreOutcome::Expired { first }) => read(first),
+            outcome => outcome,
+        };
+        let mut counts = BTreeMap::new();
+        if let Some(StoreOutcome::Records { records, .. }) = outcome {
+            let values = records.iter().filter_map(|record| record.value.as_deref());
+            for record in values.filter_map(|value| decode(value).ok()) {
+                if let PlanRecord::Crashed { run, .. } = record {
+                    *counts.entry(run).or_default() += 1;
+                }
+            }
+        }
+        counts
+    }
+
     /// Ends the holds in flight at a worker with its connections.
     fn break_holds(&mut self, host: usize) {
         let (broken, kept) = std::mem::take(&mut self.holds)
