--- a/crates/hornbeamlead_jobs/src/supervisor.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor.rs
@@ -3,12 +3,15 @@
 //! The worker's lists are the only authority on what runs. An order counts as carried out, or as
 //! certain never to be carried out, only once lists that were read after it confirm this.
 
+mod announcement;
 mod calls;
+mod doubts;
+mod holds;
 mod lives;
 mod progress;
 mod throttle;
 
-pub use lives::ExpectedWorker;
+pub use announcement::ExpectedWorker;
 pub use throttle::{BestEffortThrottle, ThrottlePolicy};
 
 use crate::effect::{Effect, LinkId};
@@ -18,8 +21,8 @@
     CLOCK_SKEW_FACTOR, WorkerAnnouncement, WorkerFacts, WorkerLists, WorkerRefusal, WorkerReply,
     WorkerTag,
 };
+use announcement::SequenceWatch;
 use hornbeamlead_core::clock::MonoTime;
-use lives::SequenceWatch;
 use progress::ProgressWatch;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/hornbeamlead_jobs/src/supervisor/lives.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/lives.rs
@@ -4,93 +4,18 @@
 //! An announcement only names a life; that the life exists is shown by its lists. Calls name the id
 //! of a worker, so they also reach a later life under the same id.
 
+use super::announcement::SequenceWatch;
 use super::calls::answer_due;
+use super::doubts::MAX_DOUBT_TIME;
 use super::{RunStage, SupervisedWorker, SupervisorMachine};
 use crate::effect::Effect;
-use crate::ids::{RunName, WorkerIncarnation};
+use crate::ids::WorkerIncarnation;
 use crate::worker::{
     WorkerAnnouncement, WorkerAnswer, WorkerFacts, WorkerLists, WorkerRefusal, WorkerReply,
-    WorkerTag,
 };
 use hornbeamlead_core::clock::MonoTime;
-use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Largest step between the sequence numbers of two announcements that were heard one after the
-/// other.
-const MAX_SEQUENCE_STEP: u64 = 1000;
-
-/// Time for which announcements have to go on with other sequence numbers until these are taken. Late
-/// announcements arrive together.
-const SEQUENCE_SETTLE_TIME: Duration = Duration::from_millis(2500);
-
-/// Time after the end of a life within which it has to become clear whether a start was carried out.
-const MAX_DOUBT_TIME: Duration = Duration::from_millis(2000);
-
-/// Time after which no call without an answer is carried out any more.
-const LATE_CALL_TIME: Duration = Duration::from_secs(15);
-
-/// What the settings tell of the worker. An announcement that differs comes from another writer.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ExpectedWorker {
-    /// Address at which the worker takes calls.
-    pub address: Option<SocketAddr>,
-    /// Service to which the worker belongs.
-    pub service: Option<Box<str>>,
-}
-
-impl ExpectedWorker {
-    /// Returns what an announcement names differently.
-    fn mismatch(&self, announcement: &WorkerAnnouncement) -> Option<&'static str> {
-        let service = self.service.as_ref();
-        match self.address {
-            Some(address) if address != announcement.address => Some("other_address"),
-            _ if service.is_some_and(|it| *it != announcement.facts.service) => {
-                Some("other_service")
-            }
-            _ => None,
-        }
-    }
-}
-
-/// Newest sequence number of a life's announcements.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct SequenceWatch {
-    newest: u64,
-    /// Number that does not follow the newest one, and when the first such was heard since.
-    stray: Option<(u64, MonoTime)>,
-}
-
-impl SequenceWatch {
-    fn new(newest: u64) -> Self {
-        Self {
-            newest,
-            stray: None,
-        }
-    }
-
-    /// Returns whether an announcement is newer than those before.
-    fn take(&mut self, now: MonoTime, sequence: u64) -> bool {
-        let follows =
-            |known: u64| sequence > known && sequence <= known.saturating_add(MAX_SEQUENCE_STEP);
-        let is_newer = match self.stray {
-            _ if follows(self.newest) => true,
-            Some((known, since)) if follows(known) => {
-                self.stray = Some((sequence, since));
-                now.since(since) >= SEQUENCE_SETTLE_TIME
-            }
-            _ => {
-                self.stray = Some((sequence, now));
-                false
-            }
-        };
-        if is_newer {
-            *self = Self::new(sequence);
-        }
-        is_newer
-    }
-}
-
 /// How a life ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LifeEnd {
@@ -440,77 +365,6 @@
             self.former = Some(former);
         }
     }
-
-    /// Stops all starts that may have reached a life with the given id.
-    pub(super) fn stop_doubtful(&mut self, now: MonoTime, id: &str) {
-        if self.dead.as_ref().is_none_or(|dead| &*dead.id != id) {
-            return;
-        }
-        let retry_at = Some(now);
-        let stop = RunStage::Stopping { retry_at };
-        for stage in self.runs.values_mut() {
-            *stage = stop.clone();
-        }
-        for run in self.doubts.keys() {
-            self.runs.entry(*run).or_insert_with(|| stop.clone());
-        }
-    }
-
-    /// Remembers a start without an answer: it may be carried out seconds later, also by a life that
-    /// knows nothing of a stop.
-    pub(super) fn doubt_unanswered(
-        &mut self,
-        now: MonoTime,
-        tag: WorkerTag,
-        answer: &WorkerAnswer,
-    ) {
-        match tag {
-            WorkerTag::Start(run) if *answer == WorkerAnswer::Unanswered => {
-                self.doubts.insert(run, now.plus(LATE_CALL_TIME));
-            }
-            _ => {}
-        }
-    }
-
-    /// Notes the outcome of a start that was in flight when the life ended.
-    pub(super) fn on_late_start(
-        &mut self,
-        run: RunName,
-        incarnation: &WorkerIncarnation,
-        answer: &WorkerAnswer,
-    ) {
-        let Some(RunStage::Doubtful { call, .. }) = self.runs.get_mut(&run) else {
-            return;
-        };
-        let tries = call.take();
-        if tries == Some(1) && matches!(answer, WorkerAnswer::Gone | WorkerAnswer::Refused(_)) {
-            self.runs.remove(&run);
-            let refusal = Some(WorkerRefusal::OtherLife);
-            self.report_not_started(run, incarnation.clone(), refusal);
-        }
-    }
-
-    /// Gives up waiting for a later life that may have carried starts out. Should it come, they are
-    /// stopped there.
-    pub(super) fn expire_doubts(&mut self, now: MonoTime) {
-        self.settle_doubts(
-            now,
-            |stage| matches!(stage, RunStage::Doubtful { until, .. } if now >= *until),
-        );
-        if self.runs.is_empty() {
-            self.former = None;
-        }
-        self.doubts.retain(|_, until| now < *until);
-    }
-
-    fn settle_doubts(&mut self, now: MonoTime, is_settled: impl Fn(&RunStage) -> bool) {
-        let settled = self.runs.extract_if(.., |_, stage| is_settled(stage));
-        let settled: Vec<_> = settled.map(|(run, _)| run).collect();
-        self.report_due |= !settled.is_empty();
-        let until = now.plus(LATE_CALL_TIME);
-        self.doubts
-            .extend(settled.into_iter().map(|run| (run, until)));
-    }
 }
 
 /// Returns whether lists are those of another life than the given one.
