--- a/crates/hornbeamlead_jobs/src/entry.rs
+++ b/crates/hornbeamlead_jobs/src/entry.rs
@@ -25,7 +25,7 @@
 use crate::notice::LateJob;
 use crate::operators::{OperatorFormat, OperatorReader};
 use crate::record::{PlanRecord, decode_heartbeat};
-use crate::snapshot::read_snapshot;
+use crate::snapshot::{SnapshotOutcome, SnapshotReader};
 use crate::snapshot_retry::{SnapshotRetry, snapshot_reader};
 use crate::store::{ReadRecord, StoreCaller, StoreOutcome, StreamName};
 use absence::AbsenceChecks;
@@ -60,10 +60,14 @@
 /// Prefix of the key of a job; the job id follows.
 pub const JOB_PREFIX: &str = "job/";
 
+/// Size of the part of a snapshot that is decoded at a time, in bytes.
+const DECODED_BYTES: usize = 128 * 1024;
+
 /// Stage of reading the plan: the newest snapshot first, then the records that follow it.
 #[derive(Clone, Debug)]
 enum ReadStage {
     Newest(NewestReader),
+    Decoding(SnapshotReader),
     Follow,
 }
 
@@ -208,9 +212,15 @@
     }
 
     fn poll_readers(&mut self, now: MonoTime) {
+        if let ReadStage::Decoding(reader) = &mut self.plan_stage
+            && let Some(outcome) = reader.advance(DECODED_BYTES)
+        {
+            self.load_snapshot(now, outcome);
+        }
         let operators = self.operators.poll(now);
         let plan = match &mut self.plan_stage {
             ReadStage::Newest(reader) => reader.poll(now),
+            ReadStage::Decoding(_) => None,
             ReadStage::Follow => self.plan_follower.poll(now),
         };
         self.effects
@@ -271,9 +281,13 @@
         match &mut self.plan_stage {
             ReadStage::Newest(reader) => {
                 if let Some(newest) = reader.take(now, outcome) {
-                    self.load_snapshot(now, &newest.records);
+                    self.plan_stage = match newest.records.is_empty() {
+                        true => ReadStage::Follow,
+                        false => ReadStage::Decoding(SnapshotReader::new(&newest.records)),
+                    };
                 }
             }
+            ReadStage::Decoding(_) => {}
             ReadStage::Follow => self.follow_plan(now, outcome),
         }
     }
@@ -304,8 +318,8 @@
         }
     }
 
-    fn load_snapshot(&mut self, now: MonoTime, records: &[ReadRecord]) {
-        match read_snapshot(records) {
+    fn load_snapshot(&mut self, now: MonoTime, outcome: SnapshotOutcome) {
+        match outcome {
             Ok(Some((ledger, offset))) => {
                 self.index = PhaseIndex::from(&ledger);
                 self.jobs_read = ledger.jobs_read;
@@ -321,7 +335,6 @@
                 self.effects
                     .push(Effect::log("snapshot_read", "plan", detail));
             }
-            Ok(None) if records.is_empty() => self.plan_stage = ReadStage::Follow,
             Ok(None) => {
                 self.plan_stage = ReadStage::Newest(self.snapshot_retry.after_pause(now));
             }
--- a/crates/hornbeamlead_jobs/src/ids.rs
+++ b/crates/hornbeamlead_jobs/src/ids.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::fmt;
+use std::ops::RangeInclusive;
 use std::str::FromStr;
 
 /// Error for a text that is no valid job or task identifier.
@@ -63,6 +64,25 @@
     pub step: u16,
 }
 
+impl StepName {
+    /// Returns the range of all steps that a job can have.
+    #[must_use]
+    pub fn all_of(job: JobId) -> RangeInclusive<Self> {
+        Self::all_between(job, 0, u32::MAX)
+    }
+
+    /// Returns the range of all steps that some occurrences of a job can have.
+    #[must_use]
+    pub fn all_between(job: JobId, first: u32, last: u32) -> RangeInclusive<Self> {
+        let name = |occurrence, step| Self {
+            job,
+            occurrence,
+            step,
+        };
+        name(first, 0)..=name(last, u16::MAX)
+    }
+}
+
 impl fmt::Display for StepName {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)
--- a/crates/hornbeamlead_jobs/src/index.rs
+++ b/crates/hornbeamlead_jobs/src/index.rs
@@ -45,6 +45,11 @@
             }
             PlanRecord::Started { run, .. } => self.advance(run.task.step.job, JobPhase::Running),
             PlanRecord::Closed { job, phase } => self.advance(*job, *phase),
+            PlanRecord::Forgotten { jobs } => {
+                for job in jobs {
+                    self.jobs.remove(job);
+                }
+            }
             _ => {}
         }
     }
--- a/crates/hornbeamlead_jobs/src/job.rs
+++ b/crates/hornbeamlead_jobs/src/job.rs
@@ -151,10 +151,10 @@
         self.steps.iter().map(|step| step.tasks as usize).sum()
     }
 
-    /// Returns the estimated duration of the longest path from the start of a step to the end of
+    /// Returns the estimated duration of the longest path from the start of each step to the end of
     /// the job, in milliseconds.
     #[must_use]
-    pub fn remaining_path_ms(&self, first: usize) -> u64 {
+    pub fn remaining_paths_ms(&self) -> Vec<u64> {
         let mut remaining = vec![0_u64; self.steps.len()];
         for (index, step) in self.steps.iter().enumerate().rev() {
             let longest = remaining[index] + u64::from(step.estimate_ms);
@@ -165,7 +165,7 @@
                 }
             }
         }
-        remaining.get(first).copied().unwrap_or(0)
+        remaining
     }
 
     /// Returns the estimated duration of the job's critical path, in milliseconds.
--- a/crates/hornbeamlead_jobs/src/journal.rs
+++ b/crates/hornbeamlead_jobs/src/journal.rs
@@ -52,6 +52,7 @@
             | PlanRecord::Sound { .. }
             | PlanRecord::WorkerCrashed { .. }
             | PlanRecord::Outlived { .. }
+            | PlanRecord::Forgotten { .. }
             | PlanRecord::LeaseBound {
                 remaining_ms: Some(_),
                 ..
--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -1,23 +1,31 @@
 //! State of all jobs, which results from applying the records of the plan stream.
 
-mod body;
 mod crash_chains;
 mod crash_facts;
 mod crashes;
+mod ended_ages;
 mod health;
+mod index_ranges;
+mod job_state;
+mod step;
 
 pub use crash_chains::{ChainEvidence, CrashChain, CrashHistory, MIN_CHAIN};
 pub use crash_facts::{CrashAge, CrashMoment, CrashRate, CrashRecurrence, CrashedAttempt};
 pub use crashes::{CrashSuspicion, FleetUnrest, TaskCrashes};
+pub use ended_ages::EndedAges;
 pub use health::WorkerFailures;
+pub use index_ranges::IndexRanges;
+pub use job_state::{JobState, OccurrenceState};
+pub use step::{StepState, StepTasks, TaskCounts};
 
 use crate::ids::{
-    HostName, JobId, PlannerEpoch, RunName, RunNumber, StepName, StreamOffset, TaskName, TaskSlot,
+    HostName, JobId, PlannerEpoch, RunName, RunNumber, StreamOffset, TaskName, TaskSlot,
     WorkerIncarnation,
 };
-use crate::job::{JobPhase, JobRecord, MAX_STEP_TASKS, MAX_STEPS, RunEnd, StepSpec};
+use crate::job::{JobPhase, JobRecord, MAX_STEP_TASKS, MAX_STEPS};
 use crate::placed::PlacedReport;
 use crate::record::PlanRecord;
+use imbl::OrdMap;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -58,211 +66,16 @@
     }
 }
 
-/// State of one occurrence of a job.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct OccurrenceState {
-    /// Tasks, by step and index.
-    pub steps: Vec<Vec<TaskState>>,
-}
-
-impl OccurrenceState {
-    fn new(record: &JobRecord) -> Self {
-        let tasks = |step: &StepSpec| vec![TaskState::default(); step.tasks as usize];
-        Self {
-            steps: record.body.steps.iter().map(tasks).collect(),
-        }
-    }
-
-    /// Returns whether all tasks of a step have completed.
-    #[must_use]
-    pub fn is_step_done(&self, step: u16) -> bool {
-        let tasks = self.steps.get(usize::from(step));
-        tasks.is_some_and(|tasks| tasks.iter().all(|task| task.done))
-    }
-
-    /// Returns whether all dependencies of a step are complete.
-    #[must_use]
-    pub fn is_step_ready(&self, step: &StepSpec) -> bool {
-        step.after.iter().all(|&earlier| self.is_step_done(earlier))
-    }
-
-    /// Returns whether an attempt of a task is placed or a task is done.
-    #[must_use]
-    pub fn is_started(&self) -> bool {
-        self.steps.iter().flatten().any(|task| !task.is_waiting())
-    }
-
-    fn is_done(&self) -> bool {
-        let tasks = |tasks: &Vec<TaskState>| tasks.iter().all(|task| task.done);
-        self.steps.iter().all(tasks)
-    }
-}
-
-/// State of a job that has not ended, or of which attempts may still be running.
-#[derive(Clone, Debug, PartialEq)]
-pub struct JobState {
-    /// Accepted job; absent after a recovery until the jobs stream has been read again.
-    pub record: Option<Arc<JobRecord>>,
-    /// Queue, as host and path prefix.
-    pub queue: Box<str>,
-    /// Phase of the job.
-    pub phase: JobPhase,
-    /// Occurrences that have started or may start, by number.
-    pub occurrences: BTreeMap<u32, OccurrenceState>,
-}
-
-impl JobState {
-    fn new(queue: Box<str>) -> Self {
-        Self {
-            record: None,
-            queue,
-            phase: JobPhase::Queued,
-            occurrences: BTreeMap::new(),
-        }
-    }
-
-    /// Returns the specification of a step, if the job's record is known.
-    #[must_use]
-    pub fn spec(&self, step: StepName) -> Option<&StepSpec> {
-        self.record.as_ref()?.step(step)
-    }
-
-    /// Returns the state of a task.
-    #[must_use]
-    pub fn task(&self, name: TaskName) -> Option<&TaskState> {
-        let occurrence = self.occurrences.get(&name.step.occurrence)?;
-        let tasks = occurrence.steps.get(usize::from(name.step.step))?;
-        tasks.get(name.index as usize)
-    }
-
-    /// Returns the tasks of a step, creating it and its occurrence if they are missing.
-    fn step_mut(&mut self, name: StepName) -> &mut Vec<TaskState> {
-        let record = self.record.as_deref();
-        let make = || record.map(OccurrenceState::new).unwrap_or_default();
-        let occurrence = self.occurrences.entry(name.occurrence).or_insert_with(make);
-        let step = usize::from(name.step);
-        if occurrence.steps.len() <= step {
-            occurrence.steps.resize_with(step + 1, Vec::new);
-        }
-        &mut occurrence.steps[step]
-    }
-
-    /// Returns the state of a task, creating it, its step and its occurrence if they are missing.
-    fn task_mut(&mut self, name: TaskName) -> &mut TaskState {
-        let index = name.index as usize;
-        let tasks = self.step_mut(name.step);
-        if tasks.len() <= index {
-            tasks.resize_with(index + 1, TaskState::default);
-        }
-        &mut tasks[index]
-    }
-
-    /// Creates an occurrence whose tasks are all waiting, unless it exists.
-    pub fn open_occurrence(&mut self, occurrence: u32) {
-        if let Some(record) = &self.record {
-            let make = || OccurrenceState::new(record);
-            self.occurrences.entry(occurrence).or_insert_with(make);
-        }
-    }
-
-    /// Returns whether all tasks of all occurrences have completed; long-running tasks never do.
-    #[must_use]
-    pub fn is_done(&self) -> bool {
-        let Some(record) = &self.record else {
-            return false;
-        };
-        let expected = record.body.schedule.occurrences() as usize;
-        self.occurrences.len() == expected
-            && self.occurrences.values().all(OccurrenceState::is_done)
-    }
-
-    /// Returns whether no attempt may be running.
-    #[must_use]
-    pub fn is_idle(&self) -> bool {
-        self.placements().next().is_none()
-    }
-
-    /// Returns the number of tasks of the open occurrences that have not completed.
-    #[must_use]
-    pub fn unfinished_tasks(&self) -> usize {
-        let steps = self.occurrences.values().flat_map(|state| &state.steps);
-        steps.flatten().filter(|task| !task.done).count()
-    }
-
-    /// Returns the attempts that may be running of tasks that have not completed.
-    pub fn unfinished_runs(&self) -> impl Iterator<Item = &TaskPlacement> {
-        let steps = self.occurrences.values().flat_map(|state| &state.steps);
-        let unfinished = steps.flatten().filter(|task| !task.done);
-        unfinished.flat_map(|task| &task.placements)
-    }
-
-    /// Returns all attempts that may be running, each with its occurrence, step and task index.
-    pub fn placements(&self) -> impl Iterator<Item = (u32, u16, u32, &TaskPlacement)> {
-        self.occurrences.iter().flat_map(|(&occurrence, state)| {
-            state
-                .steps
-                .iter()
-                .enumerate()
-                .flat_map(move |(step, tasks)| {
-                    tasks.iter().enumerate().flat_map(move |(index, task)| {
-                        let place =
-                            move |placement| (occurrence, step as u16, index as u32, placement);
-                        task.placements.iter().map(place)
-                    })
-                })
-        })
-    }
-
-    /// Returns the names of all attempts that may be running.
-    pub fn runs(&self, job: JobId) -> impl Iterator<Item = (RunName, &TaskPlacement)> {
-        self.placements()
-            .map(move |(occurrence, step, index, placement)| {
-                let step = StepName {
-                    job,
-                    occurrence,
-                    step,
-                };
-                let task = TaskName { step, index };
-                let run = placement.run;
-                (RunName { task, run }, placement)
-            })
-    }
-
-    fn end_run(&mut self, run: RunName, end: RunEnd, saved: Option<Box<str>>) {
-        let spec = self.spec(run.task.step);
-        let long_running = spec.is_some_and(|spec| spec.long_running);
-        let gang = spec.is_some_and(|spec| spec.gang);
-        let task = self.task_mut(run.task);
-        task.placements.retain(|placement| placement.run != run.run);
-        task.last_run = task.last_run.max(run.run);
-        if saved.is_some() {
-            task.saved = saved;
-        }
-        match end {
-            RunEnd::Done if long_running => {}
-            RunEnd::Done if gang => complete_gang(self.step_mut(run.task.step)),
-            RunEnd::Done => task.done = true,
-            RunEnd::Failed => task.failures = task.failures.saturating_add(1),
-            _ => {}
-        }
-    }
-}
-
-/// Marks all tasks of a gang as completed, which the end `Done` of one member implies. The other
-/// members stay placed until their own ends, since they may still use their workers' resources.
-fn complete_gang(tasks: &mut [TaskState]) {
-    for task in tasks {
-        task.done = true;
-    }
-}
-
-/// State of all jobs.
+/// State of all jobs. What grows with their number is shared with clones until it changes, so that a
+/// snapshot does not copy it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct JobLedger {
     /// Jobs that have not ended, or of which attempts may still be running.
-    pub jobs: BTreeMap<JobId, JobState>,
-    /// Final phases of the jobs that have ended.
-    pub ended: BTreeMap<JobId, JobPhase>,
+    pub jobs: OrdMap<JobId, Arc<JobState>>,
+    /// Final phases of the jobs that have ended and are not forgotten.
+    pub ended: OrdMap<JobId, JobPhase>,
+    /// When the jobs ended.
+    pub ages: EndedAges,
     /// Addresses of agents by host.
     pub hosts: BTreeMap<HostName, SocketAddr>,
     /// Next offset of the jobs stream that the planner reads.
@@ -317,11 +130,12 @@
             PlanRecord::GrantsConfirmed => self.confirmed_grants = true,
             PlanRecord::Tick { jobs_read } => {
                 self.jobs_read = self.jobs_read.max(*jobs_read);
+                self.ages.count_heartbeat();
                 self.count_heartbeat();
             }
             PlanRecord::Accepted { job, .. } if self.ended.contains_key(job) => {}
             PlanRecord::Accepted { job, queue } => {
-                let make = || JobState::new(queue.clone());
+                let make = || Arc::new(JobState::new(queue.clone()));
                 self.jobs.entry(*job).or_insert_with(make);
             }
             PlanRecord::Started {
@@ -332,7 +146,7 @@
             PlanRecord::Ended { run, end, saved } => {
                 self.note_end(*run, *end);
                 self.clear_crashes(*run, *end);
-                if let Some(job) = self.jobs.get_mut(&run.task.step.job) {
+                if let Some(job) = self.job_mut(run.task.step.job) {
                     job.end_run(*run, *end, saved.clone());
                 }
                 self.remove_if_idle(run.task.step.job);
@@ -347,15 +161,23 @@
             } => self.note_worker_crash(*moment, host, attempts),
             PlanRecord::Outlived { run } => self.note_outlived(*run),
             PlanRecord::Closed { job, phase } => {
-                if let Some(state) = self.jobs.get_mut(job) {
+                if let Some(state) = self.job_mut(*job) {
                     state.phase = *phase;
                 }
                 if *phase == JobPhase::Failed {
                     self.explain_crashes(*job);
                 }
-                self.ended.insert(*job, *phase);
+                if self.ended.insert(*job, *phase).is_none() {
+                    self.ages.add(*job);
+                }
                 self.remove_if_idle(*job);
             }
+            PlanRecord::Forgotten { jobs } => {
+                for job in jobs {
+                    self.ended.remove(job);
+                    self.ages.remove(*job);
+                }
+            }
             PlanRecord::Host { host, address } => {
                 self.hosts.insert(host.clone(), *address);
             }
@@ -372,24 +194,37 @@
     }
 
     fn begin_run(&mut self, run: RunName, host: &HostName, incarnation: &WorkerIncarnation) {
-        let Some(job) = self.jobs.get_mut(&run.task.step.job) else {
+        let Some(job) = self.job_mut(run.task.step.job) else {
             return;
         };
         if !job.phase.is_final() {
             job.phase = JobPhase::Running;
         }
-        let task = job.task_mut(run.task);
-        task.last_run = task.last_run.max(run.run);
-        task.placements.push(TaskPlacement {
-            run: run.run,
-            host: host.clone(),
-            incarnation: incarnation.clone(),
+        job.change_task(run.task, |task| {
+            task.last_run = task.last_run.max(run.run);
+            task.placements.push(TaskPlacement {
+                run: run.run,
+                host: host.clone(),
+                incarnation: incarnation.clone(),
+            });
         });
     }
 
+    /// Returns a job to change. A snapshot that is being written keeps its state.
+    fn job_mut(&mut self, job: JobId) -> Option<&mut JobState> {
+        self.jobs.get_mut(&job).map(Arc::make_mut)
+    }
+
+    /// Opens an occurrence of a job whose record is known, unless it is open or over.
+    pub fn open_occurrence(&mut self, job: JobId, occurrence: u32) {
+        if let Some(state) = self.job_mut(job) {
+            state.open_occurrence(occurrence);
+        }
+    }
+
     /// Removes the tasks of a job that has ended, once none of its attempts may be running.
     fn remove_if_idle(&mut self, job: JobId) {
-        let idle = |state: &JobState| state.phase.is_final() && state.is_idle();
+        let idle = |state: &Arc<JobState>| state.phase.is_final() && state.is_idle();
         if self.jobs.get(&job).is_some_and(idle) {
             self.jobs.remove(&job);
             self.forget_tasks(job);
@@ -399,7 +234,7 @@
 
     /// Sets the record of a job, which is read from the jobs stream.
     pub fn set_record(&mut self, job: JobId, record: Arc<JobRecord>) {
-        if let Some(state) = self.jobs.get_mut(&job) {
+        if let Some(state) = self.job_mut(job) {
             state.set_record(record);
         }
         self.remove_if_idle(job);
@@ -433,11 +268,15 @@
         if self.placement(run).is_none() {
             return;
         }
-        if let Some(job) = self.jobs.get_mut(&run.task.step.job) {
-            let task = job.task_mut(run.task);
-            if task.saved.as_deref() != Some(saved) {
-                task.saved = Some(saved.into());
-            }
+        let known = self.newest_checkpoint(run.task);
+        if known != Some(saved)
+            && let Some(job) = self.job_mut(run.task.step.job)
+        {
+            job.change_task(run.task, |task| task.saved = Some(saved.into()));
         }
     }
+
+    fn newest_checkpoint(&self, task: TaskName) -> Option<&str> {
+        self.task(task)?.1.saved.as_deref()
+    }
 }
--- a/crates/hornbeamlead_jobs/src/ledger/crashes.rs
+++ b/crates/hornbeamlead_jobs/src/ledger/crashes.rs
@@ -192,11 +192,12 @@
 
     /// Forgets the crashes under the tasks of a job.
     pub(super) fn forget_crashes(&mut self, job: JobId) {
-        let slots: Vec<_> = self.crashes.range(slots_of(job)).map(|it| *it.0).collect();
+        let crashes = self.crashes.range(slots_of(job)).map(|it| *it.0);
+        let chains = self.crash_history.chains.range(slots_of(job));
+        let slots: Vec<_> = crashes.chain(chains.map(|it| *it.0)).collect();
         for slot in slots {
             self.crashes.remove(&slot);
+            self.crash_history.chains.remove(&slot);
         }
-        let chains = &mut self.crash_history.chains;
-        chains.retain(|slot, _| slot.job != job);
     }
 }
--- a/crates/hornbeamlead_jobs/src/ledger/health.rs
+++ b/crates/hornbeamlead_jobs/src/ledger/health.rs
@@ -2,7 +2,7 @@
 //! knows them.
 
 use super::JobLedger;
-use crate::ids::{HostName, JobId, RunName, TaskName, WorkerIncarnation};
+use crate::ids::{HostName, JobId, RunName, StepName, TaskName, WorkerIncarnation};
 use crate::job::RunEnd;
 use serde::{Deserialize, Serialize};
 
@@ -95,6 +95,13 @@
 
     /// Forgets the failures of the tasks of a job.
     pub(super) fn forget_tasks(&mut self, job: JobId) {
-        self.failed_hosts.retain(|task, _| task.step.job != job);
+        let steps = StepName::all_of(job);
+        let task = |step: &StepName, index| TaskName { step: *step, index };
+        let names = task(steps.start(), 0)..=task(steps.end(), u32::MAX);
+        let tasks = self.failed_hosts.range(names).map(|(task, _)| *task);
+        let tasks: Vec<_> = tasks.collect();
+        for task in tasks {
+            self.failed_hosts.remove(&task);
+        }
     }
 }
--- a/crates/hornbeamlead_jobs/src/load.rs
+++ b/crates/hornbeamlead_jobs/src/load.rs
@@ -108,7 +108,7 @@
     pub priority: u8,
     /// Whether the row states the work of best-effort tasks, or that of the others.
     pub best_effort: bool,
-    /// Number of jobs with such tasks that have not completed.
+    /// Number of occurrences of jobs with such work.
     pub jobs: u32,
     /// Work of tasks that are ready or depend on others. A running task counts half. Tasks that no
     /// reachable worker could run do not count.
--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -11,16 +11,20 @@
 mod crashes;
 mod early_cancels;
 mod health;
+mod host_runs;
 pub mod host_speeds;
 mod hosts;
 mod intake;
 pub mod interference;
 mod isolation;
+mod job_plan;
 mod journal;
 mod leases;
 mod load_report;
+mod occurrences;
 mod orders;
 mod overload;
+mod pass_rooms;
 mod placed_jobs;
 mod placement;
 mod readings;
@@ -35,13 +39,16 @@
 mod serving_level;
 mod stragglers;
 mod upkeep;
+mod waiting_load;
+mod work_queue;
 
+pub use host_runs::HostRuns;
 pub use hosts::HostView;
 pub use placement::{ImageId, PlacementPolicy, TaskDemand};
 
 use crate::effect::{Effect, LinkId};
 use crate::follow::StreamFollower;
-use crate::ids::{HostName, JobId, PlannerEpoch, RunName, TaskName};
+use crate::ids::{HostName, PlannerEpoch, RunName, TaskName, TaskSlot};
 use crate::job::RunEnd;
 use crate::ledger::JobLedger;
 use crate::locator::PlannerElection;
@@ -63,10 +70,11 @@
 use recovery::RecoveryState;
 use run_times::{RunTimes, RunWork};
 use serving_level::ServingLevels;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 use upkeep::UpkeepState;
+use work_queue::WorkQueue;
 
 /// Longest wait of a long poll. Bounds how long a connection that went silent can hide new jobs.
 const LONG_POLL_WAIT: Duration = Duration::from_millis(400);
@@ -224,8 +232,9 @@
     crash_watch: CrashWatch,
     /// Isolated tasks that wait for a host of their own, and since when.
     trial_waits: BTreeMap<TaskName, MonoTime>,
-    /// Occurrences that wait until earlier ones of their job have progressed.
-    deferred_occurrences: BTreeMap<JobId, u32>,
+    /// Isolated tasks of which an attempt has just started, as of the latest pass.
+    fresh_trials: BTreeSet<TaskSlot>,
+    work: WorkQueue,
     pass_needed: bool,
     overload: OverloadState,
     last_pass: MonoTime,
@@ -277,7 +286,8 @@
             self_crashes: VecDeque::new(),
             crash_watch: CrashWatch::default(),
             trial_waits: BTreeMap::new(),
-            deferred_occurrences: BTreeMap::new(),
+            fresh_trials: BTreeSet::new(),
+            work: WorkQueue::default(),
             pass_needed: false,
             overload: OverloadState::default(),
             last_pass: now,
@@ -384,10 +394,34 @@
     fn record(&mut self, now: MonoTime, record: PlanRecord) {
         self.track_placed(&record);
         self.ledger.apply(&record);
+        self.note_change(&record);
         self.batch.add(now, record);
         self.pass_needed = true;
     }
 
+    /// Brings what is kept of open work up to date with a record, which has been applied.
+    fn note_change(&mut self, record: &PlanRecord) {
+        let job = match record {
+            PlanRecord::Started { run, .. } | PlanRecord::Ended { run, .. } => {
+                let step = run.task.step;
+                self.work.note(step.job, step.occurrence);
+                step.job
+            }
+            PlanRecord::Closed { job, .. } => {
+                self.work.remove_job(*job);
+                *job
+            }
+            _ => return,
+        };
+        match self.ledger.jobs.get(&job) {
+            Some(state) => self.run_times.forget_completed(job, state.completed()),
+            None => {
+                self.run_times.forget_job(job);
+                self.serving_levels.forget_job(job);
+            }
+        }
+    }
+
     /// Records the end of an attempt and closes its job if that decides it.
     fn end_run(&mut self, now: MonoTime, run: RunName, end: RunEnd, saved: Option<Box<str>>) {
         if self.ledger.placement(run).is_none() {
@@ -408,7 +442,7 @@
         }
         self.record(now, PlanRecord::Ended { run, end, saved });
         self.stop_other_attempts(run);
-        self.check_job_outcome(now, run.task.step.job);
+        self.check_end(now, run.task);
     }
 
     fn depose(&mut self, cause: &str) {
--- a/crates/hornbeamlead_jobs/src/planner/batch.rs
+++ b/crates/hornbeamlead_jobs/src/planner/batch.rs
@@ -327,7 +327,7 @@
         self.batch.last_append_sent = in_flight.sent;
         self.batch.failing_since = None;
         if let Some((ledger, ended)) = in_flight.snapshot {
-            self.save_snapshot(now, &ledger, ended, self.batch.end);
+            self.save_snapshot(now, ledger, ended, self.batch.end);
         }
         if was_failing {
             self.renew_all_grants();
--- a/crates/hornbeamlead_jobs/src/planner/copies.rs
+++ b/crates/hornbeamlead_jobs/src/planner/copies.rs
@@ -12,6 +12,7 @@
 use super::ready::ReadyStep;
 use super::schedule::PlacementChoice;
 use super::stragglers::{StragglerRemedy, StragglingRun};
+use super::work_queue::QueueFront;
 use crate::effect::Effect;
 use crate::ids::RunName;
 use crate::job::StepSpec;
@@ -52,8 +53,9 @@
 }
 
 impl<F: OperatorFormat> PlannerMachine<F> {
-    /// Starts copies of stragglers, or moves them, where room is idle.
-    pub(super) fn relieve_stragglers(&mut self, now: ClockReading) {
+    /// Starts copies of stragglers, or moves them, where room is idle and none of the steps waits that
+    /// the pass has considered.
+    pub(super) fn relieve_stragglers(&mut self, now: ClockReading, front: &QueueFront) {
         let due = now.mono.since(self.last_copies) >= COPY_INTERVAL;
         if !self.policy.copies || !due {
             return;
@@ -67,7 +69,7 @@
             let gains = (left.finding.remaining_ms, right.finding.remaining_ms);
             gains.1.total_cmp(&gains.0)
         });
-        let waiting = self.ready_steps(now);
+        let waiting = self.ready_steps(now, front);
         let mut budget = self.copy_budget();
         let mut candidates = self.candidates(now.mono);
         let mut outcomes = Vec::new();
@@ -154,6 +156,7 @@
             host: candidate.view.host.clone(),
             incarnation: candidate.worker.incarnation.clone(),
             shared: false,
+            is_overdue: false,
         })
     }
 
--- a/crates/hornbeamlead_jobs/src/planner/hosts.rs
+++ b/crates/hornbeamlead_jobs/src/planner/hosts.rs
@@ -1,9 +1,10 @@
 //! The planner's view of each host.
 
+use super::host_runs::HostRuns;
 use super::interference::{InterferenceModel, InterferenceSample, ServingGroup};
-use super::placement::{HostLoad, ImageId, TaskDemand};
+use super::placement::{ImageId, TaskDemand};
 use crate::effect::LinkId;
-use crate::ids::{HostName, RunName, WorkerIncarnation};
+use crate::ids::{HostName, WorkerIncarnation};
 use crate::message::AgentStamp;
 use crate::worker::WorkerFacts;
 use hornbeamlead_core::clock::MonoTime;
@@ -109,7 +110,7 @@
     /// Failed or stalled attempts since the last success.
     pub consecutive_failures: u32,
     /// Attempts that may be running on the host.
-    pub runs: BTreeMap<RunName, TaskDemand>,
+    pub runs: HostRuns,
     /// Mean logarithm of latency over target by serving image, as last reported.
     pub log_latencies: BTreeMap<ImageId, f64>,
     /// Logarithm of latency over target to expect by serving image, if the best-effort tasks placed
@@ -162,7 +163,7 @@
             stamp: AgentStamp(0),
             not_before: MonoTime(0),
             consecutive_failures: 0,
-            runs: BTreeMap::new(),
+            runs: HostRuns::default(),
             log_latencies: BTreeMap::new(),
             expected_latencies: BTreeMap::new(),
             sent_coefficients: 0,
@@ -205,7 +206,7 @@
     /// Returns whether the worker has the capacity for all attempts on the host.
     pub(super) fn fits_runs(&self) -> bool {
         let worker = self.worker.as_ref();
-        worker.is_some_and(|worker| HostLoad::of(&self.runs).fits_within(worker))
+        worker.is_some_and(|worker| self.runs.load().fits_within(worker))
     }
 
     /// Returns whether the worker is draining, that is, about to shut down.
--- a/crates/hornbeamlead_jobs/src/planner/intake.rs
+++ b/crates/hornbeamlead_jobs/src/planner/intake.rs
@@ -5,9 +5,9 @@
 use crate::effect::Effect;
 use crate::entry::{CANCEL_PREFIX, JOB_PREFIX};
 use crate::follow::FollowOutcome;
-use crate::ids::{JobId, RunName};
-use crate::job::{JobPhase, JobRecord};
-use crate::ledger::TaskState;
+use crate::ids::{JobId, RunName, TaskName};
+use crate::job::{JobPhase, JobRecord, StepSpec};
+use crate::ledger::{JobState, StepState, TaskState};
 use crate::operators::OperatorFormat;
 use crate::record::{PlanRecord, decode};
 use crate::store::{ReadRecord, StoreOutcome};
@@ -19,6 +19,11 @@
     record.key.starts_with(CANCEL_PREFIX)
 }
 
+/// Returns the job of which a record of the jobs stream holds the body.
+pub(super) fn job_of(record: &ReadRecord) -> Option<JobId> {
+    record.key.strip_prefix(JOB_PREFIX)?.parse().ok()
+}
+
 impl<F: OperatorFormat> PlannerMachine<F> {
     pub(super) fn handle_jobs_read(&mut self, now: MonoTime, outcome: StoreOutcome) {
         match self.jobs_follower.take(now, outcome) {
@@ -78,7 +83,7 @@
                 self.ledger.set_record(job, Arc::new(record));
                 match self.early_cancels.take(job) {
                     true => self.cancel_job(now, job),
-                    false => self.open_occurrences(job),
+                    false => self.open_job(job),
                 }
             }
             Err(error) => {
@@ -90,15 +95,13 @@
     }
 
     /// Opens the only occurrence of a one-off job. Occurrences of scheduled jobs open when due.
-    fn open_occurrences(&mut self, job: JobId) {
-        if let Some(state) = self.ledger.jobs.get_mut(&job) {
-            let once = state
-                .record
-                .as_ref()
-                .is_some_and(|record| record.body.schedule.times == 0);
-            if once {
-                state.open_occurrence(0);
-            }
+    fn open_job(&mut self, job: JobId) {
+        let record = self.ledger.jobs.get(&job).and_then(|it| it.record.as_ref());
+        if record.is_some_and(|record| record.body.schedule.times == 0) {
+            self.ledger.open_occurrence(job, 0);
+        }
+        if let Some(state) = self.ledger.jobs.get(&job) {
+            self.work.add_job(job, state);
         }
     }
 
@@ -135,32 +138,38 @@
 
     /// Closes the jobs whose end an earlier planner recorded without closing them.
     pub(super) fn check_job_outcomes(&mut self, now: MonoTime) {
-        let jobs: Vec<JobId> = self.ledger.jobs.keys().copied().collect();
-        for job in jobs {
-            self.check_job_outcome(now, job);
+        let jobs = self.ledger.jobs.iter();
+        let begun = jobs.filter(|(_, state)| state.phase != JobPhase::Queued);
+        let begun: Vec<_> = begun
+            .map(|(&job, state)| (job, has_exhausted_task(state)))
+            .collect();
+        for (job, is_exhausted) in begun {
+            self.check_job_outcome(now, job, is_exhausted);
         }
     }
 
+    /// Closes a job if the end of an attempt decides it.
+    pub(super) fn check_end(&mut self, now: MonoTime, task: TaskName) {
+        let is_exhausted = self.ledger.task(task).is_some_and(|(state, task_state)| {
+            let spec = state.spec(task.step);
+            spec.is_some_and(|spec| is_exhausted(state, spec, task_state))
+        });
+        self.check_job_outcome(now, task.step.job, is_exhausted);
+    }
+
     /// Closes a job if all its tasks are done, or if a task has used up its attempts or crashes its
     /// workers.
-    pub(super) fn check_job_outcome(&mut self, now: MonoTime, job: JobId) {
+    pub(super) fn check_job_outcome(&mut self, now: MonoTime, job: JobId, is_exhausted: bool) {
         let unrest = self.unrest(now);
         let Some(state) = self.ledger.jobs.get(&job) else {
             return;
         };
-        let Some(record) = state.record.as_ref().filter(|_| !state.phase.is_final()) else {
+        if state.record.is_none() || state.phase.is_final() {
             return;
-        };
-        let attempts = record.terms.max_attempts.max(1);
-        let attempts_exhausted = state.occurrences.values().any(|occurrence| {
-            let steps = occurrence.steps.iter().zip(&record.body.steps);
-            let mut bounded = steps.filter(|(_, step)| !step.long_running);
-            let exhausted = |task: &TaskState| !task.done && task.failures >= attempts;
-            bounded.any(|(tasks, _)| tasks.iter().any(exhausted))
-        });
+        }
         let crashed = self.ledger.conclusive_crashes(job, unrest);
         let (phase, cause) = match crashed {
-            _ if attempts_exhausted => (JobPhase::Failed, String::new()),
+            _ if is_exhausted => (JobPhase::Failed, String::new()),
             _ if state.is_done() => (JobPhase::Completed, String::new()),
             Some((slot, crashes)) => {
                 let cause = format!(
@@ -176,3 +185,26 @@
         self.close_job(now, job, phase);
     }
 }
+
+/// Returns whether a task of a job has used up its attempts.
+fn has_exhausted_task(state: &JobState) -> bool {
+    let Some(record) = &state.record else {
+        return false;
+    };
+    let exhausted = |(step, spec): (&StepState, &StepSpec)| {
+        let mut tasks = step.touched();
+        tasks.any(|(_, task)| is_exhausted(state, spec, task))
+    };
+    let mut occurrences = state.occurrences.values();
+    occurrences.any(|open| open.steps.iter().zip(&record.body.steps).any(exhausted))
+}
+
+/// Returns whether a task has used up its attempts. Long-running tasks have any number.
+fn is_exhausted(state: &JobState, spec: &StepSpec, task: &TaskState) -> bool {
+    let attempts = state
+        .record
+        .as_ref()
+        .map(|record| record.terms.max_attempts);
+    let attempts = attempts.unwrap_or_default().max(1);
+    !spec.long_running && !task.done && task.failures >= attempts
+}
--- a/crates/hornbeamlead_jobs/src/planner/isolation.rs
+++ b/crates/hornbeamlead_jobs/src/planner/isolation.rs
@@ -112,7 +112,7 @@
         (access, fresh.count() as u32)
     }
 
-    fn knows_no_crash(&self) -> bool {
+    pub(super) fn knows_no_crash(&self) -> bool {
         self.ledger.crashes.is_empty() && self.ledger.crash_history.chains.is_empty()
     }
 
@@ -151,11 +151,16 @@
         }
     }
 
-    /// Notes since when isolated tasks have been waiting for a host of their own.
+    /// Notes since when isolated tasks have been waiting for a host of their own, and which have just
+    /// started.
     pub(super) fn note_trial_waits(&mut self, now: MonoTime, steps: &[ReadyStep]) {
+        self.fresh_trials.clear();
         if self.knows_no_crash() {
             return self.trial_waits.clear();
         }
+        let placed = self.hosts.values().flat_map(|view| view.runs.keys());
+        let fresh = placed.filter(|run| self.is_isolated(run.task) && self.is_fresh(**run));
+        self.fresh_trials = fresh.map(|run| run.task.into()).collect();
         let waiting = steps.iter().flat_map(|step| self.isolated_tasks(step));
         let since = |task| (task, self.trial_waits.get(&task).copied().unwrap_or(now));
         self.trial_waits = waiting.map(since).collect();
@@ -276,20 +281,9 @@
         self.ledger.crashes_under(task.into()).is_isolated()
     }
 
-    /// Returns whether an attempt of the same task has just started in another occurrence of its job.
+    /// Returns whether an attempt of an isolated task has just started in any occurrence of its job.
     fn has_fresh_attempt(&self, task: TaskName) -> bool {
-        let Some(job) = self.ledger.jobs.get(&task.step.job) else {
-            return false;
-        };
-        let mut tasks = job.occurrences.keys().filter_map(|&occurrence| {
-            let mut task = task;
-            task.step.occurrence = occurrence;
-            Some((task, job.task(task)?))
-        });
-        tasks.any(|(task, state)| {
-            let mut runs = state.placements.iter().map(|placement| placement.run);
-            runs.any(|run| self.is_fresh(RunName { task, run }))
-        })
+        self.fresh_trials.contains(&task.into())
     }
 
     /// Logs the start of an isolated task.
--- a/crates/hornbeamlead_jobs/src/planner/load_report.rs
+++ b/crates/hornbeamlead_jobs/src/planner/load_report.rs
@@ -1,13 +1,13 @@
-//! Computes the load report of a heartbeat: one walk over the tasks that have not completed and one
-//! over the hosts.
+//! Computes the load report of a heartbeat from the sums of the work that waits and a walk over the
+//! hosts.
 
 use super::PlannerMachine;
 use super::hosts::HostView;
+use super::job_plan::TaskShape;
 use super::placement::HostLoad;
+use super::waiting_load::ShapeLoad;
 use crate::effect::Effect;
 use crate::ids::RunName;
-use crate::job::{JobRecord, StepSpec};
-use crate::ledger::{OccurrenceState, TaskState};
 use crate::load::{CoreMillis, LoadReport, LoadRow};
 use crate::operators::OperatorFormat;
 use crate::record::{HeartbeatReports, PlanRecord, encode, encode_heartbeat};
@@ -35,9 +35,6 @@
 /// Time after a takeover for which the room is not known, because hosts connect and report.
 pub(super) const CONNECT_TIME: Duration = Duration::from_secs(2);
 
-/// Multiple of its objective after which a job's completion has no value.
-const MAX_OBJECTIVES: u8 = 3;
-
 /// Interval between log lines that state the load.
 const LOG_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -127,7 +124,7 @@
 
 impl<'a> ServiceRoom<'a> {
     fn add(&mut self, view: &'a HostView, worker: &'a WorkerFacts) {
-        let load = HostLoad::of(&view.runs);
+        let load = view.runs.load();
         let reserved = worker.cpu.saturating_sub(load.long_running_cpu);
         let running = load.cpu.saturating_sub(load.long_running_cpu);
         let used = running + load.long_running_cpu / SERVING_USE;
@@ -141,25 +138,17 @@
             .extend(worker.labels.iter().map(|label| &**label));
     }
 
-    /// Returns whether a worker may exist that can run the tasks of a step.
-    fn can_run(&self, spec: &StepSpec) -> bool {
-        let cpu = if spec.best_effort { 0 } else { spec.cpu };
-        let label = spec.label.as_deref();
+    /// Returns whether a worker may exist that can run tasks of a shape.
+    fn can_run(&self, shape: &TaskShape) -> bool {
+        let cpu = if shape.best_effort { 0 } else { shape.cpu };
+        let label = shape.label.as_deref();
         cpu <= self.largest.cpu
-            && spec.memory <= self.largest.memory
-            && spec.accelerators <= self.largest.accelerators
+            && shape.memory <= self.largest.memory
+            && shape.accelerators <= self.largest.accelerators
             && label.is_none_or(|label| self.labels.contains(label))
     }
 }
 
-/// Work of a job's tasks of one class.
-#[derive(Clone, Copy, Debug, Default)]
-struct ClassWork {
-    jobs: u32,
-    work: CoreMillis,
-    late_work: CoreMillis,
-}
-
 impl<F: OperatorFormat> PlannerMachine<F> {
     /// Counts the work of a task that has completed.
     pub(super) fn count_completed(&mut self, run: RunName) {
@@ -232,34 +221,16 @@
     /// priority.
     fn waiting_rows(&self, now: MonoTime) -> Vec<LoadRow> {
         let rooms = self.service_rooms(now);
-        let mut sums = BTreeMap::<(&str, bool, u8), ClassWork>::new();
-        for state in self.ledger.jobs.values() {
-            let Some(record) = state.record.as_ref().filter(|_| !state.phase.is_final()) else {
-                continue;
-            };
-            let Some(room) = rooms.get(&*record.terms.service) else {
-                continue;
-            };
-            let mut classes = [ClassWork::default(); 2];
-            for (&number, occurrence) in &state.occurrences {
-                let late = is_late(self.load.wall, record, number, occurrence);
-                for (spec, tasks) in record.body.steps.iter().zip(&occurrence.steps) {
-                    if !spec.long_running && room.can_run(spec) {
-                        classes[usize::from(spec.best_effort)].add(spec, tasks, late);
-                    }
-                }
-            }
-            for (best_effort, class) in [false, true].into_iter().zip(classes) {
-                let key = (&*record.terms.service, best_effort, record.terms.priority);
-                if class.work.plus(class.late_work).0 > 0 {
-                    let sum = sums.entry(key).or_default();
-                    sum.jobs += u32::from(class.work.0 > 0);
-                    sum.work = sum.work.plus(class.work);
-                    sum.late_work = sum.late_work.plus(class.late_work);
-                }
+        let mut sums = BTreeMap::<(&str, bool, u8), ShapeLoad>::new();
+        for (shape, load) in self.work.load().shapes() {
+            let room = rooms.get(&*shape.service);
+            let is_possible = room.is_some_and(|room| room.can_run(shape));
+            if is_possible && load.work.plus(load.late_work).0 > 0 {
+                let key = (&*shape.service, shape.best_effort, shape.priority);
+                sums.entry(key).or_default().add(load);
             }
         }
-        let row = |((service, best_effort, priority), sum): (_, ClassWork)| {
+        let row = |((service, best_effort, priority), sum): (_, ShapeLoad)| {
             let room = rooms.get(service);
             let rooms = room.map(|room| (room.reserved, room.best_effort));
             let (reserved, best_effort_room) = rooms.unwrap_or_default();
@@ -330,38 +301,3 @@
         self.effects.push(Effect::Count("load_report"));
     }
 }
-
-impl ClassWork {
-    /// Adds the tasks of a step that have not completed.
-    fn add(&mut self, spec: &StepSpec, tasks: &[TaskState], late: bool) {
-        let (mut waiting, mut running) = (0, 0);
-        for task in tasks.iter().filter(|task| !task.done) {
-            match task.placements.is_empty() {
-                true => waiting += 1,
-                false => running += 1,
-            }
-        }
-        let task_work = CoreMillis::of_task(spec);
-        let running_work = CoreMillis(task_work.times(running).0 / 2);
-        let waiting_work = task_work.times(waiting);
-        self.work = self.work.plus(running_work);
-        let sum = match late {
-            true => &mut self.late_work,
-            false => &mut self.work,
-        };
-        *sum = sum.plus(waiting_work);
-    }
-}
-
-/// Returns whether an occurrence is too late to be worth anything, even if its next step started
-/// now.
-fn is_late(wall: WallTime, record: &JobRecord, number: u32, occurrence: &OccurrenceState) -> bool {
-    let (body, terms) = (&record.body, &record.terms);
-    let objective = f64::from(terms.target_factor) * body.critical_path_ms() as f64
-        + f64::from(terms.target_latency_ms);
-    let due = body.schedule.due_ms(number).max(record.accepted_ms);
-    let last = due as f64 + f64::from(MAX_OBJECTIVES) * objective;
-    let is_open = |step: &Vec<TaskState>| step.iter().any(|task| !task.done);
-    let next = occurrence.steps.iter().position(is_open).unwrap_or(0);
-    objective > 0.0 && wall.0 as f64 + body.remaining_path_ms(next) as f64 > last
-}
--- a/crates/hornbeamlead_jobs/src/planner/overload.rs
+++ b/crates/hornbeamlead_jobs/src/planner/overload.rs
@@ -6,13 +6,10 @@
 //! of them wait.
 
 use super::PlannerMachine;
-use super::placement::HostLoad;
-use super::ready::{DeadlineOutlook, ReadyStep, saturating_signed};
+use super::ready::saturating_signed;
 use super::service_order::{JobDemand, select_on_time};
+use super::work_queue::OccurrenceName;
 use crate::effect::Effect;
-use crate::ids::JobId;
-use crate::job::JobRecord;
-use crate::ledger::{OccurrenceState, TaskState};
 use crate::operators::OperatorFormat;
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,7 +19,7 @@
 /// workers' readings.
 const OBSERVE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Least time between two selections, each of which looks at all jobs and hosts.
+/// Least time between two selections, each of which looks at all hosts and many jobs.
 const SELECT_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Share of the room that best-effort tasks are assumed to get before one was observed.
@@ -34,16 +31,14 @@
 /// Weight of a new observation.
 const SHARE_WEIGHT: f64 = 0.15;
 
-/// Part of a running task's work that is assumed to be left.
-const RUNNING_WORK_LEFT: f64 = 0.5;
+/// Most occurrences that compete, those with the earliest deadlines. Later ones are served by their
+/// deadlines.
+const MAX_COMPETITORS: usize = 1024;
 
 /// Shares of CPU that is reserved, and of memory that is in use, from which a service counts as
 /// busy. Below one half, a job with nothing running has to be given room.
 const BUSY_SHARES: (f64, f64) = (0.6, 0.55);
 
-/// Occurrence of a job.
-type OccurrenceName = (JobId, u32);
-
 /// Service and whether the room is that of best-effort tasks.
 type RoomName = (Box<str>, bool);
 
@@ -58,9 +53,8 @@
     selected_at: MonoTime,
     /// Services that use more than half of their capacity, whatever their best-effort tasks use.
     busy: BTreeSet<Box<str>>,
-    /// Work that is left of the occurrences that were not selected or are late already, in
-    /// core-milliseconds.
-    deferred: BTreeMap<OccurrenceName, f64>,
+    /// Occurrences that were left out of those that can end on time together.
+    pub(super) left_out: BTreeSet<OccurrenceName>,
 }
 
 impl Default for OverloadState {
@@ -71,7 +65,7 @@
             observed_at: MonoTime(0),
             selected_at: MonoTime(0),
             busy: BTreeSet::new(),
-            deferred: BTreeMap::new(),
+            left_out: BTreeSet::new(),
         }
     }
 }
@@ -102,6 +96,11 @@
         }
     }
 
+    /// Returns whether a service uses more than half of its capacity.
+    pub(super) fn is_busy(&self, service: &str) -> bool {
+        self.busy.contains(service)
+    }
+
     fn best_effort_share(&self, service: &str) -> f64 {
         let share = self.best_effort_shares.get(service);
         share.copied().unwrap_or(FIRST_SHARE)
@@ -119,7 +118,7 @@
     /// CPU that best-effort tasks could get if serving tasks did not slow down.
     best_effort: f64,
     best_effort_used: f64,
-    /// CPU that is not reserved for long-running tasks.
+    /// CPU that is neither reserved for long-running tasks nor used by the backlog of late schedules.
     others: f64,
 }
 
@@ -138,24 +137,14 @@
 }
 
 impl<F: OperatorFormat> PlannerMachine<F> {
-    /// Ranks the steps of jobs for which there is too little room behind those of the others.
-    pub(super) fn defer_by_value(&mut self, now: ClockReading, steps: &mut [ReadyStep]) {
-        if now.mono.since(self.overload.selected_at) >= SELECT_INTERVAL {
+    /// Selects the jobs that are served by their deadlines, if that is due. Returns whether it was.
+    pub(super) fn select_by_value(&mut self, now: ClockReading) -> bool {
+        let is_due = now.mono.since(self.overload.selected_at) >= SELECT_INTERVAL;
+        if is_due {
             self.overload.selected_at = now.mono;
             self.update_selection(now);
         }
-        for step in steps {
-            let name = (step.name.job, step.name.occurrence);
-            let Some(&work) = self.overload.deferred.get(&name) else {
-                continue;
-            };
-            let (_, outlook, _, order) = &mut step.sort_key;
-            *outlook = (*outlook).max(DeadlineOutlook::Deferred);
-            *order = work as i64;
-            if self.overload.busy.contains(&step.record.terms.service) {
-                step.unconditional = 0;
-            }
-        }
+        is_due
     }
 
     fn update_selection(&mut self, now: ClockReading) {
@@ -172,7 +161,7 @@
             let Some(worker) = &view.worker else {
                 continue;
             };
-            let load = HostLoad::of(&view.runs);
+            let load = view.runs.load();
             let room = rooms.entry(worker.service.clone()).or_default();
             room.cpu += f64::from(worker.cpu);
             room.reserved += f64::from(load.cpu);
@@ -185,33 +174,30 @@
             room.best_effort += candidate.best_effort_room();
             let usage = candidate.view.last_sample.1.usage.values();
             room.best_effort_used += usage.sum::<f64>() * cpu;
-            room.others += cpu - f64::from(candidate.load.long_running_cpu);
+            let backlog = candidate.view.runs.overdue().cpu as f64;
+            room.others += cpu - f64::from(candidate.load.long_running_cpu) - backlog;
         }
         rooms
     }
 
     /// Selects the jobs that can end on time together; all others are deferred.
     fn update_deferred(&mut self, now: ClockReading, rooms: &BTreeMap<Box<str>, ServiceRoom>) {
+        let now_ms = saturating_signed(now.wall.0);
         let mut competing = BTreeMap::<RoomName, CompetingJobs>::new();
-        let mut deferred = BTreeMap::new();
-        for (&job, state) in &self.ledger.jobs {
-            let Some(record) = state.record.as_ref().filter(|_| !state.phase.is_final()) else {
-                continue;
-            };
-            for (&number, occurrence) in &state.occurrences {
-                let Some((demand, path_ms)) = job_demand(now, number, record, occurrence) else {
-                    continue;
-                };
-                if demand.due_in_ms < path_ms {
-                    deferred.insert((job, number), demand.work);
-                    continue;
-                }
-                let name = (record.terms.service.clone(), record.body.is_best_effort());
-                let jobs = competing.entry(name).or_default();
-                jobs.names.push((job, number));
-                jobs.demands.push(demand);
-            }
+        for competitor in self.work.competitors().take(MAX_COMPETITORS) {
+            let plan = competitor.plan;
+            let name = (plan.record.terms.service.clone(), plan.best_effort);
+            let jobs = competing.entry(name).or_default();
+            jobs.names.push(competitor.name);
+            jobs.demands.push(JobDemand {
+                work: competitor.work,
+                due_in_ms: competitor.deadline_ms.saturating_sub(now_ms),
+                total_work: plan.total_work,
+                priority: plan.record.terms.priority,
+                started: competitor.is_started,
+            });
         }
+        let mut left_out = BTreeSet::new();
         for ((service, best_effort), jobs) in competing {
             let room = rooms.get(&service).copied().unwrap_or_default();
             let millicores = match best_effort {
@@ -222,7 +208,7 @@
             let selected = select_on_time(&jobs.demands, cores);
             let rows = jobs.names.into_iter().zip(&jobs.demands).zip(selected);
             for ((name, demand), _) in rows.filter(|(_, selected)| !selected) {
-                if !self.overload.deferred.contains_key(&name) {
+                if !self.overload.left_out.contains(&name) {
                     let detail = format!(
                         "work_ms={:.0} due_in_ms={} cores={cores:.1}",
                         demand.work, demand.due_in_ms
@@ -231,48 +217,12 @@
                         .push(Effect::log("job_deferred", name.0, detail));
                     self.effects.push(Effect::Count("job_deferred"));
                 }
-                deferred.insert(name, demand.work);
+                left_out.insert(name);
             }
         }
-        self.overload.deferred = deferred;
-    }
-}
-
-/// Returns what an occurrence of a job needs to end on time, and the estimated duration of its
-/// remaining critical path in milliseconds. `None` if it has no end, or no work is left.
-fn job_demand(
-    now: ClockReading,
-    number: u32,
-    record: &JobRecord,
-    occurrence: &OccurrenceState,
-) -> Option<(JobDemand, i64)> {
-    let mut work = 0.0;
-    let mut path_ms = 0;
-    for (index, (spec, tasks)) in record.body.steps.iter().zip(&occurrence.steps).enumerate() {
-        if spec.long_running {
-            return None;
+        for &(job, occurrence) in left_out.symmetric_difference(&self.overload.left_out) {
+            self.work.rank_again(job, occurrence);
         }
-        work += tasks.iter().map(work_left).sum::<f64>() * spec.task_work();
-        if tasks.iter().any(TaskState::is_waiting) {
-            path_ms = path_ms.max(record.body.remaining_path_ms(index) as i64);
-        }
-    }
-    let demand = JobDemand {
-        work,
-        due_in_ms: saturating_signed(record.deadline_ms(number))
-            .saturating_sub(saturating_signed(now.wall.0)),
-        total_work: record.body.work(),
-        priority: record.terms.priority,
-        started: occurrence.is_started(),
-    };
-    (work > 0.0).then_some((demand, path_ms))
-}
-
-/// Returns the part of a task's work that is left.
-fn work_left(task: &TaskState) -> f64 {
-    match task {
-        _ if task.done => 0.0,
-        _ if task.is_waiting() => 1.0,
-        _ => RUNNING_WORK_LEFT,
+        self.overload.left_out = left_out;
     }
 }
--- a/crates/hornbeamlead_jobs/src/planner/placed_jobs.rs
+++ b/crates/hornbeamlead_jobs/src/planner/placed_jobs.rs
@@ -4,7 +4,7 @@
 use super::load_report::CONNECT_TIME;
 use crate::ids::JobId;
 use crate::job::{JobPhase, RunEnd};
-use crate::ledger::{JobState, TaskState};
+use crate::ledger::{JobState, StepState, TaskState};
 use crate::message::HostReport;
 use crate::operators::OperatorFormat;
 use crate::placed::{PlacedReport, PlacedRow, QueueHash};
@@ -149,8 +149,11 @@
 
 /// Returns whether the plan shows that a worker has begun a task of a job.
 fn shows_work(state: &JobState) -> bool {
-    let has_run = |task: &TaskState| task.done || task.failures > 0 || task.saved.is_some();
-    let occurrences = state.occurrences.values();
-    let mut tasks = occurrences.flat_map(|occurrence| occurrence.steps.iter().flatten());
-    tasks.any(has_run)
+    let has_run = |(_, task): (u32, &TaskState)| task.failures > 0 || task.saved.is_some();
+    let has_worked = |step: &StepState| {
+        let is_any_done = step.counts().unfinished < step.len();
+        is_any_done || step.touched().any(has_run)
+    };
+    let mut steps = state.occurrences.values().flat_map(|open| &open.steps);
+    !state.completed().is_empty() || steps.any(has_worked)
 }
--- a/crates/hornbeamlead_jobs/src/planner/placement.rs
+++ b/crates/hornbeamlead_jobs/src/planner/placement.rs
@@ -4,7 +4,7 @@
 use super::hosts::UNMEASURED_LOG_LATENCY;
 use super::interference::{FULL_THROTTLE_COEFFICIENT, InterferenceModel, ServingGroup};
 use super::isolation::{HostAccess, SuspectLoad};
-use crate::ids::{RunName, StepName};
+use crate::ids::StepName;
 use crate::job::StepSpec;
 use crate::worker::WorkerFacts;
 use std::collections::BTreeMap;
@@ -98,6 +98,8 @@
     pub image: ImageId,
     /// Tail latency target in milliseconds. A task with a target is a serving task; 0 for none.
     pub target_ms: u32,
+    /// Whether the task belongs to the backlog of a late schedule.
+    pub is_overdue: bool,
 }
 
 impl TaskDemand {
@@ -111,6 +113,49 @@
             long_running: spec.long_running,
             image: ImageId::from(&*spec.image),
             target_ms: if spec.long_running { spec.target_ms } else { 0 },
+            is_overdue: false,
+        }
+    }
+}
+
+/// Amounts of the resources of workers, in the units of [`TaskDemand`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct ResourceSum {
+    pub(super) cpu: u64,
+    pub(super) memory: u64,
+    pub(super) accelerators: u64,
+}
+
+impl ResourceSum {
+    pub(super) fn add(&mut self, other: Self) {
+        self.cpu += other.cpu;
+        self.memory += other.memory;
+        self.accelerators += other.accelerators;
+    }
+
+    pub(super) fn subtract(&mut self, other: Self) {
+        self.cpu -= other.cpu;
+        self.memory -= other.memory;
+        self.accelerators -= other.accelerators;
+    }
+}
+
+impl From<&TaskDemand> for ResourceSum {
+    fn from(demand: &TaskDemand) -> Self {
+        Self {
+            cpu: demand.cpu.into(),
+            memory: demand.memory.into(),
+            accelerators: demand.accelerators.into(),
+        }
+    }
+}
+
+impl From<&WorkerFacts> for ResourceSum {
+    fn from(worker: &WorkerFacts) -> Self {
+        Self {
+            cpu: worker.cpu.into(),
+            memory: worker.memory.into(),
+            accelerators: worker.accelerators.into(),
         }
     }
 }
@@ -128,14 +173,6 @@
 }
 
 impl HostLoad {
-    pub(super) fn of(runs: &BTreeMap<RunName, TaskDemand>) -> Self {
-        let mut load = Self::default();
-        for demand in runs.values() {
-            load.add(demand);
-        }
-        load
-    }
-
     pub(super) fn add(&mut self, demand: &TaskDemand) {
         self.count += 1;
         self.memory = self.memory.saturating_add(demand.memory);
@@ -247,8 +284,7 @@
 impl Candidate<'_> {
     /// Returns how many tasks of a step run on the host or were placed there in this pass.
     pub(super) fn step_count(&self, step: StepName) -> u32 {
-        let running = self.view.runs.values().filter(|demand| demand.step == step);
-        running.count() as u32 + self.placed.get(&step).copied().unwrap_or(0)
+        self.view.runs.of_step(step) + self.placed.get(&step).copied().unwrap_or(0)
     }
 
     pub(super) fn assign(&mut self, demand: &TaskDemand, interference: &HostInterference) {
--- a/crates/hornbeamlead_jobs/src/planner/rebalance.rs
+++ b/crates/hornbeamlead_jobs/src/planner/rebalance.rs
@@ -65,12 +65,6 @@
         }
         self.last_rebalance = now;
         self.interference.refresh();
-        let jobs = &self.ledger.jobs;
-        self.serving_levels
-            .retain(|step| jobs.contains_key(&step.job));
-        self.deferred_occurrences
-            .retain(|job, _| jobs.contains_key(job));
-        self.run_times.retain(|job| jobs.contains_key(&job));
         let mut candidates = self.candidates(now);
         let (mut interfering, mut slow) = (Vec::new(), Vec::new());
         for view in self.hosts.values().filter(|view| view.is_reachable(now)) {
--- a/crates/hornbeamlead_jobs/src/planner/recovery.rs
+++ b/crates/hornbeamlead_jobs/src/planner/recovery.rs
@@ -7,16 +7,25 @@
 use crate::follow::{FollowOutcome, NewestReader, NewestRecords, StreamFollower};
 use crate::ids::{PlannerEpoch, StreamOffset};
 use crate::journal::{SnapshotOrigin, read_journal};
+use crate::ledger::JobState;
 use crate::message::AgentMessage;
 use crate::operators::OperatorFormat;
 use crate::record::{PlanRecord, decode_heartbeat};
-use crate::snapshot::{SnapshotSet, read_snapshot};
+use crate::snapshot::{SnapshotOutcome, SnapshotReader, SnapshotSet};
 use crate::snapshot_retry::{SnapshotRetry, snapshot_reader};
 use crate::store::{PlannerComponent, ReadRecord, StoreOutcome, StreamName};
 use bytes::Bytes;
 use hornbeamlead_core::clock::MonoTime;
+use std::collections::VecDeque;
 use std::time::Duration;
 
+/// Occurrences of jobs whose bodies are applied at a time, so that a planner that takes over many jobs
+/// does not keep its process from other work.
+const APPLIED_OCCURRENCES: usize = 1000;
+
+/// Size of the part of a snapshot that is decoded at a time, in bytes.
+const DECODED_BYTES: usize = 128 * 1024;
+
 /// Time limit for opening a link to ask an agent to connect.
 const CONNECT_REQUEST_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -26,6 +35,7 @@
 #[derive(Debug)]
 enum PlanStage {
     Snapshot(NewestReader),
+    Decoding(SnapshotReader),
     Records(StreamFollower),
     /// Records that the snapshot lacks have expired.
     Journal(JournalStage),
@@ -46,7 +56,11 @@
 enum JobsStage {
     Reading(NewestReader),
     Read(NewestRecords),
-    Done,
+    /// Bodies and cancellations that are not applied yet.
+    Applying {
+        bodies: VecDeque<ReadRecord>,
+        cancels: Vec<ReadRecord>,
+    },
 }
 
 /// Progress of a recovery. The plan and the jobs are read in parallel.
@@ -73,6 +87,8 @@
 
 impl<F: OperatorFormat> PlannerMachine<F> {
     pub(super) fn poll_recovery(&mut self, now: MonoTime) {
+        self.decode_snapshot(now);
+        self.apply_bodies(now);
         let Some(recovery) = &mut self.recovery else {
             return;
         };
@@ -80,7 +96,7 @@
             PlanStage::Snapshot(reader) => reader.poll(now),
             PlanStage::Records(follower) => follower.poll(now),
             PlanStage::Journal(stage) => stage.reader.poll(now),
-            PlanStage::Done => None,
+            PlanStage::Decoding(_) | PlanStage::Done => None,
         };
         let jobs = match &mut recovery.jobs {
             JobsStage::Reading(reader) => reader.poll(now),
@@ -109,14 +125,43 @@
                 }
             }
         }
-        match (&recovery.plan, &mut recovery.jobs) {
-            (PlanStage::Done, jobs @ JobsStage::Read(_)) => {
-                let jobs = std::mem::replace(jobs, JobsStage::Done);
-                if let JobsStage::Read(newest) = jobs {
-                    self.activate(now, newest);
-                }
-            }
-            _ => self.recovery = Some(recovery),
+        let is_plan_done = matches!(recovery.plan, PlanStage::Done);
+        if let JobsStage::Read(newest) = &mut recovery.jobs
+            && is_plan_done
+        {
+            self.jobs_follower.continue_after(newest);
+            let records = std::mem::take(&mut newest.records);
+            let (cancels, bodies): (Vec<_>, Vec<_>) =
+                records.into_iter().partition(super::intake::is_cancel);
+            self.adopt_crashes(now);
+            recovery.jobs = JobsStage::Applying {
+                bodies: bodies.into(),
+                cancels,
+            };
+        }
+        self.recovery = Some(recovery);
+        self.apply_bodies(now);
+    }
+
+    /// Applies some of the bodies that were read, and completes the recovery after the last.
+    fn apply_bodies(&mut self, now: MonoTime) {
+        let Some(mut recovery) = self.recovery.take() else {
+            return;
+        };
+        let JobsStage::Applying { bodies, cancels } = &mut recovery.jobs else {
+            self.recovery = Some(recovery);
+            return;
+        };
+        let mut occurrences = 0;
+        while let Some(body) = bodies.pop_front_if(|_| occurrences < APPLIED_OCCURRENCES) {
+            let job = super::intake::job_of(&body);
+            let state = job.and_then(|job| self.ledger.jobs.get(&job));
+            occurrences += 1 + state.map_or(0, |state| state.occurrences.len());
+            self.apply_jobs(now, &[body]);
+        }
+        match bodies.is_empty() {
+            true => self.activate(now, cancels),
+            false => self.recovery = Some(recovery),
         }
     }
 
@@ -124,8 +169,7 @@
         match &mut recovery.plan {
             PlanStage::Snapshot(reader) => {
                 if let Some(newest) = reader.take(now, outcome) {
-                    let retry = &mut recovery.snapshot_retry;
-                    recovery.plan = self.recover_snapshot(now, retry, &newest.records);
+                    recovery.plan = self.begin_snapshot(&newest.records);
                 }
             }
             PlanStage::Records(follower) => match follower.take(now, outcome) {
@@ -154,7 +198,7 @@
                     self.recover_journal(now, recovery, (from, first), &newest.records);
                 }
             }
-            PlanStage::Done => {}
+            PlanStage::Decoding(_) | PlanStage::Done => {}
         }
     }
 
@@ -203,14 +247,38 @@
         follower
     }
 
-    fn recover_snapshot(
+    /// Begins with a snapshot, or with an empty plan if there is none.
+    fn begin_snapshot(&mut self, records: &[ReadRecord]) -> PlanStage {
+        self.upkeep.recover_set(SnapshotSet::of_newest(records));
+        if !records.is_empty() {
+            return PlanStage::Decoding(SnapshotReader::new(records));
+        }
+        self.ledger = Default::default();
+        self.placed.restart(None);
+        self.journal.restart(0);
+        PlanStage::Records(self.plan_follower(0))
+    }
+
+    /// Decodes a part of the snapshot.
+    fn decode_snapshot(&mut self, now: MonoTime) {
+        let Some(mut recovery) = self.recovery.take() else {
+            return;
+        };
+        if let PlanStage::Decoding(reader) = &mut recovery.plan
+            && let Some(outcome) = reader.advance(DECODED_BYTES)
+        {
+            recovery.plan = self.adopt_snapshot(now, &mut recovery.snapshot_retry, outcome);
+        }
+        self.recovery = Some(recovery);
+    }
+
+    fn adopt_snapshot(
         &mut self,
         now: MonoTime,
         retry: &mut SnapshotRetry,
-        records: &[ReadRecord],
+        outcome: SnapshotOutcome,
     ) -> PlanStage {
-        self.upkeep.recover_set(SnapshotSet::of_newest(records));
-        match read_snapshot(records) {
+        match outcome {
             Ok(Some((ledger, offset))) => {
                 self.interference = InterferenceModel::from_learned(&ledger.learned);
                 self.ledger = ledger;
@@ -218,12 +286,6 @@
                 self.journal.restart(offset);
                 PlanStage::Records(self.plan_follower(offset))
             }
-            Ok(None) if records.is_empty() => {
-                self.ledger = Default::default();
-                self.placed.restart(None);
-                self.journal.restart(0);
-                PlanStage::Records(self.plan_follower(0))
-            }
             Ok(None) => PlanStage::Snapshot(retry.after_pause(now)),
             Err(error) => {
                 let cause = error.to_string();
@@ -271,20 +333,13 @@
         }
     }
 
-    fn activate(&mut self, now: MonoTime, newest: NewestRecords) {
-        self.jobs_follower.continue_after(&newest);
-        let (cancels, jobs): (Vec<_>, Vec<_>) = newest
-            .records
-            .into_iter()
-            .partition(super::intake::is_cancel);
-        self.adopt_crashes(now);
-        self.apply_jobs(now, &jobs);
+    fn activate(&mut self, now: MonoTime, cancels: &[ReadRecord]) {
         self.check_job_outcomes(now);
-        self.apply_jobs(now, &cancels);
-        let missing_body = |(job, state): (&crate::ids::JobId, &crate::ledger::JobState)| {
-            (state.record.is_none() && !state.phase.is_final()).then_some(*job)
-        };
-        let missing_body: Vec<_> = self.ledger.jobs.iter().filter_map(missing_body).collect();
+        self.apply_jobs(now, cancels);
+        let lacks_body = |state: &JobState| state.record.is_none() && !state.phase.is_final();
+        let jobs = self.ledger.jobs.iter();
+        let missing_body = jobs.filter(|(_, state)| lacks_body(state));
+        let missing_body: Vec<_> = missing_body.map(|(job, _)| *job).collect();
         for job in missing_body {
             self.log("job_without_body", job, String::new());
         }
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -255,7 +255,7 @@
         let (end, saved) = (RunEnd::Done, None);
         self.record(now, PlanRecord::Ended { run, end, saved });
         self.stop_other_attempts(run);
-        self.check_job_outcome(now, run.task.step.job);
+        self.check_end(now, run.task);
     }
 
     fn process_running(&mut self, now: MonoTime, host: &HostName, report: &HostReport) {
@@ -373,10 +373,16 @@
     /// Adopts the attempts that earlier planners recorded.
     pub(super) fn adopt_placements(&mut self, now: MonoTime) {
         let mut adopted = Vec::new();
-        for (&job, state) in &self.ledger.jobs {
+        let jobs = self.ledger.jobs.iter();
+        for (&job, state) in jobs.filter(|(_, state)| !state.is_idle()) {
+            let plan = self.work.plan(job);
             for (run, placement) in state.runs(job) {
-                let spec = state.spec(run.task.step);
-                let demand = spec.map(|spec| TaskDemand::new(run.task.step, spec));
+                let step = run.task.step;
+                let spec = state.spec(step);
+                let demand = spec.map(|spec| TaskDemand {
+                    is_overdue: plan.is_some_and(|plan| plan.was_overdue(step.occurrence)),
+                    ..TaskDemand::new(step, spec)
+                });
                 adopted.push((run, placement.host.clone(), demand.unwrap_or_default()));
             }
         }
--- a/crates/hornbeamlead_jobs/src/planner/run_times.rs
+++ b/crates/hornbeamlead_jobs/src/planner/run_times.rs
@@ -7,9 +7,11 @@
 
 use crate::ids::{JobId, RunName, StepName};
 use crate::job::StepSpec;
+use crate::ledger::IndexRanges;
 use hornbeamlead_core::clock::MonoTime;
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 /// Most run times kept of finished tasks of a step, and of projected ones.
@@ -18,6 +20,12 @@
 /// Most kinds of steps kept.
 const MAX_KINDS: usize = 256;
 
+/// Most other steps of a job from which the run time of a step is estimated, the latest ones.
+const MAX_OTHER_STEPS: usize = 64;
+
+/// Completed occurrences of a job that are kept, as the next ones do the same work.
+const KEPT_OCCURRENCES: u32 = 4;
+
 /// Steps of a kind from which its ratio is used.
 const MIN_KIND_STEPS: usize = 5;
 
@@ -257,9 +265,33 @@
         }
     }
 
-    /// Keeps only the steps of jobs for which `is_live` holds.
-    pub(super) fn retain(&mut self, is_live: impl Fn(JobId) -> bool) {
-        self.steps.retain(|step, _| is_live(step.job));
+    /// Forgets the steps of a job.
+    pub(super) fn forget_job(&mut self, job: JobId) {
+        self.forget_steps(StepName::all_of(job), |_| true);
+    }
+
+    /// Forgets the steps of completed occurrences of a job, but for the latest.
+    pub(super) fn forget_completed(&mut self, job: JobId, completed: &IndexRanges) {
+        let Some(last) = completed
+            .last()
+            .and_then(|last| last.checked_sub(KEPT_OCCURRENCES))
+        else {
+            return;
+        };
+        let steps = StepName::all_between(job, 0, last);
+        self.forget_steps(steps, |step| completed.contains(step.occurrence));
+    }
+
+    fn forget_steps(
+        &mut self,
+        steps: RangeInclusive<StepName>,
+        is_over: impl Fn(&StepName) -> bool,
+    ) {
+        let known = self.steps.range(steps).map(|(step, _)| *step);
+        let over: Vec<_> = known.filter(is_over).collect();
+        for step in over {
+            self.steps.remove(&step);
+        }
     }
 
     fn observe_ratio(&mut self, step: StepName, kind: StepKind, ratio: f64) {
@@ -282,26 +314,11 @@
     fn ratio(&self, step: StepName, queue: &str, spec: &StepSpec) -> f64 {
         let kind = self.kinds.get(&StepKind::new(queue, spec));
         let prior = kind.and_then(KindRatios::stable).unwrap_or(1.0);
-        let from = StepName {
-            occurrence: 0,
-            step: 0,
-            ..step
-        };
-        let to = StepName {
-            occurrence: u32::MAX,
-            step: u16::MAX,
-            ..step
-        };
-        let others: Vec<(StepName, f64)> = self
-            .steps
-            .range(from..=to)
-            .filter_map(|(&other, times)| Some((other, times.ratio()?)))
-            .collect();
+        let known = self.steps.range(StepName::all_of(step.job)).rev();
+        let known = known.filter_map(|(&other, times)| Some((other, times.ratio()?)));
+        let others: Vec<(StepName, f64)> = known.take(MAX_OTHER_STEPS).collect();
         // The same step of another occurrence does the same work.
-        let same = others
-            .iter()
-            .rev()
-            .find(|(other, _)| other.step == step.step);
+        let same = others.iter().find(|(other, _)| other.step == step.step);
         match same {
             Some(&(_, ratio)) => ratio,
             None => {
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -3,12 +3,14 @@
 use super::batch::DeferredAction;
 use super::hosts::HostView;
 use super::isolation::{StartScope, TrialChoice};
-use super::placement::{Candidate, HostInterference, HostLoad, TaskDemand};
-use super::ready::ReadyStep;
+use super::pass_rooms::PassRooms;
+use super::placement::{Candidate, HostInterference, TaskDemand};
+use super::ready::{MAX_PASS_TASKS, MIN_RUNNING_TASKS, MIN_STEP_TASKS, ReadyStep};
+use super::work_queue::QueueFront;
 use super::{PlannerMachine, RunView};
-use crate::effect::Effect;
-use crate::ids::{HostName, JobId, RunName, RunNumber, StepName, TaskName, WorkerIncarnation};
+use crate::ids::{HostName, RunName, RunNumber, StepName, TaskName, WorkerIncarnation};
 use crate::job::JobRecord;
+use crate::ledger::StepState;
 use crate::message::StartOrder;
 use crate::operators::OperatorFormat;
 use crate::record::PlanRecord;
@@ -17,8 +19,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Least time between two passes. A pass looks at all jobs and hosts, and with hundreds of hosts
-/// reports arrive each millisecond.
+/// Least time between two passes. A pass looks at all hosts, and with hundreds of them reports arrive
+/// each millisecond.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Longest time between two passes, because due times and silent hosts cause no event.
@@ -35,10 +37,6 @@
 /// save checkpoints.
 const DRAIN_MARGIN: Duration = Duration::from_millis(1600);
 
-/// Tasks of a job that may be open before its next occurrence has to wait. All occurrences of a
-/// schedule may be due at once.
-const MAX_OPEN_TASKS: usize = 100_000;
-
 /// Host chosen for a task.
 pub(super) struct PlacementChoice {
     /// Index of the task in its step.
@@ -47,6 +45,8 @@
     pub(super) incarnation: WorkerIncarnation,
     /// Whether the task is isolated and starts beside others all the same.
     pub(super) shared: bool,
+    /// Whether the task belongs to the backlog of a late schedule.
+    pub(super) is_overdue: bool,
 }
 
 impl<F: OperatorFormat> PlannerMachine<F> {
@@ -76,11 +76,34 @@
         if !self.has_current_inputs(now.mono) || !self.batch.has_recent_append(now.mono) {
             return;
         }
-        let steps = self.ready_steps(now);
-        for (step, choices) in self.place(now, steps) {
+        let ranks_left = self.rank_work(now);
+        let front = self.work.front();
+        let placed = self.place(now, &front);
+        // Of jobs without value, the first tasks of several come before the others of each.
+        let has_rest = |step: &ReadyStep| step.has_more || step.is_without_value;
+        let is_cut = front.is_cut || placed.iter().any(|(step, _)| has_rest(step));
+        let has_changed = self.pass_needed && placed.is_empty();
+        let is_unfinished = is_cut && !placed.is_empty() || front.has_rest;
+        for (step, choices) in placed {
             self.start(now.mono, &step, choices);
         }
-        self.relieve_stragglers(now);
+        self.relieve_stragglers(now, &front);
+        self.pass_needed = has_changed || is_unfinished || ranks_left || self.work.is_due(now.wall);
+    }
+
+    /// Brings the queue up to date. Returns whether some of it is left to be ranked.
+    fn rank_work(&mut self, now: ClockReading) -> bool {
+        let by_value = self.policy.order == ServiceOrder::ByValue;
+        let left_out = &self.overload.left_out;
+        let ranks_left = self
+            .work
+            .rank_changed(&self.ledger, now.wall, by_value, left_out);
+        if !by_value || !self.select_by_value(now) {
+            return ranks_left;
+        }
+        let left_out = &self.overload.left_out;
+        self.work
+            .rank_changed(&self.ledger, now.wall, by_value, left_out)
     }
 
     /// Returns whether the planner has read cancellations and evacuations recently. A planner that
@@ -91,48 +114,6 @@
             && within(self.jobs_follower.last_read_at(), MAX_JOBS_READ_AGE)
     }
 
-    fn open_due(&mut self, now: ClockReading) {
-        let mut deferred = Vec::new();
-        for (&job, state) in &mut self.ledger.jobs {
-            let Some(record) = state.record.clone().filter(|_| !state.phase.is_final()) else {
-                continue;
-            };
-            let schedule = record.body.schedule;
-            let next = state
-                .occurrences
-                .keys()
-                .next_back()
-                .map_or(0, |last| last.saturating_add(1));
-            let size = record.body.task_count();
-            let mut open_tasks = None;
-            for occurrence in next..schedule.occurrences() {
-                if now.wall.0 < schedule.due_ms(occurrence) {
-                    break;
-                }
-                let open_tasks = open_tasks.get_or_insert_with(|| state.unfinished_tasks());
-                if *open_tasks > 0 && *open_tasks + size > MAX_OPEN_TASKS {
-                    deferred.push((job, occurrence, *open_tasks));
-                    break;
-                }
-                *open_tasks += size;
-                state.open_occurrence(occurrence);
-            }
-        }
-        for (job, occurrence, open_tasks) in deferred {
-            self.report_deferred(job, occurrence, open_tasks);
-        }
-    }
-
-    /// Logs and counts an occurrence that waits for earlier ones, once.
-    fn report_deferred(&mut self, job: JobId, occurrence: u32, open_tasks: usize) {
-        if self.deferred_occurrences.insert(job, occurrence) == Some(occurrence) {
-            return;
-        }
-        let detail = format!("occurrence={occurrence} open_tasks={open_tasks}");
-        self.log("occurrence_deferred", job, detail);
-        self.effects.push(Effect::Count("occurrence_deferred"));
-    }
-
     /// Stops tasks on draining workers: long-running tasks at once, others shortly before the
     /// worker shuts down.
     fn evict_from_draining(&mut self, now: MonoTime) {
@@ -172,30 +153,51 @@
         }
     }
 
+    /// Chooses hosts for tasks of the steps that the pass considers.
     fn place(
         &mut self,
         now: ClockReading,
-        mut steps: Vec<ReadyStep>,
+        front: &QueueFront,
     ) -> Vec<(ReadyStep, Vec<PlacementChoice>)> {
-        if steps.is_empty() {
+        if front.keys.is_empty() {
             return Vec::new();
         }
-        if self.policy.order == ServiceOrder::ByValue {
-            self.defer_by_value(now, &mut steps);
-        }
-        steps.sort_by_key(|step| step.sort_key);
-        self.note_trial_waits(now.mono, &steps);
+        let is_calm = self.knows_no_crash();
+        // Isolated tasks get their hosts before others do.
+        let trials = match is_calm {
+            true => Vec::new(),
+            false => self.ready_steps(now, front),
+        };
+        self.note_trial_waits(now.mono, &trials);
         let mut candidates = self.candidates(now.mono);
-        self.reserve_hosts(now.mono, &steps, &mut candidates);
+        self.reserve_hosts(now.mono, &trials, &mut candidates);
+        let mut rooms = PassRooms::new(&candidates, is_calm);
         let mut placed = Vec::new();
         let mut short_of_room = BTreeSet::new();
-        for step in steps {
-            let choices = self.place_step(now.mono, &step, &mut candidates);
+        let mut tasks_left = MAX_PASS_TASKS;
+        let mut jobs_with_minimum = BTreeSet::new();
+        for (key, is_minimum) in front.in_order() {
+            let is_known = jobs_with_minimum.contains(&key.job);
+            if key.rank.outlook.is_without_value() && is_known {
+                continue;
+            }
+            let limit = match is_minimum {
+                true => MIN_RUNNING_TASKS,
+                false => tasks_left.max(MIN_STEP_TASKS),
+            };
+            let Some(step) = self.ready_step(now, key, &rooms, limit) else {
+                continue;
+            };
+            tasks_left = tasks_left.saturating_sub(step.tasks.len());
+            let choices = self.place_step(now.mono, &step, &mut candidates, &mut rooms);
             let spec = step.record.step(step.name);
             if choices.len() < step.tasks.len() && spec.is_some_and(|spec| spec.best_effort) {
                 short_of_room.insert(step.record.terms.service.clone());
             }
             if !choices.is_empty() {
+                if is_minimum {
+                    jobs_with_minimum.insert(key.job);
+                }
                 placed.push((step, choices));
             }
         }
@@ -225,7 +227,7 @@
                     fresh,
                     suspects: self.suspects_on(view),
                     worker: view.worker.as_ref()?,
-                    load: HostLoad::of(&view.runs),
+                    load: view.runs.load(),
                     placed: BTreeMap::new(),
                     failure_cost: f64::from(view.consecutive_failures)
                         + self.slowness_cost(now, &view.host),
@@ -250,11 +252,19 @@
         now: MonoTime,
         step: &ReadyStep,
         candidates: &mut [Candidate<'_>],
+        rooms: &mut PassRooms,
     ) -> Vec<PlacementChoice> {
-        let Some(spec) = step.record.step(step.name) else {
+        let (Some(spec), shape) = (step.record.step(step.name), &step.shape) else {
             return Vec::new();
         };
-        let demand = TaskDemand::new(step.name, spec);
+        let demand = TaskDemand {
+            is_overdue: step.is_overdue,
+            ..TaskDemand::new(step.name, spec)
+        };
+        let most = rooms.most_tasks(step, spec, &demand);
+        if most == 0 || rooms.is_full_for(shape, step.unconditional > 0) {
+            return Vec::new();
+        }
         let service = &step.record.terms.service;
         let before: Vec<_> = match spec.gang {
             true => candidates
@@ -271,7 +281,7 @@
             .collect();
         let mut choices = Vec::new();
         let mut is_full = false;
-        for &index in &step.tasks {
+        for &index in step.tasks.iter().take(most) {
             let task = TaskName {
                 step: step.name,
                 index,
@@ -323,12 +333,18 @@
                         host: candidate.view.host.clone(),
                         incarnation: candidate.worker.incarnation.clone(),
                         shared: scope == StartScope::Waited,
+                        is_overdue: step.is_overdue,
                     });
                 }
                 None if spec.gang => break,
                 // All tasks of a step have the same demand: if one fits nowhere, none does, unless a
                 // host is reserved for it.
-                None => is_full |= !matches!(scope, StartScope::Reserved | StartScope::Nowhere),
+                None => {
+                    is_full |= !matches!(scope, StartScope::Reserved | StartScope::Nowhere);
+                    if is_full && spec.spread_limit.is_none() {
+                        rooms.note_full(shape, any_room);
+                    }
+                }
             }
         }
         if spec.gang && choices.len() < step.tasks.len() {
@@ -338,6 +354,7 @@
             }
             choices.clear();
         }
+        rooms.note_placed(step, &demand, choices.len());
         choices
     }
 
@@ -361,7 +378,6 @@
             self.log_isolated(run, &choice.host);
             self.start_attempt(now, run, &step.record, choice);
         }
-        self.pass_needed = false;
     }
 
     /// Records an attempt, which is ordered once the record is stored.
@@ -380,6 +396,7 @@
             host,
             incarnation,
             shared,
+            is_overdue,
             ..
         } = choice;
         let order = StartOrder {
@@ -401,7 +418,10 @@
         };
         self.record(now, started);
         if let Some(view) = self.hosts.get_mut(&host) {
-            let demand = TaskDemand::new(step, spec);
+            let demand = TaskDemand {
+                is_overdue,
+                ..TaskDemand::new(step, spec)
+            };
             view.expect_interference(&self.interference, &demand);
             view.runs.insert(run, demand);
         }
@@ -412,8 +432,7 @@
     fn next_gang_run(&self, step: StepName) -> RunNumber {
         let job = self.ledger.jobs.get(&step.job);
         let occurrence = job.and_then(|job| job.occurrences.get(&step.occurrence));
-        let tasks = occurrence.and_then(|state| state.steps.get(usize::from(step.step)));
-        let last = tasks.into_iter().flatten().map(|task| task.last_run).max();
-        last.unwrap_or_default().next()
+        let state = occurrence.and_then(|state| state.steps.get(usize::from(step.step)));
+        state.map(StepState::last_run).unwrap_or_default().next()
     }
 }
--- a/crates/hornbeamlead_jobs/src/planner/serving_level.rs
+++ b/crates/hornbeamlead_jobs/src/planner/serving_level.rs
@@ -4,7 +4,7 @@
 //! tracked as the running median over the hosts of the step. A host whose latency lies above it is
 //! slowed down by its best-effort tasks, also while nothing changes on the host.
 
-use crate::ids::{HostName, StepName};
+use crate::ids::{HostName, JobId, StepName};
 use hornbeamlead_core::clock::MonoTime;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -66,8 +66,12 @@
         Some((level.level + level.peak) / 2.0)
     }
 
-    /// Forgets steps that no longer exist.
-    pub(super) fn retain(&mut self, exists: impl Fn(StepName) -> bool) {
-        self.levels.retain(|&step, _| exists(step));
+    /// Forgets the steps of a job.
+    pub(super) fn forget_job(&mut self, job: JobId) {
+        let steps = self.levels.range(StepName::all_of(job));
+        let steps: Vec<_> = steps.map(|(step, _)| *step).collect();
+        for step in steps {
+            self.levels.remove(&step);
+        }
     }
 }
--- a/crates/hornbeamlead_jobs/src/planner/upkeep.rs
+++ b/crates/hornbeamlead_jobs/src/planner/upkeep.rs
@@ -9,7 +9,7 @@
 use crate::locator::{PLANNER_KEY, PlannerAddress};
 use crate::operators::OperatorFormat;
 use crate::record::encode;
-use crate::snapshot::{SnapshotSet, snapshot_records};
+use crate::snapshot::{SnapshotEncoder, SnapshotSet};
 use crate::store::{
     AppendCondition, NewRecord, PlannerComponent, StoreCall, StoreOperation, StoreOutcome,
     StreamName,
@@ -34,6 +34,9 @@
 /// Pause after a failed call.
 const UPKEEP_BACKOFF: Duration = Duration::from_millis(100);
 
+/// Size of the part of a snapshot that is encoded at a time, in bytes.
+const ENCODED_BYTES: usize = 32 * 1024;
+
 /// Most jobs whose bodies are removed with one snapshot.
 const MAX_REMOVALS: usize = 200;
 
@@ -74,7 +77,9 @@
     publish_due: bool,
     /// When the address was last queued.
     published_at: MonoTime,
-    /// Newest snapshot, unless it is in flight or stored.
+    /// Snapshot that is being encoded, and ended jobs whose bodies can be removed with it.
+    encoding: Option<(SnapshotEncoder, Vec<JobId>)>,
+    /// Newest snapshot that is encoded, unless it is in flight or stored.
     snapshot: Option<PendingSnapshot>,
     /// Keys of the jobs stream that can be removed now.
     removals: Vec<Box<str>>,
@@ -91,6 +96,7 @@
         Self {
             publish_due: true,
             published_at: now,
+            encoding: None,
             snapshot: None,
             removals: Vec::new(),
             in_flight: None,
@@ -143,7 +149,25 @@
     }
 
     pub(super) fn is_snapshot_due(&self, now: MonoTime) -> bool {
-        now >= self.snapshot_at
+        now >= self.snapshot_at && self.encoding.is_none()
+    }
+
+    /// Encodes a part of the snapshot that is due.
+    fn encode_part(&mut self) {
+        let Some((mut encoder, ended)) = self.encoding.take() else {
+            return;
+        };
+        if !encoder.advance(ENCODED_BYTES) {
+            self.encoding = Some((encoder, ended));
+            return;
+        }
+        let end = encoder.plan_offset();
+        let records = encoder.finish(self.snapshot_set);
+        self.add_snapshot(PendingSnapshot {
+            records,
+            end,
+            ended,
+        });
     }
 
     /// Removes and returns the ended jobs whose bodies can be deleted once a snapshot of the ledger
@@ -162,6 +186,7 @@
 
 impl<F: OperatorFormat> PlannerMachine<F> {
     pub(super) fn poll_upkeep(&mut self, now: MonoTime) {
+        self.upkeep.encode_part();
         // A process that was frozen may have been replaced, and must not publish its address then.
         let may_be_replaced = !self.batch.has_recent_append(now);
         if self.upkeep.in_flight.is_some() || now < self.upkeep.not_before || may_be_replaced {
@@ -229,11 +254,11 @@
         }
     }
 
-    /// Queues a snapshot, and then the removal of the bodies of jobs that it lists as ended.
+    /// Begins a snapshot, which is followed by the removal of the bodies of jobs that it lists as ended.
     pub(super) fn save_snapshot(
         &mut self,
         now: MonoTime,
-        ledger: &JobLedger,
+        ledger: JobLedger,
         ended: Vec<JobId>,
         end: StreamOffset,
     ) {
@@ -241,13 +266,8 @@
         self.republish(now);
         let expired = self.early_cancels.expire(now).into_iter().map(cancel_key);
         self.upkeep.removals.extend(expired);
-        let records = snapshot_records(ledger, end, self.upkeep.snapshot_set);
         self.log("impact_learned", end, self.interference.describe());
-        self.upkeep.add_snapshot(PendingSnapshot {
-            records,
-            end,
-            ended,
-        });
+        self.upkeep.encoding = Some((SnapshotEncoder::new(ledger, end), ended));
     }
 }
 
--- a/crates/hornbeamlead_jobs/src/record.rs
+++ b/crates/hornbeamlead_jobs/src/record.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum DecodeError {
     /// The encoding has another version, or there are no bytes.
-    #[snafu(display("encoding version {found:?} instead of {ENCODING_VERSION}"))]
+    #[snafu(display("unknown encoding version {found:?}"))]
     Version {
         /// First byte, if there is one.
         found: Option<u8>,
@@ -41,7 +41,7 @@
     encode_after(ENCODING_VERSION, value)
 }
 
-fn encode_after<T: Serialize>(first: u8, value: &T) -> Bytes {
+pub(crate) fn encode_after<T: Serialize>(first: u8, value: &T) -> Bytes {
     // Writing to a vector does not fail, and postcard supports all types that are encoded.
     let bytes = postcard::to_extend(value, vec![first]);
     bytes.unwrap_or_default().into()
@@ -60,18 +60,35 @@
 /// # Errors
 /// Returns [`DecodeError`] for another version of the encoding or malformed content.
 pub fn decode_first<T: DeserializeOwned>(bytes: &[u8]) -> Result<(T, &[u8]), DecodeError> {
+    decode_after(ENCODING_VERSION, bytes)
+}
+
+/// Decodes a value that follows a given first byte, and returns it with the remaining bytes.
+///
+/// # Errors
+/// Returns [`DecodeError`] for another first byte or malformed content.
+pub(crate) fn decode_after<T: DeserializeOwned>(
+    first: u8,
+    bytes: &[u8],
+) -> Result<(T, &[u8]), DecodeError> {
     match bytes.split_first() {
-        Some((&ENCODING_VERSION, body)) => {
-            postcard::take_from_bytes(body).map_err(|error| DecodeError::Malformed {
-                cause: error.to_string().into(),
-            })
-        }
-        first => Err(DecodeError::Version {
-            found: first.map(|(byte, _)| *byte),
+        Some((byte, body)) if *byte == first => take_value(body),
+        other => Err(DecodeError::Version {
+            found: other.map(|(byte, _)| *byte),
         }),
     }
 }
 
+/// Decodes a value without a version, and returns it with the remaining bytes.
+///
+/// # Errors
+/// Returns [`DecodeError`] for malformed content.
+pub(crate) fn take_value<T: DeserializeOwned>(bytes: &[u8]) -> Result<(T, &[u8]), DecodeError> {
+    postcard::take_from_bytes(bytes).map_err(|error| DecodeError::Malformed {
+        cause: error.to_string().into(),
+    })
+}
+
 /// Reports that follow a heartbeat in the same record of the stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HeartbeatReports {
@@ -227,6 +244,12 @@
         /// Attempt that runs.
         run: RunName,
     },
+    /// Jobs that ended long ago, and whose bodies have been removed, are forgotten. Versions that do not
+    /// know this record keep them.
+    Forgotten {
+        /// Jobs that have ended.
+        jobs: Box<[JobId]>,
+    },
 }
 
 impl PlanRecord {
--- a/crates/hornbeamlead_jobs/tests/world/lone.rs
+++ b/crates/hornbeamlead_jobs/tests/world/lone.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use hornbeamlead_jobs::record::decode;
+use rustix::time::{ClockId, clock_gettime};
 
 /// Step of the clock, in milliseconds.
 const LONE_STEP_MS: u64 = 10;
@@ -22,6 +23,15 @@
     /// Messages to agents, with their link.
     pub(crate) sent: Vec<(LinkId, PlannerMessage)>,
     outcomes: Vec<(StoreCaller, StoreOutcome)>,
+    /// Processor time of all steps, and of the longest since it was taken.
+    pub(crate) spent: Duration,
+    longest: Duration,
+}
+
+/// Returns the processor time of this thread.
+fn thread_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
 }
 
 impl LonePlanner {
@@ -65,9 +75,16 @@
             events: Vec::new(),
             sent: Vec::new(),
             outcomes: Vec::new(),
+            spent: Duration::ZERO,
+            longest: Duration::ZERO,
         }
     }
 
+    /// Returns the processor time of the longest step since this was last called.
+    pub(crate) fn take_longest(&mut self) -> Duration {
+        std::mem::take(&mut self.longest)
+    }
+
     /// Returns whether the planner is active.
     pub(crate) fn is_active(&self) -> bool {
         self.machine.is_active()
@@ -113,7 +130,12 @@
             mono: MonoTime(self.now_ms * 1000),
             wall: WallTime(World::wall_ms(self.now_ms)),
         };
-        for effect in self.machine.handle(now, event) {
+        let before = thread_time();
+        let effects = self.machine.handle(now, event);
+        let step = thread_time().saturating_sub(before);
+        self.spent += step;
+        self.longest = self.longest.max(step);
+        for effect in effects {
             match effect {
                 Effect::Store(call) => self.answer(call),
                 Effect::Log(line) => self.events.push(line.event),
