--- a/crates/hornbeamlead_daemon/tests/fleet_soak.rs
+++ b/crates/hornbeamlead_daemon/tests/fleet_soak.rs
@@ -23,6 +23,8 @@
 #[case::cancels(SoakKind::Cancels, 3, 4, 8)]
 // All three causes at once, with series of signals.
 #[case::mixed(SoakKind::Mixed, 2, 4, 8)]
+// A schedule that had been due for hours kept the planner from all other work.
+#[case::backlogs(SoakKind::Backlogs, 1, 4, 8)]
 fn guarantees_hold(
     #[case] kind: SoakKind,
     #[case] seed: u64,
