--- a/crates/hornbeamlead_jobs/src/ledger.rs
+++ b/crates/hornbeamlead_jobs/src/ledger.rs
@@ -240,6 +240,14 @@
         self.remove_if_idle(job);
     }
 
+    /// Counts the jobs whose end is in no record as ended now, since snapshots of earlier versions do not
+    /// tell when they ended.
+    pub fn complete_ages(&mut self) {
+        for &job in self.ended.keys() {
+            self.ages.add(job);
+        }
+    }
+
     /// Returns the phase of a job, or `None` if the job is unknown.
     #[must_use]
     pub fn phase(&self, job: JobId) -> Option<JobPhase> {
--- a/crates/hornbeamlead_jobs/src/planner/recovery.rs
+++ b/crates/hornbeamlead_jobs/src/planner/recovery.rs
@@ -336,6 +336,7 @@
     fn activate(&mut self, now: MonoTime, cancels: &[ReadRecord]) {
         self.check_job_outcomes(now);
         self.apply_jobs(now, cancels);
+        self.ledger.complete_ages();
         let lacks_body = |state: &JobState| state.record.is_none() && !state.phase.is_final();
         let jobs = self.ledger.jobs.iter();
         let missing_body = jobs.filter(|(_, state)| lacks_body(state));
--- a/crates/hornbeamlead_jobs/src/planner/upkeep.rs
+++ b/crates/hornbeamlead_jobs/src/planner/upkeep.rs
@@ -8,13 +8,15 @@
 use crate::ledger::JobLedger;
 use crate::locator::{PLANNER_KEY, PlannerAddress};
 use crate::operators::OperatorFormat;
-use crate::record::encode;
-use crate::snapshot::{SnapshotEncoder, SnapshotSet};
+use crate::record::{PlanRecord, encode};
+use crate::snapshot::{SnapshotEncoder, SnapshotKeys, SnapshotSet};
 use crate::store::{
     AppendCondition, NewRecord, PlannerComponent, StoreCall, StoreOperation, StoreOutcome,
     StreamName,
 };
+use bytes::Bytes;
 use hornbeamlead_core::clock::MonoTime;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Interval between snapshots. The store retains plan records for at least 20 s, and a recovery
@@ -37,8 +39,18 @@
 /// Size of the part of a snapshot that is encoded at a time, in bytes.
 const ENCODED_BYTES: usize = 32 * 1024;
 
+/// Largest total of the records of a call, in bytes. The store takes 2 MiB.
+const MAX_CALL_BYTES: usize = 1536 * 1024;
+
+/// Heartbeats of planners after the end of a job until it is forgotten: 10 min at least. Callers may ask for
+/// its state for 2 min by the platform's specification, and submissions may be repeated for some seconds.
+const RETAINED_HEARTBEATS: u64 = 2400;
+
+/// Most jobs that are forgotten with one snapshot.
+const MAX_FORGOTTEN: usize = 2000;
+
 /// Most jobs whose bodies are removed with one snapshot.
-const MAX_REMOVALS: usize = 200;
+const MAX_REMOVALS: usize = 2000;
 
 /// Most keys removed in one call.
 const MAX_REMOVED_KEYS: usize = 400;
@@ -46,7 +58,11 @@
 /// Snapshot that is not stored yet.
 #[derive(Debug)]
 struct PendingSnapshot {
-    records: Vec<NewRecord>,
+    /// Records of the calls that are left. Readers ignore the snapshot until all are stored.
+    calls: VecDeque<Vec<NewRecord>>,
+    keys: SnapshotKeys,
+    /// Whether a call has been made.
+    is_begun: bool,
     /// Offset of the plan before which all records are included.
     end: StreamOffset,
     /// Jobs whose bodies can be removed once the snapshot is stored.
@@ -87,8 +103,12 @@
     not_before: MonoTime,
     snapshot_at: MonoTime,
     snapshot_set: SnapshotSet,
+    /// Keys of the last snapshot that this planner has stored.
+    stored_keys: Option<SnapshotKeys>,
     /// Ended jobs whose bodies are still in the store.
     ended: Vec<JobId>,
+    /// Ended jobs of which it is not known that their bodies are no longer in the store.
+    unremoved: BTreeSet<JobId>,
 }
 
 impl UpkeepState {
@@ -103,7 +123,9 @@
             not_before: now,
             snapshot_at: now,
             snapshot_set: SnapshotSet::default(),
+            stored_keys: None,
             ended: Vec::new(),
+            unremoved: BTreeSet::new(),
         }
     }
 
@@ -111,7 +133,8 @@
         if std::mem::take(&mut self.publish_due) {
             return Some(UpkeepJob::Publish);
         }
-        if let Some(snapshot) = self.snapshot.take() {
+        if let Some(mut snapshot) = self.snapshot.take() {
+            snapshot.is_begun = true;
             return Some(UpkeepJob::Snapshot(snapshot));
         }
         let count = self.removals.len().min(MAX_REMOVED_KEYS);
@@ -149,7 +172,12 @@
     }
 
     pub(super) fn is_snapshot_due(&self, now: MonoTime) -> bool {
-        now >= self.snapshot_at && self.encoding.is_none()
+        let is_begun = |snapshot: &PendingSnapshot| snapshot.is_begun;
+        let is_writing = match &self.in_flight {
+            Some(UpkeepJob::Snapshot(snapshot)) => snapshot.calls.len() > 1,
+            _ => self.snapshot.as_ref().is_some_and(is_begun),
+        };
+        now >= self.snapshot_at && self.encoding.is_none() && !is_writing
     }
 
     /// Encodes a part of the snapshot that is due.
@@ -161,15 +189,42 @@
             self.encoding = Some((encoder, ended));
             return;
         }
+        let stored_second = self.stored_keys.is_some_and(|keys| keys.is_second);
+        let keys = SnapshotKeys {
+            set: self.snapshot_set,
+            is_second: encoder.size() > MAX_CALL_BYTES && !stored_second,
+        };
         let end = encoder.plan_offset();
-        let records = encoder.finish(self.snapshot_set);
         self.add_snapshot(PendingSnapshot {
-            records,
+            calls: split_calls(encoder.finish(keys)),
+            keys,
+            is_begun: false,
             end,
             ended,
         });
     }
 
+    /// Handles that a call of a snapshot has succeeded. Returns the snapshot if it was the last one.
+    fn finish_call(&mut self, mut snapshot: PendingSnapshot) -> Option<PendingSnapshot> {
+        snapshot.calls.pop_front();
+        if snapshot.calls.is_empty() {
+            self.stored_keys = Some(snapshot.keys);
+            return Some(snapshot);
+        }
+        self.restore(UpkeepJob::Snapshot(snapshot));
+        None
+    }
+
+    /// Notes that keys of the jobs stream have been removed.
+    fn note_removed(&mut self, keys: &[Box<str>]) {
+        for key in keys {
+            let job = key.strip_prefix(JOB_PREFIX).map(str::parse::<JobId>);
+            if let Some(Ok(job)) = job {
+                self.unremoved.remove(&job);
+            }
+        }
+    }
+
     /// Removes and returns the ended jobs whose bodies can be deleted once a snapshot of the ledger
     /// is stored. The bodies of jobs with attempts that may be running are kept, because the next
     /// planner needs their demand.
@@ -180,6 +235,7 @@
     }
 
     pub(super) fn remove_body(&mut self, job: JobId) {
+        self.unremoved.insert(job);
         self.ended.push(job);
     }
 }
@@ -197,7 +253,10 @@
         };
         let (stream, records) = match &job {
             UpkeepJob::Publish => (StreamName::Planner, vec![self.address_record()]),
-            UpkeepJob::Snapshot(snapshot) => (StreamName::Snapshots, snapshot.records.clone()),
+            UpkeepJob::Snapshot(snapshot) => {
+                let records = snapshot.calls.front().cloned();
+                (StreamName::Snapshots, records.unwrap_or_default())
+            }
             UpkeepJob::Remove(keys) => (StreamName::Jobs, removal_records(keys)),
         };
         self.effects.push(Effect::Store(StoreCall {
@@ -240,11 +299,16 @@
         };
         match (outcome, job) {
             (StoreOutcome::Appended { .. }, UpkeepJob::Snapshot(snapshot)) => {
-                self.journal.release(snapshot.end);
-                let keys = snapshot.ended.into_iter().flat_map(job_keys);
-                self.upkeep.removals.extend(keys);
+                if let Some(snapshot) = self.upkeep.finish_call(snapshot) {
+                    self.journal.release(snapshot.end);
+                    let keys = snapshot.ended.into_iter().flat_map(job_keys);
+                    self.upkeep.removals.extend(keys);
+                }
+            }
+            (StoreOutcome::Appended { .. }, UpkeepJob::Remove(keys)) => {
+                self.upkeep.note_removed(&keys);
             }
-            (StoreOutcome::Appended { .. }, _) => {}
+            (StoreOutcome::Appended { .. }, UpkeepJob::Publish) => {}
             (other, job) => {
                 let detail = format!("job={} outcome={other:?}", job.name());
                 self.log("upkeep_failed", "store", detail);
@@ -268,7 +332,39 @@
         self.upkeep.removals.extend(expired);
         self.log("impact_learned", end, self.interference.describe());
         self.upkeep.encoding = Some((SnapshotEncoder::new(ledger, end), ended));
+        self.forget_ended(now);
+    }
+
+    /// Forgets jobs that ended long ago. A job whose body may still be in the store stays known, since
+    /// the next planner would take it for a new one.
+    fn forget_ended(&mut self, now: MonoTime) {
+        let old = self.ledger.ages.older_than(RETAINED_HEARTBEATS);
+        let over = old.filter(|job| {
+            !self.upkeep.unremoved.contains(job) && !self.ledger.jobs.contains_key(job)
+        });
+        let jobs: Box<[_]> = over.take(MAX_FORGOTTEN).collect();
+        if !jobs.is_empty() {
+            self.record(now, PlanRecord::Forgotten { jobs });
+        }
+    }
+}
+
+/// Splits the records of a snapshot into calls that the store accepts.
+fn split_calls(records: Vec<NewRecord>) -> VecDeque<Vec<NewRecord>> {
+    let mut calls = VecDeque::from([Vec::new()]);
+    let mut size = 0;
+    for record in records {
+        let bytes = record.value.as_ref().map_or(0, Bytes::len);
+        if size + bytes > MAX_CALL_BYTES {
+            calls.push_back(Vec::new());
+            size = 0;
+        }
+        size += bytes;
+        if let Some(call) = calls.back_mut() {
+            call.push(record);
+        }
     }
+    calls
 }
 
 /// Returns the keys of the body and of the cancellation of a job.
