[jobs] Give no work to a life that an earlier acknowledgement may still reach

Cause: a hold that acknowledges ends names the worker's id and a number, but no life. Without an answer it may be carried out seconds later, by the next life under the same id, which then drops its own first ends unseen. A run in neither list counts as one that has not started.

Fix: for 15 s after an acknowledgement without an answer, or one in flight at the end of its life, a later life under the same id counts as not announced: no leases, no tasks, so no end that could be lost. Other ids refuse such calls and are used at once.

--- a/crates/hornbeamlead_jobs/src/supervisor.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor.rs
@@ -119,6 +119,8 @@
     /// Number up to which the worker has been told so, and that in the hold in flight.
     released: u64,
     hold_release: u64,
+    /// Until when an acknowledgement without an answer may be carried out.
+    late_release_until: Option<MonoTime>,
     /// Whether a start was sent since the last lists arrived.
     started: bool,
     lists: WorkerLists,
@@ -190,6 +192,8 @@
     runs: BTreeMap<RunName, RunStage>,
     /// Starts for ended lives that a later one under the same id may still carry out, each until when.
     doubts: BTreeMap<RunName, MonoTime>,
+    /// Id of an ended life, and until when an acknowledgement for it may reach a later life.
+    late_release: Option<(Box<str>, MonoTime)>,
     traits: BTreeMap<RunName, RunTraits>,
     throttle: BestEffortThrottle,
     progress: ProgressWatch,
@@ -217,6 +221,7 @@
             newest_seen: MonoTime(0),
             runs: BTreeMap::new(),
             doubts: BTreeMap::new(),
+            late_release: None,
             traits: BTreeMap::new(),
             progress: ProgressWatch::default(),
             report_due: false,
--- a/crates/hornbeamlead_jobs/src/supervisor/doubts.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/doubts.rs
@@ -1,6 +1,6 @@
-//! Starts that a later life of the worker may carry out, as calls name the id only.
+//! Calls that a later life of the worker may carry out, as they name the id only.
 
-use super::{RunStage, SupervisorMachine};
+use super::{RunStage, SupervisedWorker, SupervisorMachine};
 use crate::ids::{RunName, WorkerIncarnation};
 use crate::worker::{WorkerAnswer, WorkerRefusal, WorkerTag};
 use hornbeamlead_core::clock::MonoTime;
@@ -10,7 +10,7 @@
 pub(super) const MAX_DOUBT_TIME: Duration = Duration::from_millis(2000);
 
 /// Time after which no call without an answer is carried out any more.
-const LATE_CALL_TIME: Duration = Duration::from_secs(15);
+pub(super) const LATE_CALL_TIME: Duration = Duration::from_secs(15);
 
 impl SupervisorMachine {
     /// Stops all starts that may have reached a life with the given id.
@@ -28,6 +28,21 @@
         }
     }
 
+    /// Remembers that an acknowledgement for a life that has ended may be carried out late. The next life
+    /// under the id would drop ends by it that nobody has seen, so it must not get any work before.
+    pub(super) fn remember_release(&mut self, now: MonoTime, ended: &SupervisedWorker) {
+        let id = &ended.facts.incarnation.id;
+        let known = self.late_release.take().filter(|(late, _)| late == id);
+        let until = ended.late_release(now).max(known.map(|(_, until)| until));
+        self.late_release = until.map(|until| (id.clone(), until));
+    }
+
+    /// Returns whether an acknowledgement of an earlier life may still reach a life.
+    pub(super) fn awaits_release(&self, now: MonoTime, life: &WorkerIncarnation) -> bool {
+        let late = self.late_release.as_ref();
+        late.is_some_and(|(id, until)| *id == life.id && now < *until)
+    }
+
     /// Remembers a start without an answer: it may be carried out seconds later, also by a life that
     /// knows nothing of a stop.
     pub(super) fn doubt_unanswered(
--- a/crates/hornbeamlead_jobs/src/supervisor/holds.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/holds.rs
@@ -1,6 +1,7 @@
 //! Holds: calls that read the worker's lists, renew its lease and acknowledge ends.
 
 use super::calls::{HOLD_MARGIN, HOLD_PAUSE, HOLD_WAIT, UNACKNOWLEDGED_PAUSE, answer_due, runs_of};
+use super::doubts::LATE_CALL_TIME;
 use super::lives::names_other_life;
 use super::{RunStage, SupervisedWorker, SupervisorMachine};
 use crate::effect::Effect;
@@ -57,6 +58,13 @@
         }
     }
 
+    /// Returns until when an acknowledgement may be carried out that has had no answer.
+    pub(super) fn late_release(&self, now: MonoTime) -> Option<MonoTime> {
+        let is_open = self.hold_in_flight && self.hold_release > 0;
+        let in_flight = is_open.then(|| now.plus(LATE_CALL_TIME));
+        self.late_release_until.max(in_flight)
+    }
+
     fn has_acknowledgement(&self) -> bool {
         self.acknowledged > self.released
     }
@@ -114,6 +122,9 @@
         worker.hold_in_flight = false;
         let WorkerAnswer::Lists(lists) = reply.answer else {
             worker.hold_at = now.plus(HOLD_PAUSE);
+            if reply.answer == WorkerAnswer::Unanswered && worker.hold_release > 0 {
+                worker.late_release_until = Some(now.plus(LATE_CALL_TIME));
+            }
             return;
         };
         let known = worker.facts.incarnation.clone();
--- a/crates/hornbeamlead_jobs/src/supervisor/lives.rs
+++ b/crates/hornbeamlead_jobs/src/supervisor/lives.rs
@@ -43,6 +43,7 @@
             acknowledged: 0,
             released: 0,
             hold_release: 0,
+            late_release_until: None,
             started: false,
             lists: WorkerLists::default(),
             answer_due: answer_due(now),
@@ -132,7 +133,11 @@
             announcement.sequence
         );
         self.log("worker_found", &announcement.facts.incarnation, detail);
-        self.worker = Some(SupervisedWorker::new(now, announcement));
+        let announced = !self.awaits_release(now, &announcement.facts.incarnation);
+        self.worker = Some(SupervisedWorker {
+            announced,
+            ..SupervisedWorker::new(now, announcement)
+        });
     }
 
     fn reject_foreign(&mut self, announcement: &WorkerAnnouncement, cause: &str) {
@@ -151,6 +156,7 @@
     /// Takes over what a life announces of itself once more, or what one that was found by its lists
     /// announces for the first time.
     fn renew_announcement(&mut self, now: MonoTime, announcement: WorkerAnnouncement) {
+        let awaits_release = self.awaits_release(now, &announcement.facts.incarnation);
         let Some(worker) = &mut self.worker else {
             return;
         };
@@ -158,7 +164,7 @@
             return self.reject_foreign(&announcement, "address_changed");
         }
         if !worker.announced {
-            worker.announced = true;
+            worker.announced = !awaits_release;
             worker.sequence = SequenceWatch::new(announcement.sequence);
         } else if !worker.sequence.take(now, announcement.sequence) {
             let (id, sequence) = (&announcement.facts.incarnation, announcement.sequence);
@@ -220,10 +226,11 @@
         }
         candidate.verified = true;
         candidate.hold_in_flight = false;
+        let awaits_release = self.awaits_release(now, &incarnation);
         match &mut self.worker {
             // Its lists were read before its first announcement.
             Some(worker) if worker.facts.incarnation == incarnation => {
-                worker.announced = true;
+                worker.announced = !awaits_release;
                 worker.facts = candidate.facts;
                 worker.leaves_at = candidate.leaves_at;
                 worker.sequence = candidate.sequence;
@@ -245,6 +252,7 @@
                 );
                 self.log("worker_found", &incarnation, detail);
                 let number = candidate.hold;
+                candidate.announced = !self.awaits_release(now, &incarnation);
                 self.worker = Some(candidate);
                 self.stop_doubtful(now, &incarnation.id);
                 self.on_hold_answered(now, number, reply);
@@ -323,6 +331,7 @@
         cause: &str,
     ) {
         let incarnation = worker.facts.incarnation.clone();
+        self.remember_release(now, &worker);
         self.log(
             "worker_lost",
             &incarnation,
--- a/crates/hornbeamlead_jobs/tests/agent/mod.rs
+++ b/crates/hornbeamlead_jobs/tests/agent/mod.rs
@@ -102,8 +102,13 @@
 
     /// Has the worker announce itself.
     pub(crate) fn announce(&mut self) {
+        self.announce_life(incarnation());
+    }
+
+    /// Has a life of the worker announce itself.
+    pub(crate) fn announce_life(&mut self, incarnation: WorkerIncarnation) {
         let facts = WorkerFacts {
-            incarnation: incarnation(),
+            incarnation,
             cpu: 16_000,
             ..WorkerFacts::default()
         };
@@ -139,6 +144,26 @@
         });
     }
 
+    /// Leaves the hold in flight without an answer. Returns the number that it acknowledges.
+    pub(crate) fn lose_hold(&mut self) -> u64 {
+        self.now = self.now.plus(HOLD_INTERVAL);
+        if self.hold.is_none() {
+            self.handle(SupervisorEvent::Tick);
+        }
+        let call = self.hold.take().expect("a hold is in flight");
+        let WorkerOperation::Hold { acknowledged, .. } = call.operation else {
+            panic!("the call is a hold");
+        };
+        self.answer(call, WorkerAnswer::Unanswered);
+        acknowledged
+    }
+
+    /// Lets time pass.
+    pub(crate) fn wait(&mut self, span: Duration) {
+        self.now = self.now.plus(span);
+        self.handle(SupervisorEvent::Tick);
+    }
+
     /// Answers the hold in flight some time later with a list of running attempts.
     pub(crate) fn answer_hold(&mut self, running: &[RunningRow]) {
         self.answer_lists(WorkerLists {
