[jobs] Check again that a step is ready when a pass reaches it

A pass takes steps from a queue that ranks at most 2,000 occurrences at a time, so an entry may be older than the latest change of its occurrence: a gang of which a member is placed already could have started in part. No run showed this; it was read in the code. The pass now checks both conditions of the queue on the ledger. Gang, job kind, schedule and open work tests passed.

--- a/crates/hornbeamlead_jobs/src/planner/ready.rs
+++ b/crates/hornbeamlead_jobs/src/planner/ready.rs
@@ -5,7 +5,7 @@
 use super::pass_rooms::PassRooms;
 use super::work_queue::{QueueFront, ReadyKey};
 use crate::ids::StepName;
-use crate::job::JobRecord;
+use crate::job::{JobRecord, StepSpec};
 use crate::ledger::{OccurrenceState, StepState};
 use crate::operators::OperatorFormat;
 use hornbeamlead_core::clock::ClockReading;
@@ -177,9 +177,8 @@
             else {
                 continue;
             };
-            // All members of a gang start together, so it is not ready unless all of them wait.
-            let incomplete = spec.gang && step.is_started();
-            if step.waiting().is_empty() || incomplete || !state.is_step_ready(spec) {
+            let is_ready = is_complete(spec, step) && state.is_step_ready(spec);
+            if step.waiting().is_empty() || !is_ready {
                 continue;
             }
             let latest_start = deadline.saturating_sub(step_plan.path_ms);
@@ -231,6 +230,12 @@
     (plan.has_end && work > 0.0).then_some(work)
 }
 
+/// Returns whether a step can start. All members of a gang start together, so it is not ready unless
+/// all of them wait.
+fn is_complete(spec: &StepSpec, step: &StepState) -> bool {
+    !(spec.gang && step.is_started())
+}
+
 fn longest_path(
     plan: &JobPlan,
     state: &OccurrenceState,
@@ -283,8 +288,11 @@
         let record = state.record.as_ref()?;
         let open = state.occurrences.get(&occurrence)?;
         let spec = record.body.steps.get(usize::from(step))?;
-        let waiting = open.steps.get(usize::from(step))?.waiting();
-        if state.phase.is_final() || waiting.is_empty() {
+        let tasks = open.steps.get(usize::from(step))?;
+        let waiting = tasks.waiting();
+        // The queue may not have taken note of the latest change yet.
+        let is_ready = is_complete(spec, tasks) && open.is_step_ready(spec);
+        if state.phase.is_final() || waiting.is_empty() || !is_ready {
             return None;
         }
         let count = match spec.gang {
