[jobs] Stop recent attempts on the next life of their worker before they start elsewhere

Cause: a start without an answer names the worker's id only. Agent and worker restart, the worker under its id; the planner took the attempt for lost at once and placed the next one, and the new life then carried the first start out. Only an agent that lives through this remembers the start.

Fix: an attempt of the last 15 s on an ended life is stopped on the present life, if that has the same id, and ends once the agent no longer names the stop as in flight.

--- a/crates/hornbeamlead_jobs/src/planner.rs
+++ b/crates/hornbeamlead_jobs/src/planner.rs
@@ -19,6 +19,7 @@
 mod isolation;
 mod job_plan;
 mod journal;
+mod late_stops;
 mod leases;
 mod load_report;
 mod occurrences;
@@ -64,6 +65,7 @@
 use host_speeds::HostSpeeds;
 use interference::InterferenceModel;
 use journal::JournalWriter;
+use late_stops::LateStop;
 use load_report::LoadTracker;
 use overload::OverloadState;
 use placed_jobs::PlacedTracker;
@@ -217,6 +219,8 @@
     hosts: BTreeMap<HostName, HostView>,
     links: BTreeMap<LinkId, HostName>,
     runs: BTreeMap<RunName, RunView>,
+    /// Stops of attempts on later lives than those they were meant for.
+    late_stops: BTreeMap<RunName, LateStop>,
     interference: InterferenceModel,
     serving_levels: ServingLevels,
     run_times: RunTimes,
@@ -273,6 +277,7 @@
             hosts: BTreeMap::new(),
             links: BTreeMap::new(),
             runs: BTreeMap::new(),
+            late_stops: BTreeMap::new(),
             interference: InterferenceModel::default(),
             serving_levels: ServingLevels::default(),
             run_times: RunTimes::default(),
@@ -437,6 +442,7 @@
         self.update_health(now, run, &host, end);
         self.learn_end(now, run, &host, end);
         self.runs.remove(&run);
+        self.late_stops.remove(&run);
         if end == RunEnd::Done {
             self.count_completed(run);
         }
--- a/crates/hornbeamlead_jobs/src/planner/reports.rs
+++ b/crates/hornbeamlead_jobs/src/planner/reports.rs
@@ -84,6 +84,7 @@
     /// Marks orders sent on an earlier link as possibly lost; reports show which of them arrived.
     fn reset_order_numbers(&mut self, host: &HostName) {
         for run in self.runs_on(host) {
+            self.late_stops.remove(&run);
             if let Some(run_view) = self.runs.get_mut(&run) {
                 run_view.order_number = run_view.order_number.map(|_| 0);
                 run_view.stop_number = None;
@@ -192,7 +193,9 @@
                 self.note_worker_end(now, (host, report), &incarnation, &runs);
             }
             for run in runs.into_iter().filter(|run| !accounted_for.contains(run)) {
-                self.end_run(now, run, RunEnd::Lost, None);
+                if !self.awaits_late_stop(now, (host, report), &incarnation, run) {
+                    self.end_run(now, run, RunEnd::Lost, None);
+                }
             }
         }
     }
--- a/crates/hornbeamlead_jobs/tests/worker_lives.rs
+++ b/crates/hornbeamlead_jobs/tests/worker_lives.rs
@@ -125,6 +125,32 @@
     assert_settled(&mut world);
 }
 
+/// Guards against the same if the agent restarts with its worker, so that nobody on the host knows of
+/// the starts that had no answer.
+#[rstest]
+fn late_after_power(
+    #[values(1, 2, 3, 4, 5, 6)] seed: u64,
+    #[values(200, 800, 1500)] down_ms: u64,
+    #[values(false, true)] is_planner: bool,
+) {
+    let mut world = busy_world(seed, 2500);
+    for round in 0..3 {
+        let first = 1000 * (round as u64 + 1);
+        world.delay_orders(300);
+        submit_for(&mut world, first, 300);
+        let planner = world.planner_host().unwrap_or(0);
+        let host = if is_planner {
+            planner
+        } else {
+            (planner + 1 + round) % HOSTS
+        };
+        world.restart_same_id(host, down_ms, 0);
+        world.kill(host);
+        submit_for(&mut world, first + 500, 9000);
+    }
+    assert_settled(&mut world);
+}
+
 /// Guards against a worker whose attempts are taken for lost when it is silent for a moment, because the
 /// life before has a later start: the clock was set back between them.
 #[rstest]
