[jobs] Let a gang start on workers on probation

Cause: on probation a worker gets one task until one succeeds, and the members of a gang start together or not at all.

Fix: the members of one gang count as one task toward the limit. So a gang fits wherever one task may be tried, if the workers have the room.

--- a/crates/hornbeamlead_jobs/src/planner/placement.rs
+++ b/crates/hornbeamlead_jobs/src/planner/placement.rs
@@ -327,10 +327,17 @@
     /// Returns whether the worker suits a task and has the free resources that it needs.
     pub(super) fn admits(&self, demand: &TaskDemand, spec: &StepSpec, service: &str) -> bool {
         self.suits(demand, spec, service)
-            && self.load.count < self.max_tasks
+            && self.tasks_beside(demand, spec) < self.max_tasks
             && self.load.fits(demand, self.worker)
     }
 
+    /// Returns how many tasks count toward the limit of a host beside another one. Members of a gang, which
+    /// start together or not at all, count as one: on probation a gang would not start otherwise.
+    fn tasks_beside(&self, demand: &TaskDemand, spec: &StepSpec) -> u32 {
+        let members = self.placed.get(&demand.step).filter(|_| spec.gang);
+        self.load.count - members.copied().unwrap_or(0)
+    }
+
     /// Returns whether a best-effort task would get CPU on the host and leave the serving tasks
     /// below their targets. Queueing the task is better than sharing too little CPU: it runs at
     /// full speed later, whereas many at once all finish late.
--- a/crates/hornbeamlead_jobs/tests/probation_ends.rs
+++ b/crates/hornbeamlead_jobs/tests/probation_ends.rs
@@ -99,3 +99,33 @@
         }
     }
 }
+
+/// Guards against a gang of more members than workers that never starts, as each worker on probation
+/// gets one task and the members start together or not at all. All workers are on probation after a
+/// job that can't be done, and nothing else runs there.
+#[rstest]
+fn gang_starts(#[values(1, 2, 3)] seed: u64, #[values(4, 6, 12)] members: u32) {
+    let mut world = World::new(seed, HOSTS, WorldFaults::default(), 0);
+    world.task_ms = Some(400);
+    world.run(3000);
+    world.set_attempts(6);
+    world.run(1000);
+    let workers = (0..HOSTS).collect();
+    world.apply(&Trouble::FailWorkers(workers, 40_000));
+    world.submit(JobId(10), finite_job(12));
+    world.run(41_000);
+    assert_eq!(world.phase(JobId(10)), Some(JobPhase::Failed));
+    let mut body = finite_job(members);
+    body.steps[0].gang = true;
+    world.submit(JobId(33), body);
+    let mut waited_ms = 0;
+    while world.running(JobId(33)).is_empty() && waited_ms <= MAX_WAIT_MS {
+        world.run(5);
+        waited_ms += 5;
+    }
+    assert!(
+        waited_ms <= MAX_WAIT_MS,
+        "nothing runs after {waited_ms} ms"
+    );
+    assert_eq!(world.judge.violations, Vec::<String>::new());
+}
