[jobs] Resume all members of a gang from one checkpoint

Cause: start_attempt passed each task's own value.

Fix: the ledger keeps the checkpoint that was saved last by any task of a step, and gangs resume from it. The value of any member is valid for all.

--- a/crates/hornbeamlead_jobs/src/ledger/step.rs
+++ b/crates/hornbeamlead_jobs/src/ledger/step.rs
@@ -64,6 +64,8 @@
     count: u32,
     /// Highest recorded number of an attempt of any task.
     last_run: RunNumber,
+    /// Checkpoint that was saved last by any task. The members of a gang resume from the same one.
+    newest_saved: Option<Box<str>>,
     waiting: IndexRanges,
     /// Tasks that have been attempted. A task that is neither here nor waiting is done, and none of its
     /// attempts may be running.
@@ -80,14 +82,15 @@
 
     /// Restores a step from the parts that [`StepState::parts`] returns.
     pub(crate) fn from_parts(
-        count: u32,
-        last_run: RunNumber,
+        (count, last_run): (u32, RunNumber),
+        newest_saved: Option<Box<str>>,
         waiting: IndexRanges,
         touched: BTreeMap<u32, TaskState>,
     ) -> Self {
         let mut step = Self {
             count,
             last_run,
+            newest_saved,
             waiting,
             touched,
             counts: TaskCounts::default(),
@@ -105,10 +108,9 @@
         step
     }
 
-    /// Returns the number of tasks, the highest number of an attempt, the tasks that wait, and the state
-    /// of those that have been attempted and are not over.
-    pub(crate) fn parts(&self) -> (u32, RunNumber, &IndexRanges, &BTreeMap<u32, TaskState>) {
-        (self.count, self.last_run, &self.waiting, &self.touched)
+    /// Returns the tasks that wait, and the state of those that have been attempted and are not over.
+    pub(crate) fn parts(&self) -> (&IndexRanges, &BTreeMap<u32, TaskState>) {
+        (&self.waiting, &self.touched)
     }
 
     /// Number of tasks.
@@ -156,6 +158,12 @@
         })
     }
 
+    /// Returns the checkpoint that was saved last by any task.
+    #[must_use]
+    pub fn newest_saved(&self) -> Option<&str> {
+        self.newest_saved.as_deref()
+    }
+
     /// Returns the indices of the tasks that need a new attempt.
     #[must_use]
     pub fn waiting(&self) -> &IndexRanges {
@@ -209,8 +217,12 @@
             .or_else(|| self.task(index).cloned())
             .unwrap_or_default();
         self.counts.subtract(TaskCounts::of(&task));
+        let earlier = task.saved.clone();
         change(&mut task);
         self.counts.add(TaskCounts::of(&task));
+        if task.saved.is_some() && task.saved != earlier {
+            self.newest_saved = task.saved.clone();
+        }
         self.last_run = self.last_run.max(task.last_run);
         match task.is_waiting() {
             true => self.waiting.insert(index),
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -403,7 +403,11 @@
             run,
             incarnation: incarnation.clone(),
             spec: record.body.spec.clone(),
-            saved: state.saved.clone(),
+            saved: match spec.gang {
+                true => self.step_state(step).and_then(StepState::newest_saved),
+                false => state.saved.as_deref(),
+            }
+            .map(Box::from),
             traits: self.traits_of(spec, &host),
         };
         let run_view = RunView {
@@ -430,9 +434,13 @@
 
     /// Returns the attempt number that all members of a gang share in their next attempt.
     fn next_gang_run(&self, step: StepName) -> RunNumber {
-        let job = self.ledger.jobs.get(&step.job);
-        let occurrence = job.and_then(|job| job.occurrences.get(&step.occurrence));
-        let state = occurrence.and_then(|state| state.steps.get(usize::from(step.step)));
+        let state = self.step_state(step);
         state.map(StepState::last_run).unwrap_or_default().next()
     }
+
+    fn step_state(&self, step: StepName) -> Option<&StepState> {
+        let job = self.ledger.jobs.get(&step.job)?;
+        let occurrence = job.occurrences.get(&step.occurrence)?;
+        occurrence.steps.get(usize::from(step.step))
+    }
 }
--- a/crates/hornbeamlead_jobs/src/snapshot/stored.rs
+++ b/crates/hornbeamlead_jobs/src/snapshot/stored.rs
@@ -39,6 +39,7 @@
 pub(super) struct StoredStep {
     pub(super) count: u32,
     pub(super) last_run: RunNumber,
+    pub(super) newest_saved: Option<Box<str>>,
     pub(super) waiting: IndexRanges,
     pub(super) touched: BTreeMap<u32, StoredTask>,
 }
@@ -172,11 +173,12 @@
 
 impl From<&StepState> for StoredStep {
     fn from(step: &StepState) -> Self {
-        let (count, last_run, waiting, touched) = step.parts();
+        let (waiting, touched) = step.parts();
         let touched = touched.iter();
         Self {
-            count,
-            last_run,
+            count: step.len() as u32,
+            last_run: step.last_run(),
+            newest_saved: step.newest_saved().map(Box::from),
             waiting: waiting.clone(),
             touched: touched.map(|(&index, task)| (index, task.into())).collect(),
         }
@@ -187,7 +189,8 @@
     fn from(stored: StoredStep) -> Self {
         let touched = stored.touched.into_iter();
         let touched = touched.map(|(index, task)| (index, task.into())).collect();
-        Self::from_parts(stored.count, stored.last_run, stored.waiting, touched)
+        let numbers = (stored.count, stored.last_run);
+        Self::from_parts(numbers, stored.newest_saved, stored.waiting, touched)
     }
 }
 
