--- a/crates/hornbeamlead_jobs/src/planner/upkeep.rs
+++ b/crates/hornbeamlead_jobs/src/planner/upkeep.rs
@@ -61,6 +61,8 @@
     /// Records of the calls that are left. Readers ignore the snapshot until all are stored.
     calls: VecDeque<Vec<NewRecord>>,
     keys: SnapshotKeys,
+    /// Whether it takes several calls. It is then stored as a whole before the next one begins.
+    is_large: bool,
     /// Whether a call has been made.
     is_begun: bool,
     /// Offset of the plan before which all records are included.
@@ -172,9 +174,9 @@
     }
 
     pub(super) fn is_snapshot_due(&self, now: MonoTime) -> bool {
-        let is_begun = |snapshot: &PendingSnapshot| snapshot.is_begun;
+        let is_begun = |snapshot: &PendingSnapshot| snapshot.is_large && snapshot.is_begun;
         let is_writing = match &self.in_flight {
-            Some(UpkeepJob::Snapshot(snapshot)) => snapshot.calls.len() > 1,
+            Some(UpkeepJob::Snapshot(snapshot)) => snapshot.is_large,
             _ => self.snapshot.as_ref().is_some_and(is_begun),
         };
         now >= self.snapshot_at && self.encoding.is_none() && !is_writing
@@ -195,8 +197,10 @@
             is_second: encoder.size() > MAX_CALL_BYTES && !stored_second,
         };
         let end = encoder.plan_offset();
+        let calls = split_calls(encoder.finish(keys));
         self.add_snapshot(PendingSnapshot {
-            calls: split_calls(encoder.finish(keys)),
+            is_large: calls.len() > 1,
+            calls,
             keys,
             is_begun: false,
             end,
