[jobs] Serve long-running steps first again, and observe room only while something waits

The share of room that best-effort tasks get was also observed while nothing waited. And a pass with crashes known reserved hosts for the first four waiting tasks of a step only.

--- a/crates/hornbeamlead_jobs/src/planner/ready.rs
+++ b/crates/hornbeamlead_jobs/src/planner/ready.rs
@@ -75,13 +75,6 @@
     Overdue,
 }
 
-impl DeadlineOutlook {
-    /// Returns whether the job is too late to have any value.
-    pub(super) fn is_without_value(self) -> bool {
-        self >= Self::Worthless
-    }
-}
-
 /// Rank of a step that is ready: the lowest starts first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct StepRank {
@@ -94,6 +87,13 @@
     order: i64,
 }
 
+impl StepRank {
+    /// Returns whether the job is too late to have any value. Long-running tasks never are.
+    pub(super) fn is_without_value(self) -> bool {
+        self.has_end && self.outlook >= DeadlineOutlook::Worthless
+    }
+}
+
 /// How the steps of an occurrence are served.
 #[derive(Clone, Debug, Default)]
 pub(super) struct OccurrenceRanks {
@@ -260,9 +260,16 @@
     /// Returns the steps with waiting tasks that a pass considers, in scheduling order.
     pub(super) fn ready_steps(&self, now: ClockReading, front: &QueueFront) -> Vec<ReadyStep> {
         let rooms = PassRooms::default();
-        let steps = front.keys.iter();
-        let steps = steps.filter_map(|key| self.ready_step(now, key, &rooms, MIN_STEP_TASKS));
-        steps.collect()
+        let mut tasks_left = MAX_PASS_TASKS;
+        let mut steps = Vec::new();
+        for key in &front.keys {
+            let limit = tasks_left.max(MIN_STEP_TASKS);
+            if let Some(step) = self.ready_step(now, key, &rooms, limit) {
+                tasks_left = tasks_left.saturating_sub(step.tasks.len());
+                steps.push(step);
+            }
+        }
+        steps
     }
 
     /// Returns a step that is ready, unless none of its tasks waits any more or finds room.
@@ -324,7 +331,7 @@
             tasks,
             unconditional,
             is_overdue: rank.outlook == DeadlineOutlook::Overdue,
-            is_without_value: rank.outlook.is_without_value(),
+            is_without_value: rank.is_without_value(),
             is_job_running: state.unfinished_runs() > 0,
         })
     }
--- a/crates/hornbeamlead_jobs/src/planner/schedule.rs
+++ b/crates/hornbeamlead_jobs/src/planner/schedule.rs
@@ -98,7 +98,8 @@
         let ranks_left = self
             .work
             .rank_changed(&self.ledger, now.wall, by_value, left_out);
-        if !by_value || !self.select_by_value(now) {
+        // What is observed while nothing waits says nothing of the room.
+        if !by_value || !self.work.has_ready_steps() || !self.select_by_value(now) {
             return ranks_left;
         }
         let left_out = &self.overload.left_out;
@@ -178,7 +179,7 @@
         let mut jobs_with_minimum = BTreeSet::new();
         for (key, is_minimum) in front.in_order() {
             let is_known = jobs_with_minimum.contains(&key.job);
-            if key.rank.outlook.is_without_value() && is_known {
+            if key.rank.is_without_value() && is_known {
                 continue;
             }
             let limit = match is_minimum {
--- a/crates/hornbeamlead_jobs/src/planner/work_queue.rs
+++ b/crates/hornbeamlead_jobs/src/planner/work_queue.rs
@@ -63,7 +63,7 @@
     /// Returns the steps in scheduling order, and of each whether only as many tasks may start as any job
     /// may have. A step may come twice.
     pub(super) fn in_order(&self) -> impl Iterator<Item = (&ReadyKey, bool)> {
-        let is_of_value = |key: &&ReadyKey| !key.rank.outlook.is_without_value();
+        let is_of_value = |key: &&ReadyKey| !key.rank.is_without_value();
         let valuable = self.keys.iter().filter(is_of_value);
         let rest = self.keys.iter().filter(move |key| !is_of_value(key));
         let short = self.short.iter().map(|key| (key, true));
@@ -374,7 +374,7 @@
                 self.short_heads.remove(&before);
             }
             self.heads.extend(after);
-            let short = after.filter(|key| is_short && key.rank.outlook.is_without_value());
+            let short = after.filter(|key| is_short && key.rank.is_without_value());
             self.short_heads.extend(short);
         }
     }
@@ -393,13 +393,18 @@
                 continue;
             };
             let key = ready_key((job, step), rank, occurrence);
-            match is_short && rank.outlook.is_without_value() {
+            match is_short && rank.is_without_value() {
                 true => self.short_heads.insert(key),
                 false => self.short_heads.remove(&key),
             };
         }
     }
 
+    /// Returns whether a step is ready.
+    pub(super) fn has_ready_steps(&self) -> bool {
+        !self.heads.is_empty()
+    }
+
     /// Returns the steps that a pass considers.
     pub(super) fn front(&mut self) -> QueueFront {
         let most_short = if self.wide.is_empty() {
