--- a/crates/hornbeamlead_jobs/tests/late_schedules.rs
+++ b/crates/hornbeamlead_jobs/tests/late_schedules.rs
@@ -196,22 +196,21 @@
     assert_eq!(world.judge.violations, Vec::<String>::new());
 }
 
-/// Guards against long-running tasks that wait for others, as their jobs are past any deadline.
+/// Guards against long-running tasks that wait behind others, as their job is past any deadline when
+/// room becomes free.
 #[test]
 fn lasting_first() {
-    let mut world = world(ServiceOrder::ByDeadline, 3000);
-    let waiting = once(step(21));
-    world.submit(OTHER, waiting.clone());
+    let mut world = world(ServiceOrder::ByDeadline, 9000);
+    world.submit(OTHER, once(step(21)));
     world.run(500);
     let lasting = StepSpec {
         long_running: true,
         ..step(4)
     };
     world.submit(JobId(2), once(lasting));
-    // The lasting job has waited for long when room becomes free, and others have come since.
-    world.submit(JobId(OTHER.0 + 1), waiting.clone());
-    world.run(2000);
-    world.submit(JobId(OTHER.0 + 2), waiting);
-    world.run(1000);
+    world.run(8000);
+    world.submit(JobId(OTHER.0 + 1), once(step(21)));
+    world.run(1500);
+    assert_eq!(world.running(OTHER).len(), 0);
     assert_eq!(world.running(JobId(2)).len(), 4);
 }
