[jobs] Bound what the large jobs of an entry take of a planner's memory

Cause: planners hold the bodies of all open jobs. A body may have 262,144 bytes in texts and dependencies that nothing limits, and was accepted at any number.

Change: an entry counts the decoded size of the large jobs (16 KiB or more, many times a usual one) that it has accepted and that have not ended, and takes 2 MiB of them at the most. Beyond that it answers 503 (`large_jobs_full`), or 504 while another entry may have stored the job, so that "never runs" stays true. Usual jobs are not counted, and one of the largest is accepted in calm.

Not covered: many jobs just below 16 KiB; an entry that restarts forgets what it has accepted.

--- a/crates/hornbeamlead_jobs/src/entry.rs
+++ b/crates/hornbeamlead_jobs/src/entry.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 mod append;
 mod event;
+mod large_jobs;
 mod load_view;
 mod notices;
 mod queue_length;
@@ -32,6 +33,8 @@
 use append::PendingAppend;
 pub use event::{CallerOperation, CallerRequest, EntryEvent};
 use hornbeamlead_core::clock::{ClockReading, MonoTime};
+use large_jobs::LargeJobs;
+pub use large_jobs::MAX_LARGE_BYTES;
 use load_view::LoadView;
 use queue_length::PlacedView;
 use rand::SeedableRng;
@@ -107,6 +110,7 @@
     rendezvous: RendezvousLinks,
     /// Jobs of this entry of which others were not told yet.
     fresh_late: Vec<LateJob>,
+    large: LargeJobs,
     load: LoadView,
     placed: PlacedView,
     effects: Vec<Effect>,
@@ -145,6 +149,7 @@
             uncertain: UncertainJobs::default(),
             rendezvous: RendezvousLinks::default(),
             fresh_late: Vec::new(),
+            large: LargeJobs::default(),
             load: LoadView::default(),
             placed: PlacedView::default(),
             effects: Vec::new(),
--- a/crates/hornbeamlead_jobs/src/entry/append.rs
+++ b/crates/hornbeamlead_jobs/src/entry/append.rs
@@ -95,6 +95,10 @@
                 if let Some(rejection) = self.rejection(now.mono, &terms, facts) {
                     return self.reject_job(ticket, job, &terms, facts, rejection);
                 }
+                let ended = |job| self.index.phase(job).is_some_and(|phase| phase.is_final());
+                if !self.large.add(job, body.held_bytes(), ended) {
+                    return self.refuse_large(now.mono, ticket, job);
+                }
             }
         }
         let (queue, priority) = (terms.queue.clone(), terms.priority);
@@ -221,6 +225,7 @@
                     PendingKind::Submit { priority } => {
                         let refusal = JobRefusal::AppendRefused(cause);
                         self.load.remove(job);
+                        self.large.remove(job);
                         self.refuse_job(now, ticket, job, priority, refusal);
                     }
                     PendingKind::Cancel => {
--- a/crates/hornbeamlead_jobs/src/entry/replies.rs
+++ b/crates/hornbeamlead_jobs/src/entry/replies.rs
@@ -15,6 +15,9 @@
 /// reach the store.
 const RETRY_AFTER_S: u32 = 1;
 
+/// Seconds after which a caller may repeat a large job; the open ones have to end first.
+const LARGE_RETRY_AFTER_S: u32 = 5;
+
 /// Why the store does not take a job.
 #[derive(Clone, Debug)]
 pub(super) enum JobRefusal {
@@ -72,6 +75,21 @@
         self.refuse_until(ticket, reason, retry_after_s);
     }
 
+    /// Refuses a large job because too many of them are open. That it never runs is said only if no
+    /// other entry may have stored it.
+    pub(super) fn refuse_large(&mut self, now: MonoTime, ticket: u64, job: JobId) {
+        let is_absent = self.is_plan_fresh(now) && self.store_watch.is_calm(now);
+        self.log(
+            "submit_refused",
+            job,
+            format!("reason=large_jobs_full absent={is_absent}"),
+        );
+        match is_absent {
+            true => self.refuse_until(ticket, "large_jobs_full", LARGE_RETRY_AFTER_S),
+            false => self.reply(ticket, CallerReply::Unknown),
+        }
+    }
+
     fn refuse_until(&mut self, ticket: u64, reason: &'static str, retry_after_s: u32) {
         self.effects.push(Effect::Count(reason));
         let reply = CallerReply::Refused {
--- a/crates/hornbeamlead_jobs/src/job.rs
+++ b/crates/hornbeamlead_jobs/src/job.rs
@@ -137,6 +137,18 @@
         self.steps.iter().map(work).sum()
     }
 
+    /// Returns the memory that the job takes, in bytes.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        let step_bytes = |step: &StepSpec| {
+            let texts = [&step.label, &step.data_rack].into_iter().flatten();
+            let texts: usize = texts.map(|text| text.len()).sum();
+            texts + step.image.len() + size_of_val(&*step.after) + size_of::<StepSpec>()
+        };
+        let steps: usize = self.steps.iter().map(step_bytes).sum();
+        size_of::<Self>() + self.spec.len() + steps
+    }
+
     /// Returns whether most of the work is that of best-effort tasks.
     #[must_use]
     pub fn is_best_effort(&self) -> bool {
