--- a/crates/hornbeamlead_jobs/src/config.rs
+++ b/crates/hornbeamlead_jobs/src/config.rs
@@ -2,6 +2,7 @@
 
 use crate::job::QueueTerms;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 /// Queue of jobs, selected by host and longest matching path prefix.
 #[derive(Clone, Debug, PartialEq)]
@@ -25,6 +26,19 @@
     pub health_path: Option<Box<str>>,
 }
 
+/// Limits on callers; those that are absent or zero have the defaults of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Maximum length of a request head, in bytes.
+    pub max_head_bytes: Option<u32>,
+    /// Maximum length of a request body, in bytes.
+    pub max_body_bytes: Option<u32>,
+    /// Maximum time from the first byte of a request to the end of its head.
+    pub head_timeout: Option<Duration>,
+    /// Maximum time between two requests of a connection.
+    pub idle_timeout: Option<Duration>,
+}
+
 /// One version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct FleetConfig {
@@ -34,6 +48,8 @@
     pub routes: Vec<QueueRoute>,
     /// Services by name.
     pub services: BTreeMap<Box<str>, ServiceTerms>,
+    /// Limits on callers.
+    pub limits: CallerLimits,
 }
 
 impl FleetConfig {
--- a/crates/hornbeamlead_jobs/src/entry.rs
+++ b/crates/hornbeamlead_jobs/src/entry.rs
@@ -18,6 +18,7 @@
 mod store_watch;
 mod uncertain;
 
+use crate::config::CallerLimits;
 use crate::effect::{CallerReply, Effect};
 use crate::follow::{FollowOutcome, NewestReader, StreamFollower};
 use crate::ids::{JobId, StreamOffset};
@@ -169,6 +170,12 @@
         self.operators.version()
     }
 
+    /// Returns the limits on callers in force, once a configuration is known.
+    #[must_use]
+    pub fn caller_limits(&self) -> Option<CallerLimits> {
+        self.operators.config().map(|config| config.limits)
+    }
+
     /// Returns the number of requests that are waiting for the store.
     #[must_use]
     pub fn in_progress(&self) -> usize {
--- a/crates/hornbeamlead_jobs/tests/config_check.rs
+++ b/crates/hornbeamlead_jobs/tests/config_check.rs
@@ -28,6 +28,7 @@
         version: 7,
         routes: vec![route("/a/"), route("/b/")],
         services: [(service.name.clone(), service)].into(),
+        ..FleetConfig::default()
     }
 }
 
--- a/crates/hornbeamlead_jobs/tests/world/patterns.rs
+++ b/crates/hornbeamlead_jobs/tests/world/patterns.rs
@@ -157,5 +157,6 @@
             terms,
         }],
         services: BTreeMap::new(),
+        ..FleetConfig::default()
     }
 }
