[settings] Tell processes the memory and descriptors of their machine

`limits.memory` and `limits.descriptors`, which the platform fills in through `deploy/`, default to those of the smallest machine (128 MiB, 4,096). Values with which a process could not serve, and unknown keys, are findings. Test: machine_limits, templates_valid.

--- a/crates/hornbeamlead_settings/src/fleet.rs
+++ b/crates/hornbeamlead_settings/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Settings of a process that runs jobs on a platform with a key-value store.
 
 use crate::finding::{FindingLog, Findings};
+use crate::machine::{MachineLimits, read_machine_limits};
 use crate::process::{RoleName, host_seed};
 use crate::section::{Section, parse_document};
 use hornbeamlead_core::ids::{DataCentreName, HostId};
@@ -83,6 +84,8 @@
     pub metrics: SocketAddr,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Limits of the machine.
+    pub machine: MachineLimits,
     /// Role of the process.
     pub role: FleetRole,
 }
@@ -125,6 +128,7 @@
     let data_centre = section.required("data_centre", log);
     let seed = section.optional("seed", log);
     let store = read_store(&mut section, log);
+    let machine = read_machine_limits(&mut section, log);
     let addresses = section.required_section("addresses", ADDRESSES_EXAMPLE, log);
     let parsed = addresses.and_then(|addresses| read_addresses(addresses, role, log));
     let role = match role {
@@ -144,6 +148,7 @@
         inner: parsed.inner,
         metrics: parsed.metrics,
         store: store?,
+        machine,
         role: role?,
     })
 }
--- a/crates/hornbeamlead_settings/src/lib.rs
+++ b/crates/hornbeamlead_settings/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod finding;
 mod fleet;
+mod machine;
 mod name_suggestion;
 mod policy;
 mod process;
@@ -27,5 +28,6 @@
 
 pub use finding::{Finding, Findings, MAX_FINDINGS};
 pub use fleet::{FleetRole, FleetSettings, has_store, read_fleet_settings};
+pub use machine::MachineLimits;
 pub use process::{ListenAddresses, ProcessSettings, RoleSettings, read_settings};
 pub use tool::{ToolSettings, read_tool_settings};
--- a/crates/hornbeamlead_settings/src/process.rs
+++ b/crates/hornbeamlead_settings/src/process.rs
@@ -1,6 +1,7 @@
 //! Settings of a daemon process that serves requests and runs tasks.
 
 use crate::finding::{FindingLog, Findings};
+use crate::machine::{MachineLimits, read_machine_limits};
 use crate::note::read_size;
 use crate::policy::{read_entry_policy, read_gate_policy, read_schedule_policy};
 use crate::section::{Section, parse_document};
@@ -65,6 +66,8 @@
     pub log: SocketAddr,
     /// Address of the statsd server; without one, no metrics are sent.
     pub statsd: Option<SocketAddr>,
+    /// Limits of the machine.
+    pub machine: MachineLimits,
     /// Role of the process, with its policy.
     pub role: RoleSettings,
 }
@@ -120,6 +123,7 @@
     let addresses = read_addresses(&mut section, role, log);
     let log_address = read_log(&mut section, log);
     let statsd = read_metrics(&mut section, log);
+    let machine = read_machine_limits(&mut section, log);
     let role = match role {
         Some(RoleName::Entry) => read_entry(&mut section, log),
         Some(RoleName::Agent) => read_agent(&mut section, log),
@@ -138,6 +142,7 @@
         addresses: addresses?,
         log: log_address?,
         statsd,
+        machine,
         role: role?,
     })
 }
--- a/crates/hornbeamlead_settings/tests/fleet_settings.rs
+++ b/crates/hornbeamlead_settings/tests/fleet_settings.rs
@@ -24,6 +24,12 @@
         ("{{service}}", "desk"),
         ("{{#app}}", ""),
         ("{{/app}}", ""),
+        ("{{#limits.memoryMb}}", ""),
+        ("{{/limits.memoryMb}}", ""),
+        ("{{limits.memoryMb}}", "260"),
+        ("{{#limits.maxFds}}", ""),
+        ("{{/limits.maxFds}}", ""),
+        ("{{limits.maxFds}}", "4100"),
         ("{{#service}}", ""),
         ("{{/service}}", ""),
     ]
@@ -45,6 +51,29 @@
     }
 }
 
+/// The limits of the machine are those of the smallest one unless the settings name them; values with
+/// which a process could not serve are found.
+#[rstest]
+#[case("", Some((128, 4096)))]
+#[case(r#""limits": {}, "#, Some((128, 4096)))]
+#[case(r#""limits": {"memory": "260MiB", "descriptors": 4100}, "#, Some((260, 4100)))]
+#[case(r#""limits": {"memory": "1GiB"}, "#, Some((1024, 4096)))]
+#[case(r#""limits": {"memory": "32MiB"}, "#, None)]
+#[case(r#""limits": {"memory": 260}, "#, None)]
+#[case(r#""limits": {"descriptors": 200}, "#, None)]
+#[case(r#""limits": {"descriptors": -1}, "#, None)]
+#[case(r#""limits": {"files": 4100}, "#, None)]
+fn machine_limits(#[case] limits: &str, #[case] expected: Option<(u32, u32)>) {
+    let text = format!(
+        r#"{{"role": "entry", "host": "h1", "data_centre": "z1", {limits}"addresses": {{
+            "inner": "127.0.0.1:0", "metrics": "127.0.0.1:0", "callers": "127.0.0.1:0",
+            "readiness": "127.0.0.1:0"}}, "store": {{"address": "127.0.0.1:7000"}}}}"#
+    );
+    let settings = read_fleet_settings("entry.json", &text).ok();
+    let found = settings.map(|settings| (settings.machine.memory.0, settings.machine.descriptors));
+    assert_eq!(found, expected);
+}
+
 /// An agent may know its worker beforehand; an entry has none.
 #[rstest]
 #[case(r#""worker": {"address": "10.0.0.1:8165", "service": "desk"}, "#, true)]
