[daemon] Bound the memory and the places of HTTP clients that never finish

What callers saw: clients that send large bodies, 1-byte chunks, heads or empty lines without end and stop just short of the end took all memory of an entry or an agent (402 to 738 MB of 260, 148 to 567 MB of 128), and 4,500 of them all places, so that no new caller was answered while they stayed.

Causes: no budget over all connections for what is read, decoded or waits for a reply; chunks kept the buffers of the HTTP library; that kept up to 400 kB of a head, spoke HTTP/2 as well, and split paths into parts; a body had no deadline, and no place was left for others once all were taken; gotham's accept loop spins without a free descriptor. Each listener had 4,096 places of its own, beyond the descriptors.

Change: connections are served by hyper's HTTP/1.1 with gotham's handlers and a buffer of the length of a head. Places follow from the machine's memory and descriptors; the connection that has waited longest for its client gives way to a new one, and requests being handled keep theirs (90% of the places; 75% for requests on connections that have had an answer). Bodies are copied into a buffer that grows with what has come, leased from one budget of a fifth of the memory, of which large ones take three quarters; the body that has waited longest is closed first, and a request without memory gets 503 at once. The lease grows to the decoded job and lasts until the reply. GET and DELETE do not read bodies. The operators' limits are adopted with 1 s of slack. Readiness, metrics and the local listener have 64 places of their own; encoded metrics are shared for 100 ms. A closed connection discards what still comes for 1 s, so that its client gets the answer.

connections_capped expected that a third client is turned away while two rest. Now the oldest resting one makes room, which oldest_evicted checks; connections_capped checks the bound with a request being handled.

New: oldest_evicted, repeated_requests_last, slow_body_refused, oldest_body_evicted.

Not covered: a connection that is evicted gets no answer; HTTP/2 is no longer spoken.

--- a/crates/hornbeamlead_core/src/counter.rs
+++ b/crates/hornbeamlead_core/src/counter.rs
@@ -108,6 +108,12 @@
         BudgetSpent => "budget_spent",
         /// An announcement came from another worker than the agent's own.
         ForeignWorker => "foreign_worker",
+        /// A connection without a complete request was closed to make room for another one.
+        ConnectionEvicted => "connection_evicted",
+        /// A request was not received completely in time.
+        RequestTimeout => "request_timeout",
+        /// The memory for requests is in use.
+        MemoryFull => "memory_full",
     }
 );
 
--- a/crates/hornbeamlead_daemon/src/fleet/agent/threads.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/agent/threads.rs
@@ -1,13 +1,14 @@
 //! Starts the threads of an agent.
 
 use super::AgentInput;
-use crate::fleet::local::{LocalContext, handle_local};
+use crate::fleet::local::{LocalContext, MAX_BODY_BYTES, handle_local};
 use crate::fleet::metrics::FleetMetrics;
-use crate::fleet::start::start_listener;
+use crate::fleet::start::{ListenerParts, start_listener};
 use crate::fleet::worker::{WORKER_CALL_CAPACITY, WorkerThread};
 use crate::fleet::{FleetError, StartSnafu, listen};
 use crate::launch::thread::spawn_runtime_thread;
 use crate::ring::RingSender;
+use crate::web::ConnectionLimits;
 use hornbeamlead_jobs::worker::WorkerCall;
 use slog::Logger;
 use snafu::ResultExt;
@@ -18,13 +19,19 @@
 pub(super) fn start_local(
     address: std::net::SocketAddr,
     inbox: &RingSender<AgentInput>,
+    parts: &ListenerParts,
     metrics: &FleetMetrics,
     log: &Logger,
 ) -> Result<(), FleetError> {
     let listener = listen("local", address)?;
+    let table = parts.table(ConnectionLimits {
+        max_body_bytes: MAX_BODY_BYTES,
+        ..ConnectionLimits::narrow()
+    });
     let context = Arc::new(LocalContext {
         inbox: inbox.clone(),
         metrics: metrics.clone(),
+        table: Arc::clone(&table),
         log: log.clone(),
         next_line_at: AtomicU64::new(0),
     });
@@ -32,7 +39,7 @@
         let context = Arc::clone(&context);
         Ok(move |state| handle_local(context, state))
     };
-    start_listener("local", listener, handler, log)
+    start_listener("local", listener, handler, table)
 }
 
 pub(super) fn start_worker(
--- a/crates/hornbeamlead_daemon/src/fleet/entry.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/entry.rs
@@ -1,21 +1,21 @@
 //! Starts the threads of an entry and runs its event loop.
 
-use super::callers::{CallerContext, handle_call};
+use super::callers::{CallerContext, callers_limits, handle_call};
 use super::links::{LinkCommand, LinkEvent, PeerFrame};
 use super::metrics::FleetMetrics;
 use super::signals::{SignalHandlers, SignalRequest, spawn_signal_thread};
 use super::sinks::EffectSinks;
-use super::start::{start_links, start_probe, start_store};
+use super::start::{ListenerParts, start_links, start_listener, start_probe, start_store};
 use super::store::StoreResult;
 use super::{EndedSnafu, FleetError, StartSnafu, listen};
+use crate::budget::{ByteLease, ClientShare};
 use crate::clock::BootClock;
-use crate::counters::ProcessCounters;
-use crate::launch::thread::spawn_runtime_thread;
 use crate::ring::{RingSender, decision_ring};
-use crate::web::{ConnectionLimits, ConnectionTable, serve};
+use crate::web::{ConnectionLimits, ConnectionTable};
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 use hornbeamlead_adapter::OperatorRecordFormat;
 use hornbeamlead_core::clock::MonoTime;
+use hornbeamlead_jobs::config::CallerLimits;
 use hornbeamlead_jobs::effect::{CallerReply, Effect, LogLine};
 use hornbeamlead_jobs::entry::{CallerRequest, EntryEvent, EntryMachine, EntryPolicy};
 use hornbeamlead_settings::{FleetRole, FleetSettings, read_fleet_settings};
@@ -41,7 +41,14 @@
 /// Caller's request that waits for its reply.
 pub(super) struct PendingRequest {
     pub(super) request: CallerRequest,
+    pub(super) waiting: WaitingCaller,
+}
+
+/// Caller that waits for its reply.
+pub(super) struct WaitingCaller {
     pub(super) reply_sender: oneshot::Sender<CallerReply>,
+    /// Lease for the memory of the request, which the process keeps until the reply.
+    pub(super) _lease: ByteLease,
 }
 
 /// Input of an entry's event loop.
@@ -84,12 +91,11 @@
     let metrics = FleetMetrics::new();
     let (inbox, ring) = decision_ring();
     let ready = Arc::new(AtomicBool::new(false));
-    let thread = "metrics";
-    let counters = ProcessCounters::new(None, log.clone()).context(StartSnafu { thread })?;
-    let table = ConnectionTable::new(ConnectionLimits::default(), Arc::new(counters));
+    let parts = ListenerParts::new(settings.machine, log)?;
+    let table = parts.table(ConnectionLimits::wide(parts.share));
     start_callers(callers, &inbox, &table, &metrics)?;
     for (name, address) in [("readiness", readiness), ("metrics", settings.metrics)] {
-        start_probe(name, address, &ready, &metrics, log)?;
+        start_probe(name, address, &parts, &ready, &metrics)?;
     }
     let store = start_store(settings, &inbox, &metrics, log)?;
     let links = start_links(settings.store, None, &inbox)?;
@@ -104,8 +110,10 @@
         machine: EntryMachine::with_policy(policy, OperatorRecordFormat),
         sinks: EffectSinks::new(store, metrics, log.clone()),
         links,
-        reply_senders: HashMap::new(),
+        waiting: HashMap::new(),
         ready,
+        limits: CallerLimits::default(),
+        share: parts.share,
         table,
         stop_after,
         stopping: None,
@@ -127,20 +135,11 @@
         metrics: metrics.clone(),
         last_ticket: AtomicU64::new(0),
     });
-    let table = Arc::clone(table);
     let handler = move || {
         let context = Arc::clone(&context);
         Ok(move |state| handle_call(context, state))
     };
-    let run = move || async move {
-        // Fails only if the runtime cannot register the socket.
-        if let Ok(listener) = tokio::net::TcpListener::from_std(listener) {
-            serve(listener, handler, table).await;
-        }
-    };
-    spawn_runtime_thread("callers", run)
-        .map(drop)
-        .context(StartSnafu { thread: "callers" })
+    start_listener("callers", listener, handler, Arc::clone(table))
 }
 
 /// Reads the settings again and logs whether they are valid. They are not applied: the addresses
@@ -174,8 +173,11 @@
     machine: EntryMachine<OperatorRecordFormat>,
     sinks: EffectSinks,
     links: mpsc::Sender<LinkCommand>,
-    reply_senders: HashMap<u64, oneshot::Sender<CallerReply>>,
+    waiting: HashMap<u64, WaitingCaller>,
     ready: Arc<AtomicBool>,
+    /// Limits of the configuration that the table has.
+    limits: CallerLimits,
+    share: ClientShare,
     table: Arc<ConnectionTable>,
     stop_after: Duration,
     stopping: Option<StopWindow>,
@@ -196,6 +198,7 @@
                 self.handle_input(input);
             }
             self.handle_event(EntryEvent::Tick);
+            self.adopt_limits();
             self.publish_state();
             if self.may_stop() {
                 self.table.close();
@@ -208,11 +211,8 @@
     fn handle_input(&mut self, input: EntryInput) {
         match input {
             EntryInput::Request(pending) => {
-                let PendingRequest {
-                    request,
-                    reply_sender,
-                } = *pending;
-                self.reply_senders.insert(request.ticket, reply_sender);
+                let PendingRequest { request, waiting } = *pending;
+                self.waiting.insert(request.ticket, waiting);
                 self.handle_event(EntryEvent::Request(request));
             }
             EntryInput::Stored(StoreResult { caller, outcome }) => {
@@ -262,9 +262,9 @@
                     }
                 }
                 Effect::Reply { ticket, reply } => {
-                    if let Some(reply_sender) = self.reply_senders.remove(&ticket) {
+                    if let Some(waiting) = self.waiting.remove(&ticket) {
                         // Fails only if the caller has disconnected.
-                        let _ = reply_sender.send(reply);
+                        let _ = waiting.reply_sender.send(reply);
                     }
                 }
                 Effect::AddRelay(address) => self.sinks.add_relay(address),
@@ -292,6 +292,15 @@
         }
     }
 
+    /// Has the callers' listener keep to the limits of the configuration in force.
+    fn adopt_limits(&mut self) {
+        let limits = self.machine.caller_limits().unwrap_or_default();
+        if limits != self.limits {
+            self.limits = limits;
+            self.table.set_limits(callers_limits(self.share, limits));
+        }
+    }
+
     fn publish_state(&self) {
         let ready = self.machine.is_ready() && self.stopping.is_none();
         if ready != self.ready.swap(ready, Ordering::AcqRel) {
@@ -321,7 +330,7 @@
 
     fn may_stop(&self) -> bool {
         let now = BootClock.mono();
-        let idle = self.reply_senders.is_empty() && self.table.is_empty();
+        let idle = self.waiting.is_empty() && self.table.is_empty();
         self.stopping
             .is_some_and(|stop| now >= stop.latest || (idle && now >= stop.earliest))
     }
--- a/crates/hornbeamlead_daemon/src/fleet/local.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/local.rs
@@ -4,7 +4,7 @@
 use super::metrics::FleetMetrics;
 use crate::clock::BootClock;
 use crate::ring::RingSender;
-use crate::web::plain;
+use crate::web::{ConnectionTable, RequestError, RequestGuard, plain, read_body};
 use bytes::Bytes;
 use futures_util::FutureExt;
 use gotham::handler::HandlerFuture;
@@ -13,16 +13,16 @@
 use hornbeamlead_adapter::{AdapterError, InstancePath, decode_heartbeat, parse_instance_path};
 use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_jobs::supervisor::SupervisorEvent;
-use http_body_util::{BodyExt, Limited};
 use hyper::{Method, StatusCode, Uri};
 use slog::{Logger, warn};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Maximum heartbeat body, in bytes; the platform's longest is 4 MiB.
-const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+pub(super) const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
 /// Minimum interval between lines on unreadable heartbeats; others can be sent at any rate.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -34,6 +34,7 @@
 pub(super) struct LocalContext {
     pub(super) inbox: RingSender<AgentInput>,
     pub(super) metrics: FleetMetrics,
+    pub(super) table: Arc<ConnectionTable>,
     pub(super) log: Logger,
     /// Earliest time of the next line on an unreadable heartbeat, in microseconds.
     pub(super) next_line_at: AtomicU64,
@@ -42,7 +43,8 @@
 pub(super) fn handle_local(context: Arc<LocalContext>, state: State) -> Pin<Box<HandlerFuture>> {
     async move {
         let mut state = state;
-        let status = match context.handle_request(&mut state).await {
+        let guard = context.table.begin_call(&state);
+        let status = match context.handle_request(&mut state, &guard).await {
             Ok(()) => StatusCode::OK,
             Err(status) => status,
         };
@@ -53,20 +55,27 @@
 }
 
 impl LocalContext {
-    async fn handle_request(&self, state: &mut State) -> Result<(), StatusCode> {
+    async fn handle_request(
+        &self,
+        state: &mut State,
+        guard: &RequestGuard,
+    ) -> Result<(), StatusCode> {
         let path = parse_instance_path(Uri::borrow_from(state).path());
         let path = path.ok_or(StatusCode::NOT_FOUND)?;
         if *Method::borrow_from(state) != Method::POST {
             return Err(StatusCode::METHOD_NOT_ALLOWED);
         }
-        let body = Limited::new(Body::take_from(state), MAX_BODY_BYTES)
-            .collect()
-            .await;
         let event = match path {
             InstancePath::Deregister(id) => SupervisorEvent::Left { id },
             InstancePath::Heartbeat(id) => {
-                let body = body.map_err(|_| StatusCode::BAD_REQUEST)?.to_bytes();
-                let announcement = decode_heartbeat(&id, &body).map_err(|error| {
+                let deadline = Instant::now() + guard.table().limits().body_timeout;
+                let body = read_body(guard, Body::take_from(state), deadline).await;
+                let body = body.map_err(|error| match error {
+                    RequestError::NoMemory | RequestError::Busy => StatusCode::SERVICE_UNAVAILABLE,
+                    RequestError::TimedOut => StatusCode::REQUEST_TIMEOUT,
+                    RequestError::Cut | RequestError::TooLong => StatusCode::BAD_REQUEST,
+                })?;
+                let announcement = decode_heartbeat(&id, &body.bytes).map_err(|error| {
                     self.note_unreadable(&id, &error);
                     StatusCode::BAD_REQUEST
                 })?;
--- a/crates/hornbeamlead_daemon/src/fleet/metrics.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and latency histograms of a process, in the Prometheus text format.
 
+use crate::counters::ProcessCounters;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
     TextEncoder,
@@ -75,8 +76,11 @@
         self.gauges.with_label_values(&[name]).set(value);
     }
 
-    /// Encodes all metrics in the Prometheus text format.
-    pub(super) fn encode_text(&self) -> Vec<u8> {
+    /// Encodes all metrics in the Prometheus text format, with what the listeners have refused.
+    pub(super) fn encode_text(&self, counters: &ProcessCounters) -> Vec<u8> {
+        for (reason, count) in counters.refusals() {
+            self.set_gauge(&format!("refused_{reason}"), count);
+        }
         let mut text = Vec::new();
         // Writing to a vector cannot fail, and all families have a valid name.
         let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
--- a/crates/hornbeamlead_daemon/src/fleet/start.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/start.rs
@@ -5,36 +5,75 @@
 use super::probes::{ProbeContext, handle_probe};
 use super::store::{STORE_COMMAND_CAPACITY, StoreCommand, StoreResult, StoreThread};
 use super::{FleetError, StartSnafu, listen};
+use crate::budget::{ByteBudget, ClientShare};
 use crate::counters::ProcessCounters;
 use crate::launch::thread::spawn_runtime_thread;
 use crate::ring::RingSender;
 use crate::web::{ConnectionLimits, ConnectionTable, serve};
-use hornbeamlead_settings::FleetSettings;
+use hornbeamlead_settings::{FleetSettings, MachineLimits};
 use slog::Logger;
 use snafu::ResultExt;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
+use std::panic::RefUnwindSafe;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex};
 use tokio::sync::mpsc;
 
+/// What the listeners of a process share.
+pub(super) struct ListenerParts {
+    /// What the clients of the process may use of its machine.
+    pub(super) share: ClientShare,
+    /// Budget for what they make the process hold.
+    pub(super) budget: Arc<ByteBudget>,
+    /// Counters of what is refused to them.
+    pub(super) counters: Arc<ProcessCounters>,
+}
+
+impl ListenerParts {
+    /// Creates the parts for a machine.
+    ///
+    /// # Errors
+    /// Returns the error of creating the counters.
+    pub(super) fn new(machine: MachineLimits, log: &Logger) -> Result<Self, FleetError> {
+        let share = ClientShare::from(machine);
+        let counters = ProcessCounters::new(None, log.clone());
+        let counters = counters.context(StartSnafu { thread: "metrics" })?;
+        Ok(Self {
+            share,
+            budget: ByteBudget::new(share.held_bytes),
+            counters: Arc::new(counters),
+        })
+    }
+
+    /// Creates the table of a listener's connections.
+    pub(super) fn table(&self, limits: ConnectionLimits) -> Arc<ConnectionTable> {
+        let (budget, counters) = (Arc::clone(&self.budget), Arc::clone(&self.counters));
+        ConnectionTable::new(limits, budget, counters)
+    }
+}
+
 /// Starts a listener that serves both readiness and metrics.
 pub(super) fn start_probe(
     name: &'static str,
     address: SocketAddr,
+    parts: &ListenerParts,
     ready: &Arc<AtomicBool>,
     metrics: &FleetMetrics,
-    log: &Logger,
 ) -> Result<(), FleetError> {
     let listener = listen(name, address)?;
     let context = Arc::new(ProbeContext {
         ready: Arc::clone(ready),
         metrics: metrics.clone(),
+        counters: Arc::clone(&parts.counters),
+        table: parts.table(ConnectionLimits::narrow()),
+        cached_text: Mutex::default(),
     });
+    let table = Arc::clone(&context.table);
     let handler = move || {
         let context = Arc::clone(&context);
         Ok(move |state| handle_probe(&context, state))
     };
-    start_listener(name, listener, handler, log)
+    start_listener(name, listener, handler, table)
 }
 
 /// Starts the thread of a listener that serves until the process exits.
@@ -42,13 +81,11 @@
     name: &'static str,
     listener: TcpListener,
     handler: H,
-    log: &Logger,
+    table: Arc<ConnectionTable>,
 ) -> Result<(), FleetError>
 where
-    H: gotham::handler::NewHandler + 'static,
+    H: gotham::handler::NewHandler + RefUnwindSafe + 'static,
 {
-    let counters = ProcessCounters::new(None, log.clone()).context(StartSnafu { thread: name })?;
-    let table = ConnectionTable::new(ConnectionLimits::default(), Arc::new(counters));
     let run = move || async move {
         if let Ok(listener) = tokio::net::TcpListener::from_std(listener) {
             serve(listener, handler, table).await;
--- a/crates/hornbeamlead_daemon/src/launch/builder.rs
+++ b/crates/hornbeamlead_daemon/src/launch/builder.rs
@@ -3,6 +3,7 @@
 use super::bind::{BoundListener, BoundSockets};
 use super::error::{LaunchError, PanickedSnafu, StartSnafu};
 use super::thread::spawn_runtime_thread;
+use crate::budget::{ByteBudget, ClientShare};
 use crate::clock::{HostClock, new_incarnation};
 use crate::control::{CONTROL_RING_CAPACITY, ControlLoop};
 use crate::counters::ProcessCounters;
@@ -16,6 +17,7 @@
 use crate::web::{ConnectionLimits, ConnectionTable, OperatorContext, operator_handler, serve};
 use crossbeam_channel::Receiver;
 use gotham::handler::NewHandler;
+use hornbeamlead_core::message::request::MAX_BODY_BYTES;
 use hornbeamlead_core::policy::ProcessIdentity;
 use hornbeamlead_settings::ProcessSettings;
 use slog::{Logger, info};
@@ -32,6 +34,8 @@
     pub(super) counters: Arc<ProcessCounters>,
     /// Ring into the decision thread.
     pub(super) inbox: RingSender<InboxItem<I>>,
+    share: ClientShare,
+    budget: Arc<ByteBudget>,
     log: Logger,
     ring: Receiver<InboxItem<I>>,
     tables: Vec<Arc<ConnectionTable>>,
@@ -51,7 +55,10 @@
         let counters = ProcessCounters::new(settings.statsd, log.clone());
         let counters = counters.context(StartSnafu { thread: "metrics" })?;
         let (inbox, ring) = decision_ring();
+        let share = ClientShare::from(settings.machine);
         Ok(Self {
+            share,
+            budget: ByteBudget::new(share.held_bytes),
             identity: process_identity(settings, sockets),
             clock: HostClock::start(),
             counters: Arc::new(counters),
@@ -63,9 +70,18 @@
         })
     }
 
+    /// Returns the limits of the listener with most of the connections.
+    pub(super) fn wide_limits(&self) -> ConnectionLimits {
+        ConnectionLimits {
+            max_body_bytes: MAX_BODY_BYTES,
+            ..ConnectionLimits::wide(self.share)
+        }
+    }
+
     /// Creates the connection table of a listener; [`Self::run_decisions`] closes it at the end.
-    pub(super) fn table(&mut self) -> Arc<ConnectionTable> {
-        let table = ConnectionTable::new(ConnectionLimits::default(), Arc::clone(&self.counters));
+    pub(super) fn table(&mut self, limits: ConnectionLimits) -> Arc<ConnectionTable> {
+        let counters = Arc::clone(&self.counters);
+        let table = ConnectionTable::new(limits, Arc::clone(&self.budget), counters);
         self.tables.push(Arc::clone(&table));
         table
     }
@@ -91,7 +107,7 @@
     }
 
     pub(super) fn start_operators(&mut self, bound: BoundListener) -> Result<(), LaunchError> {
-        let table = self.table();
+        let table = self.table(ConnectionLimits::narrow());
         let context = Arc::new(OperatorContext {
             inbox: self.inbox.clone(),
             table: Arc::clone(&table),
--- a/crates/hornbeamlead_daemon/src/launch/roles.rs
+++ b/crates/hornbeamlead_daemon/src/launch/roles.rs
@@ -8,7 +8,9 @@
     ENDPOINT_RING_CAPACITY, EndpointCommand, EndpointLoop, WORKER_RING_CAPACITY, WorkerCommand,
     WorkerLoop,
 };
-use crate::web::{CallerContext, LocalContext, call_handler, local_handler};
+use crate::web::{
+    CallerContext, ConnectionLimits, LocalContext, MAX_ANNOUNCE_BYTES, call_handler, local_handler,
+};
 use hornbeamlead_agent::AgentMachine;
 use hornbeamlead_core::event::AgentEvent;
 use hornbeamlead_core::policy::{AgentPolicy, EntryPolicy};
@@ -58,7 +60,7 @@
     builder: &mut ProcessBuilder<EntryInput>,
     bound: BoundListener,
 ) -> Result<(), LaunchError> {
-    let table = builder.table();
+    let table = builder.table(builder.wide_limits());
     let context = Arc::new(CallerContext {
         host: builder.identity.host.clone(),
         incarnation: builder.identity.incarnation,
@@ -129,7 +131,11 @@
     builder: &mut ProcessBuilder<AgentEvent>,
     bound: BoundListener,
 ) -> Result<(), LaunchError> {
-    let table = builder.table();
+    let limits = ConnectionLimits {
+        max_body_bytes: MAX_ANNOUNCE_BYTES,
+        ..ConnectionLimits::narrow()
+    };
+    let table = builder.table(limits);
     let context = Arc::new(LocalContext {
         inbox: builder.inbox.clone(),
         counters: Arc::clone(&builder.counters),
--- a/crates/hornbeamlead_daemon/src/lib.rs
+++ b/crates/hornbeamlead_daemon/src/lib.rs
@@ -21,6 +21,7 @@
 mod platform;
 mod signals;
 
+pub mod budget;
 pub mod counters;
 pub mod ring;
 pub mod web;
--- a/crates/hornbeamlead_daemon/src/web/callers.rs
+++ b/crates/hornbeamlead_daemon/src/web/callers.rs
@@ -2,7 +2,7 @@
 
 mod parse;
 
-use super::connection::ConnectionTable;
+use super::table::{ConnectionTable, RequestGuard};
 use super::{headers, reply};
 use crate::clock::HostClock;
 use crate::counters::ProcessCounters;
@@ -12,7 +12,7 @@
 use futures_util::FutureExt;
 use gotham::handler::HandlerFuture;
 use gotham::helpers::http::Body;
-use gotham::state::{FromState, State, client_addr};
+use gotham::state::{FromState, State};
 use hornbeamlead_core::counter::RefusalReason;
 use hornbeamlead_core::effect::CallerAnswer;
 use hornbeamlead_core::event::EntryEvent;
@@ -49,8 +49,8 @@
 pub(crate) fn call_handler(context: Arc<CallerContext>, state: State) -> Pin<Box<HandlerFuture>> {
     async move {
         let mut state = state;
-        let guard = client_addr(&state).map(|peer| context.table.begin_request(peer));
-        let mut response = context.respond(&mut state).await;
+        let guard = context.table.begin_call(&state);
+        let mut response = context.respond(&mut state, &guard).await;
         if context.table.is_stopping() {
             reply::end_connection(&mut response);
         }
@@ -61,7 +61,7 @@
 }
 
 impl CallerContext {
-    async fn respond(&self, state: &mut State) -> Response<Body> {
+    async fn respond(&self, state: &mut State, guard: &RequestGuard) -> Response<Body> {
         if Uri::borrow_from(state).path() == HEALTH_PATH {
             return self.health();
         }
@@ -69,7 +69,7 @@
         let ticket = CallerTicket(self.last_ticket.fetch_add(1, Ordering::Relaxed) + 1);
         let request_name = format!("{}/{}/{}", self.host, self.incarnation, ticket);
         let head_request = *Method::borrow_from(state) == Method::HEAD;
-        let answer = match parse::read_call(state, &self.clock).await {
+        let answer = match parse::read_call(state, guard, &self.clock).await {
             Ok(call) => self.submit(ticket, call).await,
             Err(refusal) => return self.refuse_call(&refusal, &request_name),
         };
@@ -89,6 +89,8 @@
 
     async fn submit(&self, ticket: CallerTicket, call: ParsedCall) -> CallerAnswer {
         let (sender, receiver) = oneshot::channel();
+        // Held until the answer, as the decision thread keeps the request until then.
+        let _lease = call.lease;
         let input = EntryInput::Call(CallerCall {
             ticket,
             request: call.request,
@@ -98,13 +100,13 @@
         if let Err(refusal) = self.inbox.offer(InboxItem::Input(input)) {
             return self.refuse_offer(&refusal);
         }
-        let mut guard = CallerGuard {
+        let mut caller = CallerGuard {
             context: self,
             ticket,
             answered: false,
         };
         let answer = receiver.await;
-        guard.answered = true;
+        caller.answered = true;
         // The decision thread exits only when no request is in progress, so this is a fallback.
         answer.unwrap_or(CallerAnswer::Unknown {
             reason: RefusalReason::Leaving,
@@ -121,7 +123,9 @@
     }
 
     fn refuse_call(&self, refusal: &CallRefusal, request_name: &str) -> Response<Body> {
-        self.counters.refusal(refusal.reason);
+        if !refusal.is_counted {
+            self.counters.refusal(refusal.reason);
+        }
         let mut response = reply::not_run(refusal.reason, RETRY_AFTER, request_name);
         if refusal.ends_connection {
             reply::end_connection(&mut response);
--- a/crates/hornbeamlead_daemon/src/web/callers/parse.rs
+++ b/crates/hornbeamlead_daemon/src/web/callers/parse.rs
@@ -1,18 +1,18 @@
 //! Reads a caller's complete request and validates it.
 
+use crate::budget::ByteLease;
 use crate::clock::HostClock;
-use crate::web::headers;
-use bytes::Bytes;
+use crate::web::{HeldBody, RequestError, RequestGuard, headers, read_body};
 use gotham::helpers::http::Body;
 use gotham::state::{FromState, State};
 use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_core::counter::RefusalReason;
 use hornbeamlead_core::ids::{IdempotencyKey, ServiceName};
 use hornbeamlead_core::message::request::{CallerRequest, MAX_BODY_BYTES, RequestSafety};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Method, Uri};
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Header with the caller's timeout in milliseconds.
 const TIMEOUT_HEADER: &str = "request-timeout-ms";
@@ -23,11 +23,16 @@
 /// Maximum time to receive a body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Memory of a request besides its body, in multiples of the length of its path and fields.
+const FIELDS_FACTOR: usize = 2;
+
 /// Request that was read completely.
 pub(super) struct ParsedCall {
     pub(super) request: CallerRequest,
     /// Deadline from the caller's timeout header, if any.
     pub(super) deadline: Option<MonoTime>,
+    /// Lease for the memory of the request.
+    pub(super) lease: ByteLease,
 }
 
 /// Why a request is refused before it reaches the decision thread.
@@ -36,6 +41,8 @@
     pub(super) reason: RefusalReason,
     /// Whether the connection must be closed because unread bytes may follow.
     pub(super) ends_connection: bool,
+    /// Whether the refusal was counted where it was found.
+    pub(super) is_counted: bool,
 }
 
 impl From<RefusalReason> for CallRefusal {
@@ -43,12 +50,24 @@
         Self {
             reason,
             ends_connection: true,
+            is_counted: false,
+        }
+    }
+}
+
+impl From<RequestError> for CallRefusal {
+    fn from(error: RequestError) -> Self {
+        Self {
+            reason: error.into(),
+            ends_connection: true,
+            is_counted: true,
         }
     }
 }
 
 pub(super) async fn read_call(
     state: &mut State,
+    guard: &RequestGuard,
     clock: &HostClock,
 ) -> Result<ParsedCall, CallRefusal> {
     let method = Method::borrow_from(state).clone();
@@ -61,17 +80,34 @@
     let key = read_key(&header_map)?;
     let fields = headers::request_fields(&header_map).map_err(|_| RefusalReason::BadRequest)?;
     let deadline = timeout.map(|span| clock.mono().plus(span));
-    let body = read_body(&header_map, body).await?;
+    if announced_length(&header_map) > MAX_BODY_BYTES as u64 {
+        return Err(RefusalReason::BodyTooLong.into());
+    }
+    // Both keep the buffer of the head, and the body is still to come.
+    drop((header_map, uri));
+    let HeldBody { bytes, mut lease } =
+        read_body(guard, body, Instant::now() + BODY_TIMEOUT).await?;
+    let field_bytes: usize = fields
+        .iter()
+        .map(|field| field.name.len() + field.value.len())
+        .sum();
+    let held_bytes = lease.bytes() + FIELDS_FACTOR * (path.len() + field_bytes);
+    guard.grow_lease(&mut lease, held_bytes).await?;
+    guard.begin_handling()?;
     let request = CallerRequest {
         service,
         method: method.as_str().into(),
         path,
         headers: fields,
-        body,
+        body: bytes.into(),
         safety,
         key,
     };
-    Ok(ParsedCall { request, deadline })
+    Ok(ParsedCall {
+        request,
+        deadline,
+        lease,
+    })
 }
 
 /// Splits `/{service}/{rest}` and keeps the query with the rest.
@@ -134,19 +170,6 @@
     }
 }
 
-/// Reads a complete body within the size limit and the timeout.
-async fn read_body(headers: &HeaderMap, body: Body) -> Result<Bytes, RefusalReason> {
-    if announced_length(headers) > MAX_BODY_BYTES as u64 {
-        return Err(RefusalReason::BodyTooLong);
-    }
-    let collected = Limited::new(body, MAX_BODY_BYTES).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, collected).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalReason::BodyTooLong),
-        Ok(Err(_)) | Err(_) => Err(RefusalReason::BadRequest),
-    }
-}
-
 /// Returns the `Content-Length`; the HTTP library has already checked that it is a number.
 fn announced_length(headers: &HeaderMap) -> u64 {
     headers
--- a/crates/hornbeamlead_daemon/src/web/local.rs
+++ b/crates/hornbeamlead_daemon/src/web/local.rs
@@ -1,7 +1,8 @@
 //! Agent's local listener, where the endpoint of the host announces itself.
 
-use super::connection::ConnectionTable;
+use super::body::{RequestError, read_body};
 use super::reply;
+use super::table::{ConnectionTable, RequestGuard};
 use crate::counters::ProcessCounters;
 use crate::decision::InboxItem;
 use crate::ring::RingSender;
@@ -9,17 +10,17 @@
 use futures_util::FutureExt;
 use gotham::handler::HandlerFuture;
 use gotham::helpers::http::Body;
-use gotham::state::{FromState, State, client_addr};
+use gotham::state::{FromState, State};
 use hornbeamlead_core::counter::RefusalReason;
 use hornbeamlead_core::event::{AgentEvent, EndpointAnnounce};
 use hornbeamlead_platform::announce_wire::AnnounceWire;
-use http_body_util::{BodyExt, Limited};
 use hyper::{Method, StatusCode, Uri};
 use std::pin::Pin;
 use std::sync::Arc;
+use tokio::time::Instant;
 
 /// Maximum size of an announcement.
-const MAX_ANNOUNCE_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_ANNOUNCE_BYTES: usize = 64 * 1024;
 
 /// State shared by the local handlers.
 pub(crate) struct LocalContext {
@@ -33,8 +34,8 @@
 pub(crate) fn local_handler(context: Arc<LocalContext>, state: State) -> Pin<Box<HandlerFuture>> {
     async move {
         let mut state = state;
-        let guard = client_addr(&state).map(|peer| context.table.begin_request(peer));
-        let status = match context.handle_announce(&mut state).await {
+        let guard = context.table.begin_call(&state);
+        let status = match context.handle_announce(&mut state, &guard).await {
             Ok(()) => StatusCode::NO_CONTENT,
             Err(status) => status,
         };
@@ -49,7 +50,11 @@
 }
 
 impl LocalContext {
-    async fn handle_announce(&self, state: &mut State) -> Result<(), StatusCode> {
+    async fn handle_announce(
+        &self,
+        state: &mut State,
+        guard: &RequestGuard,
+    ) -> Result<(), StatusCode> {
         let method = Method::borrow_from(state);
         let path = Uri::borrow_from(state).path();
         match (path, method) {
@@ -57,8 +62,13 @@
             ("/announce", _) => return Err(StatusCode::METHOD_NOT_ALLOWED),
             _ => return Err(StatusCode::NOT_FOUND),
         }
-        let announce = read_announce(Body::take_from(state)).await;
-        let announce = announce.ok_or_else(|| {
+        let deadline = Instant::now() + guard.table().limits().body_timeout;
+        let body = read_body(guard, Body::take_from(state), deadline).await;
+        let body = body.map_err(|error| match error {
+            RequestError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::BAD_REQUEST,
+        })?;
+        let announce = decode_announce(&body.bytes).ok_or_else(|| {
             self.counters.refusal(RefusalReason::BadRequest);
             StatusCode::BAD_REQUEST
         })?;
@@ -70,8 +80,7 @@
     }
 }
 
-async fn read_announce(body: Body) -> Option<EndpointAnnounce> {
-    let body = Limited::new(body, MAX_ANNOUNCE_BYTES).collect().await;
-    let wire: AnnounceWire = serde_json::from_slice(&body.ok()?.to_bytes()).ok()?;
+fn decode_announce(body: &[u8]) -> Option<EndpointAnnounce> {
+    let wire: AnnounceWire = serde_json::from_slice(body).ok()?;
     EndpointAnnounce::try_from(wire).ok()
 }
--- a/crates/hornbeamlead_daemon/src/web/mod.rs
+++ b/crates/hornbeamlead_daemon/src/web/mod.rs
@@ -3,6 +3,7 @@
 //! gotham boxes its handlers; dynamic dispatch stays in this module and does not reach the decision
 //! thread.
 
+mod body;
 mod callers;
 mod connection;
 mod local;
@@ -10,12 +11,16 @@
 mod reply;
 mod server;
 mod stream;
+mod table;
 
 pub(crate) mod headers;
 
+pub use body::{HeldBody, RequestError, read_body};
 pub(crate) use callers::{CallerContext, call_handler};
-pub use connection::{ConnectionLimits, ConnectionState, ConnectionTable, ReadWait, RequestGuard};
-pub(crate) use local::{LocalContext, local_handler};
+pub(crate) use connection::lock;
+pub use connection::{ConnectionLimits, ConnectionState, ReadWait};
+pub(crate) use local::{LocalContext, MAX_ANNOUNCE_BYTES, local_handler};
 pub(crate) use operators::{OperatorContext, operator_handler};
 pub(crate) use reply::{end_connection, plain};
 pub use server::serve;
+pub use table::{ConnectionTable, RequestGuard};
--- a/crates/hornbeamlead_daemon/src/web/operators.rs
+++ b/crates/hornbeamlead_daemon/src/web/operators.rs
@@ -1,14 +1,14 @@
 //! Operators' listener: status, explanations and results of notes.
 
-use super::connection::ConnectionTable;
 use super::reply;
+use super::table::ConnectionTable;
 use crate::decision::{InboxItem, OperatorAnswer, OperatorQuery};
 use crate::ring::RingSender;
 use bytes::Bytes;
 use futures_util::FutureExt;
 use gotham::handler::HandlerFuture;
 use gotham::helpers::http::Body;
-use gotham::state::{FromState, State, client_addr};
+use gotham::state::{FromState, State};
 use hornbeamlead_core::event::StatusQuery;
 use hornbeamlead_core::ids::NoteId;
 use hyper::{Method, Response, StatusCode, Uri};
@@ -29,7 +29,7 @@
     state: State,
 ) -> Pin<Box<HandlerFuture>> {
     async move {
-        let guard = client_addr(&state).map(|peer| context.table.begin_request(peer));
+        let guard = context.table.begin_call(&state);
         let mut response = match parse_query(&state) {
             Ok(query) => context.answer(query).await,
             Err(status) => reply::plain(status, Bytes::new()),
--- a/crates/hornbeamlead_daemon/src/web/stream.rs
+++ b/crates/hornbeamlead_daemon/src/web/stream.rs
@@ -1,15 +1,26 @@
 //! TCP stream that enforces the limits of its listener.
 
-use super::connection::{ConnectionState, ConnectionTable, ReadWait};
+use super::connection::{ConnectionState, ReadWait};
+use super::table::ConnectionTable;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep};
 
+/// Time for which a closed connection discards what its client still sends.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+
+/// Maximum number of bytes that a closed connection discards.
+const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
+
+/// Size of the buffer for bytes that are discarded.
+const DISCARD_BUFFER_BYTES: usize = 4096;
+
 /// Connection of an HTTP listener.
 pub(crate) struct GuardedStream {
     stream: TcpStream,
@@ -19,16 +30,18 @@
     read_timer: Pin<Box<Sleep>>,
     write_timer: Pin<Box<Sleep>>,
     write_blocked: bool,
+    /// Number of bytes discarded since the sending direction was closed.
+    discarded_bytes: Option<usize>,
 }
 
 impl GuardedStream {
-    /// Admits a connection, or drops it if the connection limit is reached.
-    pub(crate) fn admit(stream: TcpStream, table: &Arc<ConnectionTable>) -> Result<Self, ()> {
-        let peer = stream.peer_addr().map_err(drop)?;
-        let state = table.admit(peer).ok_or(())?;
+    /// Admits a connection, or drops it if no place is free.
+    pub(crate) fn admit(stream: TcpStream, table: &Arc<ConnectionTable>) -> Option<Self> {
+        let peer = stream.peer_addr().ok()?;
+        let state = table.admit(peer)?;
         // `TCP_NODELAY` only lowers latency; the connection works without it.
         let _ = stream.set_nodelay(true);
-        Ok(Self {
+        Some(Self {
             stream,
             peer,
             table: Arc::clone(table),
@@ -36,9 +49,25 @@
             read_timer: Box::pin(tokio::time::sleep_until(Instant::now())),
             write_timer: Box::pin(tokio::time::sleep_until(Instant::now())),
             write_blocked: false,
+            discarded_bytes: None,
         })
     }
 
+    /// Returns the address of the client.
+    pub(crate) fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Returns the shared state of the connection.
+    pub(crate) fn state(&self) -> Arc<ConnectionState> {
+        Arc::clone(&self.state)
+    }
+
+    /// Returns the table of the listener.
+    pub(crate) fn table(&self) -> &ConnectionTable {
+        &self.table
+    }
+
     /// Fails a write that has been blocked longer than the write timeout.
     fn poll_write_deadline<T>(
         &mut self,
@@ -93,7 +122,7 @@
             return self.poll_read_deadline(context);
         }
         if buffer.filled().len() > filled {
-            self.table.record_bytes(&self.state);
+            self.table.record_bytes(self.peer, &self.state);
         }
         outcome
     }
@@ -126,7 +155,29 @@
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
+    /// Closes the sending direction, then discards what the client still sends for a while: closing a
+    /// connection with unread bytes resets it, and the client may lose its answer.
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        if self.discarded_bytes.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
+            self.discarded_bytes = Some(0);
+            self.read_timer.as_mut().reset(Instant::now() + LINGER_TIME);
+        }
+        let mut scratch = [0; DISCARD_BUFFER_BYTES];
+        loop {
+            let mut buffer = ReadBuf::new(&mut scratch);
+            let outcome = Pin::new(&mut self.stream).poll_read(context, &mut buffer);
+            let discarded = self.discarded_bytes.get_or_insert(0);
+            *discarded += buffer.filled().len();
+            match outcome {
+                Poll::Ready(Ok(())) if buffer.filled().is_empty() => return Poll::Ready(Ok(())),
+                Poll::Ready(Ok(())) if *discarded < MAX_DISCARDED_BYTES => {}
+                Poll::Ready(_) => return Poll::Ready(Ok(())),
+                Poll::Pending => {
+                    ready!(self.read_timer.as_mut().poll(context));
+                    return Poll::Ready(Ok(()));
+                }
+            }
+        }
     }
 }
--- a/crates/hornbeamlead_request/src/entry/reply.rs
+++ b/crates/hornbeamlead_request/src/entry/reply.rs
@@ -297,6 +297,9 @@
         | RefusalReason::NoRoom
         | RefusalReason::NoLease
         | RefusalReason::BudgetSpent
-        | RefusalReason::ForeignWorker => false,
+        | RefusalReason::ForeignWorker
+        | RefusalReason::ConnectionEvicted
+        | RefusalReason::RequestTimeout
+        | RefusalReason::MemoryFull => false,
     }
 }
