[daemon] Bound the memory and the places of links

What users saw: clients that open links of an agent and send large frames without their end, frames that cannot be read, or calls and notices whose answers they do not read, took 263 MB of 128, 4,533 descriptors of 4,096, or kept workers and other agents out.

Causes: links had no maximum, no deadline of a frame, and nothing counted the bytes of partial frames, of messages that wait for the event loop, or of answers that nobody reads (1,024 frames a link, also answers of relayed calls of a megabyte each); a link with frames that cannot be read went on for ever.

Change: frames are read into a buffer that grows with what has come, leased from the process's budget; a message keeps a lease of eight times its length until the event loop has handled it. Accepted links have places; one whose first frame has not come gives way to a new one, and the frame that has waited longest gives way when the memory is in use. Eight calls are relayed at a time.

Not covered: links of the processes of the live-request interface; 1,024 clients that speak the protocol can take all readers of an agent's notice board.

--- a/crates/hornbeamlead_daemon/src/fleet/agent.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/agent.rs
@@ -47,7 +47,7 @@
 const AGENT_TICK: Duration = Duration::from_millis(25);
 
 /// Input of an agent's event loop.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(super) enum AgentInput {
     /// Heartbeat, deregistration or reply of the worker.
     Supervisor(SupervisorEvent),
@@ -97,7 +97,7 @@
     let ready = Arc::new(AtomicBool::new(true));
     start_probe("metrics", settings.metrics, &parts, &ready, &metrics)?;
     let listener = listen("inner", settings.inner)?;
-    let links = start_links(settings.store, Some(listener), &inbox)?;
+    let links = start_links(settings.store, Some(listener), &parts, &inbox)?;
     let worker = start_worker(&inbox, &metrics)?;
     let store = start_store(settings, &inbox, &metrics, log)?;
     let signal_inbox = inbox.clone();
@@ -241,7 +241,7 @@
                 self.handle_planner_event(PlannerEvent::Closed(link));
                 self.handle_notice_event(NoticeEvent::Closed(link));
             }
-            LinkEvent::Frame(link, frame) => match *frame {
+            LinkEvent::Frame(link, received) => match received.frame {
                 PeerFrame::Agent(message) => self.handle_agent_message(link, message),
                 PeerFrame::Planner(message) => self.handle_planner_message(link, message),
                 PeerFrame::Notices(message) => {
--- a/crates/hornbeamlead_daemon/src/fleet/entry.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/entry.rs
@@ -98,7 +98,7 @@
         start_probe(name, address, &parts, &ready, &metrics)?;
     }
     let store = start_store(settings, &inbox, &metrics, log)?;
-    let links = start_links(settings.store, None, &inbox)?;
+    let links = start_links(settings.store, None, &parts, &inbox)?;
     let signal_inbox = inbox.clone();
     let notify = move |request| drop(signal_inbox.deliver(EntryInput::Signal(request)));
     spawn_signal_thread(signals, notify).context(StartSnafu { thread: "signals" })?;
@@ -228,7 +228,7 @@
         match event {
             LinkEvent::Opened(link) => self.handle_event(EntryEvent::LinkOpened(link)),
             LinkEvent::Closed { link, .. } => self.handle_event(EntryEvent::LinkClosed(link)),
-            LinkEvent::Frame(link, frame) => match *frame {
+            LinkEvent::Frame(link, received) => match received.frame {
                 PeerFrame::Notices(message) => {
                     self.handle_event(EntryEvent::Notices { link, message });
                 }
--- a/crates/hornbeamlead_daemon/src/fleet/links.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/links.rs
@@ -1,12 +1,16 @@
 //! Links thread: connections between agents and the planner, and of entries to agents.
 
+use super::frames::{FrameReader, HeldFrame, MAX_FRAME_BYTES, write_frames};
+use super::link_places::{LinkPlace, LinkPlaces};
+use crate::budget::{ByteBudget, ByteLease};
 use crate::clock::BootClock;
+use crate::counters::ProcessCounters;
 use crate::ring::RingSender;
 use bytes::Bytes;
-use futures_util::stream::SplitSink;
 use futures_util::{SinkExt, StreamExt};
 use hornbeamlead_adapter::StoreClient;
 use hornbeamlead_core::clock::MonoTime;
+use hornbeamlead_core::counter::RefusalReason;
 use hornbeamlead_jobs::effect::LinkId;
 use hornbeamlead_jobs::message::{AgentMessage, PlannerMessage};
 use hornbeamlead_jobs::notice::NoticeMessage;
@@ -18,9 +22,11 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
+use tokio::sync::{Notify, Semaphore, mpsc};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// Maximum number of commands queued for the links thread.
@@ -30,8 +36,22 @@
 /// peer does not read.
 const LINK_FRAME_CAPACITY: usize = 1024;
 
-/// Maximum frame, in bytes; fits a report of several thousand attempts.
-const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
+/// Maximum number of store calls that are made for other hosts at a time.
+const MAX_RELAYED_CALLS: usize = 8;
+
+/// Memory of a decoded message, in multiples of its encoded length, until the event loop has handled
+/// it. Calls that are relayed consist of bytes, which are not copied.
+const DECODED_FACTOR: usize = 8;
+
+/// Maximum wait for the memory of a decoded message.
+const MEMORY_WAIT: Duration = Duration::from_millis(20);
+
+/// Frames of one link that cannot be handled before it is closed; a peer of a later version sends a few
+/// kinds that are not known here.
+const MAX_UNHANDLED: u32 = 16;
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Lower bound of the ids of accepted links; links that this process dials have lower ids.
 const FIRST_INCOMING_LINK: u64 = 1 << 57;
@@ -69,12 +89,20 @@
     },
 }
 
+/// Message that has arrived, with the lease for its memory.
+#[derive(Debug)]
+pub(super) struct ReceivedFrame {
+    pub(super) frame: PeerFrame,
+    /// Held until the message is handled.
+    pub(super) _lease: ByteLease,
+}
+
 /// Event on a link.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug)]
 pub(super) enum LinkEvent {
     /// A link that this process dialed was established.
     Opened(LinkId),
-    Frame(LinkId, Box<PeerFrame>),
+    Frame(LinkId, Box<ReceivedFrame>),
     /// A link was closed or could not be opened; `refused` if the peer refused the connection.
     Closed {
         link: LinkId,
@@ -87,6 +115,19 @@
     },
 }
 
+/// Link that is open or being opened.
+struct OpenLink {
+    frames: mpsc::Sender<HeldFrame>,
+    /// Notified to end the link at once, with the frames that are queued.
+    ended: Rc<Notify>,
+}
+
+impl OpenLink {
+    fn queued(&self) -> usize {
+        self.frames.max_capacity() - self.frames.capacity()
+    }
+}
+
 pub(super) struct LinksThread<T> {
     /// Listener for links of others; an entry has none.
     pub(super) listener: Option<TcpListener>,
@@ -94,6 +135,13 @@
     pub(super) inbox: RingSender<T>,
     /// Store, for the relayed calls of hosts that it refuses.
     pub(super) store: SocketAddr,
+    /// Maximum number of accepted links.
+    pub(super) max_links: usize,
+    /// Budget for messages that arrive.
+    pub(super) budget: Arc<ByteBudget>,
+    /// Budget for frames that wait until their peers read.
+    pub(super) queue_budget: Arc<ByteBudget>,
+    pub(super) counters: Arc<ProcessCounters>,
 }
 
 impl<T: From<LinkEvent> + 'static> LinksThread<T> {
@@ -104,25 +152,45 @@
     }
 
     async fn serve(&mut self) {
-        let mut links = HashMap::<LinkId, mpsc::Sender<Bytes>>::new();
+        let mut links = HashMap::<LinkId, OpenLink>::new();
         let mut incoming = FIRST_INCOMING_LINK;
+        let places = LinkPlaces::new(self.max_links);
         let store = Rc::new(StoreClient::new(self.store));
+        let permits = Rc::new(Semaphore::new(MAX_RELAYED_CALLS));
         loop {
             tokio::select! {
                 accepted = accept(self.listener.as_ref()) => {
-                    // After an error, such as a reset before the accept, there is no link.
-                    if let Ok((stream, _)) = accepted {
-                        incoming += 1;
-                        links.retain(|_, sender| !sender.is_closed());
-                        let (link, inbox) = (LinkId(incoming), self.inbox.clone());
-                        let (sender, frames) = mpsc::channel(LINK_FRAME_CAPACITY);
-                        links.insert(link, sender.clone());
-                        let relay = StoreRelay { store: Rc::clone(&store), replies: sender };
-                        tokio::task::spawn_local(async move {
-                            pump_frames(link, stream, frames, &inbox, Some(&relay)).await;
-                            report_closed(&inbox, link, false);
-                        });
-                    }
+                    let Ok((stream, _)) = accepted else {
+                        // A reset before the accept leaves no link; without a free descriptor, the
+                        // next accept would fail at once as well.
+                        tokio::time::sleep(ACCEPT_PAUSE).await;
+                        continue;
+                    };
+                    let ended = Rc::new(Notify::new());
+                    let Some(place) = places.take(Rc::clone(&ended)) else {
+                        self.counters.refusal(RefusalReason::QueueFull);
+                        continue;
+                    };
+                    incoming += 1;
+                    links.retain(|_, open| !open.frames.is_closed());
+                    let (link, context) = (LinkId(incoming), self.context());
+                    let (sender, frames) = mpsc::channel(LINK_FRAME_CAPACITY);
+                    let open = OpenLink {
+                        frames: sender.clone(),
+                        ended: Rc::clone(&ended),
+                    };
+                    links.insert(link, open);
+                    let relay = StoreRelay {
+                        store: Rc::clone(&store),
+                        permits: Rc::clone(&permits),
+                        budget: Arc::clone(&self.queue_budget),
+                        replies: sender,
+                    };
+                    tokio::task::spawn_local(async move {
+                        let accepted = Some((place, &relay));
+                        context.pump_frames(link, stream, frames, ended, accepted).await;
+                        report_closed(&context.inbox, link, false);
+                    });
                 }
                 command = self.commands.recv() => match command {
                     Some(command) => self.handle_command(command, &mut links),
@@ -132,11 +200,15 @@
         }
     }
 
-    fn handle_command(
-        &self,
-        command: LinkCommand,
-        links: &mut HashMap<LinkId, mpsc::Sender<Bytes>>,
-    ) {
+    fn context(&self) -> LinkContext<T> {
+        LinkContext {
+            inbox: self.inbox.clone(),
+            budget: Arc::clone(&self.budget),
+            counters: Arc::clone(&self.counters),
+        }
+    }
+
+    fn handle_command(&self, command: LinkCommand, links: &mut HashMap<LinkId, OpenLink>) {
         match command {
             LinkCommand::Dial {
                 link,
@@ -144,18 +216,24 @@
                 timeout,
             } => {
                 let (sender, frames) = mpsc::channel(LINK_FRAME_CAPACITY);
-                links.insert(link, sender);
-                let inbox = self.inbox.clone();
-                tokio::task::spawn_local(dial(link, address, timeout, frames, inbox));
+                let ended = Rc::new(Notify::new());
+                let open = OpenLink {
+                    frames: sender,
+                    ended: Rc::clone(&ended),
+                };
+                links.insert(link, open);
+                let context = self.context();
+                tokio::task::spawn_local(context.dial(link, address, timeout, frames, ended));
             }
             LinkCommand::Send { link, frame } => {
-                let full = links.get(&link).is_some_and(|sender| {
-                    matches!(
-                        sender.try_send(encode(&frame)),
-                        Err(mpsc::error::TrySendError::Full(_))
-                    )
+                let (frame, is_beyond) = HeldFrame::queued(encode(&frame), &self.queue_budget);
+                if is_beyond {
+                    self.end_longest_queue(links);
+                }
+                let is_full = links.get(&link).is_some_and(|open| {
+                    matches!(open.frames.try_send(frame), Err(TrySendError::Full(_)))
                 });
-                if full {
+                if is_full {
                     links.remove(&link);
                     report_closed(&self.inbox, link, false);
                 }
@@ -167,6 +245,19 @@
     }
 }
 
+impl<T> LinksThread<T> {
+    /// Ends the link with the most queued frames, whose peer reads least.
+    fn end_longest_queue(&self, links: &mut HashMap<LinkId, OpenLink>) {
+        let longest = links.iter().max_by_key(|(_, open)| open.queued());
+        if let Some(link) = longest.map(|(link, _)| *link)
+            && let Some(open) = links.remove(&link)
+        {
+            self.counters.refusal(RefusalReason::MemoryFull);
+            open.ended.notify_one();
+        }
+    }
+}
+
 /// Waits for a connection, for ever without a listener.
 async fn accept(listener: Option<&TcpListener>) -> io::Result<(TcpStream, SocketAddr)> {
     match listener {
@@ -175,104 +266,133 @@
     }
 }
 
-async fn dial<T: From<LinkEvent>>(
-    link: LinkId,
-    address: SocketAddr,
-    timeout: Duration,
-    frames: mpsc::Receiver<Bytes>,
-    inbox: RingSender<T>,
-) {
-    let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
-    match stream {
-        Ok(Ok(stream)) => {
-            // Lost if the event loop has ended or its ring stays full; likewise below.
-            let _ = inbox.deliver(LinkEvent::Opened(link).into());
-            pump_frames(link, stream, frames, &inbox, None).await;
-            report_closed(&inbox, link, false);
-        }
-        Ok(Err(error)) => report_closed(
-            &inbox,
-            link,
-            error.kind() == io::ErrorKind::ConnectionRefused,
-        ),
-        Err(_) => report_closed(&inbox, link, false),
-    }
-}
-
 fn report_closed<T: From<LinkEvent>>(inbox: &RingSender<T>, link: LinkId, refused: bool) {
+    // Lost if the event loop has ended or its ring stays full.
     let _ = inbox.deliver(LinkEvent::Closed { link, refused }.into());
 }
 
-/// Sends and receives frames until either side closes the link.
-async fn pump_frames<T: From<LinkEvent>>(
-    link: LinkId,
-    stream: TcpStream,
-    mut frames: mpsc::Receiver<Bytes>,
-    inbox: &RingSender<T>,
-    relay: Option<&StoreRelay>,
-) {
-    // The link also works without the option, only with a higher latency.
-    let _ = stream.set_nodelay(true);
-    let (mut sink, mut source) = Framed::new(stream, frame_codec()).split();
-    let write = async {
-        while let Some(frame) = frames.recv().await {
-            if send_queued(&mut sink, frame, &mut frames).await.is_err() {
-                return;
+/// What the tasks of all links use.
+struct LinkContext<T> {
+    inbox: RingSender<T>,
+    budget: Arc<ByteBudget>,
+    counters: Arc<ProcessCounters>,
+}
+
+impl<T: From<LinkEvent>> LinkContext<T> {
+    async fn dial(
+        self,
+        link: LinkId,
+        address: SocketAddr,
+        timeout: Duration,
+        frames: mpsc::Receiver<HeldFrame>,
+        ended: Rc<Notify>,
+    ) {
+        let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
+        let refused = match stream {
+            Ok(Ok(stream)) => {
+                // Lost if the event loop has ended or its ring stays full; likewise below.
+                let _ = self.inbox.deliver(LinkEvent::Opened(link).into());
+                self.pump_frames(link, stream, frames, ended, None).await;
+                false
             }
-        }
-    };
-    let read = async {
-        while let Some(Ok(bytes)) = source.next().await {
-            let event = match (decode::<PeerFrame>(&bytes), relay) {
-                (Ok(PeerFrame::Relay(call)), Some(relay)) => {
-                    relay.execute(call).await;
-                    continue;
+            Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+            Err(_) => false,
+        };
+        report_closed(&self.inbox, link, refused);
+    }
+
+    /// Sends and receives frames until either side closes the link. Accepted links have a place, and
+    /// may have calls relayed.
+    async fn pump_frames(
+        &self,
+        link: LinkId,
+        stream: TcpStream,
+        mut frames: mpsc::Receiver<HeldFrame>,
+        ended: Rc<Notify>,
+        accepted: Option<(LinkPlace, &StoreRelay)>,
+    ) {
+        // The link also works without the option, only with a higher latency.
+        let _ = stream.set_nodelay(true);
+        let (source, mut sink) = stream.into_split();
+        let (place, relay) = accepted.unzip();
+        let mut reader = FrameReader::new(source, &self.budget, ended, place);
+        let read = async {
+            let mut unhandled = 0;
+            loop {
+                let is_handled = match reader.next().await {
+                    Ok(frame) => self.receive(link, frame, relay).await,
+                    Err(error) => return self.count_error(&error),
+                };
+                unhandled += u32::from(!is_handled);
+                if unhandled > MAX_UNHANDLED {
+                    return self.counters.refusal(RefusalReason::Undecodable);
                 }
-                (Ok(frame), _) => LinkEvent::Frame(link, Box::new(frame)),
-                (Err(error), _) => LinkEvent::Unreadable {
-                    link,
-                    cause: error.to_string().into(),
-                },
-            };
-            let _ = inbox.deliver(event.into());
+            }
+        };
+        tokio::select! {
+            _ = write_frames(&mut sink, &mut frames) => {}
+            () = read => {}
         }
-    };
-    tokio::select! {
-        () = write => {}
-        () = read => {}
     }
-}
 
-/// Makes store calls on behalf of hosts that the store refuses.
-type FrameSink = SplitSink<Framed<TcpStream, LengthDelimitedCodec>, Bytes>;
-
-/// Sends a frame together with those that are queued behind it, in as few writes as possible.
-async fn send_queued(
-    sink: &mut FrameSink,
-    first: Bytes,
-    frames: &mut mpsc::Receiver<Bytes>,
-) -> io::Result<()> {
-    sink.feed(first).await?;
-    while let Ok(next) = frames.try_recv() {
-        sink.feed(next).await?;
+    /// Delivers a frame to the event loop, or relays its call; returns whether it could.
+    async fn receive(&self, link: LinkId, held: HeldFrame, relay: Option<&StoreRelay>) -> bool {
+        let HeldFrame { bytes, mut lease } = held;
+        let event = match (decode::<PeerFrame>(&bytes), relay) {
+            (Ok(PeerFrame::Relay(call)), Some(relay)) => return relay.execute(call).await,
+            (Ok(frame), _) => {
+                while !lease.try_grow_to(DECODED_FACTOR * bytes.len()) {
+                    let freed = lease.budget().wait_freed();
+                    let _ = tokio::time::timeout(MEMORY_WAIT, freed).await;
+                }
+                let _lease = lease;
+                LinkEvent::Frame(link, Box::new(ReceivedFrame { frame, _lease }))
+            }
+            (Err(error), _) => LinkEvent::Unreadable {
+                link,
+                cause: error.to_string().into(),
+            },
+        };
+        let is_unreadable = matches!(event, LinkEvent::Unreadable { .. });
+        let _ = self.inbox.deliver(event.into());
+        !is_unreadable
+    }
+
+    fn count_error(&self, error: &io::Error) {
+        let reason = match error.kind() {
+            io::ErrorKind::ConnectionAborted => RefusalReason::ConnectionEvicted,
+            io::ErrorKind::TimedOut => RefusalReason::RequestTimeout,
+            io::ErrorKind::OutOfMemory => RefusalReason::MemoryFull,
+            io::ErrorKind::InvalidData => RefusalReason::BodyTooLong,
+            // The peer has closed the link.
+            _ => return,
+        };
+        self.counters.refusal(reason);
     }
-    sink.flush().await
 }
 
+/// Makes store calls on behalf of hosts that the store refuses.
 struct StoreRelay {
     store: Rc<StoreClient>,
-    replies: mpsc::Sender<Bytes>,
+    permits: Rc<Semaphore>,
+    budget: Arc<ByteBudget>,
+    replies: mpsc::Sender<HeldFrame>,
 }
 
 impl StoreRelay {
-    async fn execute(&self, call: RelayedCall) {
+    /// Makes a call and queues the reply; returns `false` if the memory for it is in use while the peer
+    /// has replies that it does not read.
+    async fn execute(&self, call: RelayedCall) -> bool {
+        // The semaphore is never closed, so `acquire` does not fail.
+        let permit = self.permits.acquire().await.ok();
         let now = BootClock.mono();
         let outcome = self.store.call(now, &call.into_call(now)).await;
-        // Fails only if the connection to the requesting host has ended.
-        let _ = self
-            .replies
-            .send(encode(&PeerFrame::Relayed(outcome)))
-            .await;
+        let reply = encode(&PeerFrame::Relayed(outcome));
+        let (reply, is_beyond) = HeldFrame::queued(reply, &self.budget);
+        drop(permit);
+        // Sending fails only if the connection to the requesting host has ended.
+        let has_unread = self.replies.capacity() < self.replies.max_capacity();
+        !(is_beyond && has_unread) && self.replies.send(reply).await.is_ok()
     }
 }
 
--- a/crates/hornbeamlead_daemon/src/fleet/mod.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/mod.rs
@@ -4,6 +4,8 @@
 mod agent;
 mod callers;
 mod entry;
+mod frames;
+mod link_places;
 mod links;
 mod local;
 mod metrics;
--- a/crates/hornbeamlead_daemon/src/fleet/start.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/start.rs
@@ -1,5 +1,6 @@
 //! Starts the threads that entries and agents both have.
 
+use super::frames::LINK_BUFFER_BYTES;
 use super::links::{LINK_COMMAND_CAPACITY, LinkCommand, LinkEvent, LinksThread};
 use super::metrics::FleetMetrics;
 use super::probes::{ProbeContext, handle_probe};
@@ -124,6 +125,7 @@
 pub(super) fn start_links<T>(
     store: SocketAddr,
     listener: Option<TcpListener>,
+    parts: &ListenerParts,
     inbox: &RingSender<T>,
 ) -> Result<mpsc::Sender<LinkCommand>, FleetError>
 where
@@ -131,6 +133,9 @@
 {
     let (sender, commands) = mpsc::channel(LINK_COMMAND_CAPACITY);
     let inbox = inbox.clone();
+    let max_links = parts.share.connections(LINK_BUFFER_BYTES);
+    let (budget, counters) = (Arc::clone(&parts.budget), Arc::clone(&parts.counters));
+    let queue_budget = ByteBudget::new(parts.share.queued_bytes);
     let run = move || async move {
         let listener = listener.map(tokio::net::TcpListener::from_std).transpose();
         // Fails only if the runtime cannot register the socket.
@@ -140,6 +145,10 @@
                 commands,
                 inbox,
                 store,
+                max_links,
+                budget,
+                queue_budget,
+                counters,
             };
             thread.run().await;
         }
