--- a/crates/hornbeamlead_daemon/tests/fleet_soak.rs
+++ b/crates/hornbeamlead_daemon/tests/fleet_soak.rs
@@ -25,6 +25,8 @@
 #[case::mixed(SoakKind::Mixed, 2, 4, 8)]
 // A schedule that had been due for hours kept the planner from all other work.
 #[case::backlogs(SoakKind::Backlogs, 1, 4, 8)]
+// Clients that never finished what they sent took all memory or all connections of a process.
+#[case::crowds(SoakKind::Crowds, 1, 4, 8)]
 fn guarantees_hold(
     #[case] kind: SoakKind,
     #[case] seed: u64,
