[daemon] Say of no job that it never runs when there is no room to handle it

What callers would see: an entry without memory or places, or with a full ring, answered 503 to a job, "never runs". A caller that comes again after a lost answer may have its job stored; the listener cannot know. For jobs the answer is 504 now, after which callers come again with the same id; reads and cancellations get 503 as before. Found by reading; not shown by a test with a stored job.

Links are bounded by the descriptors alone (3,584 of 4,096), not by the memory for callers' heads, so that a planner has as many hosts as before. New test: resting_connection_served.

--- a/crates/hornbeamlead_daemon/src/budget.rs
+++ b/crates/hornbeamlead_daemon/src/budget.rs
@@ -38,8 +38,8 @@
     pub queued_bytes: usize,
     /// Bytes of connections and their heads.
     connection_bytes: usize,
-    /// Descriptors of connections.
-    descriptors: usize,
+    /// Descriptors of connections. Links, which take a few kilobytes, are bounded by them alone.
+    pub descriptors: usize,
 }
 
 impl ClientShare {
--- a/crates/hornbeamlead_daemon/src/fleet/callers.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/callers.rs
@@ -33,17 +33,8 @@
 /// Maximum timeout of a request, also if its deadline header allows more.
 const MAX_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Reply to a request that is refused because too many are being handled.
-const BUSY_REPLY: CallerReply = CallerReply::Refused {
-    reason: "busy",
-    retry_after_s: 1,
-};
-
-/// Reply to a request that is refused because the memory for requests is in use.
-const NO_MEMORY_REPLY: CallerReply = CallerReply::Refused {
-    reason: "memory_full",
-    retry_after_s: 1,
-};
+/// Retry-After, in seconds, of a request that is refused because the process has no room for it.
+const BUSY_RETRY_AFTER_S: u32 = 1;
 
 /// Copies of a job until its reply: the decoded job, its record, and the call that stores it.
 const JOB_COPIES: usize = 3;
@@ -89,6 +80,7 @@
     async move {
         let mut state = state;
         let guard = context.table.begin_call(&state);
+        let is_submission = *Method::borrow_from(&state) == Method::POST;
         let started = BootClock.mono();
         let reply = context.reply(&mut state, &guard).await;
         context
@@ -96,7 +88,7 @@
             .observe_call("caller_request", BootClock.mono().since(started));
         let mut response = match &reply {
             Ok(reply) => encode_response(reply),
-            Err(error) => refuse_request(*error),
+            Err(error) => refuse_request(*error, is_submission),
         };
         if context.table.is_stopping() || reply.is_err() {
             end_connection(&mut response);
@@ -157,6 +149,7 @@
 
     /// Hands a request to the event loop and waits for the reply.
     async fn submit(&self, request: CallerRequest, lease: ByteLease) -> CallerReply {
+        let is_submission = matches!(request.operation, CallerOperation::Submit(_));
         let (reply_sender, receiver) = oneshot::channel();
         let waiting = WaitingCaller {
             reply_sender,
@@ -168,7 +161,10 @@
             Ok(()) => receiver.await.unwrap_or(CallerReply::Unknown),
             Err(_) => {
                 self.metrics.count("ring_full");
-                BUSY_REPLY
+                match is_submission {
+                    true => CallerReply::Unknown,
+                    false => refused("busy"),
+                }
             }
         }
     }
@@ -191,13 +187,19 @@
 }
 
 /// Builds the response to a request that was not received or is not handled.
-fn refuse_request(error: RequestError) -> Response<Body> {
+///
+/// Of a job that is not handled it is not said that it never runs: the caller may have come before, and
+/// whether its job was stored then is not known here.
+fn refuse_request(error: RequestError, is_submission: bool) -> Response<Body> {
     match error {
         RequestError::TooLong | RequestError::Cut => {
             encode_response(&CallerReply::Invalid("the body is cut or too long"))
         }
-        RequestError::NoMemory => encode_response(&NO_MEMORY_REPLY),
-        RequestError::Busy => encode_response(&BUSY_REPLY),
+        RequestError::NoMemory | RequestError::Busy if is_submission => {
+            encode_response(&CallerReply::Unknown)
+        }
+        RequestError::NoMemory => encode_response(&refused("memory_full")),
+        RequestError::Busy => encode_response(&refused("busy")),
         RequestError::TimedOut => json_response(
             StatusCode::REQUEST_TIMEOUT,
             Bytes::from_static(br#"{"error":"the body was not complete in time"}"#),
@@ -205,6 +207,13 @@
     }
 }
 
+fn refused(reason: &'static str) -> CallerReply {
+    CallerReply::Refused {
+        reason,
+        retry_after_s: BUSY_RETRY_AFTER_S,
+    }
+}
+
 fn encode_response(reply: &CallerReply) -> Response<Body> {
     let (status, body, retry_after) = encode_reply(reply);
     let mut response = json_response(status, body);
--- a/crates/hornbeamlead_daemon/src/fleet/frames.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/frames.rs
@@ -20,7 +20,7 @@
 const HEADER_BYTES: usize = 4;
 
 /// Buffer of a link that is not leased, in bytes.
-pub(super) const LINK_BUFFER_BYTES: usize = 4096;
+const LINK_BUFFER_BYTES: usize = 4096;
 
 /// Maximum time from the first byte of a frame to its last one.
 const FRAME_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/hornbeamlead_daemon/src/fleet/start.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/start.rs
@@ -1,6 +1,5 @@
 //! Starts the threads that entries and agents both have.
 
-use super::frames::LINK_BUFFER_BYTES;
 use super::links::{LINK_COMMAND_CAPACITY, LinkCommand, LinkEvent, LinksThread};
 use super::metrics::FleetMetrics;
 use super::probes::{ProbeContext, handle_probe};
@@ -133,7 +132,7 @@
 {
     let (sender, commands) = mpsc::channel(LINK_COMMAND_CAPACITY);
     let inbox = inbox.clone();
-    let max_links = parts.share.connections(LINK_BUFFER_BYTES);
+    let max_links = parts.share.descriptors;
     let (budget, counters) = (Arc::clone(&parts.budget), Arc::clone(&parts.counters));
     let queue_budget = ByteBudget::new(parts.share.queued_bytes);
     let run = move || async move {
--- a/crates/hornbeamlead_daemon/tests/hostile_callers.rs
+++ b/crates/hornbeamlead_daemon/tests/hostile_callers.rs
@@ -3,12 +3,14 @@
 
 mod crowd;
 
-use crowd::{BoundedProcess, Crowd, CrowdRequest, ENTRY_MACHINE, ask, ask_until};
+use crowd::{BoundedProcess, Crowd, CrowdRequest, ENTRY_MACHINE, TIMEOUT, ask, ask_until};
 use hornbeamlead_emulator::platform::PlatformHandle;
 use hornbeamlead_emulator::process::{ProcessRole, SoakProcess};
 use hornbeamlead_emulator::soak::serve_store;
 use rstest::rstest;
-use std::net::SocketAddr;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
 use tokio::runtime::Runtime;
 
 /// Clients of a crowd whose requests are large.
@@ -233,3 +235,24 @@
     assert_eq!(ask(entry.callers(), &request), 200);
     entry.check();
 }
+
+/// A connection that rests between two requests is served.
+#[test]
+fn resting_connection_served() {
+    let entry = TestEntry::start();
+    let body = padded_job(SMALL_BODY_BYTES);
+    ask_until(entry.callers(), &post(1, &body), 200);
+    let mut stream = BufReader::new(TcpStream::connect(entry.callers()).expect("connected"));
+    let socket = stream.get_ref();
+    socket.set_read_timeout(Some(TIMEOUT)).expect("set");
+    for rest in [Duration::ZERO, Duration::from_secs(8)] {
+        std::thread::sleep(rest);
+        stream
+            .get_ref()
+            .write_all(&head("GET", 1, ""))
+            .expect("sent");
+        let mut answer = Vec::new();
+        stream.read_until(b'}', &mut answer).expect("answered");
+        assert!(answer.starts_with(b"HTTP/1.1 200"), "{answer:?}");
+    }
+}
