[daemon] Lease the memory of a message before it is decoded

What users would see: an agent took no frames any more, or too much memory, when clients sent complete frames of several megabytes that decode to many times that.

Cause: a frame was decoded first and then waited for a lease of eight times its length, without an end if that is more than large leases may have; its own lease kept others waiting. Found by reading.

Change: the lease comes first, for 10 s at the most. A frame that finds no room counts as one that cannot be handled.

The relay of store calls and the places of connections moved to files of their own.

--- a/crates/hornbeamlead_daemon/src/fleet/frames.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/frames.rs
@@ -23,7 +23,7 @@
 const LINK_BUFFER_BYTES: usize = 4096;
 
 /// Maximum time from the first byte of a frame to its last one.
-const FRAME_TIMEOUT: Duration = Duration::from_secs(10);
+pub(super) const FRAME_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Maximum time for which a write may make no progress.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/hornbeamlead_daemon/src/fleet/links.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/links.rs
@@ -1,22 +1,18 @@
 //! Links thread: connections between agents and the planner, and of entries to agents.
 
-use super::frames::{FrameReader, HeldFrame, MAX_FRAME_BYTES, write_frames};
+use super::frames::{FRAME_TIMEOUT, FrameReader, HeldFrame, write_frames};
 use super::link_places::{LinkPlace, LinkPlaces};
+use super::relay::{RelayParts, StoreRelay};
 use crate::budget::{ByteBudget, ByteLease};
-use crate::clock::BootClock;
 use crate::counters::ProcessCounters;
 use crate::ring::RingSender;
-use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt};
-use hornbeamlead_adapter::StoreClient;
-use hornbeamlead_core::clock::MonoTime;
 use hornbeamlead_core::counter::RefusalReason;
 use hornbeamlead_jobs::effect::LinkId;
 use hornbeamlead_jobs::message::{AgentMessage, PlannerMessage};
 use hornbeamlead_jobs::notice::NoticeMessage;
 use hornbeamlead_jobs::record::{decode, encode};
 use hornbeamlead_jobs::relay::RelayedCall;
-use hornbeamlead_jobs::store::{StoreCall, StoreOutcome};
+use hornbeamlead_jobs::store::StoreOutcome;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::io;
@@ -26,8 +22,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::error::TrySendError;
-use tokio::sync::{Notify, Semaphore, mpsc};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio::sync::{Notify, mpsc};
 
 /// Maximum number of commands queued for the links thread.
 pub(super) const LINK_COMMAND_CAPACITY: usize = 4096;
@@ -36,9 +31,6 @@
 /// peer does not read.
 const LINK_FRAME_CAPACITY: usize = 1024;
 
-/// Maximum number of store calls that are made for other hosts at a time.
-const MAX_RELAYED_CALLS: usize = 8;
-
 /// Memory of a decoded message, in multiples of its encoded length, until the event loop has handled
 /// it. Calls that are relayed consist of bytes, which are not copied.
 const DECODED_FACTOR: usize = 8;
@@ -155,8 +147,7 @@
         let mut links = HashMap::<LinkId, OpenLink>::new();
         let mut incoming = FIRST_INCOMING_LINK;
         let places = LinkPlaces::new(self.max_links);
-        let store = Rc::new(StoreClient::new(self.store));
-        let permits = Rc::new(Semaphore::new(MAX_RELAYED_CALLS));
+        let relays = RelayParts::new(self.store, &self.queue_budget);
         loop {
             tokio::select! {
                 accepted = accept(self.listener.as_ref()) => {
@@ -181,9 +172,7 @@
                     };
                     links.insert(link, open);
                     let relay = StoreRelay {
-                        store: Rc::clone(&store),
-                        permits: Rc::clone(&permits),
-                        budget: Arc::clone(&self.queue_budget),
+                        parts: relays.clone(),
                         replies: sender,
                     };
                     tokio::task::spawn_local(async move {
@@ -338,24 +327,26 @@
     /// Delivers a frame to the event loop, or relays its call; returns whether it could.
     async fn receive(&self, link: LinkId, held: HeldFrame, relay: Option<&StoreRelay>) -> bool {
         let HeldFrame { bytes, mut lease } = held;
-        let event = match (decode::<PeerFrame>(&bytes), relay) {
+        // Before it is decoded, as a short encoding can take many times its length.
+        if !wait_for_lease(&mut lease, DECODED_FACTOR * bytes.len()).await {
+            self.counters.refusal(RefusalReason::MemoryFull);
+            return false;
+        }
+        let frame = match (decode::<PeerFrame>(&bytes), relay) {
             (Ok(PeerFrame::Relay(call)), Some(relay)) => return relay.execute(call).await,
-            (Ok(frame), _) => {
-                while !lease.try_grow_to(DECODED_FACTOR * bytes.len()) {
-                    let freed = lease.budget().wait_freed();
-                    let _ = tokio::time::timeout(MEMORY_WAIT, freed).await;
-                }
-                let _lease = lease;
-                LinkEvent::Frame(link, Box::new(ReceivedFrame { frame, _lease }))
+            (Ok(frame), _) => frame,
+            (Err(error), _) => {
+                let cause = error.to_string().into();
+                let _ = self
+                    .inbox
+                    .deliver(LinkEvent::Unreadable { link, cause }.into());
+                return false;
             }
-            (Err(error), _) => LinkEvent::Unreadable {
-                link,
-                cause: error.to_string().into(),
-            },
         };
-        let is_unreadable = matches!(event, LinkEvent::Unreadable { .. });
-        let _ = self.inbox.deliver(event.into());
-        !is_unreadable
+        let _lease = lease;
+        let received = Box::new(ReceivedFrame { frame, _lease });
+        let _ = self.inbox.deliver(LinkEvent::Frame(link, received).into());
+        true
     }
 
     fn count_error(&self, error: &io::Error) {
@@ -371,73 +362,15 @@
     }
 }
 
-/// Makes store calls on behalf of hosts that the store refuses.
-struct StoreRelay {
-    store: Rc<StoreClient>,
-    permits: Rc<Semaphore>,
-    budget: Arc<ByteBudget>,
-    replies: mpsc::Sender<HeldFrame>,
-}
-
-impl StoreRelay {
-    /// Makes a call and queues the reply; returns `false` if the memory for it is in use while the peer
-    /// has replies that it does not read.
-    async fn execute(&self, call: RelayedCall) -> bool {
-        // The semaphore is never closed, so `acquire` does not fail.
-        let permit = self.permits.acquire().await.ok();
-        let now = BootClock.mono();
-        let outcome = self.store.call(now, &call.into_call(now)).await;
-        let reply = encode(&PeerFrame::Relayed(outcome));
-        let (reply, is_beyond) = HeldFrame::queued(reply, &self.budget);
-        drop(permit);
-        // Sending fails only if the connection to the requesting host has ended.
-        let has_unread = self.replies.capacity() < self.replies.max_capacity();
-        !(is_beyond && has_unread) && self.replies.send(reply).await.is_ok()
-    }
-}
-
-/// Makes a call through another host and waits for its outcome until the call's deadline.
-pub(super) async fn relay_call(
-    address: SocketAddr,
-    now: MonoTime,
-    call: &StoreCall,
-) -> StoreOutcome {
-    let frame = encode(&PeerFrame::Relay(RelayedCall::new(now, call)));
-    let deadline = tokio::time::Instant::now() + call.deadline.since(now);
-    let stream = match tokio::time::timeout_at(deadline, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        // Nothing was sent, so the call had no effect.
-        Ok(Err(error)) => {
-            let cause = format!("relay {address}: {error}").into();
-            return StoreOutcome::Refused { cause };
-        }
-        Err(_) => {
-            let cause = format!("relay {address}: connect timed out").into();
-            return StoreOutcome::Refused { cause };
+/// Grows a lease to a size; returns `false` if the budget has no room for as long as a frame may take.
+async fn wait_for_lease(lease: &mut ByteLease, bytes: usize) -> bool {
+    let deadline = tokio::time::Instant::now() + FRAME_TIMEOUT;
+    while !lease.try_grow_to(bytes) {
+        if tokio::time::Instant::now() >= deadline {
+            return false;
         }
-    };
-    let cause = match tokio::time::timeout_at(deadline, exchange(stream, frame)).await {
-        Ok(Ok(PeerFrame::Relayed(outcome))) => return outcome,
-        Ok(Ok(_)) => "relay sent a frame of another kind".into(),
-        Ok(Err(error)) => format!("relay {address}: {error}"),
-        Err(_) => format!("no answer from relay {address}"),
-    };
-    StoreOutcome::Unanswered {
-        cause: cause.into(),
+        let freed = lease.budget().wait_freed();
+        let _ = tokio::time::timeout(MEMORY_WAIT, freed).await;
     }
-}
-
-async fn exchange(stream: TcpStream, frame: Bytes) -> io::Result<PeerFrame> {
-    stream.set_nodelay(true)?;
-    let mut framed = Framed::new(stream, frame_codec());
-    framed.send(frame).await?;
-    let bytes = framed.next().await;
-    let bytes = bytes.ok_or(io::ErrorKind::UnexpectedEof)??;
-    decode(&bytes).map_err(io::Error::other)
-}
-
-fn frame_codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
-        .new_codec()
+    true
 }
--- a/crates/hornbeamlead_daemon/src/fleet/mod.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod local;
 mod metrics;
 mod probes;
+mod relay;
 mod signals;
 mod sinks;
 mod start;
--- a/crates/hornbeamlead_daemon/src/fleet/store.rs
+++ b/crates/hornbeamlead_daemon/src/fleet/store.rs
@@ -1,7 +1,7 @@
 //! Store thread: makes calls concurrently and delivers their outcomes.
 
-use super::links::relay_call;
 use super::metrics::FleetMetrics;
+use super::relay::relay_call;
 use crate::clock::BootClock;
 use crate::ring::RingSender;
 use hornbeamlead_adapter::StoreClient;
--- a/crates/hornbeamlead_daemon/src/web/mod.rs
+++ b/crates/hornbeamlead_daemon/src/web/mod.rs
@@ -8,6 +8,7 @@
 mod connection;
 mod local;
 mod operators;
+mod places;
 mod reply;
 mod server;
 mod stream;
--- a/crates/hornbeamlead_daemon/src/web/table.rs
+++ b/crates/hornbeamlead_daemon/src/web/table.rs
@@ -6,11 +6,11 @@
 
 use super::body::RequestError;
 use super::connection::{ConnectionLimits, ConnectionState, ReadWait, lock};
+use super::places::{ConnectionPlace, ConnectionPlaces, OpenConnection};
 use crate::budget::{ByteBudget, ByteLease, SharedValue};
 use crate::counters::ProcessCounters;
 use gotham::state::{State, client_addr};
 use hornbeamlead_core::counter::RefusalReason;
-use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -35,98 +35,6 @@
     changed: Notify,
 }
 
-/// Number of a place in the order in which connections began to wait for their clients.
-type WaitNumber = u64;
-
-/// Connection with its place.
-struct OpenConnection {
-    state: Arc<ConnectionState>,
-    place: ConnectionPlace,
-    /// Whether a request has been answered.
-    answered: bool,
-}
-
-/// What a connection does, as far as it decides on its place.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ConnectionPlace {
-    /// Waits for its client: for a request, for the rest of one, or for an answer to be read.
-    Waiting {
-        number: WaitNumber,
-        reads_body: bool,
-    },
-    /// Its request is being handled.
-    Handled,
-    /// Was evicted and is about to end.
-    Evicted,
-}
-
-/// Open connections by the address of the client.
-#[derive(Default)]
-struct ConnectionPlaces {
-    open: HashMap<SocketAddr, OpenConnection>,
-    waiting: BTreeMap<WaitNumber, SocketAddr>,
-    /// Those of the waiting connections that receive a body.
-    bodies: BTreeMap<WaitNumber, SocketAddr>,
-    evicted: usize,
-    handled: usize,
-    last_number: WaitNumber,
-}
-
-impl ConnectionPlaces {
-    fn taken(&self) -> usize {
-        self.open.len() - self.evicted
-    }
-
-    fn next_number(&mut self) -> WaitNumber {
-        self.last_number += 1;
-        self.last_number
-    }
-
-    /// Moves a connection to another place.
-    fn set_place(&mut self, peer: SocketAddr, place: ConnectionPlace) {
-        let Some(connection) = self.open.get_mut(&peer) else {
-            return;
-        };
-        let earlier = std::mem::replace(&mut connection.place, place);
-        self.leave(earlier);
-        match place {
-            ConnectionPlace::Waiting { number, reads_body } => {
-                self.waiting.insert(number, peer);
-                if reads_body {
-                    self.bodies.insert(number, peer);
-                }
-            }
-            ConnectionPlace::Handled => self.handled += 1,
-            ConnectionPlace::Evicted => self.evicted += 1,
-        }
-    }
-
-    fn leave(&mut self, place: ConnectionPlace) {
-        match place {
-            ConnectionPlace::Waiting { number, .. } => {
-                self.waiting.remove(&number);
-                self.bodies.remove(&number);
-            }
-            ConnectionPlace::Handled => self.handled -= 1,
-            ConnectionPlace::Evicted => self.evicted -= 1,
-        }
-    }
-
-    fn evict(&mut self, peer: SocketAddr) {
-        if let Some(connection) = self.open.get(&peer) {
-            connection.state.evict();
-            self.set_place(peer, ConnectionPlace::Evicted);
-        }
-    }
-
-    fn wait_number(&self, peer: SocketAddr) -> Option<WaitNumber> {
-        match self.open.get(&peer)?.place {
-            ConnectionPlace::Waiting { number, .. } => Some(number),
-            _ => None,
-        }
-    }
-}
-
 impl ConnectionTable {
     /// Creates an empty table whose connections hold bodies within a budget.
     pub fn new(
--- a/crates/hornbeamlead_daemon/tests/hostile_peers.rs
+++ b/crates/hornbeamlead_daemon/tests/hostile_peers.rs
@@ -197,6 +197,18 @@
     frame
 }
 
+/// Returns a complete message of many short entries, several times.
+fn large_message() -> Vec<u8> {
+    let count = LARGE_BYTES / 2 - 8;
+    // A list's length in groups of seven bits, the lowest first.
+    let length = [0, 7, 14, 21].map(|shift| (count >> shift) as u8 & 0x7f);
+    let [first, second, third, fourth] = length;
+    let length = [first | 0x80, second | 0x80, third | 0x80, fourth];
+    let version = encode(&())[0];
+    let message = [&[version][..], &length, &vec![0; 2 * count]].concat();
+    message_frame(NOTICES_FRAME, &message).repeat(4)
+}
+
 fn notice_frames() -> Vec<u8> {
     let message = encode(&NoticeMessage::default());
     message_frame(NOTICES_FRAME, &message).repeat(UNREAD_MESSAGES)
@@ -248,6 +260,7 @@
     LARGE_CROWD,
     CrowdRequest::in_pieces(cut_frame(LARGE_BYTES), LARGE_BYTES / 10)
 )]
+#[case::large_messages("inner", LARGE_CROWD, CrowdRequest::whole(large_message()))]
 #[case::silent_links("inner", WIDE_CROWD, CrowdRequest::whole(""))]
 #[case::unreadable_frames(
     "inner",
