[review] Show work that is done twice after a late hold and a loss of power

A hold that acknowledges ends gets no answer, and its machine loses power 50 ms later. The worker comes back under its id, the hold is carried out 9 s late by that life, and ends that nobody has read are forgotten: their tasks are done again.

--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -4,13 +4,13 @@
 use crate::http::call;
 use crate::record::Record;
 use crate::store::Store;
-use crate::worker::{Judge, LateOrders, Order, Place, Worker};
+use crate::worker::{Judge, LateOrders, Ledger, Order, Place, Worker};
 use std::fs::{self, File};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Host of the queue, and its prefix.
@@ -49,12 +49,14 @@
     /// Address that callers use, of an entry; that of the worker's heartbeats, of an agent.
     pub control: SocketAddr,
     pub readiness: SocketAddr,
+    /// Address at which other machines reach it.
+    inner: SocketAddr,
     process: Option<Child>,
     log: PathBuf,
 }
 
 impl Machine {
-    fn start(&mut self) {
+    pub fn start(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log);
         let log = log.expect("the log can be written");
         // The command of the deploy file.
@@ -90,6 +92,7 @@
     pub late: Vec<LateOrders>,
     pub record: Record,
     pub judge: Judge,
+    pub ledger: Arc<Mutex<Ledger>>,
     lives: u32,
     folder: PathBuf,
 }
@@ -115,6 +118,7 @@
             late: Vec::new(),
             record: record.clone(),
             judge: Arc::new(|_, _| Order::Answered),
+            ledger: Arc::default(),
             lives: 0,
             folder,
         };
@@ -159,6 +163,7 @@
             settings,
             control,
             readiness,
+            inner,
             process: None,
         };
         if role == "entry" {
@@ -170,6 +175,7 @@
             address: worker,
             agent: control,
             first_beat: Duration::ZERO,
+            ledger: Arc::clone(&self.ledger),
         });
         self.late.push(LateOrders::default());
         self.agents.push(machine);
@@ -205,6 +211,24 @@
         Worker::start(&id, place, &self.record, Arc::clone(&self.judge), late)
     }
 
+    /// Returns the index of the agent that is the planner, by the newest line on one in the agents' logs.
+    pub fn planner(&self) -> Option<usize> {
+        let logs = self
+            .agents
+            .iter()
+            .filter_map(|agent| fs::read_to_string(&agent.log).ok());
+        let newest = |log: String| {
+            let found = log
+                .lines()
+                .filter(|line| line.contains("event=planner_found"));
+            found.max().map(String::from)
+        };
+        // Lines begin with their level and time.
+        let found = logs.filter_map(newest).max()?;
+        let is_named = |agent: &Machine| found.contains(&format!("id=\"{}\"", agent.inner));
+        self.agents.iter().position(is_named)
+    }
+
     /// Waits until an entry is ready.
     pub fn wait_ready(&self) -> Result<(), String> {
         for entry in &self.entries {
--- a/review/standin-3/late_start.rs
+++ b/review/standin-3/late_start.rs
@@ -70,11 +70,11 @@
         }
         if let Some((index, _, true)) = down_since {
             let mut late = fleet.late[index].lock().unwrap();
-            late.retain(|(at, order)| {
+            late.retain(|(at, route, order)| {
                 let is_due = Instant::now() >= *at;
                 if is_due {
                     record.line("the late start is carried out");
-                    let _ = fleet.workers[index].carry_out("/-/run-start", order);
+                    let _ = fleet.workers[index].carry_out(route, order);
                 }
                 !is_due
             });
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod http;
 mod json;
+mod late_hold;
 mod late_start;
 mod record;
 mod stale_snapshot;
@@ -48,6 +49,7 @@
     // The processes that a case has started end with it, also if it fails.
     let verdict = panic::catch_unwind(AssertUnwindSafe(|| match name.as_str() {
         "early-heartbeat" => early_heartbeat::run(&case),
+        "late-hold" => late_hold::run(&case),
         "late-start" => late_start::run(&case),
         "stale-snapshot" => stale_snapshot::run(&case),
         _ => Err(format!("no case {name}")),
--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -4,7 +4,7 @@
 use crate::http::{Reply, Request, call, serve};
 use crate::json::{self, Value};
 use crate::record::Record;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -37,6 +37,10 @@
     highest: BTreeMap<String, u64>,
     ends: Vec<(u64, String, u64, &'static str)>,
     last_end: u64,
+    /// Number of the last end that an answer has listed.
+    listed: u64,
+    /// Holds that have not been answered yet.
+    waiting: u32,
 }
 
 /// Where a worker is and whom it reports to.
@@ -49,6 +53,34 @@
     pub agent: SocketAddr,
     /// Time from the start to the first heartbeat.
     pub first_beat: Duration,
+    pub ledger: Arc<Mutex<Ledger>>,
+}
+
+/// What the workers have done, for rule TWICE.
+#[derive(Default)]
+pub struct Ledger {
+    /// Runs that have ended `done`, by task.
+    done: BTreeMap<String, Vec<u64>>,
+    /// Those whose end has been taken note of, while the lease held.
+    noted: BTreeSet<(String, u64)>,
+    /// Starts after such an end: the task, the run that was done and the new one.
+    again: Vec<(String, u64, u64)>,
+}
+
+impl Ledger {
+    fn note_start(&mut self, task: &str, number: u64) {
+        let before = self.done.get(task).into_iter().flatten();
+        let again = before.map(|done| (task.to_owned(), *done, number));
+        self.again.extend(again);
+    }
+
+    /// Returns the starts after a run that has ended `done`, if that end has been taken note of.
+    pub fn done_again(&self) -> Vec<(String, u64, u64)> {
+        let again = self.again.iter();
+        let is_noted =
+            |(task, done, _): &&(String, u64, u64)| self.noted.contains(&(task.clone(), *done));
+        again.filter(is_noted).cloned().collect()
+    }
 }
 
 /// Whether an order is answered.
@@ -59,7 +91,8 @@
     Late(Duration),
 }
 
-/// Decides on the fate of starts by task and run.
+/// Decides on the fate of starts, by task and run, and of holds that acknowledge ends, by the worker's id
+/// and `ackedThrough`.
 pub type Judge = Arc<dyn Fn(&str, u64) -> Order + Send + Sync>;
 
 /// One life of a worker.
@@ -95,6 +128,8 @@
                     highest: BTreeMap::new(),
                     ends: Vec::new(),
                     last_end: 0,
+                    listed: 0,
+                    waiting: 0,
                 }),
                 Condvar::new(),
             )),
@@ -130,6 +165,25 @@
         thread::sleep(Duration::from_millis(20));
     }
 
+    /// Carries out a late hold, if there are ends that no answer has listed, nor one that is due now.
+    /// Returns these. Nobody gets the answer.
+    pub fn carry_out_hold(&self, body: &Value) -> Option<Vec<String>> {
+        let mut state = self.shared.0.lock().unwrap();
+        let is_unlisted =
+            |end: &&(u64, String, u64, &str)| state.waiting == 0 && end.0 > state.listed;
+        let ends = state.ends.iter().filter(is_unlisted);
+        let unlisted: Vec<_> = ends
+            .map(|(number, task, run, how)| format!("{number}: {task}#{run} {how}"))
+            .collect();
+        let token = body.number("fencingToken").unwrap_or(0);
+        if !state.is_alive || token < state.token || unlisted.is_empty() {
+            return None;
+        }
+        state.token = token;
+        self.acknowledge(&mut state, body);
+        Some(unlisted)
+    }
+
     /// Returns the tasks that run.
     pub fn running(&self) -> Vec<(String, u64)> {
         let state = self.shared.0.lock().unwrap();
@@ -177,6 +231,10 @@
             state.last_end += 1;
             let last = state.last_end;
             self.note(&task, number, how);
+            if how == "done" {
+                let mut ledger = self.place.ledger.lock().unwrap();
+                ledger.done.entry(task.clone()).or_default().push(number);
+            }
             state.ends.push((last, task, number, how));
             self.shared.1.notify_all();
         }
@@ -232,18 +290,40 @@
                     number,
                     &format!("ordered, no answer, to be carried out {delayed}"),
                 );
-                late.lock().unwrap().push((Instant::now() + delay, body));
-                // Until the caller gives up, or the process ends.
-                let until = Instant::now() + delay;
-                while self.is_alive() && Instant::now() < until {
-                    thread::sleep(Duration::from_millis(5));
-                }
-                return Reply::Close;
+                return self.leave_unanswered(request.route(), body, delay, late);
             }
         }
+        let acked = body.number("ackedThrough").unwrap_or(0);
+        if request.route() == "/-/hold"
+            && acked > 0
+            && let Order::Late(delay) = judge(&self.id, acked)
+        {
+            self.record.line(format!(
+                "hold of {} with ackedThrough {acked} gets no answer, to be carried out {} ms late",
+                self.id,
+                delay.as_millis()
+            ));
+            return self.leave_unanswered(request.route(), body, delay, late);
+        }
         self.carry_out(request.route(), &body)
     }
 
+    /// Keeps an order for later, and its caller waiting until it gives up or the process ends.
+    fn leave_unanswered(
+        &self,
+        route: &str,
+        body: Value,
+        delay: Duration,
+        late: &LateOrders,
+    ) -> Reply {
+        let until = Instant::now() + delay;
+        late.lock().unwrap().push((until, route.to_owned(), body));
+        while self.is_alive() && Instant::now() < until {
+            thread::sleep(Duration::from_millis(5));
+        }
+        Reply::Close
+    }
+
     /// Carries an order out.
     pub fn carry_out(&self, route: &str, body: &Value) -> Reply {
         let token = body.number("fencingToken").unwrap_or(0);
@@ -324,18 +404,33 @@
             stop_at: None,
         };
         self.note(&task, number, "starts");
+        self.place.ledger.lock().unwrap().note_start(&task, number);
         state.running.insert(task, run);
         Reply::Json(200, format!("{{\"clockMs\":{}}}", self.clock()))
     }
 
-    fn hold(&self, body: &Value) -> Reply {
-        let mut state = self.shared.0.lock().unwrap();
+    /// Takes over what a hold says.
+    fn acknowledge(&self, state: &mut State, body: &Value) {
         if let Some(until) = body.number("untilMs") {
-            self.extend(&mut state, until);
+            self.extend(state, until);
         }
         let acked = body.number("ackedThrough").unwrap_or(0);
+        if self.clock() < state.lease_until {
+            let mut ledger = self.place.ledger.lock().unwrap();
+            let noted = state
+                .ends
+                .iter()
+                .filter(|end| end.0 <= acked && end.3 == "done");
+            ledger.noted.extend(noted.map(|end| (end.1.clone(), end.2)));
+        }
         state.ends.retain(|end| end.0 > acked);
+    }
+
+    fn hold(&self, body: &Value) -> Reply {
+        let mut state = self.shared.0.lock().unwrap();
+        self.acknowledge(&mut state, body);
         let until = Instant::now() + Duration::from_millis(body.number("waitMs").unwrap_or(0));
+        state.waiting += 1;
         loop {
             let now = Instant::now();
             if !state.is_alive {
@@ -346,6 +441,7 @@
             }
             state = self.shared.1.wait_timeout(state, until - now).unwrap().0;
         }
+        state.waiting -= 1;
         let running = state.running.iter().map(|(task, run)| {
             let spent = run.began.elapsed().as_millis() as u64;
             let percent = run
@@ -354,6 +450,8 @@
             format!("[\"{task}\",{},\"\",{},100]", run.number, percent.min(100))
         });
         let running: Vec<_> = running.collect();
+        let last = state.ends.iter().take(MAX_ENDS).last().map(|end| end.0);
+        state.listed = state.listed.max(last.unwrap_or(0));
         let ends = state.ends.iter().take(MAX_ENDS);
         let ends = ends.map(|(n, task, run, how)| format!("[{n},\"{task}\",{run},\"{how}\",\"\"]"));
         let ends: Vec<_> = ends.collect();
@@ -370,4 +468,4 @@
 }
 
 /// Orders that are carried out late, each with its time.
-pub type LateOrders = Arc<Mutex<Vec<(Instant, Value)>>>;
+pub type LateOrders = Arc<Mutex<Vec<(Instant, String, Value)>>>;
