[review] Show a task that crashes workers and is given up too late beside another one

Two jobs of one task crash their workers 1 and 2.5 s after each start, beside ordinary jobs on eight workers. The second one starts three to five times after three workers have crashed under it.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case: `standin CASE RECORD`. Exits with 1 if the rule was broken, 0 if it held, and 2 if the
 //! case could not run. `TROUBLE=0` leaves the disruptions out, `TROUBLE=power` all but the power losses.
 
+mod deadly_pair;
 mod early_heartbeat;
 mod fleet;
 mod http;
@@ -48,6 +49,7 @@
         .line(format!("case {name}, disruption: {}", case.has_trouble));
     // The processes that a case has started end with it, also if it fails.
     let verdict = panic::catch_unwind(AssertUnwindSafe(|| match name.as_str() {
+        "deadly-pair" => deadly_pair::run(&case),
         "early-heartbeat" => early_heartbeat::run(&case),
         "late-hold" => late_hold::run(&case),
         "late-start" => late_start::run(&case),
